--- /dev/null
+++ b/src/fold.rs
@@ -0,0 +1,388 @@
+//! The deterministic fold of the log into the fleet's shared state.
+//!
+//! Every process applies the same records in offset order, so two processes that have folded up to the same offset agree
+//! without any further protocol. Nothing here reads a clock or a random source. See `docs/design.md`, section 3.
+
+use std::collections::VecDeque;
+
+use compact_str::CompactString;
+use prost::Message;
+
+use crate::collections::FastMap;
+use crate::contract::{Configuration, Contract};
+use crate::ids::{CustomerKey, Fingerprint, IncarnationId, Interner, Offset};
+use crate::intent::Intents;
+use crate::ledger::{BillEffect, Ledger};
+use crate::membership::{Member, Members, Phase};
+use crate::quarantine::Quarantine;
+use crate::record::{Batch, Bill, ConfigurationEntry, ContractEntry, Entry, Open};
+use crate::rollout::Rollouts;
+
+/// Number of rejected publications that are remembered for operators.
+const RETAINED_REJECTIONS: usize = 256;
+
+/// A contract in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ContractInForce {
+    /// Revision of the contract.
+    pub revision: u64,
+    /// Offset at which it was accepted.
+    pub offset: Offset,
+    /// The contract itself.
+    pub contract: Contract,
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ConfigurationInForce {
+    /// Revision of the configuration; 0 before the first one.
+    pub revision: u64,
+    /// Offset at which it was accepted.
+    pub offset: Offset,
+    /// The configuration itself.
+    pub configuration: Configuration,
+}
+
+/// A publication that was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// What was published.
+    pub subject: CompactString,
+    /// Why it was not accepted.
+    pub reason: CompactString,
+}
+
+/// A change that a process may need to react to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A contract or a configuration came into force.
+    Configuration,
+    /// A bill was folded.
+    Bill {
+        /// Incarnation that wrote the bill.
+        writer: IncarnationId,
+        /// The bill.
+        bill: Bill,
+        /// What became of it.
+        effect: BillEffect,
+    },
+    /// Grants may have changed.
+    Grant {
+        /// Incarnation whose grant changed.
+        incarnation: IncarnationId,
+        /// Customer whose budget it is.
+        customer: CustomerKey,
+    },
+    /// An incarnation was opened, closed, left or finalised.
+    Member(IncarnationId),
+    /// A claim changed.
+    Claim(crate::ids::RequestKey),
+    /// A rollout changed.
+    Rollout,
+    /// A crash was counted.
+    Crash(Fingerprint),
+    /// A publication was rejected.
+    Rejected(Rejection),
+}
+
+/// The fleet's shared state after all records below an offset.
+#[derive(Clone, Debug, Default)]
+pub struct FleetState {
+    /// Offset of the next record to fold.
+    pub next_offset: Offset,
+    /// Names of customers in the order of their first contract.
+    pub customers: Interner<CustomerKey>,
+    /// Contracts in force.
+    pub contracts: FastMap<CustomerKey, ContractInForce>,
+    /// Configuration in force.
+    pub configuration: ConfigurationInForce,
+    /// Budgets and bills.
+    pub ledger: Ledger,
+    /// Claims on calls that may run at most once.
+    pub intents: Intents,
+    /// Incarnations of router processes.
+    pub members: Members,
+    /// Version rollouts.
+    pub rollouts: Rollouts,
+    /// Requests that crash upstreams.
+    pub quarantine: Quarantine,
+    /// Publications that were not accepted, the oldest first.
+    pub rejections: VecDeque<Rejection>,
+    /// Bills that came after their grant was finalised.
+    pub late_bills: u64,
+}
+
+impl FleetState {
+    /// Decodes and applies the record at `offset`, and returns what changed.
+    ///
+    /// Records below the next offset are ignored, so that a record received twice has no effect. A payload that does not
+    /// decode is skipped by every process alike.
+    pub fn apply_payload(&mut self, offset: Offset, payload: &[u8]) -> Vec<Change> {
+        match Batch::decode(payload) {
+            Ok(batch) => self.apply(offset, &batch),
+            Err(_) => {
+                self.next_offset = self.next_offset.max(offset + 1);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Applies the record at `offset` and returns what changed.
+    pub fn apply(&mut self, offset: Offset, batch: &Batch) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if offset < self.next_offset {
+            return changes;
+        }
+        self.next_offset = offset + 1;
+        let writer = IncarnationId(batch.incarnation);
+        if !self.accept_seq(writer, batch) {
+            return changes;
+        }
+        for envelope in &batch.entries {
+            if let Some(entry) = &envelope.entry {
+                self.apply_entry(offset, writer, entry, &mut changes);
+            }
+        }
+        changes
+    }
+
+    /// Checks the batch number, so that a batch appended twice counts once.
+    fn accept_seq(&mut self, writer: IncarnationId, batch: &Batch) -> bool {
+        match self.members.get_mut(writer) {
+            Some(member) if batch.seq == member.last_seq + 1 => {
+                member.last_seq = batch.seq;
+                true
+            }
+            Some(_) => false,
+            None => batch.seq == 1,
+        }
+    }
+
+    fn apply_entry(
+        &mut self,
+        offset: Offset,
+        writer: IncarnationId,
+        entry: &Entry,
+        changes: &mut Vec<Change>,
+    ) {
+        match entry {
+            Entry::Open(open) => {
+                self.members.open(writer, new_member(open));
+                changes.push(Change::Member(writer));
+            }
+            Entry::Close(close) => {
+                let id = IncarnationId(close.incarnation);
+                if self.members.close(id, close.last_seq) {
+                    changes.push(Change::Member(id));
+                }
+            }
+            Entry::Leave(_) => {
+                self.members.leave(writer);
+                changes.push(Change::Member(writer));
+            }
+            Entry::Finalize(finalize) => {
+                let id = IncarnationId(finalize.incarnation);
+                if self.members.finalize(id) {
+                    self.ledger.finalize(id);
+                    changes.push(Change::Member(id));
+                }
+            }
+            Entry::Contract(contract) => {
+                let result = self.apply_contract(offset, contract);
+                self.note_publication(offset, &contract.customer, result, changes);
+            }
+            Entry::Configuration(configuration) => {
+                let result = self.apply_configuration(offset, configuration);
+                self.note_publication(offset, "configuration", result, changes);
+            }
+            Entry::Grant(grant) => {
+                if let (true, Some(customer)) =
+                    (self.is_open(writer), self.customers.get(&grant.customer))
+                {
+                    self.ledger.grant(customer, writer, grant.up_to_tokens);
+                    changes.push(Change::Grant {
+                        incarnation: writer,
+                        customer,
+                    });
+                }
+            }
+            Entry::Return(entry) => {
+                if let Some(customer) = self.customers.get(&entry.customer) {
+                    let grant = IncarnationId(entry.grant);
+                    self.ledger.give_back(customer, grant, entry.amount_tokens);
+                    changes.push(Change::Grant {
+                        incarnation: grant,
+                        customer,
+                    });
+                }
+            }
+            Entry::Bill(bill) => self.apply_bill(writer, bill, changes),
+            Entry::Intent(intent) => {
+                if self.is_open(writer) {
+                    let key = intent.request_key();
+                    self.intents
+                        .claim(key, writer, Fingerprint(intent.fingerprint));
+                    changes.push(Change::Claim(key));
+                }
+            }
+            Entry::Outcome(outcome) => {
+                let key = outcome.request_key();
+                self.intents.complete(key, writer, outcome.status as u16);
+                changes.push(Change::Claim(key));
+            }
+            Entry::Abandon(abandon) => {
+                let key = abandon.request_key();
+                self.intents.abandon(key, writer);
+                changes.push(Change::Claim(key));
+            }
+            Entry::Rollout(rollout) => {
+                let result = self.rollouts.start(rollout);
+                changes.push(Change::Rollout);
+                self.note_publication(offset, &rollout.id, result, changes);
+            }
+            Entry::RolloutStep(step) => {
+                self.rollouts.step(step);
+                changes.push(Change::Rollout);
+            }
+            Entry::Evidence(evidence) => {
+                self.rollouts.add_evidence(evidence);
+                changes.push(Change::Rollout);
+            }
+            Entry::Rollback(rollback) => {
+                self.rollouts.roll_back(rollback);
+                changes.push(Change::Rollout);
+            }
+            Entry::RolloutEnd(end) => {
+                self.rollouts.end(end);
+                changes.push(Change::Rollout);
+            }
+            Entry::Crash(crash) => {
+                let fingerprint = Fingerprint(crash.fingerprint);
+                self.quarantine.add_crash(fingerprint);
+                changes.push(Change::Crash(fingerprint));
+            }
+            Entry::Order(_) => {}
+        }
+    }
+
+    fn is_open(&self, id: IncarnationId) -> bool {
+        self.members
+            .get(id)
+            .is_some_and(|member| member.phase == Phase::Open)
+    }
+
+    fn apply_contract(&mut self, offset: Offset, entry: &ContractEntry) -> Result<(), String> {
+        let contract = Contract::from_json(&entry.body_json).map_err(|error| error.to_string())?;
+        if contract.customer != entry.customer {
+            return Err(format!("customer: the body names {}", contract.customer));
+        }
+        let in_force = self
+            .customers
+            .get(&entry.customer)
+            .and_then(|key| self.contracts.get(&key));
+        check_revision(
+            entry.revision,
+            entry.replaces,
+            in_force.map_or(0, |c| c.revision),
+        )?;
+        let old_total = in_force.map_or(0, |c| c.contract.prepaid_total_tokens);
+        if contract.prepaid_total_tokens < old_total {
+            return Err(format!(
+                "prepaid_total_tokens: {} is below the total in force, {old_total}; the total is cumulative",
+                contract.prepaid_total_tokens
+            ));
+        }
+        let key = self.customers.intern(&entry.customer);
+        self.ledger.set_prepaid(key, contract.prepaid_total_tokens);
+        self.contracts.insert(
+            key,
+            ContractInForce {
+                revision: entry.revision,
+                offset,
+                contract,
+            },
+        );
+        Ok(())
+    }
+
+    fn apply_configuration(
+        &mut self,
+        offset: Offset,
+        entry: &ConfigurationEntry,
+    ) -> Result<(), String> {
+        let configuration =
+            Configuration::from_json(&entry.body_json).map_err(|error| error.to_string())?;
+        check_revision(entry.revision, entry.replaces, self.configuration.revision)?;
+        self.configuration = ConfigurationInForce {
+            revision: entry.revision,
+            offset,
+            configuration,
+        };
+        Ok(())
+    }
+
+    fn apply_bill(&mut self, writer: IncarnationId, bill: &Bill, changes: &mut Vec<Change>) {
+        let Some(customer) = self.customers.get(&bill.customer) else {
+            return;
+        };
+        let effect = self.ledger.bill(
+            customer,
+            bill.request_key(),
+            Fingerprint(bill.fingerprint),
+            &bill.draws,
+        );
+        if effect == BillEffect::Late {
+            self.late_bills += 1;
+        }
+        changes.push(Change::Bill {
+            writer,
+            bill: bill.clone(),
+            effect,
+        });
+    }
+
+    fn note_publication(
+        &mut self,
+        offset: Offset,
+        subject: &str,
+        result: Result<(), String>,
+        changes: &mut Vec<Change>,
+    ) {
+        match result {
+            Ok(()) => changes.push(Change::Configuration),
+            Err(reason) => {
+                let rejection = Rejection {
+                    offset,
+                    subject: subject.into(),
+                    reason: reason.into(),
+                };
+                if self.rejections.len() == RETAINED_REJECTIONS {
+                    self.rejections.pop_front();
+                }
+                self.rejections.push_back(rejection.clone());
+                changes.push(Change::Rejected(rejection));
+            }
+        }
+    }
+}
+
+fn new_member(open: &Open) -> Member {
+    Member {
+        vm: open.vm.as_str().into(),
+        data_centre: open.data_centre.as_str().into(),
+        address: open.address.as_str().into(),
+        phase: Phase::Open,
+        last_seq: 1,
+    }
+}
+
+fn check_revision(revision: u64, replaces: u64, in_force: u64) -> Result<(), String> {
+    if replaces == in_force && revision > in_force {
+        return Ok(());
+    }
+    Err(format!(
+        "revision {revision} replaces {replaces}, but revision {in_force} is in force"
+    ))
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of monsoonfield.
+
+fn main() {}
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,96 @@
+//! Incarnations of router processes, as every process folds them from the log.
+//!
+//! See `docs/design.md`, section 3.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::IncarnationId;
+
+/// Life cycle of an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// The incarnation may act.
+    Open,
+    /// A peer closed it; its grants count as spent.
+    Closed,
+    /// It ended as planned.
+    Left,
+}
+
+/// One incarnation of a router process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of the VM.
+    pub vm: CompactString,
+    /// Name of the data centre.
+    pub data_centre: CompactString,
+    /// Address for peers, as `ip:port`.
+    pub address: CompactString,
+    /// Life cycle.
+    pub phase: Phase,
+    /// Newest batch that was folded.
+    pub last_seq: u64,
+}
+
+/// All incarnations that are not yet finalised.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    members: BTreeMap<IncarnationId, Member>,
+}
+
+impl Members {
+    /// Adds an incarnation.
+    pub fn open(&mut self, id: IncarnationId, member: Member) {
+        self.members.entry(id).or_insert(member);
+    }
+
+    /// Closes an incarnation unless it has written since the closer read it; returns whether it is closed now.
+    pub fn close(&mut self, id: IncarnationId, last_seq: u64) -> bool {
+        match self.members.get_mut(&id) {
+            Some(member) if member.phase == Phase::Open && member.last_seq == last_seq => {
+                member.phase = Phase::Closed;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends an incarnation as planned.
+    pub fn leave(&mut self, id: IncarnationId) {
+        if let Some(member) = self.members.get_mut(&id) {
+            if member.phase == Phase::Open {
+                member.phase = Phase::Left;
+            }
+        }
+    }
+
+    /// Removes an incarnation that has ended; returns whether it was removed.
+    pub fn finalize(&mut self, id: IncarnationId) -> bool {
+        match self.members.get(&id) {
+            Some(member) if member.phase != Phase::Open => {
+                self.members.remove(&id);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns an incarnation.
+    pub fn get(&self, id: IncarnationId) -> Option<&Member> {
+        self.members.get(&id)
+    }
+
+    /// Returns an incarnation for changes.
+    pub fn get_mut(&mut self, id: IncarnationId) -> Option<&mut Member> {
+        self.members.get_mut(&id)
+    }
+
+    /// Returns all incarnations in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (IncarnationId, &Member)> {
+        self.members.iter().map(|(&id, member)| (id, member))
+    }
+}
--- /dev/null
+++ b/src/refusal.rs
@@ -0,0 +1,125 @@
+//! The refusals that callers can receive.
+//!
+//! The set is closed, so that every refusal states truthfully whether the request ran. `not_run` invites a retry, so it
+//! is only used where nothing was sent to an upstream. See `docs/design.md`, section 5.
+
+use serde::Serialize;
+
+/// Whether a refused request may have run at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// Nothing was sent and nothing will be; a retry is safe.
+    NotRun,
+    /// The request was or may have been sent.
+    MayHaveRun,
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The request is not valid HTTP or JSON, or a field has the wrong type.
+    BadRequest,
+    /// The `Idempotency-Key` header is missing.
+    MissingIdempotencyKey,
+    /// The bearer key is missing or belongs to no customer.
+    Unauthorized,
+    /// The contract does not allow the model or service.
+    Forbidden,
+    /// No such path, model or service.
+    NotFound,
+    /// The path does not take this method.
+    MethodNotAllowed,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The headers are larger than the limit.
+    HeadersTooLarge,
+    /// The key was used before with another body.
+    KeyReused,
+    /// The customer's budget cannot cover the request.
+    BudgetExhausted,
+    /// Budget may be left in the fleet but could not be obtained now.
+    BudgetUnavailable,
+    /// The response could not be complete within the contract's time limit.
+    Overloaded,
+    /// No upstream can serve the request now.
+    NoUpstream,
+    /// The log is unavailable and the call may not be repeated.
+    LogUnavailable,
+    /// The router is shutting down.
+    ShuttingDown,
+    /// The request crashed upstreams and is stopped everywhere.
+    Quarantined,
+    /// An earlier attempt holds the claim and its result is unknown.
+    EarlierAttempt,
+    /// The upstream failed after the request was sent.
+    UpstreamFailed,
+    /// The response was not complete within the contract's time limit.
+    TimedOut,
+    /// The router failed inside.
+    Internal,
+}
+
+impl Refusal {
+    /// Returns the stable code that callers may rely on.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::MissingIdempotencyKey => "missing_idempotency_key",
+            Self::Unauthorized => "unauthorized",
+            Self::Forbidden => "forbidden",
+            Self::NotFound => "not_found",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::BodyTooLarge => "body_too_large",
+            Self::HeadersTooLarge => "headers_too_large",
+            Self::KeyReused => "key_reused",
+            Self::BudgetExhausted => "budget_exhausted",
+            Self::BudgetUnavailable => "budget_unavailable",
+            Self::Overloaded => "overloaded",
+            Self::NoUpstream => "no_upstream",
+            Self::LogUnavailable => "log_unavailable",
+            Self::ShuttingDown => "shutting_down",
+            Self::Quarantined => "quarantined",
+            Self::EarlierAttempt => "earlier_attempt",
+            Self::UpstreamFailed => "upstream_failed",
+            Self::TimedOut => "timed_out",
+            Self::Internal => "internal",
+        }
+    }
+
+    /// Returns the HTTP status.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::MissingIdempotencyKey => 400,
+            Self::Unauthorized => 401,
+            Self::BudgetExhausted => 402,
+            Self::Forbidden => 403,
+            Self::NotFound => 404,
+            Self::MethodNotAllowed => 405,
+            Self::KeyReused | Self::EarlierAttempt => 409,
+            Self::BodyTooLarge => 413,
+            Self::Quarantined => 422,
+            Self::HeadersTooLarge => 431,
+            Self::Internal => 500,
+            Self::UpstreamFailed => 502,
+            Self::Overloaded
+            | Self::NoUpstream
+            | Self::BudgetUnavailable
+            | Self::LogUnavailable
+            | Self::ShuttingDown => 503,
+            Self::TimedOut => 504,
+        }
+    }
+
+    /// Returns whether the request may have run.
+    pub fn ran(self) -> Ran {
+        match self {
+            Self::EarlierAttempt
+            | Self::UpstreamFailed
+            | Self::TimedOut
+            | Self::Internal
+            | Self::Quarantined => Ran::MayHaveRun,
+            _ => Ran::NotRun,
+        }
+    }
+}
