--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,1 @@
+//! Admission and queueing of requests under overload.
--- /dev/null
+++ b/src/backpressure.rs
@@ -0,0 +1,1 @@
+//! Memory shares of responses that callers read slowly.
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,1 @@
+//! The command line.
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,1 @@
+//! Client of model engines and plain services.
--- /dev/null
+++ b/src/evidence.rs
@@ -0,0 +1,1 @@
+//! Sequential comparison of two versions.
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,1 @@
+//! Explanations of single decisions for operators.
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,1 @@
+//! Health of upstreams, judged from the results of requests.
--- /dev/null
+++ b/src/holder.rs
@@ -0,0 +1,1 @@
+//! Spending rights that one process holds on customers' budgets.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,18 +3,40 @@
 //! The decision logic is written as pure step functions over a state, so that the same code runs in production, in
 //! trace replay and under model checking. The module layout follows `docs/design.md`.
 
+pub mod admission;
+pub mod backpressure;
+pub mod billing;
+pub mod cli;
 pub mod collections;
 pub mod contract;
+pub mod engine;
+pub mod evidence;
+pub mod explain;
+pub mod fleet;
 pub mod fold;
+pub mod health;
+pub mod holder;
 pub mod ids;
 pub mod intent;
 pub mod ledger;
+pub mod log_client;
+pub mod log_writer;
+pub mod logging;
 pub mod membership;
 pub mod message;
+pub mod metrics;
+pub mod peer;
+pub mod platform;
+pub mod publish;
 pub mod quarantine;
 pub mod record;
 pub mod refusal;
 pub mod rollout;
+pub mod router;
+pub mod selection;
+pub mod server;
 pub mod settings;
+pub mod snapshot;
+pub mod status;
 
 pub use fold::FleetState;
--- /dev/null
+++ b/src/log_client.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's append-only log.
--- /dev/null
+++ b/src/log_writer.rs
@@ -0,0 +1,1 @@
+//! Ordered writing of entries to the platform's log.
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,1 @@
+//! Structured logs as JSON lines.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics of a process.
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,1 @@
+//! Connections between router processes.
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's VM list and weight store.
--- /dev/null
+++ b/src/publish.rs
@@ -0,0 +1,1 @@
+//! Publication of contracts, configuration and rollouts.
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,1 @@
+//! The event loop of a router process.
--- /dev/null
+++ b/src/selection.rs
@@ -0,0 +1,1 @@
+//! Choice of the upstream that serves a request.
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,1 @@
+//! HTTP server towards callers and operators.
--- /dev/null
+++ b/src/snapshot.rs
@@ -0,0 +1,1 @@
+//! Snapshots of the fleet's shared state.
--- /dev/null
+++ b/src/status.rs
@@ -0,0 +1,1 @@
+//! Reports on the fleet for operators.
