--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,1 +1,536 @@
-//! A process's connection to the fleet: log, peers and the shared state folded from them.
+//! The process's connection to the fleet.
+//!
+//! [`Fleet`] is a handle on the one event loop: it reads and folds the log, batches and writes entries, keeps the
+//! connections to peers, sends heartbeats and proposes closures. All parts share one thread, and no borrow of the shared
+//! state lasts across an await, so no lock is needed. The request path calls the handle; which entries and messages it
+//! sends is decided by the pure modules. See `docs/design.md`, sections 2 to 4.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use local_sync::mpsc::unbounded;
+use prost::Message;
+use quick_error::quick_error;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::fold::{Change, FleetState};
+use crate::ids::{CustomerKey, IncarnationId, Offset};
+use crate::log_client::LogService;
+use crate::log_writer::{self, Position, Writer};
+use crate::membership::detector::FailureDetector;
+use crate::membership::{rendezvous, Phase};
+use crate::message::{Outstanding, PeerMessage};
+use crate::platform::VmList;
+use crate::record::{Batch, Entry};
+use crate::settings::Settings;
+use crate::snapshot::Assembler;
+
+mod builder;
+mod notify;
+mod peers;
+mod reader;
+mod restore;
+mod tail;
+mod tick;
+mod writer;
+
+pub use builder::FleetBuilder;
+pub use peers::Peer;
+
+use notify::Notify;
+use peers::PeerTable;
+use tail::Tail;
+
+quick_error! {
+    /// Why a call on the fleet failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The listener for peers could not be opened.
+        Listen(address: String, message: String) {
+            display("listen for peers on {}: {}", address, message)
+        }
+        /// The entry was not taken, so it is not in the log and never will be.
+        NotQueued(error: log_writer::Error) {
+            display("write to the log: {}", error)
+            source(error)
+        }
+        /// The own fold did not pass the entries in time; they may still be written later.
+        Deadline {
+            display("write to the log: the entries were not folded in time")
+        }
+        /// The handle was shut down.
+        Stopped {
+            display("the fleet connection is shut down")
+        }
+    }
+}
+
+/// Something that happened in the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A record changed the folded state.
+    Change {
+        /// Offset of the record.
+        offset: Offset,
+        /// What changed.
+        change: Change,
+    },
+    /// The folded state was replaced by a newer snapshot; the changes in between were not seen one by one.
+    StateReplaced,
+    /// The own incarnation was closed by a peer, and a new one without rights was opened.
+    Reincarnated {
+        /// The closed incarnation.
+        old: IncarnationId,
+        /// The incarnation under which the process acts from now on.
+        new: IncarnationId,
+    },
+    /// A peer became live.
+    PeerUp(IncarnationId),
+    /// A peer is no longer live.
+    PeerDown(IncarnationId),
+    /// The log became available or unavailable.
+    LogAvailable(bool),
+    /// A peer sent a message that is not part of the fleet protocol itself.
+    Message {
+        /// Incarnation of the sender.
+        from: IncarnationId,
+        /// The message.
+        message: PeerMessage,
+    },
+}
+
+/// A stream of events; dropping it ends the subscription.
+pub struct Subscription {
+    receiver: unbounded::Rx<Event>,
+}
+
+impl Subscription {
+    /// Returns the next event, or `None` after the fleet connection has stopped.
+    pub async fn next(&mut self) -> Option<Event> {
+        self.receiver.recv().await
+    }
+
+    /// Returns the next event if there is one already.
+    pub fn try_next(&mut self) -> Option<Event> {
+        self.receiver.try_recv().ok()
+    }
+}
+
+/// A cloneable handle on the process's connection to the fleet.
+#[derive(Clone)]
+pub struct Fleet {
+    inner: Rc<Inner>,
+}
+
+/// State that the tasks of one process share.
+struct Inner {
+    settings: Settings,
+    address: String,
+    log: Rc<dyn LogService>,
+    vm_list: Rc<dyn VmList>,
+    started: Instant,
+    random: RefCell<Pcg64Mcg>,
+    incarnation: Cell<IncarnationId>,
+    /// Whether the own `Open` was folded; only after that can a missing or ended incarnation mean a closure.
+    is_open_folded: Cell<bool>,
+    state: RefCell<FleetState>,
+    has_state: Cell<bool>,
+    tail: RefCell<Tail>,
+    writer: RefCell<Writer>,
+    writer_wake: Notify,
+    folded: Notify,
+    detector: RefCell<FailureDetector>,
+    peers: RefCell<PeerTable>,
+    subscribers: RefCell<Vec<unbounded::Tx<Event>>>,
+    log_next: Cell<Offset>,
+    outstanding: RefCell<Vec<Outstanding>>,
+    chunks: RefCell<Assembler>,
+    is_read_ok: Cell<bool>,
+    is_append_ok: Cell<bool>,
+    is_leaving: Cell<bool>,
+    is_stopped: Cell<bool>,
+    stopped: Notify,
+}
+
+impl Fleet {
+    /// Connects to the fleet with the services that the settings name.
+    ///
+    /// It must be called inside a monoio runtime with timers. It returns before a state is known; see
+    /// [`Fleet::wait_for_state`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener for peers can't be opened.
+    pub fn start(settings: &Settings) -> Result<Self, Error> {
+        FleetBuilder::new(settings).start()
+    }
+
+    /// Reads the folded state.
+    ///
+    /// The closure keeps the borrow from lasting across an await.
+    pub fn with_state<T>(&self, read: impl FnOnce(&FleetState) -> T) -> T {
+        read(&self.inner.state.borrow())
+    }
+
+    /// Borrows the folded state; the borrow must end before the next await.
+    pub fn state(&self) -> Ref<'_, FleetState> {
+        self.inner.state.borrow()
+    }
+
+    /// Returns whether a state is known; a process does not serve before that.
+    pub fn has_state(&self) -> bool {
+        self.inner.has_state.get()
+    }
+
+    /// Waits until a state is known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if none is known within the time limit.
+    pub async fn wait_for_state(&self, limit: Duration) -> Result<(), Error> {
+        self.wait_until(limit, |fleet| fleet.has_state()).await
+    }
+
+    /// Waits until a condition on the folded state holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not hold within the time limit.
+    pub async fn wait_until(
+        &self,
+        limit: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Result<(), Error> {
+        let wait = self.inner.folded.wait_for(|| {
+            if condition(self) {
+                return Some(Ok(()));
+            }
+            self.inner.is_stopped.get().then_some(Err(Error::Stopped))
+        });
+        monoio::time::timeout(limit, wait)
+            .await
+            .unwrap_or(Err(Error::Deadline))
+    }
+
+    /// Returns the incarnation under which the process acts.
+    pub fn incarnation(&self) -> IncarnationId {
+        self.inner.incarnation.get()
+    }
+
+    /// Returns the address at which peers reach this process.
+    pub fn address(&self) -> &str {
+        &self.inner.address
+    }
+
+    /// Queues an entry for the next batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the queue is full or the connection is shut down; the entry is then never written.
+    pub fn write(&self, entry: Entry) -> Result<(), Error> {
+        self.inner.push(entry).map(|_| ())
+    }
+
+    /// Queues entries and waits until the own fold has passed them; returns the next offset at that time.
+    ///
+    /// The entries can lose against others in log order, so the caller looks at the state afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotQueued`] if nothing was or will be written, and [`Error::Deadline`] if the outcome is not
+    /// known in time.
+    pub async fn write_and_wait(
+        &self,
+        entries: impl IntoIterator<Item = Entry>,
+        limit: Duration,
+    ) -> Result<Offset, Error> {
+        let mut last: Position = 0;
+        for entry in entries {
+            last = self.inner.push(entry)?;
+        }
+        self.wait_until(limit, |fleet| fleet.inner.writer.borrow().folded() >= last)
+            .await?;
+        Ok(self.inner.state.borrow().next_offset)
+    }
+
+    /// Returns the encoded size of the entries that wait for the log, in bytes.
+    pub fn write_queue_bytes(&self) -> usize {
+        self.inner.writer.borrow().queue_bytes()
+    }
+
+    /// Subscribes to all events from now on.
+    ///
+    /// Events are kept until they are read, so the subscriber must read them all the time.
+    pub fn subscribe(&self) -> Subscription {
+        let (sender, receiver) = unbounded::channel();
+        self.inner.subscribers.borrow_mut().push(sender);
+        Subscription { receiver }
+    }
+
+    /// Sends a message to a peer; returns whether it was queued on a connection.
+    ///
+    /// A queued message can still be lost with the connection.
+    pub fn send(&self, peer: IncarnationId, message: PeerMessage) -> bool {
+        self.inner.send(peer, message)
+    }
+
+    /// Sets what the next heartbeats report of this process's work at upstreams.
+    pub fn set_outstanding(&self, outstanding: Vec<Outstanding>) {
+        *self.inner.outstanding.borrow_mut() = outstanding;
+    }
+
+    /// Returns the live peers in the order of their incarnations.
+    pub fn peers(&self) -> Vec<Peer> {
+        self.inner.live_peers()
+    }
+
+    /// Returns the budget home of a customer in a data centre: one live member that is open in the log.
+    pub fn home(&self, customer: CustomerKey, data_centre: &str) -> Option<IncarnationId> {
+        let state = self.inner.state.borrow();
+        let own = self.inner.incarnation.get();
+        let now_ms = self.inner.now_ms();
+        let detector = self.inner.detector.borrow();
+        let members = state.members.iter().filter(|(id, member)| {
+            member.phase == Phase::Open
+                && member.data_centre == data_centre
+                && if *id == own {
+                    !self.inner.is_leaving.get()
+                } else {
+                    detector.is_live(*id, now_ms)
+                }
+        });
+        let name = state.customers.name(customer);
+        rendezvous::owner(name.as_bytes(), members.map(|(id, _)| id))
+    }
+
+    /// Returns whether the last read and the last append succeeded.
+    pub fn is_log_available(&self) -> bool {
+        self.inner.is_log_available()
+    }
+
+    /// Returns the number of records that the own fold is behind the newest known offset.
+    pub fn log_lag(&self) -> u64 {
+        let next_offset = self.inner.state.borrow().next_offset;
+        self.inner.log_next.get().saturating_sub(next_offset)
+    }
+
+    /// Tells peers that this process takes no new work, so that they choose other homes.
+    pub fn announce_leaving(&self) {
+        self.inner.is_leaving.set(true);
+        self.inner.broadcast_heartbeat();
+    }
+
+    /// Writes what is left and `Leave`, and ends all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log did not take everything in time; the tasks end nevertheless.
+    pub async fn shut_down(&self, limit: Duration) -> Result<(), Error> {
+        self.announce_leaving();
+        let result = self
+            .write_and_wait([Entry::Leave(crate::record::Leave {})], limit)
+            .await;
+        self.abort();
+        result.map(|_| ())
+    }
+
+    /// Ends all tasks at once, as a crash would.
+    pub fn abort(&self) {
+        self.inner.stop();
+    }
+}
+
+impl Inner {
+    fn new(
+        settings: Settings,
+        address: String,
+        log: Rc<dyn LogService>,
+        vm_list: Rc<dyn VmList>,
+        seed: u64,
+    ) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let incarnation = IncarnationId(rand::Rng::random(&mut random));
+        let timing = settings.timing.clone();
+        Self {
+            writer: RefCell::new(Writer::new(
+                timing.flush_interval_ms,
+                timing.empty_batch_interval_ms,
+            )),
+            detector: RefCell::new(FailureDetector::new(timing)),
+            settings,
+            address,
+            log,
+            vm_list,
+            started: Instant::now(),
+            random: RefCell::new(random),
+            incarnation: Cell::new(incarnation),
+            is_open_folded: Cell::new(false),
+            state: RefCell::default(),
+            has_state: Cell::new(false),
+            tail: RefCell::default(),
+            writer_wake: Notify::default(),
+            folded: Notify::default(),
+            peers: RefCell::default(),
+            subscribers: RefCell::default(),
+            log_next: Cell::new(0),
+            outstanding: RefCell::default(),
+            chunks: RefCell::default(),
+            is_read_ok: Cell::new(false),
+            is_append_ok: Cell::new(true),
+            is_leaving: Cell::new(false),
+            is_stopped: Cell::new(false),
+            stopped: Notify::default(),
+        }
+    }
+
+    /// Returns the time since the start; a monotonic clock, because wall clocks jump.
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn push(&self, entry: Entry) -> Result<Position, Error> {
+        if self.is_stopped.get() {
+            return Err(Error::Stopped);
+        }
+        let position = self
+            .writer
+            .borrow_mut()
+            .push(self.incarnation.get(), entry)
+            .map_err(Error::NotQueued)?;
+        self.writer_wake.notify();
+        Ok(position)
+    }
+
+    fn emit(&self, event: &Event) {
+        self.subscribers
+            .borrow_mut()
+            .retain(|subscriber| subscriber.send(event.clone()).is_ok());
+    }
+
+    fn is_log_available(&self) -> bool {
+        self.is_read_ok.get() && self.is_append_ok.get()
+    }
+
+    /// Sets one of the two availability flags and reports a change of the whole.
+    fn set_available(&self, flag: &Cell<bool>, value: bool) {
+        let before = self.is_log_available();
+        flag.set(value);
+        let after = self.is_log_available();
+        if before != after {
+            log::info!("log available: {after}");
+            self.emit(&Event::LogAvailable(after));
+        }
+    }
+
+    fn stop(&self) {
+        self.is_stopped.set(true);
+        self.subscribers.borrow_mut().clear();
+        self.stopped.notify();
+        self.folded.notify();
+        self.writer_wake.notify();
+        self.peers.borrow_mut().clear();
+    }
+
+    /// Runs a task until it ends or the connection is stopped.
+    async fn until_stopped(&self, task: impl std::future::Future<Output = ()>) {
+        let stopped = self
+            .stopped
+            .wait_for(|| self.is_stopped.get().then_some(()));
+        monoio::select! {
+            () = stopped => {}
+            () = task => {}
+        }
+    }
+
+    /// Folds a record and reports what changed; a record below the next offset has no effect.
+    fn fold(&self, offset: Offset, payload: &[u8]) {
+        let batch = Batch::decode(payload);
+        let changes = {
+            let mut state = self.state.borrow_mut();
+            if offset < state.next_offset {
+                return;
+            }
+            match &batch {
+                Ok(batch) => state.apply(offset, batch),
+                Err(_) => state.apply_payload(offset, payload),
+            }
+        };
+        self.tail.borrow_mut().push(offset, payload);
+        if let Ok(batch) = &batch {
+            self.note_batch(IncarnationId(batch.incarnation), batch.seq);
+        }
+        for change in changes {
+            self.emit(&Event::Change { offset, change });
+        }
+    }
+
+    /// Notes whose batch was folded, for the failure detector and the own writer.
+    fn note_batch(&self, id: IncarnationId, seq: u64) {
+        self.detector.borrow_mut().on_record(id, self.now_ms());
+        self.writer.borrow_mut().on_folded(id, seq);
+        if id == self.incarnation.get() {
+            self.is_open_folded.set(true);
+        }
+    }
+
+    /// Replaces the folded state by a newer one; an older one is ignored, because a process never goes back.
+    fn adopt(&self, state: FleetState) {
+        if self.has_state.get() && state.next_offset <= self.state.borrow().next_offset {
+            return;
+        }
+        log::info!("state restored up to offset {}", state.next_offset);
+        let own = self.incarnation.get();
+        let own_seq = state.members.get(own).map(|member| member.last_seq);
+        *self.state.borrow_mut() = state;
+        self.tail.borrow_mut().clear();
+        if let Some(seq) = own_seq {
+            self.note_batch(own, seq);
+        }
+        self.emit(&Event::StateReplaced);
+        self.after_fold();
+    }
+
+    /// Runs after a run of records was folded.
+    fn after_fold(&self) {
+        self.check_own_incarnation();
+        self.folded.notify();
+        self.writer_wake.notify();
+    }
+
+    /// Opens a new incarnation if a peer closed the own one.
+    fn check_own_incarnation(&self) {
+        if !self.is_open_folded.get() || self.is_leaving.get() {
+            return;
+        }
+        let old = self.incarnation.get();
+        let is_open = self
+            .state
+            .borrow()
+            .members
+            .get(old)
+            .is_some_and(|member| member.phase == Phase::Open);
+        if is_open {
+            return;
+        }
+        let new = IncarnationId(rand::Rng::random(&mut *self.random.borrow_mut()));
+        log::warn!("incarnation {old} was closed; opening {new}");
+        self.incarnation.set(new);
+        self.is_open_folded.set(false);
+        self.write_open();
+        self.peers.borrow_mut().clear();
+        self.emit(&Event::Reincarnated { old, new });
+    }
+
+    fn write_open(&self) {
+        let entry = Entry::Open(crate::record::Open {
+            vm: self.settings.vm.to_string(),
+            data_centre: self.settings.data_centre.to_string(),
+            address: self.address.clone(),
+        });
+        if let Err(error) = self.push(entry) {
+            log::error!("write Open: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/builder.rs
@@ -0,0 +1,108 @@
+//! Options of a fleet connection.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::net::TcpListener;
+use rand::{Rng, TryRngCore};
+
+use super::{peers, reader, restore, tick, writer, Error, Fleet, Inner};
+use crate::log_client::{LogClient, LogService};
+use crate::platform::{VmList, VmListClient};
+use crate::settings::Settings;
+
+/// Builds a [`Fleet`] with other services than the ones that the settings name.
+pub struct FleetBuilder {
+    settings: Settings,
+    advertised_address: Option<String>,
+    log: Option<Rc<dyn LogService>>,
+    vm_list: Option<Rc<dyn VmList>>,
+    seed: Option<u64>,
+}
+
+impl FleetBuilder {
+    /// Makes a builder with the services that the settings name.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            settings: settings.clone(),
+            advertised_address: None,
+            log: None,
+            vm_list: None,
+            seed: None,
+        }
+    }
+
+    /// Sets the address that peers are told; the default is the address of the listener.
+    pub fn advertised_address(mut self, address: impl Into<String>) -> Self {
+        self.advertised_address = Some(address.into());
+        self
+    }
+
+    /// Sets the log service.
+    pub fn log(mut self, log: Rc<dyn LogService>) -> Self {
+        self.log = Some(log);
+        self
+    }
+
+    /// Sets the VM list.
+    pub fn vm_list(mut self, vm_list: Rc<dyn VmList>) -> Self {
+        self.vm_list = Some(vm_list);
+        self
+    }
+
+    /// Sets the seed of incarnation ids and jitter; the default comes from the operating system.
+    ///
+    /// Two processes with the same seed would share an incarnation id, so this is for tests only.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = Some(seed);
+        self
+    }
+
+    /// Opens the listener and starts all tasks on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener can't be opened.
+    pub fn start(self) -> Result<Fleet, Error> {
+        let settings = self.settings;
+        let listen = settings.listen.peers.as_str();
+        let failed = |error: std::io::Error| Error::Listen(listen.into(), error.to_string());
+        let listener = TcpListener::bind(listen).map_err(failed)?;
+        let address = match self.advertised_address {
+            Some(address) => address,
+            None => listener.local_addr().map_err(failed)?.to_string(),
+        };
+        let timeout = Duration::from_millis(settings.timing.append_timeout_ms);
+        let vm = settings.vm.as_str();
+        let log = self
+            .log
+            .unwrap_or_else(|| Rc::new(LogClient::new(&settings.platform.log, vm, timeout)));
+        let vm_list = self
+            .vm_list
+            .unwrap_or_else(|| Rc::new(VmListClient::new(&settings.platform.vm_list, vm, timeout)));
+        let seed = self.seed.unwrap_or_else(random_seed);
+        let inner = Rc::new(Inner::new(settings, address, log, vm_list, seed));
+        inner.write_open();
+        spawn(&inner, writer::run(inner.clone()));
+        spawn(&inner, reader::run(inner.clone()));
+        spawn(&inner, restore::run(inner.clone()));
+        spawn(&inner, peers::accept(inner.clone(), listener));
+        spawn(&inner, peers::dial(inner.clone()));
+        spawn(&inner, tick::run(inner.clone()));
+        Ok(Fleet { inner })
+    }
+}
+
+/// Starts a task that ends when the connection is stopped.
+pub(super) fn spawn(inner: &Rc<Inner>, task: impl std::future::Future<Output = ()> + 'static) {
+    let inner = inner.clone();
+    monoio::spawn(async move { inner.until_stopped(task).await });
+}
+
+fn random_seed() -> u64 {
+    // Without a random source two processes could share an incarnation id, so the thread's generator is the only
+    // acceptable replacement.
+    rand::rngs::OsRng
+        .try_next_u64()
+        .unwrap_or_else(|_| rand_pcg::Pcg64Mcg::new(std::process::id().into()).random())
+}
--- /dev/null
+++ b/src/fleet/peers.rs
@@ -0,0 +1,455 @@
+//! Connections to peers: who is connected, and the tasks that dial, accept, send and receive.
+//!
+//! One connection joins each pair. The member with the lower incarnation dials at once, the other one only after
+//! [`DIAL_DELAY_MS`], so that a link on which only one direction can be opened still works.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use monoio::net::{TcpListener, TcpStream};
+
+use super::builder::spawn;
+use super::notify::Notify;
+use super::{restore, Event, Inner};
+use crate::ids::{IncarnationId, Offset};
+use crate::membership::Phase;
+use crate::message::{Heartbeat, Hello, PeerMessage, PROTOCOL_VERSION};
+use crate::peer::{self, Backoff, Error, FrameReader, FrameWriter};
+
+/// Time after which the member with the higher incarnation dials as well.
+const DIAL_DELAY_MS: u64 = 2_000;
+
+/// Pause between two looks at the list of members to dial.
+const DIAL_INTERVAL_MS: u64 = 50;
+
+/// Messages that wait for one connection; more are dropped, as on a broken connection.
+const MAX_QUEUED_MESSAGES: usize = 4_096;
+
+/// Encoded size of the messages that wait for one connection, in bytes.
+const MAX_QUEUED_BYTES: usize = 32 << 20;
+
+/// A live peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Incarnation of the peer.
+    pub incarnation: IncarnationId,
+    /// Name of its VM.
+    pub vm: CompactString,
+    /// Name of its data centre.
+    pub data_centre: CompactString,
+    /// Next offset that it will fold.
+    pub next_offset: Offset,
+}
+
+/// Messages that wait for one connection.
+#[derive(Default)]
+struct SendQueue {
+    messages: RefCell<VecDeque<PeerMessage>>,
+    bytes: Cell<usize>,
+    is_closed: Cell<bool>,
+    changed: Notify,
+}
+
+impl SendQueue {
+    fn push(&self, message: PeerMessage) -> bool {
+        let bytes = message.encoded_len();
+        let mut messages = self.messages.borrow_mut();
+        if self.is_closed.get()
+            || messages.len() >= MAX_QUEUED_MESSAGES
+            || self.bytes.get() + bytes > MAX_QUEUED_BYTES
+        {
+            return false;
+        }
+        self.bytes.set(self.bytes.get() + bytes);
+        messages.push_back(message);
+        drop(messages);
+        self.changed.notify();
+        true
+    }
+
+    fn close(&self) {
+        self.is_closed.set(true);
+        self.changed.notify();
+    }
+}
+
+struct Connection {
+    queue: Rc<SendQueue>,
+    dialed_by: IncarnationId,
+    peer: Peer,
+    last_received_ms: u64,
+}
+
+#[derive(Default)]
+struct Dial {
+    is_running: bool,
+    disconnected_since_ms: u64,
+    next_ms: u64,
+    backoff: Option<Backoff>,
+}
+
+/// All connections, and the addresses that are dialled.
+#[derive(Default)]
+pub(super) struct PeerTable {
+    connections: BTreeMap<IncarnationId, Connection>,
+    dials: BTreeMap<CompactString, Dial>,
+    /// Entries of the VM list by name.
+    pub(super) hints: BTreeMap<CompactString, CompactString>,
+    /// Addresses that turned out to reach this very process.
+    own_addresses: BTreeSet<CompactString>,
+    up: BTreeSet<IncarnationId>,
+}
+
+impl PeerTable {
+    /// Closes all connections.
+    pub(super) fn clear(&mut self) {
+        for connection in self.connections.values() {
+            connection.queue.close();
+        }
+        self.connections.clear();
+    }
+}
+
+impl Inner {
+    /// Queues a message on the connection to a peer; returns whether there is one with room.
+    pub(super) fn send(&self, peer: IncarnationId, message: PeerMessage) -> bool {
+        self.peers
+            .borrow()
+            .connections
+            .get(&peer)
+            .is_some_and(|connection| connection.queue.push(message))
+    }
+
+    /// Sends a heartbeat on each connection.
+    pub(super) fn broadcast_heartbeat(&self) {
+        let heartbeat = Heartbeat {
+            next_offset: self.known_offset(),
+            is_leaving: self.is_leaving.get(),
+            outstanding: self.outstanding.borrow().clone(),
+        };
+        for connection in self.peers.borrow().connections.values() {
+            connection
+                .queue
+                .push(PeerMessage::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    /// Returns the next offset to fold, or 0 while no state is known that could be passed on.
+    fn known_offset(&self) -> Offset {
+        if self.has_state.get() {
+            self.state.borrow().next_offset
+        } else {
+            0
+        }
+    }
+
+    /// Returns the live peers; one that the fold does not know yet counts too.
+    pub(super) fn live_peers(&self) -> Vec<Peer> {
+        let now_ms = self.now_ms();
+        let state = self.state.borrow();
+        let detector = self.detector.borrow();
+        self.peers
+            .borrow()
+            .connections
+            .values()
+            .map(|connection| &connection.peer)
+            .filter(|peer| {
+                let member = state.members.get(peer.incarnation);
+                detector.is_live(peer.incarnation, now_ms)
+                    && member.is_none_or(|member| member.phase == Phase::Open)
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Reports peers that became live or are no longer live.
+    pub(super) fn report_peers(&self) {
+        let live: BTreeSet<_> = self
+            .live_peers()
+            .iter()
+            .map(|peer| peer.incarnation)
+            .collect();
+        let before = std::mem::replace(&mut self.peers.borrow_mut().up, live.clone());
+        for id in before.difference(&live) {
+            log::info!("peer {id} is no longer live");
+            self.emit(&Event::PeerDown(*id));
+        }
+        for id in live.difference(&before) {
+            log::info!("peer {id} is live");
+            self.emit(&Event::PeerUp(*id));
+        }
+        if before != live {
+            self.folded.notify();
+        }
+    }
+
+    fn hello(&self) -> PeerMessage {
+        PeerMessage::Hello(Hello {
+            protocol_version: PROTOCOL_VERSION,
+            incarnation: self.incarnation.get().0,
+            vm: self.settings.vm.to_string(),
+            data_centre: self.settings.data_centre.to_string(),
+            next_offset: self.known_offset(),
+        })
+    }
+
+    /// Registers a connection; returns its queue, or `None` if the existing one is kept.
+    fn register(&self, peer: Peer, dialed_by: IncarnationId) -> Option<Rc<SendQueue>> {
+        let now_ms = self.now_ms();
+        let id = peer.incarnation;
+        let preferred = id.min(self.incarnation.get());
+        let mut table = self.peers.borrow_mut();
+        if let Some(existing) = table.connections.get(&id) {
+            // A connection that went silent may be dead at the other end, so it never stops a new one.
+            let fresh_ms = 2 * self.settings.timing.heartbeat_interval_ms;
+            let is_fresh = now_ms < existing.last_received_ms + fresh_ms;
+            if is_fresh && existing.dialed_by == preferred {
+                return None;
+            }
+            existing.queue.close();
+        }
+        let queue = Rc::new(SendQueue::default());
+        table.connections.insert(
+            id,
+            Connection {
+                queue: queue.clone(),
+                dialed_by,
+                peer,
+                last_received_ms: now_ms,
+            },
+        );
+        Some(queue)
+    }
+
+    fn deregister(&self, id: IncarnationId, queue: &Rc<SendQueue>) {
+        queue.close();
+        let mut table = self.peers.borrow_mut();
+        if table
+            .connections
+            .get(&id)
+            .is_some_and(|connection| Rc::ptr_eq(&connection.queue, queue))
+        {
+            table.connections.remove(&id);
+            drop(table);
+            self.detector.borrow_mut().on_disconnect(id);
+            self.report_peers();
+        }
+    }
+
+    fn on_heartbeat(&self, from: IncarnationId, heartbeat: Heartbeat) {
+        let now_ms = self.now_ms();
+        self.detector
+            .borrow_mut()
+            .on_heartbeat(from, heartbeat.is_leaving, now_ms);
+        if let Some(connection) = self.peers.borrow_mut().connections.get_mut(&from) {
+            connection.peer.next_offset = heartbeat.next_offset;
+        }
+        self.log_next
+            .set(self.log_next.get().max(heartbeat.next_offset));
+        self.report_peers();
+        restore::follow_peer(self, from, heartbeat.next_offset);
+        if !heartbeat.outstanding.is_empty() {
+            let message = PeerMessage::Heartbeat(heartbeat);
+            self.emit(&Event::Message { from, message });
+        }
+    }
+
+    fn on_message(&self, from: IncarnationId, message: PeerMessage) {
+        if let Some(connection) = self.peers.borrow_mut().connections.get_mut(&from) {
+            connection.last_received_ms = self.now_ms();
+        }
+        match message {
+            PeerMessage::Hello(_) => {}
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(from, heartbeat),
+            PeerMessage::RecordsRequest(request) => {
+                restore::send_records(self, from, request.from_offset);
+            }
+            PeerMessage::Records(records) => restore::take_records(self, from, &records),
+            PeerMessage::SnapshotRequest(_) => restore::send_snapshot(self, from),
+            PeerMessage::SnapshotChunk(chunk) => restore::take_chunk(self, chunk),
+            message => self.emit(&Event::Message { from, message }),
+        }
+    }
+}
+
+/// Accepts connections from peers.
+pub(super) async fn accept(inner: Rc<Inner>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let task_inner = inner.clone();
+                spawn(&inner, async move {
+                    if let Err(error) = serve(&task_inner, stream, None).await {
+                        log::debug!("connection from {address}: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("accept connections from peers: {error}");
+                // Too many open files is the usual cause; it ends when other connections end.
+                monoio::time::sleep(Duration::from_millis(DIAL_INTERVAL_MS)).await;
+            }
+        }
+    }
+}
+
+/// Dials the members and the hinted addresses that are not connected.
+pub(super) async fn dial(inner: Rc<Inner>) {
+    loop {
+        for address in due_addresses(&inner) {
+            let task_inner = inner.clone();
+            spawn(&inner, async move {
+                let result = dial_once(&task_inner, &address).await;
+                if let Err(error) = &result {
+                    log::debug!("connection to {address}: {error}");
+                }
+                let now_ms = task_inner.now_ms();
+                let limit_ms = task_inner.settings.timing.reconnect_limit_ms;
+                let mut table = task_inner.peers.borrow_mut();
+                let dial = table.dials.entry(address).or_default();
+                let mut backoff = dial.backoff.unwrap_or_else(|| Backoff::new(limit_ms));
+                if result.is_ok() {
+                    backoff.reset();
+                }
+                dial.is_running = false;
+                dial.disconnected_since_ms = now_ms;
+                dial.next_ms = now_ms + backoff.next_ms(&mut *task_inner.random.borrow_mut());
+                dial.backoff = Some(backoff);
+            });
+        }
+        monoio::time::sleep(Duration::from_millis(DIAL_INTERVAL_MS)).await;
+    }
+}
+
+/// Returns the addresses to dial now and marks them as running.
+fn due_addresses(inner: &Inner) -> Vec<CompactString> {
+    let now_ms = inner.now_ms();
+    let own = inner.incarnation.get();
+    let state = inner.state.borrow();
+    let mut table = inner.peers.borrow_mut();
+    // The newest name behind an address decides; a replaced VM can reuse the address of an incarnation not yet closed.
+    let mut wanted: BTreeMap<CompactString, bool> = BTreeMap::new();
+    for (id, member) in state.members.iter() {
+        if id != own && member.phase == Phase::Open && !table.connections.contains_key(&id) {
+            wanted.insert(member.address.clone(), own < id);
+        }
+    }
+    for (vm, address) in &table.hints {
+        let is_connected = table
+            .connections
+            .values()
+            .any(|connection| connection.peer.vm == *vm);
+        if !is_connected && *vm != inner.settings.vm {
+            wanted.entry(address.clone()).or_insert(true);
+        }
+    }
+    wanted.retain(|address, _| *address != inner.address && !table.own_addresses.contains(address));
+    table
+        .dials
+        .retain(|address, dial| dial.is_running || wanted.contains_key(address));
+    let mut due = Vec::new();
+    for (address, is_first) in wanted {
+        let dial = table.dials.entry(address.clone()).or_insert_with(|| Dial {
+            disconnected_since_ms: now_ms,
+            ..Dial::default()
+        });
+        let delay_ms = if is_first { 0 } else { DIAL_DELAY_MS };
+        if !dial.is_running && now_ms >= dial.next_ms.max(dial.disconnected_since_ms + delay_ms) {
+            dial.is_running = true;
+            due.push(address);
+        }
+    }
+    due
+}
+
+async fn dial_once(inner: &Rc<Inner>, address: &CompactString) -> Result<(), Error> {
+    let limit = Duration::from_millis(inner.settings.timing.heartbeat_timeout_ms);
+    let stream = match monoio::time::timeout(limit, TcpStream::connect(address.as_str())).await {
+        Ok(stream) => stream?,
+        Err(_) => return Err(Error::Timeout),
+    };
+    serve(inner, stream, Some(address)).await
+}
+
+/// Exchanges `Hello` and runs a connection until it ends; `dialed` is the address if this end opened it.
+async fn serve(
+    inner: &Rc<Inner>,
+    stream: TcpStream,
+    dialed: Option<&CompactString>,
+) -> Result<(), Error> {
+    let limit = Duration::from_millis(inner.settings.timing.heartbeat_timeout_ms);
+    let (mut reader, mut writer) = peer::split(stream);
+    let own = inner.incarnation.get();
+    writer.feed(inner.hello()).await?;
+    writer.flush().await?;
+    let hello = reader.hello(limit).await?;
+    let id = IncarnationId(hello.incarnation);
+    if id == own {
+        if let Some(address) = dialed {
+            inner
+                .peers
+                .borrow_mut()
+                .own_addresses
+                .insert(address.clone());
+        }
+        return Ok(());
+    }
+    let peer = Peer {
+        incarnation: id,
+        vm: hello.vm.into(),
+        data_centre: hello.data_centre.into(),
+        next_offset: hello.next_offset,
+    };
+    let dialed_by = if dialed.is_some() { own } else { id };
+    let Some(queue) = inner.register(peer, dialed_by) else {
+        return Ok(());
+    };
+    // The first heartbeat goes out at once, so that a new connection counts as live without a wait.
+    queue.push(PeerMessage::Heartbeat(Heartbeat {
+        next_offset: inner.known_offset(),
+        is_leaving: inner.is_leaving.get(),
+        outstanding: Vec::new(),
+    }));
+    let result = monoio::select! {
+        result = receive(inner, id, &mut reader, limit) => result,
+        result = transmit(&queue, &mut writer) => result,
+    };
+    inner.deregister(id, &queue);
+    result
+}
+
+async fn receive(
+    inner: &Rc<Inner>,
+    id: IncarnationId,
+    reader: &mut FrameReader,
+    limit: Duration,
+) -> Result<(), Error> {
+    loop {
+        let message = reader.next(limit).await?;
+        inner.on_message(id, message);
+    }
+}
+
+async fn transmit(queue: &SendQueue, writer: &mut FrameWriter) -> Result<(), Error> {
+    loop {
+        let messages = queue
+            .changed
+            .wait_for(|| {
+                let mut messages = queue.messages.borrow_mut();
+                (queue.is_closed.get() || !messages.is_empty())
+                    .then(|| std::mem::take(&mut *messages))
+            })
+            .await;
+        queue.bytes.set(0);
+        if queue.is_closed.get() {
+            return Ok(());
+        }
+        for message in messages {
+            writer.feed(message).await?;
+        }
+        writer.flush().await?;
+    }
+}
--- /dev/null
+++ b/src/fleet/reader.rs
@@ -0,0 +1,88 @@
+//! The task that reads and folds the log.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{restore, Inner};
+use crate::log_client::{Page, FLEET_STREAM};
+
+/// Records in one page.
+const PAGE_RECORDS: u32 = 512;
+
+/// Pause after a failed read.
+const RETRY_MS: u64 = 200;
+
+/// Reads the log until the connection is stopped.
+pub(super) async fn run(inner: Rc<Inner>) {
+    let mut is_restored = false;
+    loop {
+        if !is_restored {
+            is_restored = restore::from_log(&inner).await;
+            if !is_restored {
+                inner.set_available(&inner.is_read_ok, false);
+                pause(RETRY_MS).await;
+                continue;
+            }
+        }
+        let from = inner.state.borrow().next_offset;
+        let wait_ms = inner.settings.timing.poll_wait_ms;
+        match inner
+            .log
+            .read(FLEET_STREAM, from, PAGE_RECORDS, wait_ms)
+            .await
+        {
+            Ok(page) => {
+                inner.set_available(&inner.is_read_ok, true);
+                if take_page(&inner, &page) {
+                    pause(inner.settings.timing.poll_interval_ms).await;
+                } else {
+                    // The log no longer holds the next record, so only a snapshot can bridge the gap.
+                    is_restored = false;
+                    pause(RETRY_MS).await;
+                }
+            }
+            Err(error) => {
+                log::debug!("{error}");
+                inner.set_available(&inner.is_read_ok, false);
+                inner
+                    .detector
+                    .borrow_mut()
+                    .on_caught_up(false, inner.now_ms());
+                pause(RETRY_MS).await;
+            }
+        }
+    }
+}
+
+/// Folds a page; returns false if records before it are missing.
+fn take_page(inner: &Inner, page: &Page) -> bool {
+    inner.log_next.set(inner.log_next.get().max(page.next));
+    let next = inner.state.borrow().next_offset;
+    if page.oldest > next {
+        log::warn!(
+            "the log starts at {}, but {next} is the next record to fold",
+            page.oldest
+        );
+        return false;
+    }
+    for record in &page.records {
+        inner.fold(record.offset, &record.payload);
+    }
+    let is_caught_up = inner.state.borrow().next_offset >= page.next;
+    inner
+        .detector
+        .borrow_mut()
+        .on_caught_up(is_caught_up, inner.now_ms());
+    let is_first = is_caught_up
+        && !inner
+            .has_state
+            .replace(is_caught_up || inner.has_state.get());
+    if is_first || !page.records.is_empty() {
+        inner.after_fold();
+    }
+    true
+}
+
+async fn pause(ms: u64) {
+    monoio::time::sleep(Duration::from_millis(ms)).await;
+}
--- /dev/null
+++ b/src/fleet/restore.rs
@@ -0,0 +1,169 @@
+//! How a process gets a state: from snapshots and records of the log, or from peers while the log is unavailable.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Inner;
+use crate::ids::{IncarnationId, Offset};
+use crate::log_client::{Error, SNAPSHOT_STREAM};
+use crate::message::{PeerMessage, Records, RecordsRequest, SnapshotChunk, SnapshotRequest};
+use crate::snapshot::{self, Assembler};
+
+/// Total size of the records in one message, in bytes; leaves room below the frame limit.
+const RELAY_BYTES: usize = 512 << 10;
+
+/// Chunks in one read of the snapshot stream.
+const PAGE_CHUNKS: u32 = 8;
+
+/// Pause between two requests for a snapshot; a large one takes some time to arrive.
+const REQUEST_INTERVAL_MS: u64 = 1_000;
+
+/// Restores the newest snapshot on the log; returns false if the log can't be read.
+pub(super) async fn from_log(inner: &Inner) -> bool {
+    match read_snapshot(inner).await {
+        Ok(Some(state)) => {
+            if state.next_offset > inner.state.borrow().next_offset {
+                inner.adopt(state);
+            }
+            true
+        }
+        Ok(None) => true,
+        Err(error) => {
+            log::debug!("{error}");
+            false
+        }
+    }
+}
+
+/// Reads the newest complete snapshot of the stream.
+async fn read_snapshot(inner: &Inner) -> Result<Option<crate::FleetState>, Error> {
+    let read = |from, limit| inner.log.read(SNAPSHOT_STREAM, from, limit, 0);
+    let end = read(Offset::MAX >> 1, 1).await?;
+    if end.next == end.oldest {
+        return Ok(None);
+    }
+    // The last chunk tells the size. Two writers can interleave, so a second look starts further back.
+    let last = read(end.next - 1, 1).await?;
+    let count = last
+        .records
+        .first()
+        .and_then(|record| snapshot::decode_chunk(&record.payload))
+        .map_or(1, |chunk| Offset::from(chunk.count));
+    let near = end.next.saturating_sub(2 * count).max(end.oldest);
+    for start in [near, end.oldest] {
+        let mut assembler = Assembler::default();
+        let mut newest = None;
+        let mut from = start;
+        while from < end.next {
+            let page = read(from, PAGE_CHUNKS).await?;
+            let Some(record) = page.records.last() else {
+                break;
+            };
+            from = record.offset + 1;
+            for record in &page.records {
+                let chunk = snapshot::decode_chunk(&record.payload);
+                newest = chunk.and_then(|chunk| assembler.push(chunk)).or(newest);
+            }
+        }
+        if let Some(bytes) = newest {
+            match snapshot::decode(&bytes) {
+                Ok(state) => return Ok(Some(state)),
+                Err(error) => log::error!("snapshot on the log: {error}"),
+            }
+        }
+    }
+    Ok(None)
+}
+
+/// Asks peers for a snapshot while there is no state and the log can't be read.
+pub(super) async fn run(inner: Rc<Inner>) {
+    while !inner.has_state.get() {
+        if !inner.is_read_ok.get() {
+            let best = inner
+                .live_peers()
+                .into_iter()
+                .max_by_key(|peer| (peer.next_offset, peer.incarnation));
+            if let Some(peer) = best.filter(|peer| peer.next_offset > 0) {
+                inner.send(
+                    peer.incarnation,
+                    PeerMessage::SnapshotRequest(SnapshotRequest {}),
+                );
+                monoio::time::sleep(Duration::from_millis(REQUEST_INTERVAL_MS)).await;
+            }
+        }
+        let wait = inner
+            .folded
+            .wait_for(|| inner.has_state.get().then_some(()));
+        let _ = monoio::time::timeout(Duration::from_millis(50), wait).await;
+    }
+}
+
+/// Asks a peer that is ahead for records while the own reader can't follow the log.
+pub(super) fn follow_peer(inner: &Inner, peer: IncarnationId, peer_offset: Offset) {
+    let from_offset = inner.state.borrow().next_offset;
+    if inner.has_state.get() && !inner.is_read_ok.get() && peer_offset > from_offset {
+        inner.send(
+            peer,
+            PeerMessage::RecordsRequest(RecordsRequest { from_offset }),
+        );
+    }
+}
+
+/// Answers a request for records; an answer without records says that they are no longer kept.
+pub(super) fn send_records(inner: &Inner, to: IncarnationId, from_offset: Offset) {
+    let payloads = inner.tail.borrow().from(from_offset, RELAY_BYTES);
+    let message = Records {
+        first_offset: from_offset,
+        payloads: payloads.unwrap_or_default(),
+    };
+    inner.send(to, PeerMessage::Records(message));
+}
+
+/// Folds relayed records that continue the own state.
+pub(super) fn take_records(inner: &Inner, from: IncarnationId, records: &Records) {
+    let next_offset = inner.state.borrow().next_offset;
+    if !inner.has_state.get() || records.first_offset > next_offset {
+        return;
+    }
+    if records.payloads.is_empty() {
+        inner.send(from, PeerMessage::SnapshotRequest(SnapshotRequest {}));
+        return;
+    }
+    for (offset, payload) in (records.first_offset..).zip(&records.payloads) {
+        inner.fold(offset, payload);
+    }
+    inner.after_fold();
+    if inner.log_next.get() > inner.state.borrow().next_offset {
+        follow_peer(inner, from, inner.log_next.get());
+    }
+}
+
+/// Answers a request for a snapshot.
+pub(super) fn send_snapshot(inner: &Inner, to: IncarnationId) {
+    if !inner.has_state.get() {
+        return;
+    }
+    let state = inner.state.borrow();
+    for chunk in snapshot::chunks(&state) {
+        inner.send(to, PeerMessage::SnapshotChunk(chunk));
+    }
+}
+
+/// Takes a part of a snapshot from a peer and restores the state when it is complete.
+pub(super) fn take_chunk(inner: &Inner, chunk: SnapshotChunk) {
+    let is_newer = chunk.next_offset > inner.state.borrow().next_offset;
+    if !is_newer && inner.has_state.get() {
+        return;
+    }
+    let Some(bytes) = inner.chunks.borrow_mut().push(chunk) else {
+        return;
+    };
+    match snapshot::decode(&bytes) {
+        Ok(state) => {
+            inner.adopt(state);
+            inner.has_state.set(true);
+            inner.folded.notify();
+        }
+        Err(error) => log::error!("snapshot from a peer: {error}"),
+    }
+}
--- /dev/null
+++ b/src/fleet/tick.rs
@@ -0,0 +1,111 @@
+//! The task of everything that happens at intervals: heartbeats, closures, the VM list and snapshots.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::Inner;
+use crate::log_client::SNAPSHOT_STREAM;
+use crate::membership::rendezvous;
+use crate::platform::VmState;
+use crate::snapshot;
+
+/// Pause before a chunk is appended again.
+const SNAPSHOT_RETRY: Duration = Duration::from_millis(500);
+
+/// Runs until the connection is stopped.
+pub(super) async fn run(inner: Rc<Inner>) {
+    super::builder::spawn(&inner, read_vm_list(inner.clone()));
+    super::builder::spawn(&inner, write_snapshots(inner.clone()));
+    let interval = Duration::from_millis(inner.settings.timing.heartbeat_interval_ms);
+    loop {
+        inner.broadcast_heartbeat();
+        inner.report_peers();
+        propose(&inner);
+        monoio::time::sleep(interval).await;
+    }
+}
+
+/// Writes the closures and finalisations that are due.
+fn propose(inner: &Inner) {
+    // Without a readable log nothing is known about the silence of others.
+    if !inner.has_state.get() || inner.is_leaving.get() {
+        return;
+    }
+    let entries = inner.detector.borrow_mut().propose(
+        inner.incarnation.get(),
+        &inner.state.borrow().members,
+        inner.now_ms(),
+    );
+    for entry in entries {
+        log::info!("propose {entry:?}");
+        if let Err(error) = inner.push(entry) {
+            log::warn!("propose a closure: {error}");
+        }
+    }
+}
+
+/// Reads the VM list, which tells a process without a state where to find peers.
+async fn read_vm_list(inner: Rc<Inner>) {
+    loop {
+        match inner.vm_list.read().await {
+            Ok(vms) => {
+                inner.peers.borrow_mut().hints = vms
+                    .into_iter()
+                    .filter(|vm| vm.state == VmState::Live)
+                    .map(|vm| (vm.vm, vm.address))
+                    .collect();
+            }
+            Err(error) => log::debug!("{error}"),
+        }
+        let interval_ms = inner.settings.timing.vm_list_interval_ms;
+        monoio::time::sleep(Duration::from_millis(interval_ms)).await;
+    }
+}
+
+/// Writes a snapshot at each interval of records for which this process is chosen.
+///
+/// The choice rotates with the interval, so a failed process leaves out at most one snapshot. Two processes with
+/// different views of who is live can both write, which costs space only: readers take the newest complete one.
+async fn write_snapshots(inner: Rc<Inner>) {
+    let interval = inner.settings.timing.snapshot_interval_records.max(1);
+    let turn_now = || inner.state.borrow().next_offset / interval;
+    inner
+        .folded
+        .wait_for(|| inner.has_state.get().then_some(()))
+        .await;
+    let mut last_turn = turn_now();
+    loop {
+        let turn = inner
+            .folded
+            .wait_for(|| Some(turn_now()).filter(|turn| *turn > last_turn))
+            .await;
+        last_turn = turn;
+        if !is_chosen(&inner, turn) {
+            continue;
+        }
+        let chunks = snapshot::chunks(&inner.state.borrow());
+        for chunk in chunks {
+            let payload = Bytes::from(chunk.encode_to_vec());
+            while let Err(error) = inner.log.append(SNAPSHOT_STREAM, payload.clone()).await {
+                log::warn!("write a snapshot: {error}");
+                if turn_now() > turn {
+                    break;
+                }
+                monoio::time::sleep(SNAPSHOT_RETRY).await;
+            }
+        }
+    }
+}
+
+fn is_chosen(inner: &Inner, turn: u64) -> bool {
+    let own = inner.incarnation.get();
+    let candidates = inner
+        .live_peers()
+        .into_iter()
+        .map(|peer| peer.incarnation)
+        .chain([own]);
+    rendezvous::owner(&turn.to_be_bytes(), candidates) == Some(own)
+}
--- /dev/null
+++ b/src/fleet/writer.rs
@@ -0,0 +1,39 @@
+//! The task that drives the log writer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Inner;
+use crate::log_client::FLEET_STREAM;
+use crate::log_writer::Step;
+
+/// Appends batches until the connection is stopped.
+pub(super) async fn run(inner: Rc<Inner>) {
+    loop {
+        let step = inner.writer.borrow_mut().step(inner.now_ms());
+        match step {
+            Step::Append(append) => {
+                let result = inner.log.append(FLEET_STREAM, append.payload.clone()).await;
+                if let Err(error) = &result {
+                    log::debug!("append batch {}: {error}", append.seq);
+                }
+                if result.is_ok() {
+                    inner
+                        .writer
+                        .borrow_mut()
+                        .on_appended(append.incarnation, append.seq);
+                }
+                inner.set_available(&inner.is_append_ok, result.is_ok());
+            }
+            Step::Wait { until_ms } => {
+                let wait = until_ms.saturating_sub(inner.now_ms()).max(1);
+                let before = inner.writer.borrow().queue_bytes();
+                // A new entry or a fold can bring the next step forward.
+                let changed = inner
+                    .writer_wake
+                    .wait_for(|| (inner.writer.borrow().queue_bytes() != before).then_some(()));
+                let _ = monoio::time::timeout(Duration::from_millis(wait), changed).await;
+            }
+        }
+    }
+}
--- a/src/intent.rs
+++ b/src/intent.rs
@@ -6,6 +6,10 @@
 use crate::collections::FastMap;
 use crate::ids::{Fingerprint, IncarnationId, RequestKey};
 
+mod snapshot;
+
+pub use snapshot::IntentsSnapshot;
+
 /// State of one claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Claim {
--- /dev/null
+++ b/src/intent/snapshot.rs
@@ -0,0 +1,82 @@
+//! Serialised form of the claims.
+
+use prost::Message;
+
+use super::{Claim, Intents};
+use crate::ids::{Fingerprint, IncarnationId, RequestKey};
+
+/// All claims in the order of their keys.
+#[derive(Clone, PartialEq, Message)]
+pub struct IntentsSnapshot {
+    #[prost(message, repeated, tag = "1")]
+    claims: Vec<ClaimSnapshot>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ClaimSnapshot {
+    #[prost(bytes = "vec", tag = "1")]
+    key: Vec<u8>,
+    #[prost(fixed64, tag = "2")]
+    fingerprint: u64,
+    /// Holder of an open claim.
+    #[prost(fixed64, optional, tag = "3")]
+    holder: Option<u64>,
+    /// Status of a call that ran.
+    #[prost(uint32, tag = "4")]
+    status: u32,
+}
+
+impl Intents {
+    /// Returns the serialised form; equal claims give equal forms.
+    pub(crate) fn to_snapshot(&self) -> IntentsSnapshot {
+        let Self { claims } = self;
+        let mut sorted: Vec<_> = claims.iter().collect();
+        sorted.sort_unstable_by_key(|(key, _)| **key);
+        IntentsSnapshot {
+            claims: sorted
+                .into_iter()
+                .map(|(key, claim)| encode_claim(*key, *claim))
+                .collect(),
+        }
+    }
+
+    /// Restores the claims; returns `None` if the form is damaged.
+    pub(crate) fn from_snapshot(snapshot: &IntentsSnapshot) -> Option<Self> {
+        let mut intents = Self::default();
+        for claim in &snapshot.claims {
+            let key = u128::from_be_bytes(claim.key.as_slice().try_into().ok()?);
+            let fingerprint = Fingerprint(claim.fingerprint);
+            let restored = match claim.holder {
+                Some(holder) => Claim::Open {
+                    holder: IncarnationId(holder),
+                    fingerprint,
+                },
+                None => Claim::Ran {
+                    fingerprint,
+                    status: claim.status as u16,
+                },
+            };
+            intents.claims.insert(RequestKey(key), restored);
+        }
+        Some(intents)
+    }
+}
+
+fn encode_claim(key: RequestKey, claim: Claim) -> ClaimSnapshot {
+    let (fingerprint, holder, status) = match claim {
+        Claim::Open {
+            holder,
+            fingerprint,
+        } => (fingerprint, Some(holder.0), 0),
+        Claim::Ran {
+            fingerprint,
+            status,
+        } => (fingerprint, None, status),
+    };
+    ClaimSnapshot {
+        key: key.0.to_be_bytes().to_vec(),
+        fingerprint: fingerprint.0,
+        holder,
+        status: status.into(),
+    }
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -12,6 +12,10 @@
 use crate::ids::{CustomerKey, Fingerprint, IncarnationId, RequestKey};
 use crate::record::Draw;
 
+mod snapshot;
+
+pub use snapshot::LedgerSnapshot;
+
 /// Number of bills whose request keys are remembered for deduplication.
 ///
 /// A count is used in place of a time, because all folds must forget the same keys at the same offset.
--- /dev/null
+++ b/src/ledger/snapshot.rs
@@ -0,0 +1,142 @@
+//! Serialised form of the ledger.
+
+use prost::Message;
+
+use super::{Budget, GrantState, Ledger};
+use crate::ids::{CustomerKey, Fingerprint, IncarnationId, RequestKey};
+
+/// Size of one billed key with its fingerprint, in bytes.
+const BILLED_BYTES: usize = 24;
+
+/// All budgets and billed keys.
+#[derive(Clone, PartialEq, Message)]
+pub struct LedgerSnapshot {
+    #[prost(message, repeated, tag = "1")]
+    budgets: Vec<BudgetSnapshot>,
+    /// Keys and fingerprints as big-endian integers, the oldest first; a million of them need a compact form.
+    #[prost(bytes = "vec", tag = "2")]
+    billed: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct BudgetSnapshot {
+    #[prost(uint32, tag = "1")]
+    customer: u32,
+    #[prost(uint64, tag = "2")]
+    prepaid_total_tokens: u64,
+    #[prost(uint64, tag = "3")]
+    settled_tokens: u64,
+    #[prost(message, repeated, tag = "4")]
+    grants: Vec<GrantSnapshot>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct GrantSnapshot {
+    #[prost(fixed64, tag = "1")]
+    incarnation: u64,
+    #[prost(uint64, tag = "2")]
+    granted_tokens: u64,
+    #[prost(uint64, tag = "3")]
+    billed_tokens: u64,
+    #[prost(uint64, tag = "4")]
+    level_tokens: u64,
+}
+
+impl Ledger {
+    /// Returns the serialised form; equal ledgers give equal forms.
+    pub(crate) fn to_snapshot(&self) -> LedgerSnapshot {
+        let Self {
+            budgets,
+            billed,
+            billed_order,
+        } = self;
+        let mut budgets: Vec<_> = budgets
+            .iter()
+            .map(|(customer, budget)| encode_budget(*customer, budget))
+            .collect();
+        budgets.sort_unstable_by_key(|budget| budget.customer);
+        let mut bytes = Vec::with_capacity(billed_order.len() * BILLED_BYTES);
+        for key in billed_order {
+            let fingerprint = billed.get(key).copied().unwrap_or(Fingerprint(0));
+            bytes.extend_from_slice(&key.0.to_be_bytes());
+            bytes.extend_from_slice(&fingerprint.0.to_be_bytes());
+        }
+        LedgerSnapshot {
+            budgets,
+            billed: bytes,
+        }
+    }
+
+    /// Restores a ledger; returns `None` if the form is damaged.
+    pub(crate) fn from_snapshot(snapshot: &LedgerSnapshot) -> Option<Self> {
+        let mut ledger = Self::default();
+        for budget in &snapshot.budgets {
+            ledger
+                .budgets
+                .insert(CustomerKey(budget.customer), decode_budget(budget));
+        }
+        let entries = snapshot.billed.chunks_exact(BILLED_BYTES);
+        if !entries.remainder().is_empty() {
+            return None;
+        }
+        ledger.billed.reserve(entries.len());
+        for entry in entries {
+            let (key, fingerprint) = entry.split_at(16);
+            let key = RequestKey(u128::from_be_bytes(key.try_into().ok()?));
+            let fingerprint = Fingerprint(u64::from_be_bytes(fingerprint.try_into().ok()?));
+            ledger.billed.insert(key, fingerprint);
+            ledger.billed_order.push_back(key);
+        }
+        Some(ledger)
+    }
+}
+
+fn encode_budget(customer: CustomerKey, budget: &Budget) -> BudgetSnapshot {
+    let Budget {
+        prepaid_total_tokens,
+        grants,
+        settled_tokens,
+    } = budget;
+    BudgetSnapshot {
+        customer: customer.0,
+        prepaid_total_tokens: *prepaid_total_tokens,
+        settled_tokens: *settled_tokens,
+        grants: grants
+            .iter()
+            .map(|(incarnation, grant)| encode_grant(*incarnation, grant))
+            .collect(),
+    }
+}
+
+fn encode_grant(incarnation: IncarnationId, grant: &GrantState) -> GrantSnapshot {
+    let GrantState {
+        granted_tokens,
+        billed_tokens,
+        level_tokens,
+    } = *grant;
+    GrantSnapshot {
+        incarnation: incarnation.0,
+        granted_tokens,
+        billed_tokens,
+        level_tokens,
+    }
+}
+
+fn decode_budget(budget: &BudgetSnapshot) -> Budget {
+    Budget {
+        prepaid_total_tokens: budget.prepaid_total_tokens,
+        settled_tokens: budget.settled_tokens,
+        grants: budget
+            .grants
+            .iter()
+            .map(|grant| {
+                let state = GrantState {
+                    granted_tokens: grant.granted_tokens,
+                    billed_tokens: grant.billed_tokens,
+                    level_tokens: grant.level_tokens,
+                };
+                (IncarnationId(grant.incarnation), state)
+            })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/src/log_client/http_client.rs
@@ -0,0 +1,144 @@
+//! A small HTTP/1.1 client for the platform's services: one kept connection, one call at a time, a time limit per call.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{Method, Request, StatusCode};
+use monoio::io::{sink::SinkExt, stream::Stream};
+use monoio::net::TcpStream;
+use monoio_http::common::body::Body;
+use monoio_http::common::error::HttpError;
+use monoio_http::h1::codec::ClientCodec;
+use monoio_http::h1::payload::{FixedPayload, FramedPayload, Payload};
+use serde::de::DeserializeOwned;
+
+use super::Error;
+
+/// Largest response body that the client accepts, in bytes.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
+/// A client of one address.
+pub(crate) struct HttpClient {
+    address: String,
+    vm: String,
+    kept: RefCell<Option<ClientCodec<TcpStream>>>,
+}
+
+impl std::fmt::Debug for HttpClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpClient")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpClient {
+    /// Makes a client; the connection is opened by the first call.
+    pub(crate) fn new(address: &str, vm: &str) -> Self {
+        Self {
+            address: address.into(),
+            vm: vm.into(),
+            kept: RefCell::new(None),
+        }
+    }
+
+    /// Sends a request and parses the JSON body of a response with a success status.
+    pub(crate) async fn call_json<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<T, Error> {
+        let (status, body) = self.call(step, method, path, body, timeout).await?;
+        if !status.is_success() {
+            return Err(Error::Status(step, self.address.clone(), status.as_u16()));
+        }
+        serde_json::from_slice(&body)
+            .map_err(|error| Error::Response(step, self.address.clone(), error.to_string()))
+    }
+
+    /// Sends a request and returns the status and the whole body.
+    pub(crate) async fn call(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        match monoio::time::timeout(timeout, self.exchange(step, method, path, body)).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Timeout(step, self.address.clone())),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        // The connection is only kept after a complete exchange; a cancelled call drops it.
+        let kept = self.kept.borrow_mut().take();
+        if let Some(codec) = kept {
+            // The server may have closed the idle connection, so a failure here is tried once on a new one.
+            let result = self.exchange_on(codec, &method, path, body.clone()).await;
+            if let Ok(response) = result {
+                return Ok(response);
+            }
+        }
+        let failed = |message: String| Error::Connection(step, self.address.clone(), message);
+        let stream = TcpStream::connect(self.address.as_str())
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        self.exchange_on(ClientCodec::new(stream), &method, path, body)
+            .await
+            .map_err(failed)
+    }
+
+    async fn exchange_on(
+        &self,
+        mut codec: ClientCodec<TcpStream>,
+        method: &Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, self.address.as_str())
+            .header("x-vm", self.vm.as_str())
+            .body::<Payload<Bytes, HttpError>>(if body.is_empty() {
+                Payload::None
+            } else {
+                Payload::Fixed(FixedPayload::new(body))
+            })
+            .map_err(|error| error.to_string())?;
+        codec
+            .send_and_flush(request)
+            .await
+            .map_err(|error| error.to_string())?;
+        let response = match codec.next().await {
+            Some(Ok(response)) => response,
+            Some(Err(error)) => return Err(error.to_string()),
+            None => return Err("the connection was closed".into()),
+        };
+        let (head, decoder) = response.into_parts();
+        let mut content = BytesMut::new();
+        let mut payload = FramedPayload::new(&mut codec, decoder);
+        while let Some(part) = payload.next_data().await {
+            let part = part.map_err(|error| error.to_string())?;
+            if content.len() + part.len() > MAX_RESPONSE_BYTES {
+                return Err("the response is too large".into());
+            }
+            content.extend_from_slice(&part);
+        }
+        *self.kept.borrow_mut() = Some(codec);
+        Ok((head.status, content.freeze()))
+    }
+}
--- a/src/log_writer.rs
+++ b/src/log_writer.rs
@@ -1,1 +1,254 @@
-//! Ordered writing of entries to the platform's log.
+//! The machine that turns entries into numbered batches with one append outstanding.
+//!
+//! A response of the log may be lost after the append took effect. The writer therefore appends the very same batch again
+//! until it knows that the batch is in the log, and the fold drops the second copy by its number. One outstanding append
+//! keeps the numbers in log order. The machine has no clock and no socket: [`crate::fleet`] drives it.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use prost::Message;
+use quick_error::quick_error;
+
+use crate::ids::IncarnationId;
+use crate::record::{Batch, Entry};
+
+/// Largest encoded size of the entries that one batch collects, in bytes; leaves room below the log's record limit.
+pub const MAX_BATCH_BYTES: usize = 256 << 10;
+
+/// Largest encoded size of the entries that wait for an append, in bytes.
+///
+/// An hour of log outage at 50 bills per second and 80 bytes per bill needs about 14 MB.
+pub const MAX_QUEUE_BYTES: usize = 32 << 20;
+
+quick_error! {
+    /// Why an entry is not taken.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The queue is full because the log has been unavailable for long.
+        Full {
+            display("the queue of the log writer is full")
+        }
+        /// The entry is larger than a batch may be.
+        TooLarge {
+            display("the entry is larger than {} bytes", MAX_BATCH_BYTES)
+        }
+    }
+}
+
+/// Position of an entry in the order in which the writer took entries, starting at 1.
+pub type Position = u64;
+
+/// A batch to append.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Append {
+    /// Incarnation that writes the batch.
+    pub incarnation: IncarnationId,
+    /// Number of the batch within the incarnation.
+    pub seq: u64,
+    /// Encoded batch.
+    pub payload: Bytes,
+}
+
+/// What the driver of the machine does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Append the batch and report the result.
+    Append(Append),
+    /// Ask again at this time, or when an entry was queued.
+    Wait {
+        /// Time of the next step.
+        until_ms: u64,
+    },
+}
+
+struct Queued {
+    incarnation: IncarnationId,
+    entry: Entry,
+    bytes: usize,
+}
+
+struct Unfolded {
+    incarnation: IncarnationId,
+    seq: u64,
+    up_to: Position,
+}
+
+/// Collects entries and numbers batches.
+pub struct Writer {
+    flush_interval_ms: u64,
+    empty_batch_interval_ms: u64,
+    queue: VecDeque<Queued>,
+    queue_bytes: usize,
+    /// Position of the entry that was queued last.
+    queued: Position,
+    /// Position of the last entry that went into a batch.
+    batched: Position,
+    /// Position of the last entry that the own fold has passed.
+    folded: Position,
+    incarnation: Option<IncarnationId>,
+    seq: u64,
+    outstanding: Option<Append>,
+    unfolded: VecDeque<Unfolded>,
+    last_attempt_ms: Option<u64>,
+}
+
+impl Writer {
+    /// Makes a writer with nothing to write.
+    pub fn new(flush_interval_ms: u64, empty_batch_interval_ms: u64) -> Self {
+        Self {
+            flush_interval_ms,
+            empty_batch_interval_ms,
+            queue: VecDeque::new(),
+            queue_bytes: 0,
+            queued: 0,
+            batched: 0,
+            folded: 0,
+            incarnation: None,
+            seq: 0,
+            outstanding: None,
+            unfolded: VecDeque::new(),
+            last_attempt_ms: None,
+        }
+    }
+
+    /// Queues an entry for the next batch of an incarnation and returns its position.
+    ///
+    /// Entries of an earlier incarnation that are still queued are written under that incarnation first: a claim or an
+    /// outcome only counts under the incarnation that made it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry is too large or the queue is full.
+    pub fn push(&mut self, incarnation: IncarnationId, entry: Entry) -> Result<Position, Error> {
+        // Tag and length of the entry within its envelope and of the envelope within the batch.
+        const ENVELOPE_BYTES: usize = 16;
+        let bytes = entry.encoded_len() + ENVELOPE_BYTES;
+        if bytes > MAX_BATCH_BYTES {
+            return Err(Error::TooLarge);
+        }
+        if self.queue_bytes + bytes > MAX_QUEUE_BYTES {
+            return Err(Error::Full);
+        }
+        self.queue_bytes += bytes;
+        self.queued += 1;
+        self.queue.push_back(Queued {
+            incarnation,
+            entry,
+            bytes,
+        });
+        Ok(self.queued)
+    }
+
+    /// Returns the next step at a time.
+    pub fn step(&mut self, now_ms: u64) -> Step {
+        let earliest_ms = self
+            .last_attempt_ms
+            .map_or(now_ms, |last| last + self.flush_interval_ms);
+        if earliest_ms > now_ms && (self.outstanding.is_some() || !self.queue.is_empty()) {
+            return Step::Wait {
+                until_ms: earliest_ms,
+            };
+        }
+        if self.outstanding.is_none() && !self.queue.is_empty() {
+            self.form_batch();
+        }
+        if self.outstanding.is_none() {
+            let due_ms = self
+                .last_attempt_ms
+                .map_or(now_ms, |last| last + self.empty_batch_interval_ms);
+            match self.incarnation {
+                Some(incarnation) if due_ms <= now_ms => self.number_batch(incarnation, Vec::new()),
+                _ => {
+                    return Step::Wait {
+                        until_ms: due_ms.max(now_ms + 1),
+                    }
+                }
+            }
+        }
+        self.last_attempt_ms = Some(now_ms);
+        match &self.outstanding {
+            Some(append) => Step::Append(append.clone()),
+            None => Step::Wait {
+                until_ms: now_ms + self.flush_interval_ms,
+            },
+        }
+    }
+
+    /// Reports that the log confirmed an append.
+    pub fn on_appended(&mut self, incarnation: IncarnationId, seq: u64) {
+        if matches!(&self.outstanding, Some(append) if (append.incarnation, append.seq) == (incarnation, seq))
+        {
+            self.outstanding = None;
+        }
+    }
+
+    /// Reports that the own fold has passed a batch, which proves that it is in the log.
+    pub fn on_folded(&mut self, incarnation: IncarnationId, seq: u64) {
+        let found = self
+            .unfolded
+            .iter()
+            .position(|batch| (batch.incarnation, batch.seq) == (incarnation, seq));
+        // Batches are appended in order, so passing one implies that the earlier ones were passed too.
+        if let Some(index) = found {
+            self.folded = self.unfolded[index].up_to;
+            self.unfolded.drain(..=index);
+        }
+        self.on_appended(incarnation, seq);
+    }
+
+    /// Returns the position of the last entry that the own fold has passed.
+    pub fn folded(&self) -> Position {
+        self.folded
+    }
+
+    /// Returns whether every queued entry is in the log.
+    pub fn is_drained(&self) -> bool {
+        self.queue.is_empty() && self.outstanding.is_none()
+    }
+
+    /// Returns the encoded size of the entries that wait for an append, in bytes.
+    pub fn queue_bytes(&self) -> usize {
+        self.queue_bytes
+    }
+
+    /// Collects queued entries of one incarnation into the next batch.
+    fn form_batch(&mut self) {
+        let Some(incarnation) = self.queue.front().map(|queued| queued.incarnation) else {
+            return;
+        };
+        let mut entries = Vec::new();
+        let mut batch_bytes = 0;
+        while let Some(queued) = self.queue.front() {
+            if queued.incarnation != incarnation || batch_bytes + queued.bytes > MAX_BATCH_BYTES {
+                break;
+            }
+            batch_bytes += queued.bytes;
+            if let Some(queued) = self.queue.pop_front() {
+                entries.push(queued.entry);
+            }
+        }
+        self.queue_bytes -= batch_bytes;
+        self.batched += entries.len() as Position;
+        self.number_batch(incarnation, entries);
+    }
+
+    fn number_batch(&mut self, incarnation: IncarnationId, entries: Vec<Entry>) {
+        if self.incarnation != Some(incarnation) {
+            self.incarnation = Some(incarnation);
+            self.seq = 0;
+        }
+        self.seq += 1;
+        let payload = Batch::new(incarnation, self.seq, entries).encode_to_vec();
+        self.unfolded.push_back(Unfolded {
+            incarnation,
+            seq: self.seq,
+            up_to: self.batched,
+        });
+        self.outstanding = Some(Append {
+            incarnation,
+            seq: self.seq,
+            payload: payload.into(),
+        });
+    }
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -9,6 +9,9 @@
 
 use crate::ids::IncarnationId;
 
+pub mod detector;
+pub mod rendezvous;
+
 /// Life cycle of an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- /dev/null
+++ b/src/membership/detector.rs
@@ -0,0 +1,179 @@
+//! The failure detector: which incarnations are live, and which may be closed or finalised.
+//!
+//! Closing an incarnation costs its holder its rights, so the rules are conservative: no log record for `close_after_ms`
+//! as seen by a reader that has been caught up with the log all that time, and no heartbeat either. A wrong closure is
+//! still safe, because everything granted counts as spent. The platform's VM list takes no part: it lags and may be wrong.
+
+use std::collections::BTreeMap;
+
+use crate::ids::IncarnationId;
+use crate::membership::{rendezvous, Members, Phase};
+use crate::record::{Close, Entry, Finalize};
+use crate::settings::Timing;
+
+/// Ticks that are this many heartbeat intervals apart show that the process was paused.
+const PAUSE_INTERVALS: u64 = 3;
+
+/// What is known of one incarnation.
+#[derive(Clone, Copy, Debug, Default)]
+struct Observation {
+    last_record_ms: u64,
+    last_heartbeat_ms: Option<u64>,
+    ended_ms: Option<u64>,
+    is_leaving: bool,
+    proposed_ms: Option<u64>,
+}
+
+/// Judges the other incarnations by what this process has seen of them.
+#[derive(Debug)]
+pub struct FailureDetector {
+    timing: Timing,
+    observations: BTreeMap<IncarnationId, Observation>,
+    /// Time since which the reader has been caught up with the log without a gap.
+    caught_up_since_ms: Option<u64>,
+    last_tick_ms: Option<u64>,
+}
+
+impl FailureDetector {
+    /// Makes a detector that has seen nothing.
+    pub fn new(timing: Timing) -> Self {
+        Self {
+            timing,
+            observations: BTreeMap::new(),
+            caught_up_since_ms: None,
+            last_tick_ms: None,
+        }
+    }
+
+    /// Notes that a record of an incarnation was read.
+    pub fn on_record(&mut self, id: IncarnationId, now_ms: u64) {
+        self.observations.entry(id).or_default().last_record_ms = now_ms;
+    }
+
+    /// Notes a heartbeat of an incarnation.
+    pub fn on_heartbeat(&mut self, id: IncarnationId, is_leaving: bool, now_ms: u64) {
+        let observation = self.observations.entry(id).or_default();
+        observation.last_heartbeat_ms = Some(now_ms);
+        observation.is_leaving |= is_leaving;
+    }
+
+    /// Notes that the connection to an incarnation was refused or broke, so it is not live until its next heartbeat.
+    pub fn on_disconnect(&mut self, id: IncarnationId) {
+        if let Some(observation) = self.observations.get_mut(&id) {
+            observation.last_heartbeat_ms = None;
+        }
+    }
+
+    /// Notes whether the reader has read all records of the log.
+    pub fn on_caught_up(&mut self, is_caught_up: bool, now_ms: u64) {
+        if !is_caught_up {
+            self.caught_up_since_ms = None;
+        } else if self.caught_up_since_ms.is_none() {
+            self.caught_up_since_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns whether a heartbeat arrived in time and the incarnation takes new work.
+    pub fn is_live(&self, id: IncarnationId, now_ms: u64) -> bool {
+        self.observations.get(&id).is_some_and(|observation| {
+            !observation.is_leaving && self.has_heartbeat(observation, now_ms)
+        })
+    }
+
+    /// Returns the entries that the process `own` should write now.
+    ///
+    /// Candidates act one after the other in the order of their rendezvous rank, one heartbeat timeout apart, so that a
+    /// failed VM does not cause one record from each survivor.
+    pub fn propose(&mut self, own: IncarnationId, members: &Members, now_ms: u64) -> Vec<Entry> {
+        self.note_pause(now_ms);
+        self.note_ends(members, now_ms);
+        let Some(caught_up_since_ms) = self.caught_up_since_ms else {
+            return Vec::new();
+        };
+        let live: Vec<_> = members
+            .iter()
+            .filter(|(id, member)| {
+                member.phase == Phase::Open && (*id == own || self.is_live(*id, now_ms))
+            })
+            .map(|(id, _)| id)
+            .collect();
+        let mut entries = Vec::new();
+        for (id, member) in members.iter().filter(|(id, _)| *id != own) {
+            let observation = self.observations.get(&id).copied().unwrap_or_default();
+            let rank = rendezvous::rank(&id.0.to_be_bytes(), live.iter().copied())
+                .iter()
+                .position(|candidate| *candidate == own)
+                .unwrap_or(live.len()) as u64;
+            let delay_ms = rank * self.timing.heartbeat_timeout_ms;
+            let entry = match observation.ended_ms {
+                None => {
+                    let silent_since_ms = observation.last_record_ms.max(caught_up_since_ms);
+                    let is_silent = now_ms
+                        >= silent_since_ms + self.timing.close_after_ms + delay_ms
+                        && !self.has_heartbeat(&observation, now_ms);
+                    is_silent.then(|| {
+                        Entry::Close(Close {
+                            incarnation: id.0,
+                            last_seq: member.last_seq,
+                            reason: format!(
+                                "no log record for {} ms and no heartbeat",
+                                now_ms - silent_since_ms
+                            ),
+                        })
+                    })
+                }
+                Some(ended_ms) => (now_ms >= ended_ms + self.timing.finalize_after_ms + delay_ms)
+                    .then_some(Entry::Finalize(Finalize { incarnation: id.0 })),
+            };
+            // The proposal is repeated only after some time, because the log may take long to confirm it.
+            let may_propose = observation
+                .proposed_ms
+                .is_none_or(|proposed| now_ms >= proposed + self.timing.heartbeat_timeout_ms);
+            if let (Some(entry), true) = (entry, may_propose) {
+                self.observations.entry(id).or_default().proposed_ms = Some(now_ms);
+                entries.push(entry);
+            }
+        }
+        entries
+    }
+
+    fn has_heartbeat(&self, observation: &Observation, now_ms: u64) -> bool {
+        observation
+            .last_heartbeat_ms
+            .is_some_and(|last| now_ms < last + self.timing.heartbeat_timeout_ms)
+    }
+
+    /// Restarts the silence of all others after a pause of this process, during which it could not hear them.
+    fn note_pause(&mut self, now_ms: u64) {
+        let limit_ms = PAUSE_INTERVALS * self.timing.heartbeat_interval_ms;
+        if self
+            .last_tick_ms
+            .is_some_and(|last| now_ms > last + limit_ms)
+        {
+            self.caught_up_since_ms = None;
+        }
+        self.last_tick_ms = Some(now_ms);
+    }
+
+    /// Notes when this process first saw that an incarnation had ended, and forgets those that were finalised.
+    fn note_ends(&mut self, members: &Members, now_ms: u64) {
+        self.observations.retain(|id, observation| {
+            members.get(*id).is_some()
+                || self.timing.close_after_ms > 0 && {
+                    // Heartbeats of a process whose `Open` is not yet in the log are kept while they arrive.
+                    observation
+                        .last_heartbeat_ms
+                        .is_some_and(|last| now_ms < last + self.timing.close_after_ms)
+                }
+        });
+        for (id, member) in members.iter() {
+            if member.phase != Phase::Open {
+                let observation = self.observations.entry(id).or_default();
+                if observation.ended_ms.is_none() {
+                    observation.ended_ms = Some(now_ms);
+                    observation.proposed_ms = None;
+                }
+            }
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -21,6 +21,9 @@
     /// Limits of this process.
     #[serde(default)]
     pub limits: Limits,
+    /// Intervals of the fleet protocol; operators leave them at their defaults, tests shorten them.
+    #[serde(default)]
+    pub timing: Timing,
 }
 
 /// Addresses to listen on, as `ip:port`.
@@ -80,3 +83,52 @@
         }
     }
 }
+
+/// Intervals and time limits of the fleet protocol.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Shortest time between two appends of one process; the log takes several hundred appends per second in total.
+    pub flush_interval_ms: u64,
+    /// Longest time between two appends of one process; an empty batch shows that it is alive.
+    pub empty_batch_interval_ms: u64,
+    /// Time after which an append without a response is tried again.
+    pub append_timeout_ms: u64,
+    /// Time that the log may hold a read open while there is no new record.
+    pub poll_wait_ms: u64,
+    /// Shortest time between two reads of the log, so that a busy log is read in pages and not record by record.
+    pub poll_interval_ms: u64,
+    /// Time between two heartbeats to one peer.
+    pub heartbeat_interval_ms: u64,
+    /// Time without a heartbeat after which a peer is not live.
+    pub heartbeat_timeout_ms: u64,
+    /// Time without a log record and without a heartbeat after which an incarnation may be closed.
+    pub close_after_ms: u64,
+    /// Time after the end of an incarnation after which it may be finalised; longer than any request runs.
+    pub finalize_after_ms: u64,
+    /// Time between two reads of the platform's VM list.
+    pub vm_list_interval_ms: u64,
+    /// Longest pause between two attempts to connect to a peer.
+    pub reconnect_limit_ms: u64,
+    /// Number of log records between two snapshots; must be well below the number that the log retains.
+    pub snapshot_interval_records: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            flush_interval_ms: 100,
+            empty_batch_interval_ms: 10_000,
+            append_timeout_ms: 2_000,
+            poll_wait_ms: 1_000,
+            poll_interval_ms: 20,
+            heartbeat_interval_ms: 1_000,
+            heartbeat_timeout_ms: 5_000,
+            close_after_ms: 60_000,
+            finalize_after_ms: 2 * 60 * 60 * 1_000,
+            vm_list_interval_ms: 5_000,
+            reconnect_limit_ms: 5_000,
+            snapshot_interval_records: 10_000,
+        }
+    }
+}
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -1,1 +1,273 @@
-//! Snapshots of the fleet's shared state.
+//! Serialised states of the fold, by which a process starts without reading the whole log.
+//!
+//! The bytes depend only on the state: maps are written in the order of their keys. A state travels in chunks, because
+//! both a log record and a frame between peers are bounded. Each part of the state encodes itself, so that a new field
+//! can't be forgotten here.
+
+use std::collections::BTreeMap;
+
+use prost::Message;
+use quick_error::quick_error;
+use serde::de::DeserializeOwned;
+
+use crate::contract::{Configuration, Contract};
+use crate::fold::{ConfigurationInForce, ContractInForce, FleetState, Rejection};
+use crate::ids::Offset;
+use crate::intent::{Intents, IntentsSnapshot};
+use crate::ledger::{Ledger, LedgerSnapshot};
+use crate::message::SnapshotChunk;
+
+/// Data in one chunk, in bytes; with its envelope it stays below 512 KiB.
+pub const CHUNK_BYTES: usize = 384 << 10;
+
+/// Largest number of chunks of one state that is accepted, about 1.5 GiB.
+const MAX_CHUNKS: u32 = 4_096;
+
+/// Number of states that are assembled at the same time; chunks of older ones are dropped.
+const MAX_ASSEMBLIES: usize = 2;
+
+/// Version of the format; a process refuses a state that it can't read whole.
+const FORMAT_VERSION: u32 = 1;
+
+quick_error! {
+    /// Why a state can't be restored.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The outer message does not decode.
+        Malformed(error: prost::DecodeError) {
+            display("malformed snapshot: {}", error)
+            from()
+            source(error)
+        }
+        /// A part does not decode.
+        Part(part: &'static str, message: String) {
+            display("snapshot, {}: {}", part, message)
+        }
+        /// Another version of the program wrote the snapshot.
+        Version(version: u32) {
+            display("snapshot format {}, expected {}", version, FORMAT_VERSION)
+        }
+    }
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Snapshot {
+    #[prost(uint32, tag = "1")]
+    format_version: u32,
+    #[prost(uint64, tag = "2")]
+    next_offset: u64,
+    #[prost(string, repeated, tag = "3")]
+    customers: Vec<String>,
+    #[prost(message, repeated, tag = "4")]
+    contracts: Vec<Published>,
+    #[prost(message, optional, tag = "5")]
+    configuration: Option<Published>,
+    #[prost(message, optional, tag = "6")]
+    ledger: Option<LedgerSnapshot>,
+    #[prost(message, optional, tag = "7")]
+    intents: Option<IntentsSnapshot>,
+    #[prost(bytes = "vec", tag = "8")]
+    members_json: Vec<u8>,
+    #[prost(bytes = "vec", tag = "9")]
+    rollouts_json: Vec<u8>,
+    #[prost(bytes = "vec", tag = "10")]
+    quarantine_json: Vec<u8>,
+    #[prost(message, repeated, tag = "11")]
+    rejections: Vec<RejectionSnapshot>,
+    #[prost(uint64, tag = "12")]
+    late_bills: u64,
+}
+
+/// A contract or configuration in force.
+#[derive(Clone, PartialEq, Message)]
+struct Published {
+    #[prost(uint32, tag = "1")]
+    customer: u32,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+    #[prost(uint64, tag = "3")]
+    offset: u64,
+    #[prost(bytes = "vec", tag = "4")]
+    body_json: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RejectionSnapshot {
+    #[prost(uint64, tag = "1")]
+    offset: u64,
+    #[prost(string, tag = "2")]
+    subject: String,
+    #[prost(string, tag = "3")]
+    reason: String,
+}
+
+/// Serialises a state; equal states give equal bytes.
+pub fn encode(state: &FleetState) -> Vec<u8> {
+    // Naming every field makes a new one an error here until it is encoded.
+    let FleetState {
+        next_offset,
+        customers,
+        contracts,
+        configuration,
+        ledger,
+        intents,
+        members,
+        rollouts,
+        quarantine,
+        rejections,
+        late_bills,
+    } = state;
+    let mut published: Vec<_> = contracts
+        .iter()
+        .map(|(key, contract)| Published {
+            customer: key.0,
+            revision: contract.revision,
+            offset: contract.offset,
+            body_json: to_json(&contract.contract),
+        })
+        .collect();
+    published.sort_unstable_by_key(|contract| contract.customer);
+    let snapshot = Snapshot {
+        format_version: FORMAT_VERSION,
+        next_offset: *next_offset,
+        customers: customers.names().iter().map(ToString::to_string).collect(),
+        contracts: published,
+        configuration: Some(Published {
+            customer: 0,
+            revision: configuration.revision,
+            offset: configuration.offset,
+            body_json: to_json(&configuration.configuration),
+        }),
+        ledger: Some(ledger.to_snapshot()),
+        intents: Some(intents.to_snapshot()),
+        members_json: to_json(members),
+        rollouts_json: to_json(rollouts),
+        quarantine_json: to_json(quarantine),
+        rejections: rejections
+            .iter()
+            .map(|rejection| RejectionSnapshot {
+                offset: rejection.offset,
+                subject: rejection.subject.to_string(),
+                reason: rejection.reason.to_string(),
+            })
+            .collect(),
+        late_bills: *late_bills,
+    };
+    snapshot.encode_to_vec()
+}
+
+/// Restores a state.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not a whole state of this format.
+pub fn decode(bytes: &[u8]) -> Result<FleetState, Error> {
+    let snapshot = Snapshot::decode(bytes)?;
+    if snapshot.format_version != FORMAT_VERSION {
+        return Err(Error::Version(snapshot.format_version));
+    }
+    let mut state = FleetState {
+        next_offset: snapshot.next_offset,
+        members: from_json("members", &snapshot.members_json)?,
+        rollouts: from_json("rollouts", &snapshot.rollouts_json)?,
+        quarantine: from_json("quarantine", &snapshot.quarantine_json)?,
+        late_bills: snapshot.late_bills,
+        ..FleetState::default()
+    };
+    for name in &snapshot.customers {
+        state.customers.intern(name);
+    }
+    for published in &snapshot.contracts {
+        let contract: Contract = from_json("contracts", &published.body_json)?;
+        let key = crate::ids::CustomerKey(published.customer);
+        state.contracts.insert(
+            key,
+            ContractInForce {
+                revision: published.revision,
+                offset: published.offset,
+                contract,
+            },
+        );
+    }
+    if let Some(published) = &snapshot.configuration {
+        let configuration: Configuration = from_json("configuration", &published.body_json)?;
+        state.configuration = ConfigurationInForce {
+            revision: published.revision,
+            offset: published.offset,
+            configuration,
+        };
+    }
+    let ledger = snapshot.ledger.unwrap_or_default();
+    state.ledger = Ledger::from_snapshot(&ledger)
+        .ok_or_else(|| Error::Part("ledger", "billed keys are cut off".into()))?;
+    let intents = snapshot.intents.unwrap_or_default();
+    state.intents = Intents::from_snapshot(&intents)
+        .ok_or_else(|| Error::Part("intents", "claims are cut off".into()))?;
+    for rejection in snapshot.rejections {
+        state.rejections.push_back(Rejection {
+            offset: rejection.offset,
+            subject: rejection.subject.into(),
+            reason: rejection.reason.into(),
+        });
+    }
+    Ok(state)
+}
+
+/// Serialises a state in chunks.
+pub fn chunks(state: &FleetState) -> Vec<SnapshotChunk> {
+    let bytes = encode(state);
+    let count = bytes.len().div_ceil(CHUNK_BYTES) as u32;
+    bytes
+        .chunks(CHUNK_BYTES)
+        .zip(0..)
+        .map(|(data, index)| SnapshotChunk {
+            next_offset: state.next_offset,
+            index,
+            count,
+            data: data.to_vec(),
+        })
+        .collect()
+}
+
+/// Decodes the payload of a record of the snapshot stream.
+pub fn decode_chunk(payload: &[u8]) -> Option<SnapshotChunk> {
+    SnapshotChunk::decode(payload).ok()
+}
+
+/// Puts chunks together, in any order and from several writers.
+///
+/// Two states with the same offset have the same bytes, so chunks of different writers can be mixed.
+#[derive(Debug, Default)]
+pub struct Assembler {
+    assemblies: BTreeMap<(Offset, u32), BTreeMap<u32, Vec<u8>>>,
+}
+
+impl Assembler {
+    /// Adds a chunk and returns the whole state when it completes one.
+    pub fn push(&mut self, chunk: SnapshotChunk) -> Option<Vec<u8>> {
+        if chunk.count == 0 || chunk.count > MAX_CHUNKS || chunk.index >= chunk.count {
+            return None;
+        }
+        let id = (chunk.next_offset, chunk.count);
+        let parts = self.assemblies.entry(id).or_default();
+        parts.insert(chunk.index, chunk.data);
+        if parts.len() as u32 == chunk.count {
+            let parts = self.assemblies.remove(&id)?;
+            return Some(parts.into_values().flatten().collect());
+        }
+        while self.assemblies.len() > MAX_ASSEMBLIES {
+            self.assemblies.pop_first();
+        }
+        None
+    }
+}
+
+/// Serialises a part whose field order is fixed by its type.
+fn to_json(part: &impl serde::Serialize) -> Vec<u8> {
+    // The parts are plain structures with string or integer keys, for which serialisation can't fail.
+    serde_json::to_vec(part).unwrap_or_default()
+}
+
+fn from_json<T: DeserializeOwned>(part: &'static str, json: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(json).map_err(|error| Error::Part(part, error.to_string()))
+}
