--- /dev/null
+++ b/tests/fleet_log.rs
@@ -0,0 +1,178 @@
+//! Tests of reading and writing the log through the fleet connection.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{configuration, contract, run, short_timing, Platform, LIMIT};
+use monsoonfield::ids::IncarnationId;
+use monsoonfield::record::{Batch, Entry, Grant};
+use monsoonfield::settings::Timing;
+use prost::Message;
+use serde_json::json;
+
+/// Target of the design for the time from the append until a change is in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+
+fn publish(platform: &Platform, incarnation: u64, entry: Entry) -> u64 {
+    let batch = Batch::new(IncarnationId(incarnation), 1, [entry]);
+    platform.append("fleet", &batch.encode_to_vec())
+}
+
+/// Guards against a batch that counts twice because the response to its append was lost.
+#[test]
+fn a_lost_append_response_gives_one_effect() {
+    run(async {
+        let platform = Platform::start();
+        let fleet = platform.fleet("vm-1", &short_timing()).await;
+        publish(&platform, 1, contract("tapak", 1, 1_000));
+        platform.fault(json!({ "drop_append_responses": 3 }));
+
+        for up_to_tokens in [10, 30, 60] {
+            let grant = Entry::Grant(Grant {
+                customer: "tapak".into(),
+                up_to_tokens,
+            });
+            fleet
+                .write_and_wait([grant], LIMIT)
+                .await
+                .expect("the entry is folded");
+        }
+
+        let (granted, last_seq) = fleet.with_state(|state| {
+            let customer = state
+                .customers
+                .get("tapak")
+                .expect("the contract is folded");
+            let budget = state.ledger.budget(customer).expect("a budget");
+            let member = state.members.get(fleet.incarnation()).expect("a member");
+            (
+                budget.grants[&fleet.incarnation()].granted_tokens,
+                member.last_seq,
+            )
+        });
+        assert_eq!(granted, 60);
+        let copies = platform
+            .read("fleet")
+            .records
+            .iter()
+            .filter_map(|record| Batch::decode(record.payload.as_slice()).ok())
+            .filter(|batch| batch.incarnation == fleet.incarnation().0)
+            .count() as u64;
+        assert!(
+            copies > last_seq,
+            "the log holds repeated batches: {copies} records, seq {last_seq}"
+        );
+        fleet.shut_down(LIMIT).await.expect("a planned stop");
+    });
+}
+
+/// Guards against entries that are lost or reordered in a long outage of the log.
+#[test]
+fn entries_of_a_log_outage_are_written_afterwards() {
+    run(async {
+        let platform = Platform::start();
+        let fleet = platform.fleet("vm-1", &short_timing()).await;
+        publish(&platform, 1, contract("tapak", 1, 10_000));
+        fleet
+            .wait_until(LIMIT, |fleet| {
+                fleet.with_state(|s| s.customers.get("tapak").is_some())
+            })
+            .await
+            .expect("the contract is folded");
+        let first = fleet.incarnation();
+
+        platform.fault(json!({ "log": "stalled" }));
+        common::wait_until("the outage is noticed", || !fleet.is_log_available()).await;
+        for up_to_tokens in 1..=100 {
+            fleet
+                .write(Entry::Grant(Grant {
+                    customer: "tapak".into(),
+                    up_to_tokens,
+                }))
+                .expect("the queue has room");
+        }
+        // Longer than `close_after_ms`: silence during an outage must not close anyone.
+        monoio::time::sleep(Duration::from_millis(2 * short_timing().close_after_ms)).await;
+        platform.fault(json!({ "log": "available" }));
+        fleet.write_and_wait([], LIMIT).await.expect("no wait");
+        fleet
+            .wait_until(LIMIT, |fleet| {
+                fleet.with_state(|state| {
+                    let customer = state.customers.get("tapak").expect("a customer");
+                    let budget = state.ledger.budget(customer).expect("a budget");
+                    budget
+                        .grants
+                        .get(&first)
+                        .is_some_and(|grant| grant.granted_tokens == 100)
+                })
+            })
+            .await
+            .expect("all entries are folded");
+
+        assert_eq!(fleet.incarnation(), first);
+        common::wait_until("the log is available", || fleet.is_log_available()).await;
+        fleet.shut_down(LIMIT).await.expect("a planned stop");
+    });
+}
+
+/// Guards against a change that takes long to reach a router, and against one that is undone later.
+#[test]
+fn a_configuration_is_in_force_on_all_routers_in_time() {
+    run(async {
+        let platform = Platform::start();
+        let mut fleets = Vec::new();
+        for vm in ["vm-1", "vm-2", "vm-3"] {
+            fleets.push(platform.fleet(vm, &Timing::default()).await);
+        }
+
+        let mut worst = Duration::ZERO;
+        for revision in 1..=20 {
+            let appended = Instant::now();
+            publish(&platform, revision, configuration(revision, revision - 1));
+            for fleet in &fleets {
+                fleet
+                    .wait_until(IN_FORCE_LIMIT, |fleet| {
+                        let in_force = fleet.state().configuration.revision;
+                        assert!(in_force + 1 >= revision, "revision {in_force} came back");
+                        in_force == revision
+                    })
+                    .await
+                    .expect("the configuration is in force in time");
+            }
+            worst = worst.max(appended.elapsed());
+        }
+
+        println!("20 configurations on 3 routers, slowest in force after {worst:?}");
+        assert!(worst < IN_FORCE_LIMIT);
+        for fleet in fleets {
+            fleet.abort();
+        }
+    });
+}
+
+/// Guards against two operators who both believe that their change is in force.
+#[test]
+fn a_raced_publication_has_one_winner() {
+    run(async {
+        let platform = Platform::start();
+        let first = platform.fleet("vm-1", &short_timing()).await;
+        let second = platform.fleet("vm-2", &short_timing()).await;
+
+        let earlier = publish(&platform, 1, configuration(5, 0));
+        publish(&platform, 2, configuration(7, 0));
+
+        for fleet in [&first, &second] {
+            fleet
+                .wait_until(LIMIT, |fleet| !fleet.state().rejections.is_empty())
+                .await
+                .expect("the second publication is recorded as rejected");
+            let state = fleet.state();
+            assert_eq!(state.configuration.revision, 5);
+            assert_eq!(state.configuration.offset, earlier);
+            assert_eq!(state.rejections.len(), 1);
+        }
+        first.abort();
+        second.abort();
+    });
+}
