--- /dev/null
+++ b/tests/fleet_peers.rs
@@ -0,0 +1,231 @@
+//! Tests of the connections between routers.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use common::forwarder::Forwarder;
+use common::{run, short_timing, wait_for_event, wait_until, Platform, LIMIT};
+use monsoonfield::fleet::{Event, FleetBuilder};
+use monsoonfield::ids::IncarnationId;
+use monsoonfield::message::{
+    BillCopyAck, Frame, Heartbeat, Hello, PeerMessage, MAX_FRAME_BYTES, PROTOCOL_VERSION,
+};
+use monsoonfield::peer::Backoff;
+use prost::Message;
+use rand::SeedableRng;
+
+fn frame(message: PeerMessage) -> Vec<u8> {
+    let body = Frame::from(message).encode_to_vec();
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
+fn hello(protocol_version: u32) -> Vec<u8> {
+    frame(PeerMessage::Hello(Hello {
+        protocol_version,
+        incarnation: 99,
+        vm: "vm-9".into(),
+        data_centre: "dc-1".into(),
+        next_offset: 0,
+    }))
+}
+
+/// Sends bytes on a new connection and waits until the other end closes it.
+fn send_and_wait_for_close(address: &str, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(address).expect("the router listens");
+    stream
+        .set_read_timeout(Some(LIMIT))
+        .expect("a valid timeout");
+    // The router may close the connection while the bytes are still being written.
+    let _ = stream.write_all(bytes);
+    let mut buffer = [0; 4096];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return,
+            Err(error) => panic!("the connection stays open: {error}"),
+        }
+    }
+}
+
+/// Guards against a faulty peer that ends the process, blocks it or breaks connections of others.
+#[test]
+fn a_faulty_frame_closes_its_connection_and_nothing_more() {
+    let oversized = {
+        let mut bytes = hello(PROTOCOL_VERSION);
+        bytes.extend((MAX_FRAME_BYTES as u32 + 1).to_be_bytes());
+        bytes
+    };
+    let malformed = {
+        let mut bytes = hello(PROTOCOL_VERSION);
+        bytes.extend([0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff]);
+        bytes
+    };
+    let cases = [
+        ("garbage", vec![0xa5; 100_000]),
+        ("HTTP", b"GET / HTTP/1.1\r\nhost: x\r\n\r\n".to_vec()),
+        ("another version", hello(PROTOCOL_VERSION + 1)),
+        (
+            "no Hello",
+            frame(PeerMessage::Heartbeat(Heartbeat::default())),
+        ),
+        ("an oversized frame", oversized),
+        ("a malformed frame", malformed),
+        (
+            "half a frame, then silence",
+            hello(PROTOCOL_VERSION)[..7].to_vec(),
+        ),
+    ];
+    run(async {
+        let platform = Platform::start();
+        let first = platform.fleet("vm-1", &short_timing()).await;
+        let second = platform.fleet("vm-2", &short_timing()).await;
+        wait_until("the routers are connected", || {
+            first.peers().len() == 1 && second.peers().len() == 1
+        })
+        .await;
+        let mut events = second.subscribe();
+
+        for (name, bytes) in cases {
+            println!("{name}");
+            let address = first.address().to_string();
+            let client = std::thread::spawn(move || send_and_wait_for_close(&address, &bytes));
+            wait_until("the connection is closed", || client.is_finished()).await;
+            client.join().expect("the connection was closed");
+        }
+
+        let message = PeerMessage::BillCopyAck(BillCopyAck { id: 5 });
+        assert!(first.send(second.incarnation(), message.clone()));
+        let expected = Event::Message {
+            from: first.incarnation(),
+            message,
+        };
+        let is_expected = |event: &Event| {
+            assert!(!matches!(event, Event::PeerDown(_)), "{event:?}");
+            *event == expected
+        };
+        wait_for_event(&mut events, "the message arrives", is_expected).await;
+        first.abort();
+        second.abort();
+    });
+}
+
+/// Guards against a link that is not opened again after it was cut, and against a cut that goes unnoticed.
+#[test]
+fn a_cut_link_is_noticed_and_opened_again() {
+    run(async {
+        let platform = Platform::start();
+        let forwarders = [Forwarder::start(), Forwarder::start()];
+        let mut fleets = Vec::new();
+        for (number, forwarder) in forwarders.iter().enumerate() {
+            let settings = platform.settings(&format!("vm-{number}"), "dc-1", short_timing());
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+            let address = listener.local_addr().expect("bound").to_string();
+            drop(listener);
+            let mut settings = settings;
+            settings.listen.peers = address.as_str().into();
+            forwarder.set_target(&address);
+            let fleet = FleetBuilder::new(&settings)
+                .advertised_address(forwarder.address.clone())
+                .start()
+                .expect("the listener opens");
+            fleets.push(fleet);
+        }
+        let (first, second) = (&fleets[0], &fleets[1]);
+        for _ in 0..3 {
+            wait_until("the routers are connected", || {
+                first.peers().len() == 1 && second.peers().len() == 1
+            })
+            .await;
+
+            forwarders
+                .iter()
+                .for_each(|forwarder| forwarder.set_cut(true));
+            wait_until("the cut is noticed", || {
+                first.peers().is_empty() && second.peers().is_empty()
+            })
+            .await;
+            assert!(!first.send(
+                second.incarnation(),
+                PeerMessage::BillCopyAck(BillCopyAck { id: 1 })
+            ));
+
+            forwarders
+                .iter()
+                .for_each(|forwarder| forwarder.set_cut(false));
+        }
+        wait_until("the routers are connected", || {
+            first.peers().len() == 1 && second.peers().len() == 1
+        })
+        .await;
+        first.abort();
+        second.abort();
+    });
+}
+
+/// Guards against a pair that closes each other's connections forever because both dialled at once.
+#[test]
+fn many_routers_that_start_at_once_settle_on_one_connection_each() {
+    const ROUTERS: usize = 9;
+    run(async {
+        let platform = Platform::start();
+        let mut fleets = Vec::new();
+        for number in 0..ROUTERS {
+            let settings = platform.settings(&format!("vm-{number}"), "dc-1", short_timing());
+            fleets.push(FleetBuilder::new(&settings).start().expect("a listener"));
+        }
+        let vms: Vec<_> = (0..ROUTERS).map(|number| format!("vm-{number}")).collect();
+        let list: Vec<_> = vms
+            .iter()
+            .zip(&fleets)
+            .map(|(vm, fleet)| (vm.as_str(), fleet.address()))
+            .collect();
+        platform.set_vms(&list);
+
+        wait_until("all are connected", || {
+            fleets
+                .iter()
+                .all(|fleet| fleet.peers().len() == ROUTERS - 1)
+        })
+        .await;
+        let mut subscriptions: Vec<_> = fleets.iter().map(|fleet| fleet.subscribe()).collect();
+        let quiet = std::time::Duration::from_millis(10 * short_timing().heartbeat_timeout_ms);
+        monoio::time::sleep(quiet).await;
+
+        for subscription in &mut subscriptions {
+            while let Some(event) = subscription.try_next() {
+                assert!(!matches!(event, Event::PeerDown(_)), "{event:?}");
+            }
+        }
+        let ids: Vec<IncarnationId> = fleets.iter().map(|fleet| fleet.incarnation()).collect();
+        assert!(fleets.iter().all(|fleet| fleet
+            .peers()
+            .iter()
+            .all(|peer| ids.contains(&peer.incarnation))));
+        for fleet in fleets {
+            fleet.abort();
+        }
+    });
+}
+
+/// Guards against routers that all dial again at the same instant, and against pauses without bound.
+#[test]
+fn reconnect_pauses_grow_to_the_limit_with_jitter() {
+    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(1);
+    let mut backoff = Backoff::new(5_000);
+
+    let pauses: Vec<_> = (0..40).map(|_| backoff.next_ms(&mut random)).collect();
+
+    assert!((25..=50).contains(&pauses[0]), "{pauses:?}");
+    let late = &pauses[10..];
+    assert!(
+        late.iter().all(|pause| (2_500..=5_000).contains(pause)),
+        "{pauses:?}"
+    );
+    let distinct: std::collections::BTreeSet<_> = late.iter().collect();
+    assert!(distinct.len() > late.len() / 2, "{pauses:?}");
+}
--- /dev/null
+++ b/tests/fleet_restore.rs
@@ -0,0 +1,200 @@
+//! Tests of how a router gets a state while the log or parts of it are missing.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{configuration, run, short_timing, wait_until, Platform, LIMIT};
+use monsoonfield::fleet::FleetBuilder;
+use monsoonfield::ids::IncarnationId;
+use monsoonfield::record::Batch;
+use monsoonfield::settings::Timing;
+use prost::Message;
+use serde_json::json;
+
+fn publish(platform: &Platform, revision: u64) {
+    let entries = [configuration(revision, revision - 1)];
+    let batch = Batch::new(IncarnationId(1_000 + revision), 1, entries);
+    platform.append("fleet", &batch.encode_to_vec());
+}
+
+fn fast_records() -> Timing {
+    Timing {
+        snapshot_interval_records: 20,
+        empty_batch_interval_ms: 20,
+        ..short_timing()
+    }
+}
+
+/// Guards against a VM that can't start, or starts with an old configuration, because the log is unavailable.
+#[test]
+fn a_vm_that_starts_during_a_log_outage_gets_its_state_from_a_peer() {
+    run(async {
+        let platform = Platform::start();
+        let behind = platform.fleet("vm-1", &short_timing()).await;
+        let ahead = platform.fleet("vm-2", &short_timing()).await;
+        platform.fault(json!({ "blocked_vms": ["vm-1"] }));
+        wait_until("the cut is noticed", || !behind.is_log_available()).await;
+        behind.abort();
+        publish(&platform, 1);
+        ahead
+            .wait_until(LIMIT, |fleet| fleet.state().configuration.revision == 1)
+            .await
+            .expect("the configuration is folded");
+        platform.fault(json!({ "log": "unavailable", "blocked_vms": [] }));
+        platform.set_vms(&[("vm-2", ahead.address()), ("vm-8", "127.0.0.1:1")]);
+
+        let settings = platform.settings("vm-3", "dc-1", short_timing());
+        let started = FleetBuilder::new(&settings).start().expect("a listener");
+        assert!(!started.has_state());
+        started
+            .wait_for_state(LIMIT)
+            .await
+            .expect("a state from the peer");
+
+        assert!(!started.is_log_available());
+        assert_eq!(started.state().configuration.revision, 1);
+        let offset = started.state().next_offset;
+        platform.fault(json!({ "log": "available" }));
+        started
+            .wait_until(LIMIT, |fleet| {
+                fleet.state().members.get(fleet.incarnation()).is_some()
+            })
+            .await
+            .expect("Open is folded when the log is back");
+        assert!(started.state().next_offset > offset);
+        ahead.abort();
+        started.abort();
+    });
+}
+
+/// Guards against a configuration that does not reach a router whose own path to the log is cut.
+#[test]
+fn records_reach_a_router_that_is_cut_off_the_log() {
+    run(async {
+        let platform = Platform::start();
+        let timing = Timing::default();
+        let cut = platform.fleet("vm-1", &timing).await;
+        let other = platform.fleet("vm-2", &timing).await;
+        wait_until("the routers are connected", || {
+            cut.peers().len() == 1 && other.peers().len() == 1
+        })
+        .await;
+        platform.fault(json!({ "blocked_vms": ["vm-1"] }));
+        wait_until("the cut is noticed", || !cut.is_log_available()).await;
+
+        for revision in 1..=3 {
+            let published = std::time::Instant::now();
+            publish(&platform, revision);
+            cut.wait_until(Duration::from_secs(2), |fleet| {
+                fleet.state().configuration.revision == revision
+            })
+            .await
+            .expect("the configuration is in force within 2 s");
+            println!("in force without the log after {:?}", published.elapsed());
+        }
+
+        assert!(!cut.is_log_available());
+        platform.fault(json!({ "blocked_vms": [] }));
+        wait_until("the log is available again", || cut.is_log_available()).await;
+        cut.abort();
+        other.abort();
+    });
+}
+
+/// Guards against a router that can't start, or can't go on, once the log has dropped the oldest records.
+#[test]
+fn a_router_restores_a_snapshot_when_the_log_has_dropped_records() {
+    run(async {
+        let options = common::platform_stub::Options {
+            retained_records: 80,
+            ..Default::default()
+        };
+        let platform = Platform::with_options(options);
+        let writer = platform.fleet("vm-1", &fast_records()).await;
+        let late = platform.fleet("vm-2", &fast_records()).await;
+        publish(&platform, 1);
+        platform.fault(json!({ "blocked_vms": ["vm-2"] }));
+        let behind = late.state().next_offset;
+        writer
+            .wait_until(LIMIT, |fleet| fleet.state().next_offset > 300)
+            .await
+            .expect("records are written");
+        wait_until("a snapshot is on the log", || {
+            platform.read("snapshots").records.len() >= 2
+        })
+        .await;
+
+        let started = platform.fleet("vm-3", &fast_records()).await;
+        assert_eq!(started.state().configuration.revision, 1);
+        assert!(
+            platform.read("fleet").oldest > 0,
+            "the log has dropped records"
+        );
+
+        platform.fault(json!({ "blocked_vms": [] }));
+        late.wait_until(LIMIT, |fleet| fleet.state().next_offset > behind + 250)
+            .await
+            .expect("the late router goes on");
+        assert_eq!(late.state().configuration.revision, 1);
+        for fleet in [writer, late, started] {
+            fleet.abort();
+        }
+    });
+}
+
+/// Guards against several routers that each write the same snapshot.
+#[test]
+fn one_router_writes_each_snapshot() {
+    run(async {
+        let platform = Platform::start();
+        let mut fleets = Vec::new();
+        for vm in ["vm-1", "vm-2", "vm-3"] {
+            fleets.push(platform.fleet(vm, &fast_records()).await);
+        }
+        wait_until("all are connected", || {
+            fleets.iter().all(|fleet| fleet.peers().len() == 2)
+        })
+        .await;
+        let before = platform.read("snapshots").next;
+        let turns_before = fleets[0].state().next_offset / 20;
+        fleets[0]
+            .wait_until(LIMIT, |fleet| {
+                fleet.state().next_offset / 20 >= turns_before + 10
+            })
+            .await
+            .expect("records are written");
+
+        let written = platform.read("snapshots").next - before;
+        let turns = fleets[0].state().next_offset / 20 - turns_before;
+        assert!(
+            written >= turns / 2 && written <= turns + 2,
+            "{written} snapshots in {turns} intervals"
+        );
+        for fleet in fleets {
+            fleet.abort();
+        }
+    });
+}
+
+/// Guards against serving without a state: nothing may be decided from an empty one.
+#[test]
+fn a_router_without_log_and_peers_has_no_state() {
+    run(async {
+        let platform = Platform::start();
+        platform.fault(json!({ "log": "unavailable", "vm_list_unavailable": true }));
+        let settings = platform.settings("vm-1", "dc-1", short_timing());
+        let fleet = FleetBuilder::new(&settings).start().expect("a listener");
+
+        let result = fleet.wait_for_state(Duration::from_secs(1)).await;
+
+        assert!(result.is_err());
+        assert!(!fleet.has_state());
+        platform.fault(json!({ "log": "available" }));
+        fleet
+            .wait_for_state(LIMIT)
+            .await
+            .expect("a state from the log");
+        fleet.abort();
+    });
+}
