--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -41,7 +41,7 @@
     let mut now_ms = run.from_ms;
     while now_ms <= run.to_ms {
         detector.on_caught_up(run.is_caught_up, now_ms);
-        if run.records && now_ms % 10_000 == 0 {
+        if run.records && now_ms.is_multiple_of(10_000) {
             detector.on_record(OTHER, now_ms);
         }
         if run.heartbeats {
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -35,7 +35,7 @@
 
 fn configuration(u: &mut Unstructured<'_>) -> Result<Entry> {
     let revision = u.int_in_range(1..=4)?;
-    let body: &[u8] = *u.choose(&[
+    let body: &[u8] = u.choose(&[
         br#"{"models":[],"services":[],"upstreams":[]}"#.as_slice(),
         br#"{"models":"#.as_slice(),
     ])?;
