Add the command line, validation, metrics and JSON-line logs

Other modules need the settings, the metrics handle and the log format before they can report anything. Documents are compared with a static shape, so that every problem of a file is reported and not only the first one that serde meets. Commands that need a running fleet answer with exit code 1 for now.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,1 +1,164 @@
 //! The command line.
+//!
+//! Every command checks all of its input before it opens or changes anything, writes its result to standard output and
+//! its errors to standard error, one line each. The exit code tells a script what happened, see [`ExitCode`].
+
+mod arguments;
+mod check;
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+
+use crate::settings::Settings;
+use crate::{explain, logging, publish, status};
+
+pub use arguments::command;
+
+/// Exit codes of all commands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitCode {
+    /// The command did what it was asked to do.
+    Done,
+    /// The command failed, for example because an address did not answer; it may be repeated.
+    Failed,
+    /// The input is invalid; nothing was opened or changed.
+    InvalidInput,
+    /// The fleet rejected the change, or another operator's change came first.
+    Rejected,
+}
+
+impl ExitCode {
+    /// Returns the code of the process.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Failed => 1,
+            Self::InvalidInput => 2,
+            Self::Rejected => 3,
+        }
+    }
+}
+
+/// Form of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Plain sentences and tables.
+    Text,
+    /// One JSON document.
+    Json,
+}
+
+/// Result of a command: an exit code, and the lines for standard output and standard error.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Exit code.
+    pub code: ExitCode,
+    /// Text for standard output, without the last line break.
+    pub output: String,
+    /// Lines for standard error.
+    pub errors: Vec<String>,
+}
+
+impl Report {
+    /// Makes the report of a command that was done.
+    pub fn done(output: impl Into<String>) -> Self {
+        Self {
+            code: ExitCode::Done,
+            output: output.into(),
+            errors: Vec::new(),
+        }
+    }
+
+    /// Makes the report of a command that was not done.
+    pub fn error(code: ExitCode, errors: Vec<String>) -> Self {
+        Self {
+            code,
+            output: String::new(),
+            errors,
+        }
+    }
+}
+
+/// Parses the arguments, runs the command and returns the exit code of the process.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> u8 {
+    let matches = match command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            // A closed standard output leaves nobody to tell.
+            let _ = error.print();
+            return if error.use_stderr() {
+                ExitCode::InvalidInput.code()
+            } else {
+                ExitCode::Done.code()
+            };
+        }
+    };
+    let report = dispatch(&matches);
+    for error in &report.errors {
+        eprintln!("monsoonfield: {error}");
+    }
+    if !report.output.is_empty() {
+        println!("{}", report.output);
+    }
+    report.code.code()
+}
+
+fn dispatch(matches: &ArgMatches) -> Report {
+    match matches.subcommand() {
+        Some(("router", arguments)) => run_router(arguments),
+        Some(("check", arguments)) => check::run(arguments),
+        Some(("publish", arguments)) => publish::run(arguments),
+        Some(("status", arguments)) => status::run(arguments),
+        Some(("explain", arguments)) => explain::run(arguments),
+        _ => Report::error(
+            ExitCode::InvalidInput,
+            vec!["expected a command; see monsoonfield --help".into()],
+        ),
+    }
+}
+
+fn run_router(arguments: &ArgMatches) -> Report {
+    let path = path(arguments, "settings");
+    let settings = match Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            let messages = error.messages(&path.display().to_string());
+            return Report::error(ExitCode::InvalidInput, messages);
+        }
+    };
+    logging::init(log_level(arguments));
+    match start_router(settings) {
+        Ok(()) => Report::done(""),
+        Err(error) => Report::error(ExitCode::Failed, vec![error]),
+    }
+}
+
+/// Runs a router until it has stopped.
+fn start_router(_settings: Settings) -> Result<(), String> {
+    Err("router: this build has no event loop".into())
+}
+
+fn log_level(arguments: &ArgMatches) -> log::LevelFilter {
+    let level = arguments.get_one::<String>("log-level");
+    level
+        .and_then(|level| level.parse().ok())
+        .unwrap_or(log::LevelFilter::Info)
+}
+
+/// Returns the form of report that was asked for.
+pub(crate) fn output(arguments: &ArgMatches) -> Output {
+    match arguments.get_one::<String>("output").map(String::as_str) {
+        Some("json") => Output::Json,
+        _ => Output::Text,
+    }
+}
+
+/// Returns a required path argument; clap has checked that it is present.
+pub(crate) fn path(arguments: &ArgMatches, name: &str) -> PathBuf {
+    arguments
+        .get_one::<PathBuf>(name)
+        .cloned()
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/src/cli/check.rs
@@ -0,0 +1,76 @@
+//! The `check` command.
+
+use std::path::{Path, PathBuf};
+
+use clap::ArgMatches;
+use serde_json::json;
+
+use super::{output, ExitCode, Output, Report};
+use crate::contract::{Configuration, ContractFile};
+use crate::settings::Settings;
+use crate::validation::Error;
+
+/// Validates the given files and reports all problems.
+pub(super) fn run(arguments: &ArgMatches) -> Report {
+    let mut checked = Vec::new();
+    let mut problems = Vec::new();
+    let paths = arguments.get_many::<PathBuf>("settings");
+    for path in paths.into_iter().flatten() {
+        load(path, Settings::from_yaml, &mut checked, &mut problems);
+    }
+    let configuration = arguments
+        .get_one::<PathBuf>("configuration")
+        .and_then(|path| load(path, Configuration::from_yaml, &mut checked, &mut problems));
+    if let Some(path) = arguments.get_one::<PathBuf>("contracts") {
+        let contracts = load(path, ContractFile::from_yaml, &mut checked, &mut problems);
+        if let (Some(contracts), Some(configuration)) = (contracts, configuration) {
+            if let Err(error) = contracts.validate_against(&configuration) {
+                problems.extend(error.messages(&path.display().to_string()));
+            }
+        }
+    }
+    report(output(arguments), &checked, problems)
+}
+
+fn load<T>(
+    path: &Path,
+    parse: impl Fn(&str) -> Result<T, Error>,
+    checked: &mut Vec<String>,
+    problems: &mut Vec<String>,
+) -> Option<T> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| Error::Read(error.to_string()));
+    match text.and_then(|text| parse(&text)) {
+        Ok(document) => {
+            checked.push(name);
+            Some(document)
+        }
+        Err(error) => {
+            problems.extend(error.messages(&name));
+            None
+        }
+    }
+}
+
+fn report(output: Output, checked: &[String], problems: Vec<String>) -> Report {
+    let code = if problems.is_empty() {
+        ExitCode::Done
+    } else {
+        ExitCode::InvalidInput
+    };
+    let output = match output {
+        Output::Json => json!({ "valid": checked, "problems": problems }).to_string(),
+        Output::Text => {
+            let lines: Vec<_> = checked
+                .iter()
+                .map(|name| format!("{name}: valid"))
+                .collect();
+            lines.join("\n")
+        }
+    };
+    Report {
+        code,
+        output,
+        errors: problems,
+    }
+}
--- a/src/contract.rs
+++ b/src/contract.rs
@@ -3,9 +3,14 @@
 //! Both are published to the log as JSON and take effect by log order. They are validated whole before they are
 //! accepted, because a record that half applies would differ between processes. See `docs/design.md`, section 3.
 
+mod rules;
+
 use compact_str::CompactString;
-use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::validation;
+pub use crate::validation::Error;
 
 /// Share of the prepaid total that one router may hold unspent by default, in parts per million.
 ///
@@ -155,19 +160,12 @@
     DEFAULT_WINDOW_PPM
 }
 
-quick_error! {
-    /// Why a contract or a configuration is not accepted.
-    #[derive(Clone, Debug, PartialEq, Eq)]
-    pub enum Error {
-        /// The body is not JSON of the expected shape.
-        Syntax(message: String) {
-            display("{}", message)
-        }
-        /// A field has a value that is not allowed.
-        Field(field: String, value: String, allowed: &'static str) {
-            display("{}: {} is not allowed; expected {}", field, value, allowed)
-        }
-    }
+/// The contracts of one operator's file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ContractFile {
+    /// One contract for each customer.
+    pub contracts: Vec<Contract>,
 }
 
 impl Contract {
@@ -175,24 +173,45 @@
     ///
     /// # Errors
     ///
-    /// Returns the first field that is not allowed.
+    /// Returns all fields that are not allowed.
     pub fn from_json(body: &[u8]) -> Result<Self, Error> {
-        let contract: Self =
-            serde_json::from_slice(body).map_err(|error| Error::Syntax(error.to_string()))?;
-        contract.validate()?;
-        Ok(contract)
+        validation::from_value(parse_json(body)?)
     }
 
     /// Validates all fields.
     ///
     /// # Errors
     ///
-    /// Returns the first field that is not allowed.
+    /// Returns all fields that are not allowed.
     pub fn validate(&self) -> Result<(), Error> {
-        if self.customer.is_empty() {
-            return Err(Error::Field("customer".into(), "\"\"".into(), "a name"));
-        }
-        Ok(())
+        validation::check::<Self>(&to_value(self)?)
+    }
+
+    /// Returns the most that one router may hold unspent.
+    pub fn window_tokens(&self) -> u64 {
+        rules::window_tokens(self.prepaid_total_tokens, self.window_ppm)
+    }
+}
+
+impl ContractFile {
+    /// Parses and validates a YAML file of contracts.
+    ///
+    /// # Errors
+    ///
+    /// Returns all fields that are not allowed.
+    pub fn from_yaml(text: &str) -> Result<Self, Error> {
+        validation::from_yaml(text)
+    }
+
+    /// Validates that the configuration has every model, version and service that the contracts name.
+    ///
+    /// The fold doesn't apply this rule, because contracts and configurations take effect independently of each other.
+    ///
+    /// # Errors
+    ///
+    /// Returns all fields that name something that the configuration lacks.
+    pub fn validate_against(&self, configuration: &Configuration) -> Result<(), Error> {
+        rules::relate_files(self, configuration)
     }
 }
 
@@ -201,20 +220,34 @@
     ///
     /// # Errors
     ///
-    /// Returns the first field that is not allowed.
+    /// Returns all fields that are not allowed.
     pub fn from_json(body: &[u8]) -> Result<Self, Error> {
-        let configuration: Self =
-            serde_json::from_slice(body).map_err(|error| Error::Syntax(error.to_string()))?;
-        configuration.validate()?;
-        Ok(configuration)
+        validation::from_value(parse_json(body)?)
+    }
+
+    /// Parses and validates a YAML configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns all fields that are not allowed.
+    pub fn from_yaml(text: &str) -> Result<Self, Error> {
+        validation::from_yaml(text)
     }
 
     /// Validates all fields.
     ///
     /// # Errors
     ///
-    /// Returns the first field that is not allowed.
+    /// Returns all fields that are not allowed.
     pub fn validate(&self) -> Result<(), Error> {
-        Ok(())
+        validation::check::<Self>(&to_value(self)?)
     }
 }
+
+fn parse_json(body: &[u8]) -> Result<Value, Error> {
+    serde_json::from_slice(body).map_err(|error| Error::Syntax(error.to_string()))
+}
+
+fn to_value(document: &impl Serialize) -> Result<Value, Error> {
+    serde_json::to_value(document).map_err(|error| Error::Syntax(error.to_string()))
+}
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,1 +1,10 @@
 //! Explanations of single decisions for operators.
+
+use clap::ArgMatches;
+
+use crate::cli::{ExitCode, Report};
+
+/// Runs the command.
+pub fn run(_arguments: &ArgMatches) -> Report {
+    Report::error(ExitCode::Failed, vec!["not available in this build".into()])
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,5 +38,6 @@
 pub mod settings;
 pub mod snapshot;
 pub mod status;
+pub mod validation;
 
 pub use fold::FleetState;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The command line of monsoonfield.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ExitCode::from(monsoonfield::cli::run(std::env::args_os()))
+}
--- /dev/null
+++ b/src/metrics/text.rs
@@ -0,0 +1,83 @@
+//! Prometheus text exposition format.
+
+use std::fmt::Write;
+
+use super::{Latency, SampleKind, Summary, View, PREFIX};
+
+/// Renders a view; every metric has one `TYPE` line before its samples.
+pub(super) fn render(view: &View) -> String {
+    let mut out = String::new();
+    let mut previous = "";
+    for sample in &view.samples {
+        let name = sample.name.replace('.', "_");
+        let (suffix, kind) = match sample.kind {
+            SampleKind::Counter => ("_total", "counter"),
+            SampleKind::Gauge => ("", "gauge"),
+        };
+        if previous != sample.name {
+            line(&mut out, format_args!("# TYPE {name}{suffix} {kind}"));
+            previous = &sample.name;
+        }
+        match sample.tag.split_once(':') {
+            Some((key, value)) => line(
+                &mut out,
+                format_args!(
+                    "{name}{suffix}{{{key}=\"{}\"}} {}",
+                    escape(value),
+                    sample.value
+                ),
+            ),
+            None => line(&mut out, format_args!("{name}{suffix} {}", sample.value)),
+        }
+    }
+    render_summaries(&mut out, "class", &view.classes);
+    render_summaries(&mut out, "customer", &view.customers);
+    out
+}
+
+fn render_summaries(out: &mut String, label: &str, summaries: &[Summary]) {
+    for latency in Latency::ALL {
+        let name = format!("{PREFIX}_{label}_{}", latency.name());
+        let mut is_first = true;
+        for summary in summaries.iter().filter(|s| s.latency == latency.name()) {
+            if is_first {
+                line(out, format_args!("# TYPE {name} summary"));
+                is_first = false;
+            }
+            render_summary(out, &name, label, summary);
+        }
+    }
+}
+
+fn render_summary(out: &mut String, name: &str, label: &str, summary: &Summary) {
+    let of = escape(&summary.of);
+    for (quantile, ms) in [
+        ("0.5", summary.p50_ms),
+        ("0.95", summary.p95_ms),
+        ("0.99", summary.p99_ms),
+    ] {
+        line(
+            out,
+            format_args!("{name}{{{label}=\"{of}\",quantile=\"{quantile}\"}} {ms}"),
+        );
+    }
+    line(
+        out,
+        format_args!("{name}_sum{{{label}=\"{of}\"}} {}", summary.sum_ms),
+    );
+    line(
+        out,
+        format_args!("{name}_count{{{label}=\"{of}\"}} {}", summary.count),
+    );
+}
+
+fn escape(text: &str) -> String {
+    text.replace('\\', "\\\\")
+        .replace('"', "\\\"")
+        .replace('\n', "\\n")
+}
+
+fn line(out: &mut String, arguments: std::fmt::Arguments<'_>) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(out, "{arguments}");
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,9 +3,16 @@
 //! The file is validated whole before anything is opened, so that a process either starts as asked or not at all. See
 //! `docs/design.md`, section 5.
 
+mod rules;
+
+use std::path::Path;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::validation;
+pub use crate::validation::Error;
+
 /// Settings of one router process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -80,3 +87,24 @@
         }
     }
 }
+
+impl Settings {
+    /// Reads, parses and validates a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the file cannot be read, or all fields that are not allowed.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).map_err(|e| Error::Read(e.to_string()))?;
+        Self::from_yaml(&text)
+    }
+
+    /// Parses and validates YAML settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all fields that are not allowed.
+    pub fn from_yaml(text: &str) -> Result<Self, Error> {
+        validation::from_yaml(text)
+    }
+}
--- a/src/status.rs
+++ b/src/status.rs
@@ -1,1 +1,10 @@
 //! Reports on the fleet for operators.
+
+use clap::ArgMatches;
+
+use crate::cli::{ExitCode, Report};
+
+/// Runs the command.
+pub fn run(_arguments: &ArgMatches) -> Report {
+    Report::error(ExitCode::Failed, vec!["not available in this build".into()])
+}
--- /dev/null
+++ b/src/validation/shape.rs
@@ -0,0 +1,241 @@
+//! Static descriptions of documents and the comparison of a value with them.
+
+use std::net::SocketAddr;
+
+use serde_json::{Map, Value};
+
+use super::Findings;
+
+/// Longest name of a customer, model, service, upstream, VM or data centre, in bytes.
+const NAME_BYTES_MAX: usize = 64;
+
+/// Number of hexadecimal digits of a SHA-256 hash.
+const HASH_DIGITS: usize = 64;
+
+/// Suffixes by which a field names its unit.
+const UNIT_SUFFIXES: [&str; 4] = ["_ms", "_bytes", "_tokens", "_ppm"];
+
+/// Values that a field may have.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Kind {
+    /// A short name.
+    Name,
+    /// A name that may contain `/` and `:`, as names of models and versions do.
+    PathName,
+    /// An address to connect to.
+    Address,
+    /// An address to listen on; port 0 lets the kernel choose.
+    ListenAddress,
+    /// A SHA-256 hash. A wrong value is not repeated, because it may be the key itself.
+    Hash,
+    /// A whole number within bounds.
+    Integer {
+        /// Smallest value.
+        min: u64,
+        /// Largest value.
+        max: u64,
+        /// Unit in plain words.
+        unit: &'static str,
+    },
+    /// `true` or `false`.
+    Boolean,
+    /// One of several words.
+    Choice(&'static [&'static str]),
+    /// An object.
+    Object(&'static Shape),
+    /// A list of objects, with the smallest number of items.
+    List(&'static Shape, usize),
+    /// A list of plain values.
+    ListOf(&'static Kind),
+}
+
+/// One field of a document.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Field {
+    name: &'static str,
+    kind: Kind,
+    is_required: bool,
+}
+
+/// Fields of an object.
+#[derive(Debug)]
+pub(crate) struct Shape(pub(crate) &'static [Field]);
+
+/// Makes a field that must be present.
+pub(crate) const fn field(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        kind,
+        is_required: true,
+    }
+}
+
+/// Makes a list of objects, which must have at least `min` items.
+pub(crate) const fn list(shape: &'static Shape, min: usize) -> Kind {
+    Kind::List(shape, min)
+}
+
+/// Makes a list of plain values.
+pub(crate) const fn list_of(kind: &'static Kind) -> Kind {
+    Kind::ListOf(kind)
+}
+
+impl Field {
+    /// Makes the field optional.
+    pub(crate) const fn optional(self) -> Self {
+        Self {
+            is_required: false,
+            ..self
+        }
+    }
+}
+
+impl Shape {
+    /// Adds the problems of a value at a path; the path is empty for the document itself.
+    pub(crate) fn check(&self, path: &str, value: &Value, findings: &mut Findings) {
+        let Some(object) = value.as_object() else {
+            let name = if path.is_empty() { "document" } else { path };
+            findings.add(name, value, format!("an object with {}", self.names()));
+            return;
+        };
+        for field in self.0 {
+            let name = join(path, field.name);
+            match object.get(field.name) {
+                Some(value) => field.kind.check(&name, value, findings),
+                None if field.is_required => findings.add_shown(name, "", field.kind.allowed()),
+                None => {}
+            }
+        }
+        self.check_unknown(path, object, findings);
+    }
+
+    fn check_unknown(&self, path: &str, object: &Map<String, Value>, findings: &mut Findings) {
+        for (key, value) in object {
+            if self.0.iter().any(|field| field.name == key) {
+                continue;
+            }
+            let with_unit = UNIT_SUFFIXES
+                .iter()
+                .map(|suffix| format!("{}{suffix}", stem(key)))
+                .find(|name| self.0.iter().any(|field| field.name == name));
+            let allowed = match with_unit {
+                Some(name) => format!("the key {name}, which names its unit"),
+                None => format!("only the keys {}", self.names()),
+            };
+            findings.add(join(path, key), value, allowed);
+        }
+    }
+
+    fn names(&self) -> String {
+        let names: Vec<_> = self.0.iter().map(|field| field.name).collect();
+        names.join(", ")
+    }
+}
+
+impl Kind {
+    /// Returns what is allowed, in words.
+    pub(crate) fn allowed(&self) -> String {
+        match self {
+            Self::Name => format!("1 to {NAME_BYTES_MAX} letters, digits, '.', '_' or '-'"),
+            Self::PathName => {
+                format!("1 to {NAME_BYTES_MAX} letters, digits, '.', '_', '-', '/' or ':'")
+            }
+            Self::Address => "an address ip:port with a port from 1 to 65535".into(),
+            Self::ListenAddress => "an address ip:port with a port from 0 to 65535".into(),
+            Self::Hash => format!("a SHA-256 hash as {HASH_DIGITS} lower-case hexadecimal digits"),
+            Self::Integer { min, max, unit } => {
+                format!("a whole number of {unit} from {min} to {max}, without quotes or unit")
+            }
+            Self::Boolean => "true or false".into(),
+            Self::Choice(words) => format!("one of {}", words.join(", ")),
+            Self::Object(shape) => format!("an object with {}", shape.names()),
+            Self::List(shape, min) => {
+                format!("a list of at least {min} objects with {}", shape.names())
+            }
+            Self::ListOf(kind) => format!("a list, each item {}", kind.allowed()),
+        }
+    }
+
+    fn check(&self, path: &str, value: &Value, findings: &mut Findings) {
+        match self {
+            Self::Object(shape) => shape.check(path, value, findings),
+            Self::List(shape, min) => match value.as_array() {
+                Some(items) if items.len() >= *min => {
+                    for (index, item) in items.iter().enumerate() {
+                        shape.check(&format!("{path}[{index}]"), item, findings);
+                    }
+                }
+                _ => findings.add(path, value, self.allowed()),
+            },
+            Self::ListOf(kind) => match value.as_array() {
+                Some(items) => {
+                    for (index, item) in items.iter().enumerate() {
+                        kind.check(&format!("{path}[{index}]"), item, findings);
+                    }
+                }
+                None => findings.add(path, value, self.allowed()),
+            },
+            Self::Hash if !self.accepts(value) => {
+                let shown = match value.as_str() {
+                    Some(text) => format!("a text of {} characters", text.chars().count()),
+                    None => "a value that is no text".into(),
+                };
+                findings.add_shown(path, shown, self.allowed());
+            }
+            _ if !self.accepts(value) => findings.add(path, value, self.allowed()),
+            _ => {}
+        }
+    }
+
+    fn accepts(&self, value: &Value) -> bool {
+        match self {
+            Self::Name => value.as_str().is_some_and(|text| is_name(text, "._-")),
+            Self::PathName => value.as_str().is_some_and(|text| is_name(text, "._-/:")),
+            Self::Address => address(value).is_some_and(|address| address.port() != 0),
+            Self::ListenAddress => address(value).is_some(),
+            Self::Hash => value.as_str().is_some_and(is_hash),
+            Self::Integer { min, max, .. } => value
+                .as_u64()
+                .is_some_and(|number| (*min..=*max).contains(&number)),
+            Self::Boolean => value.is_boolean(),
+            Self::Choice(words) => value.as_str().is_some_and(|text| words.contains(&text)),
+            Self::Object(_) => value.is_object(),
+            Self::List(..) | Self::ListOf(_) => value.is_array(),
+        }
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
+
+/// Removes a unit from a key, so that `timeout_s` is recognised as `timeout_ms` with another unit.
+fn stem(key: &str) -> &str {
+    ["_s", "_sec", "_seconds", "_kb", "_mb", "_mib", "_percent"]
+        .iter()
+        .chain(&UNIT_SUFFIXES)
+        .find_map(|suffix| key.strip_suffix(suffix))
+        .unwrap_or(key)
+}
+
+fn address(value: &Value) -> Option<SocketAddr> {
+    value.as_str()?.parse().ok()
+}
+
+fn is_name(text: &str, punctuation: &str) -> bool {
+    (1..=NAME_BYTES_MAX).contains(&text.len())
+        && text
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || punctuation.contains(c))
+}
+
+fn is_hash(text: &str) -> bool {
+    text.len() == HASH_DIGITS
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b))
+}
