--- a/src/status.rs
+++ b/src/status.rs
@@ -1,8 +1,242 @@
 //! Reports on the fleet for operators.
+//!
+//! A router builds a [`FleetReport`] from the state that it has folded and from its own figures, and serves it as JSON
+//! on its admin address. The command `monsoonfield status` reads that JSON and prints it as tables.
+
+mod text;
 
 use clap::ArgMatches;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use crate::cli::{ExitCode, Report};
+use crate::fold::FleetState;
+use crate::ids::{IncarnationId, Offset};
+use crate::membership::Phase;
+
+/// Figures of one router process that are not part of the shared state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessReport {
+    /// Name of the VM.
+    pub vm: CompactString,
+    /// Name of the data centre.
+    pub data_centre: CompactString,
+    /// Incarnation of the process, as in the list of members.
+    pub incarnation: CompactString,
+    /// Whether the process accepts requests.
+    pub is_ready: bool,
+    /// Whether the process is shutting down.
+    pub is_stopping: bool,
+    /// Records by which the process is behind the newest offset that it knows.
+    pub log_lag_records: u64,
+    /// Time since the log last answered.
+    pub log_silent_ms: u64,
+    /// Responses that are open.
+    pub open_responses: u64,
+    /// Requests in the admission queue.
+    pub queued_requests: u64,
+    /// Bytes held for callers that read slowly.
+    pub held_bytes: u64,
+    /// Peers with a connection.
+    pub peers: Vec<PeerReport>,
+}
+
+/// One peer as a router sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerReport {
+    /// Name of the peer's VM.
+    pub vm: CompactString,
+    /// Time since the peer's last message.
+    pub silent_ms: u64,
+    /// Next offset that the peer will fold.
+    pub next_offset: Offset,
+}
+
+/// One incarnation in the shared state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// Identity of the incarnation.
+    pub incarnation: IncarnationId,
+    /// Name of the VM.
+    pub vm: CompactString,
+    /// Name of the data centre.
+    pub data_centre: CompactString,
+    /// Life cycle.
+    pub phase: Phase,
+    /// Newest batch that was folded.
+    pub last_seq: u64,
+}
+
+/// One customer's budget in the shared state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetReport {
+    /// Name of the customer.
+    pub customer: CompactString,
+    /// Revision of the contract in force.
+    pub revision: u64,
+    /// Cumulative prepaid total.
+    pub prepaid_total_tokens: u64,
+    /// Tokens billed so far.
+    pub billed_tokens: u64,
+    /// Tokens granted to incarnations and not billed.
+    pub granted_unbilled_tokens: u64,
+    /// Tokens that no incarnation holds.
+    pub unallocated_tokens: u64,
+}
+
+/// One version rollout in the shared state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// Name of the rollout.
+    pub id: CompactString,
+    /// Model or service whose traffic moves.
+    pub model: CompactString,
+    /// Version before the rollout.
+    pub from_version: CompactString,
+    /// Version after the rollout.
+    pub to_version: CompactString,
+    /// Revision in force.
+    pub revision: u64,
+    /// Newest step.
+    pub step: u32,
+    /// Share of requests that the new version gets while it is not rolled back.
+    pub share_ppm: u32,
+    /// State in one word: `moving`, `rolled back`, `rolled back on some routes`, `done` or `not kept`.
+    pub outcome: CompactString,
+}
+
+/// A publication that was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectionReport {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// What was published.
+    pub subject: CompactString,
+    /// Why it was not accepted.
+    pub reason: CompactString,
+}
+
+/// Everything that `GET /status` shows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetReport {
+    /// The process that answers.
+    pub process: ProcessReport,
+    /// Offset of the next record to fold.
+    pub next_offset: Offset,
+    /// Revision of the configuration in force; 0 before the first one.
+    pub configuration_revision: u64,
+    /// Upstreams of the configuration in force.
+    pub upstreams: u64,
+    /// Incarnations that are not finalised.
+    pub members: Vec<MemberReport>,
+    /// Budgets in the order of the customers' names.
+    pub budgets: Vec<BudgetReport>,
+    /// Version rollouts.
+    pub rollouts: Vec<RolloutReport>,
+    /// Newest publications that were not accepted.
+    pub rejections: Vec<RejectionReport>,
+    /// Bills that came after their grant was finalised, and were dropped.
+    pub late_bills: u64,
+}
+
+impl FleetReport {
+    /// Makes the report of a process from the state that it has folded.
+    pub fn new(process: ProcessReport, state: &FleetState) -> Self {
+        Self {
+            process,
+            next_offset: state.next_offset,
+            configuration_revision: state.configuration.revision,
+            upstreams: state.configuration.configuration.upstreams.len() as u64,
+            members: members(state),
+            budgets: budgets(state),
+            rollouts: rollouts(state),
+            rejections: rejections(state),
+            late_bills: state.late_bills,
+        }
+    }
+
+    /// Renders the report as JSON.
+    pub fn render_json(&self) -> String {
+        // The report has only strings and numbers, so it always serialises.
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Renders the report as tables for operators.
+    pub fn render_text(&self) -> String {
+        text::render(self)
+    }
+}
+
+fn members(state: &FleetState) -> Vec<MemberReport> {
+    let members = state
+        .members
+        .iter()
+        .map(|(incarnation, member)| MemberReport {
+            incarnation,
+            vm: member.vm.clone(),
+            data_centre: member.data_centre.clone(),
+            phase: member.phase,
+            last_seq: member.last_seq,
+        });
+    members.collect()
+}
+
+fn budgets(state: &FleetState) -> Vec<BudgetReport> {
+    let mut reports: Vec<_> = state
+        .contracts
+        .iter()
+        .filter_map(|(&key, in_force)| {
+            let budget = state.ledger.budget(key)?;
+            let billed_tokens = budget.billed_tokens();
+            let unallocated_tokens = budget.unallocated_tokens();
+            Some(BudgetReport {
+                customer: in_force.contract.customer.clone(),
+                revision: in_force.revision,
+                prepaid_total_tokens: budget.prepaid_total_tokens,
+                billed_tokens,
+                granted_unbilled_tokens: budget
+                    .prepaid_total_tokens
+                    .saturating_sub(billed_tokens)
+                    .saturating_sub(unallocated_tokens),
+                unallocated_tokens,
+            })
+        })
+        .collect();
+    reports.sort_by(|one, other| one.customer.cmp(&other.customer));
+    reports
+}
+
+fn rollouts(state: &FleetState) -> Vec<RolloutReport> {
+    let rollouts = state.rollouts.iter().map(|(id, rollout)| {
+        let outcome = match &rollout.end {
+            _ if rollout.rolled_back.contains_key("") => "rolled back",
+            Some(end) if end.is_kept => "done",
+            Some(_) => "not kept",
+            None if !rollout.rolled_back.is_empty() => "rolled back on some routes",
+            None => "moving",
+        };
+        RolloutReport {
+            id: id.into(),
+            model: rollout.model.clone(),
+            from_version: rollout.from_version.clone(),
+            to_version: rollout.to_version.clone(),
+            revision: rollout.revision,
+            step: rollout.step,
+            share_ppm: rollout.share_ppm,
+            outcome: outcome.into(),
+        }
+    });
+    rollouts.collect()
+}
+
+fn rejections(state: &FleetState) -> Vec<RejectionReport> {
+    let rejections = state.rejections.iter().map(|rejection| RejectionReport {
+        offset: rejection.offset,
+        subject: rejection.subject.clone(),
+        reason: rejection.reason.clone(),
+    });
+    rejections.collect()
+}
 
 /// Runs the command.
 pub fn run(_arguments: &ArgMatches) -> Report {
