--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,5 +1,6 @@
 //! The `check` command.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
 use clap::ArgMatches;
@@ -15,9 +16,12 @@
     let mut checked = Vec::new();
     let mut problems = Vec::new();
     let paths = arguments.get_many::<PathBuf>("settings");
+    let mut fleet = Vec::new();
     for path in paths.into_iter().flatten() {
-        load(path, Settings::from_yaml, &mut checked, &mut problems);
+        let settings = load(path, Settings::from_yaml, &mut checked, &mut problems);
+        fleet.extend(settings.map(|settings| (path.display().to_string(), settings)));
     }
+    problems.extend(shared_ids(&fleet));
     let configuration = arguments
         .get_one::<PathBuf>("configuration")
         .and_then(|path| load(path, Configuration::from_yaml, &mut checked, &mut problems));
@@ -52,6 +56,33 @@
     }
 }
 
+/// Returns one message for each VM name and each address that two routers of a fleet would share.
+fn shared_ids(fleet: &[(String, Settings)]) -> Vec<String> {
+    let mut seen = BTreeMap::new();
+    let mut problems = Vec::new();
+    for (file, settings) in fleet {
+        let listen = &settings.listen;
+        let addresses = [
+            ("listen.callers", &listen.callers),
+            ("listen.admin", &listen.admin),
+            ("listen.peers", &listen.peers),
+        ];
+        let assigned = addresses.into_iter().filter(|(_, a)| !a.ends_with(":0"));
+        for (field, value) in std::iter::once(("vm", &settings.vm)).chain(assigned) {
+            match seen.get(value) {
+                Some(first) => problems.push(format!(
+                    "{file}: {field}: \"{value}\" is not allowed; expected one that no other router has; \
+                     {first} has the same"
+                )),
+                None => {
+                    seen.insert(value, file);
+                }
+            }
+        }
+    }
+    problems
+}
+
 fn report(output: Output, checked: &[String], problems: Vec<String>) -> Report {
     let code = if problems.is_empty() {
         ExitCode::Done
