--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,10 +7,17 @@
 mod check;
 
 use std::ffi::OsString;
+use std::future::Future;
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
+use bytes::Bytes;
 use clap::ArgMatches;
+use http::Method;
+use serde::de::DeserializeOwned;
 
+use crate::log_client::http_client::HttpClient;
 use crate::settings::Settings;
 use crate::{explain, logging, publish, status};
 
@@ -162,3 +169,45 @@
         .cloned()
         .unwrap_or_default()
 }
+
+/// Returns a required text argument; clap has checked that it is present.
+pub(crate) fn text<'a>(arguments: &'a ArgMatches, name: &str) -> &'a str {
+    arguments.get_one::<String>(name).map_or("", String::as_str)
+}
+
+/// Returns a required or defaulted number; clap has checked that it is present.
+pub(crate) fn number(arguments: &ArgMatches, name: &str) -> u64 {
+    arguments.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+/// Runs a future to its end on an event loop of its own.
+pub(crate) fn block_on<F: Future>(future: F) -> Result<F::Output, String> {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .map_err(|error| format!("event loop: {error}"))?;
+    Ok(runtime.block_on(future))
+}
+
+/// Reads a JSON document from the admin address of a router, and returns the exit code and message if that fails.
+pub(crate) fn read_admin<T: DeserializeOwned>(
+    arguments: &ArgMatches,
+    step: &'static str,
+    path: &str,
+) -> Result<T, Report> {
+    let failed = |message| Report::error(ExitCode::Failed, vec![message]);
+    let Some(admin) = arguments.get_one::<SocketAddr>("admin") else {
+        return Err(failed("--admin is missing".into()));
+    };
+    let timeout = Duration::from_millis(number(arguments, "timeout-ms"));
+    let result = block_on(async {
+        let client = HttpClient::new(&admin.to_string(), "operator");
+        let call = client.call_json(step, Method::GET, path, Bytes::new(), timeout);
+        call.await
+    });
+    match result {
+        Ok(Ok(document)) => Ok(document),
+        Ok(Err(error)) => Err(failed(error.to_string())),
+        Err(message) => Err(failed(message)),
+    }
+}
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -1,9 +1,12 @@
 //! Definition of all commands and their help texts.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{value_parser, Arg, ArgAction, ArgGroup, Command};
 
+use crate::ids::RequestKey;
+
 /// Text below the help of every command.
 const EXIT_CODES: &str =
     "Exit codes: 0 done; 1 failed; 2 invalid input, nothing was opened or changed; \
@@ -72,6 +75,7 @@
     let log = Arg::new("log")
         .long("log")
         .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
         .required(true)
         .help("Address of the platform's log service");
     let replaces = Arg::new("replaces")
@@ -161,10 +165,16 @@
 
 fn explain() -> Command {
     let subject = |name: &'static str, about: &'static str, value: &'static str| {
+        let subject = Arg::new("subject").value_name(value).required(true);
+        let subject = if name == "request" {
+            subject.value_parser(request_key)
+        } else {
+            subject.value_parser(path_segment)
+        };
         Command::new(name)
             .about(about)
             .after_help(EXIT_CODES)
-            .arg(Arg::new("subject").value_name(value).required(true))
+            .arg(subject)
             .arg(admin())
             .arg(timeout())
             .arg(output())
@@ -203,6 +213,7 @@
     Arg::new("admin")
         .long("admin")
         .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
         .required(true)
         .help("Admin address of a router")
 }
@@ -224,3 +235,24 @@
         .default_value("text")
         .help("Form of the report")
 }
+
+/// Accepts a request key, as responses carry it.
+fn request_key(text: &str) -> Result<String, String> {
+    match RequestKey::try_from(text.to_owned()) {
+        Ok(key) => Ok(key.to_string()),
+        Err(_) => Err("expected up to 32 hexadecimal digits".into()),
+    }
+}
+
+/// Accepts a name that can stand in a path.
+fn path_segment(text: &str) -> Result<String, String> {
+    let is_segment = !text.is_empty()
+        && text
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || "._-:".contains(c));
+    if is_segment {
+        Ok(text.to_owned())
+    } else {
+        Err("expected letters, digits, '.', '_', '-' or ':'".into())
+    }
+}
--- a/src/contract/rules.rs
+++ b/src/contract/rules.rs
@@ -51,8 +51,8 @@
 ]);
 
 const ALLOWED_MODEL: Shape = Shape(&[
-    field("model", Kind::PathName),
-    field("versions", list_of(&Kind::PathName)).optional(),
+    field("model", Kind::Name),
+    field("versions", list_of(&Kind::VersionName)).optional(),
 ]);
 
 const CONTRACT_FILE: Shape = Shape(&[field("contracts", list(&CONTRACT, 1))]);
@@ -64,8 +64,8 @@
 ]);
 
 const MODEL_ROUTE: Shape = Shape(&[
-    field("name", Kind::PathName),
-    field("version", Kind::PathName),
+    field("name", Kind::Name),
+    field("version", Kind::VersionName),
     field(
         "max_output_tokens",
         Kind::Integer {
@@ -78,7 +78,7 @@
 
 const SERVICE_ROUTE: Shape = Shape(&[
     field("name", Kind::Name),
-    field("version", Kind::PathName),
+    field("version", Kind::VersionName),
     field("repeatable", Kind::Boolean),
     field("timeout_ms", time_limit()),
     field(
@@ -97,8 +97,8 @@
     field("address", Kind::Address),
     field("data_centre", Kind::Name),
     field("kind", Kind::Choice(&["engine", "service"])),
-    field("serves", Kind::PathName),
-    field("version", Kind::PathName),
+    field("serves", Kind::Name),
+    field("version", Kind::VersionName),
     field(
         "capacity_requests",
         Kind::Integer {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -11,7 +11,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::cli::{ExitCode, Report};
+use crate::cli::{self, ExitCode, Output, Report};
 use crate::fold::FleetState;
 use crate::ids::RequestKey;
 
@@ -75,6 +75,31 @@
 }
 
 /// Runs the command.
-pub fn run(_arguments: &ArgMatches) -> Report {
-    Report::error(ExitCode::Failed, vec!["not available in this build".into()])
+pub fn run(arguments: &ArgMatches) -> Report {
+    let Some((kind, arguments)) = arguments.subcommand() else {
+        return Report::error(
+            ExitCode::InvalidInput,
+            vec!["expected what to explain".into()],
+        );
+    };
+    let subject = cli::text(arguments, "subject");
+    let path = format!("/explain/{kind}/{subject}");
+    let explanation: Explanation = match cli::read_admin(arguments, "read explanation", &path) {
+        Ok(explanation) => explanation,
+        Err(report) => return report,
+    };
+    let output = match cli::output(arguments) {
+        Output::Json => serde_json::to_string(&explanation).unwrap_or_default(),
+        Output::Text => explanation.sentences.join("\n"),
+    };
+    if explanation.is_known {
+        return Report::done(output);
+    }
+    Report {
+        code: ExitCode::Failed,
+        output,
+        errors: vec![format!(
+            "{kind} {subject}: this router knows nothing about it"
+        )],
+    }
 }
--- a/src/settings/rules.rs
+++ b/src/settings/rules.rs
@@ -2,12 +2,15 @@
 
 use serde_json::Value;
 
-use super::{Limits, Settings};
+use super::{Limits, Settings, Timing};
 use crate::validation::{field, Document, Field, Findings, Kind, Shape};
 
 /// Longest timeout, in milliseconds: one hour.
 const TIMEOUT_MS_MAX: u64 = 3_600_000;
 
+/// Longest time until an ended incarnation is finalised, in milliseconds: one week.
+const FINALIZE_MS_MAX: u64 = 7 * 24 * 3_600_000;
+
 /// Largest body of a request, in bytes; a router holds a body in memory until it is dispatched.
 const BODY_BYTES_MAX: u64 = 64 << 20;
 
@@ -23,6 +26,7 @@
     field("listen", Kind::Object(&LISTEN)),
     field("platform", Kind::Object(&PLATFORM)),
     field("limits", Kind::Object(&LIMITS)).optional(),
+    field("timing", Kind::Object(&TIMING)).optional(),
 ]);
 
 const LISTEN: Shape = Shape(&[
@@ -59,6 +63,37 @@
     timeout("shutdown_timeout_ms"),
 ]);
 
+const TIMING: Shape = Shape(&[
+    timeout("flush_interval_ms"),
+    timeout("empty_batch_interval_ms"),
+    timeout("append_timeout_ms"),
+    timeout("poll_wait_ms"),
+    timeout("poll_interval_ms"),
+    timeout("heartbeat_interval_ms"),
+    timeout("heartbeat_timeout_ms"),
+    timeout("close_after_ms"),
+    field(
+        "finalize_after_ms",
+        Kind::Integer {
+            min: 1,
+            max: FINALIZE_MS_MAX,
+            unit: "milliseconds",
+        },
+    )
+    .optional(),
+    timeout("vm_list_interval_ms"),
+    timeout("reconnect_limit_ms"),
+    field(
+        "snapshot_interval_records",
+        Kind::Integer {
+            min: 1,
+            max: 1_000_000,
+            unit: "records",
+        },
+    )
+    .optional(),
+]);
+
 const fn bytes(name: &'static str, min: u64, max: u64) -> Field {
     let kind = Kind::Integer {
         min,
@@ -83,6 +118,7 @@
     fn relate(value: &Value, findings: &mut Findings) {
         relate_listen(value, findings);
         relate_shutdown(value, findings);
+        relate_timing(value, findings);
     }
 }
 
@@ -125,25 +161,92 @@
     let Some(limits) = value.get("limits") else {
         return;
     };
-    let defaults = Limits::default();
-    let get = |name: &str, default: u64| match limits.get(name) {
-        Some(value) => value.as_u64(),
-        None => Some(default),
-    };
-    let Some(shutdown_ms) = get("shutdown_timeout_ms", defaults.shutdown_timeout_ms) else {
+    let limits = Section::new("limits", limits, serde_json::to_value(Limits::default()));
+    let reason = "so that a planned stop cuts no request off";
+    for shorter in ["request_read_timeout_ms", "reader_idle_timeout_ms"] {
+        if limits.relate("shutdown_timeout_ms", shorter, reason, findings) {
+            return;
+        }
+    }
+}
+
+/// Rejects intervals with which a healthy process would look dead, or an incarnation would end too early.
+fn relate_timing(value: &Value, findings: &mut Findings) {
+    let Some(timing) = value.get("timing") else {
         return;
     };
-    for (name, default) in [
-        ("request_read_timeout_ms", defaults.request_read_timeout_ms),
-        ("reader_idle_timeout_ms", defaults.reader_idle_timeout_ms),
+    let timing = Section::new("timing", timing, serde_json::to_value(Timing::default()));
+    for (longer, shorter, reason) in [
+        (
+            "heartbeat_timeout_ms",
+            "heartbeat_interval_ms",
+            "so that a live peer is not taken for dead",
+        ),
+        (
+            "close_after_ms",
+            "heartbeat_timeout_ms",
+            "so that a live peer is not closed",
+        ),
+        (
+            "close_after_ms",
+            "empty_batch_interval_ms",
+            "so that a live peer is not closed",
+        ),
+        (
+            "finalize_after_ms",
+            "close_after_ms",
+            "so that bills of an ended process can still arrive",
+        ),
     ] {
-        if get(name, default).is_some_and(|ms| ms > shutdown_ms) {
-            findings.add(
-                "limits.shutdown_timeout_ms",
-                &Value::from(shutdown_ms),
-                format!("at least {name}, so that a planned stop cuts no request off"),
-            );
-            return;
+        timing.relate(longer, shorter, reason, findings);
+    }
+}
+
+/// One object of the settings, whose missing fields have their defaults.
+struct Section<'a> {
+    name: &'static str,
+    given: &'a Value,
+    defaults: Value,
+}
+
+impl<'a> Section<'a> {
+    fn new(name: &'static str, given: &'a Value, defaults: serde_json::Result<Value>) -> Self {
+        Self {
+            name,
+            given,
+            defaults: defaults.unwrap_or_default(),
+        }
+    }
+
+    fn get(&self, field: &str) -> Option<u64> {
+        let value = self.given.get(field).or_else(|| self.defaults.get(field));
+        value?.as_u64()
+    }
+
+    /// Adds a problem if one field is less than another, and returns whether it did.
+    ///
+    /// The problem names the field that the file gives, because an operator did not write the default of the other.
+    fn relate(&self, longer: &str, shorter: &str, reason: &str, findings: &mut Findings) -> bool {
+        let (Some(long), Some(short)) = (self.get(longer), self.get(shorter)) else {
+            return false;
+        };
+        if long >= short {
+            return false;
         }
+        let (field, value, allowed) = if self.given.get(longer).is_some() {
+            (
+                longer,
+                long,
+                format!("at least {shorter}, {short}, {reason}"),
+            )
+        } else {
+            (
+                shorter,
+                short,
+                format!("at most {longer}, {long}, {reason}"),
+            )
+        };
+        findings.add(format!("{}.{field}", self.name), &value.into(), allowed);
+        true
     }
 }
--- a/src/status.rs
+++ b/src/status.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::cli::{ExitCode, Report};
+use crate::cli::{self, Output, Report};
 use crate::fold::FleetState;
 use crate::ids::{IncarnationId, Offset};
 use crate::membership::Phase;
@@ -239,6 +239,13 @@
 }
 
 /// Runs the command.
-pub fn run(_arguments: &ArgMatches) -> Report {
-    Report::error(ExitCode::Failed, vec!["not available in this build".into()])
+pub fn run(arguments: &ArgMatches) -> Report {
+    let report: FleetReport = match cli::read_admin(arguments, "read status", "/status") {
+        Ok(report) => report,
+        Err(report) => return report,
+    };
+    Report::done(match cli::output(arguments) {
+        Output::Json => report.render_json(),
+        Output::Text => report.render_text(),
+    })
 }
--- a/src/validation/shape.rs
+++ b/src/validation/shape.rs
@@ -20,8 +20,8 @@
 pub(crate) enum Kind {
     /// A short name.
     Name,
-    /// A name that may contain `/` and `:`, as names of models and versions do.
-    PathName,
+    /// Name of a version, which may contain `/` and `:`.
+    VersionName,
     /// An address to connect to.
     Address,
     /// An address to listen on; port 0 lets the kernel choose.
@@ -137,7 +137,7 @@
     pub(crate) fn allowed(&self) -> String {
         match self {
             Self::Name => format!("1 to {NAME_BYTES_MAX} letters, digits, '.', '_' or '-'"),
-            Self::PathName => {
+            Self::VersionName => {
                 format!("1 to {NAME_BYTES_MAX} letters, digits, '.', '_', '-', '/' or ':'")
             }
             Self::Address => "an address ip:port with a port from 1 to 65535".into(),
@@ -190,7 +190,7 @@
     fn accepts(&self, value: &Value) -> bool {
         match self {
             Self::Name => value.as_str().is_some_and(|text| is_name(text, "._-")),
-            Self::PathName => value.as_str().is_some_and(|text| is_name(text, "._-/:")),
+            Self::VersionName => value.as_str().is_some_and(|text| is_name(text, "._-/:")),
             Self::Address => address(value).is_some_and(|address| address.port() != 0),
             Self::ListenAddress => address(value).is_some(),
             Self::Hash => value.as_str().is_some_and(is_hash),
