--- a/src/engine.rs
+++ b/src/engine.rs
@@ -1,1 +1,39 @@
-//! Client of model engines and plain services.
+//! HTTP client of model engines and plain services.
+//!
+//! Connections are reused, because a connect costs a round trip before the first token. A failure states whether the
+//! request may have reached the upstream, since only a request that was never sent may be reported as not run. See
+//! `docs/design.md`, section 5.
+
+mod client;
+mod events;
+mod exchange;
+mod orders;
+
+pub use client::{Client, Outgoing};
+pub use events::{Event, EventSplitter};
+pub use exchange::Exchange;
+pub use orders::{CacheEvent, CacheEvents, Load, OrderRequest, OrderResponse};
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why an upstream gave no usable response.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The request was not sent; the upstream cannot have run it.
+        NotSent(step: &'static str, upstream: String, reason: String) {
+            display("{} at {}: {}", step, upstream, reason)
+        }
+        /// The request was or may have been sent.
+        Broken(step: &'static str, upstream: String, reason: String) {
+            display("{} at {}: {}", step, upstream, reason)
+        }
+    }
+}
+
+impl Error {
+    /// Returns whether the upstream may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Broken(..))
+    }
+}
--- /dev/null
+++ b/src/engine/client.rs
@@ -0,0 +1,203 @@
+//! Connections to upstreams and their reuse.
+
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use monoio::net::TcpStream;
+
+use super::{Error, Exchange};
+use crate::collections::FastMap;
+use crate::ids::RequestKey;
+use crate::server::Socket;
+
+/// Idle connections that are kept for one upstream.
+const IDLE_CONNECTIONS: usize = 256;
+
+/// Time that a connect may take; upstreams are at most a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A request to an upstream.
+#[derive(Clone, Debug)]
+pub struct Outgoing<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Path with query.
+    pub path: &'a str,
+    /// Key of the caller's request, by which the upstream recognises a repetition.
+    pub key: Option<RequestKey>,
+    /// Priority of the request.
+    pub priority: Option<&'a str>,
+    /// Media type of the body.
+    pub content_type: &'a str,
+    /// Body.
+    pub body: &'a [u8],
+    /// Whether a second copy is harmless; otherwise no reused connection carries the request.
+    pub repeatable: bool,
+}
+
+impl<'a> Outgoing<'a> {
+    /// Makes a request without a body.
+    pub fn get(path: &'a str) -> Self {
+        Self {
+            method: "GET",
+            path,
+            key: None,
+            priority: None,
+            content_type: "application/json",
+            body: b"",
+            repeatable: true,
+        }
+    }
+
+    fn encode(&self, address: SocketAddr) -> Bytes {
+        let mut output = BytesMut::with_capacity(self.body.len() + 256);
+        // Writing to a buffer that grows cannot fail.
+        let _ = write!(
+            output,
+            "{} {} HTTP/1.1\r\nhost: {address}\r\ncontent-type: {}\r\ncontent-length: {}\r\n",
+            self.method,
+            self.path,
+            self.content_type,
+            self.body.len()
+        );
+        if let Some(key) = self.key {
+            let _ = write!(output, "x-request-key: {key}\r\n");
+        }
+        if let Some(priority) = self.priority {
+            let _ = write!(output, "x-priority: {priority}\r\n");
+        }
+        output.put_slice(b"\r\n");
+        output.put_slice(self.body);
+        output.freeze()
+    }
+}
+
+/// HTTP client with reusable connections for each address.
+#[derive(Default)]
+pub struct Client {
+    idle: RefCell<FastMap<SocketAddr, Vec<Socket>>>,
+}
+
+impl Client {
+    /// Sends a request and reads the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have reached the upstream.
+    pub async fn send(&self, address: &str, request: &Outgoing<'_>) -> Result<Exchange, Error> {
+        let target: SocketAddr = address
+            .parse()
+            .map_err(|error| not_sent("parsing the address", address, error))?;
+        let output = request.encode(target);
+        if request.repeatable {
+            while let Some(mut socket) = self.take_idle(target) {
+                if socket.write_all(output.clone()).await.is_err() {
+                    continue;
+                }
+                match Exchange::start(socket, address).await {
+                    Ok(exchange) => return Ok(exchange),
+                    // The upstream closed the idle connection while the request was on its way.
+                    Err((_, false)) => break,
+                    Err((error, true)) => return Err(error),
+                }
+            }
+        }
+        let mut socket = connect(target, address).await?;
+        socket
+            .write_all(output)
+            .await
+            .map_err(|error| Error::Broken("sending", address.into(), error.to_string()))?;
+        Exchange::start(socket, address)
+            .await
+            .map_err(|(error, _)| error)
+    }
+
+    /// Keeps the connection of a finished response for the next request.
+    pub fn finish(&self, address: &str, exchange: Exchange) {
+        let (Some(socket), Ok(target)) = (exchange.into_reusable(), address.parse()) else {
+            return;
+        };
+        let mut idle = self.idle.borrow_mut();
+        let sockets = idle.entry(target).or_default();
+        if sockets.len() < IDLE_CONNECTIONS {
+            sockets.push(socket);
+        }
+    }
+
+    /// Sends a request and reads its whole response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the response is larger than the limit or broken.
+    pub async fn fetch(
+        &self,
+        address: &str,
+        request: &Outgoing<'_>,
+        limit_bytes: usize,
+    ) -> Result<(u16, Bytes), Error> {
+        let mut exchange = self.send(address, request).await?;
+        let body = exchange.read_all(limit_bytes).await?;
+        let status = exchange.status();
+        self.finish(address, exchange);
+        Ok((status, body))
+    }
+
+    /// Asks an engine to stop generating; its answer does not matter, because an engine may have finished already.
+    pub async fn cancel(&self, address: &str, key: RequestKey) {
+        let path = format!("/v1/streams/{key}");
+        let request = Outgoing {
+            method: "DELETE",
+            ..Outgoing::get(&path)
+        };
+        if let Err(error) = self.fetch(address, &request, 4096).await {
+            log::debug!("cancelling {key}: {error}");
+        }
+    }
+
+    /// Resumes an engine's stream at an event index.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the engine cannot be reached.
+    pub async fn resume(
+        &self,
+        address: &str,
+        key: RequestKey,
+        from_index: u64,
+    ) -> Result<Exchange, Error> {
+        let path = format!("/v1/streams/{key}?from={from_index}");
+        self.send(address, &Outgoing::get(&path)).await
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    fn take_idle(&self, target: SocketAddr) -> Option<Socket> {
+        let mut idle = self.idle.borrow_mut();
+        let sockets = idle.get_mut(&target)?;
+        while let Some(mut socket) = sockets.pop() {
+            // Data or the end of the stream on an idle connection means that the upstream gave it up.
+            if socket.try_fill().is_none() {
+                return Some(socket);
+            }
+        }
+        None
+    }
+}
+
+async fn connect(target: SocketAddr, address: &str) -> Result<Socket, Error> {
+    match monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(target)).await {
+        Ok(Ok(stream)) => Ok(Socket::new(stream)),
+        Ok(Err(error)) => Err(not_sent("connecting", address, error)),
+        Err(_) => Err(not_sent("connecting", address, "no answer in time")),
+    }
+}
+
+fn not_sent(step: &'static str, address: &str, reason: impl ToString) -> Error {
+    Error::NotSent(step, address.into(), reason.to_string())
+}
--- /dev/null
+++ b/src/engine/exchange.rs
@@ -0,0 +1,207 @@
+//! One response of an upstream while it is read.
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::common::response::ResponseHead;
+use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, ResponseHeadDecoder};
+
+use super::Error;
+use crate::server::Socket;
+
+/// Largest head that is accepted from an upstream.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// Largest chunk that is accepted from an upstream.
+const MAX_CHUNK_BYTES: usize = 1 << 20;
+
+enum Framing {
+    Length(usize),
+    Chunked(ChunkedBodyDecoder),
+    UntilClose,
+    Ended,
+}
+
+/// A response whose body is read piece by piece.
+pub struct Exchange {
+    socket: Socket,
+    upstream: String,
+    framing: Framing,
+    status: u16,
+    content_type: String,
+    keep_alive: bool,
+    is_eof: bool,
+}
+
+impl Exchange {
+    /// Reads the head of the response.
+    pub(super) async fn start(mut socket: Socket, upstream: &str) -> Result<Self, (Error, bool)> {
+        let mut received = false;
+        let mut decoder = ResponseHeadDecoder;
+        let head = loop {
+            match decoder.decode(socket.input()) {
+                Ok(Decoded::Some(head)) if head.status.is_informational() => continue,
+                Ok(Decoded::Some(head)) => break head,
+                Ok(_) if socket.input().len() > MAX_HEAD_BYTES => {
+                    return Err((broken(upstream, "the head is too large"), true));
+                }
+                Ok(_) => {}
+                Err(error) => return Err((broken(upstream, error), true)),
+            }
+            match socket.fill().await {
+                Ok(0) => return Err((broken(upstream, "connection closed"), received)),
+                Ok(_) => received = true,
+                Err(error) => return Err((broken(upstream, error), received)),
+            }
+        };
+        Self::with_head(socket, upstream, &head).map_err(|error| (error, true))
+    }
+
+    fn with_head(socket: Socket, upstream: &str, head: &ResponseHead) -> Result<Self, Error> {
+        let length = head.headers.get(CONTENT_LENGTH).map(|value| {
+            value
+                .to_str()
+                .ok()
+                .and_then(|text| text.parse::<usize>().ok())
+                .ok_or_else(|| broken(upstream, "content-length is not a number"))
+        });
+        let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
+        let framing = match length {
+            _ if is_chunked => Framing::Chunked(ChunkedBodyDecoder::default()),
+            _ if matches!(head.status.as_u16(), 204 | 304) => Framing::Ended,
+            Some(length) => match length? {
+                0 => Framing::Ended,
+                length => Framing::Length(length),
+            },
+            None => Framing::UntilClose,
+        };
+        let closes = head
+            .headers
+            .get(CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        Ok(Self {
+            keep_alive: !closes && !matches!(framing, Framing::UntilClose),
+            socket,
+            upstream: upstream.into(),
+            framing,
+            status: head.status.as_u16(),
+            content_type: head
+                .headers
+                .get(CONTENT_TYPE)
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or("application/octet-stream")
+                .into(),
+            is_eof: false,
+        })
+    }
+
+    /// Returns the status code.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Returns the media type of the body.
+    pub fn content_type(&self) -> &str {
+        &self.content_type
+    }
+
+    /// Returns whether the whole body was taken.
+    pub fn is_ended(&self) -> bool {
+        matches!(self.framing, Framing::Ended)
+    }
+
+    /// Takes the next piece of the body from what was received; `None` if more must be received first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is invalid or ends early.
+    pub fn take(&mut self) -> Result<Option<Bytes>, Error> {
+        let input = self.socket.input();
+        let piece = match &mut self.framing {
+            Framing::Ended => None,
+            Framing::Length(remaining) => {
+                let count = input.len().min(*remaining);
+                *remaining -= count;
+                let piece = input.split_to(count).freeze();
+                if *remaining == 0 {
+                    self.framing = Framing::Ended;
+                }
+                (count > 0).then_some(piece)
+            }
+            Framing::Chunked(decoder) => match decoder.decode(input) {
+                Ok(Decoded::Some(Some(chunk))) => Some(chunk),
+                Ok(Decoded::Some(None)) => {
+                    self.framing = Framing::Ended;
+                    None
+                }
+                Ok(_) if input.len() > MAX_CHUNK_BYTES => {
+                    return Err(broken(&self.upstream, "the chunk is too large"));
+                }
+                Ok(_) => None,
+                Err(error) => return Err(broken(&self.upstream, error)),
+            },
+            Framing::UntilClose => {
+                let piece = input.split().freeze();
+                if piece.is_empty() && self.is_eof {
+                    self.framing = Framing::Ended;
+                }
+                (!piece.is_empty()).then_some(piece)
+            }
+        };
+        if piece.is_none() {
+            self.socket.shrink();
+            if self.is_eof && !self.is_ended() {
+                return Err(broken(&self.upstream, "the body is truncated"));
+            }
+        }
+        Ok(piece)
+    }
+
+    /// Receives at most `limit_bytes` more bytes of the response; may be dropped while it waits.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn receive(&mut self, limit_bytes: usize) -> Result<(), Error> {
+        match self.socket.fill_up_to(limit_bytes).await {
+            Ok(0) => {
+                self.is_eof = true;
+                Ok(())
+            }
+            Ok(_) => Ok(()),
+            Err(error) => Err(broken(&self.upstream, error)),
+        }
+    }
+
+    /// Reads the rest of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is larger than the limit, invalid or ends early.
+    pub async fn read_all(&mut self, limit_bytes: usize) -> Result<Bytes, Error> {
+        let mut body = bytes::BytesMut::new();
+        loop {
+            match self.take()? {
+                Some(piece) if body.len() + piece.len() > limit_bytes => {
+                    return Err(broken(&self.upstream, "the body is too large"));
+                }
+                Some(piece) => body.extend_from_slice(&piece),
+                None if self.is_ended() => return Ok(body.freeze()),
+                None => self.receive(usize::MAX).await?,
+            }
+        }
+    }
+
+    /// Returns the connection if another request can use it.
+    pub(super) fn into_reusable(mut self) -> Option<Socket> {
+        let is_clean = self.is_ended() && self.keep_alive && !self.is_eof;
+        (is_clean && self.socket.input().is_empty()).then(|| {
+            self.socket.shrink();
+            self.socket
+        })
+    }
+}
+
+fn broken(upstream: &str, reason: impl ToString) -> Error {
+    Error::Broken("reading the response", upstream.into(), reason.to_string())
+}
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -34,6 +34,10 @@
     BodyTooLarge,
     /// The headers are larger than the limit.
     HeadersTooLarge,
+    /// The request was not complete within the time limit for reading it.
+    RequestTimeout,
+    /// The process has as many connections as its limit allows.
+    TooManyConnections,
     /// The key was used before with another body.
     KeyReused,
     /// The customer's budget cannot cover the request.
@@ -72,6 +76,8 @@
             Self::MethodNotAllowed => "method_not_allowed",
             Self::BodyTooLarge => "body_too_large",
             Self::HeadersTooLarge => "headers_too_large",
+            Self::RequestTimeout => "request_timeout",
+            Self::TooManyConnections => "too_many_connections",
             Self::KeyReused => "key_reused",
             Self::BudgetExhausted => "budget_exhausted",
             Self::BudgetUnavailable => "budget_unavailable",
@@ -96,6 +102,7 @@
             Self::Forbidden => 403,
             Self::NotFound => 404,
             Self::MethodNotAllowed => 405,
+            Self::RequestTimeout => 408,
             Self::KeyReused | Self::EarlierAttempt => 409,
             Self::BodyTooLarge => 413,
             Self::Quarantined => 422,
@@ -106,6 +113,7 @@
             | Self::NoUpstream
             | Self::BudgetUnavailable
             | Self::LogUnavailable
+            | Self::TooManyConnections
             | Self::ShuttingDown => 503,
             Self::TimedOut => 504,
         }
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,1 +1,41 @@
-//! HTTP server towards callers and operators.
+//! HTTP/1.1 server for callers.
+//!
+//! The head and chunk decoders of `monoio-http` work on a buffer that this module fills itself. The codec's own reader
+//! has no limit on the size of a head or body and keeps two 8 KiB buffers for each connection, which does not fit the
+//! memory target for open streams. See `docs/design.md`, section 5.
+
+mod chat;
+mod request;
+mod response;
+mod socket;
+
+pub use chat::ChatRequest;
+pub use request::{Error, Request, RequestLimits};
+pub use response::{error_body, ErrorDetail, ResponseHead};
+pub use socket::Socket;
+
+use std::io;
+use std::net::SocketAddr;
+
+use monoio::net::{ListenerOpts, TcpListener};
+
+/// Length of the queue of connections that the kernel has accepted and the process has not.
+const LISTEN_BACKLOG: i32 = 4096;
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Returns the error of the kernel, for example that the address is in use.
+pub fn listen(address: &str, send_buffer_bytes: Option<usize>) -> io::Result<TcpListener> {
+    let address: SocketAddr = address
+        .parse()
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+    let mut options = ListenerOpts::new()
+        .backlog(LISTEN_BACKLOG)
+        .reuse_port(false);
+    if let Some(bytes) = send_buffer_bytes {
+        options = options.send_buf_size(bytes);
+    }
+    TcpListener::bind_with_config(address, &options)
+}
--- /dev/null
+++ b/src/server/chat.rs
@@ -0,0 +1,69 @@
+//! The parts of a chat completion request that the router needs.
+
+use std::borrow::Cow;
+
+use serde::Deserialize;
+
+/// Bytes of prompt text that the reservation counts as one token.
+///
+/// Engines report about four bytes for each token of ordinary text; the lower value keeps the reservation an upper bound
+/// in practice. A bill never exceeds its reservation in any case.
+const PROMPT_BYTES_PER_TOKEN: u64 = 3;
+
+/// Tokens that a prompt may need beyond its text.
+const PROMPT_OVERHEAD_TOKENS: u64 = 16;
+
+/// The parts of a chat completion request that the router needs; all other fields go to the engine unread.
+#[derive(Debug, Deserialize)]
+pub struct ChatRequest<'a> {
+    /// Name of the model.
+    #[serde(borrow)]
+    pub model: Cow<'a, str>,
+    /// Messages of the conversation.
+    #[serde(borrow)]
+    pub messages: Vec<ChatMessage<'a>>,
+    /// Largest number of tokens to generate.
+    pub max_tokens: Option<u64>,
+    /// Whether the response is a stream of events.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+/// One message of a conversation.
+#[derive(Debug, Deserialize)]
+pub struct ChatMessage<'a> {
+    /// Role of the author.
+    #[serde(borrow)]
+    pub role: Cow<'a, str>,
+    /// Text of the message.
+    #[serde(borrow)]
+    pub content: Cow<'a, str>,
+}
+
+impl<'a> ChatRequest<'a> {
+    /// Parses a request body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of the first field that is missing or has the wrong type.
+    pub fn from_json(body: &'a [u8]) -> Result<Self, String> {
+        let request: Self = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+        if request.messages.is_empty() {
+            return Err("messages: at least one message is required".into());
+        }
+        if request.max_tokens == Some(0) {
+            return Err("max_tokens: must be at least 1".into());
+        }
+        Ok(request)
+    }
+
+    /// Returns the largest number of prompt tokens that the request is charged for.
+    pub fn prompt_tokens_bound(&self) -> u64 {
+        let bytes: usize = self
+            .messages
+            .iter()
+            .map(|message| message.content.len())
+            .sum();
+        (bytes as u64).div_ceil(PROMPT_BYTES_PER_TOKEN) + PROMPT_OVERHEAD_TOKENS
+    }
+}
--- /dev/null
+++ b/src/server/request.rs
@@ -0,0 +1,237 @@
+//! Reading of requests with limits on size and time.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Uri, Version};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, RequestHeadDecoder};
+use quick_error::quick_error;
+
+use super::Socket;
+use crate::refusal::Refusal;
+
+/// Bytes by which a chunked body may be longer on the wire than its content, for chunk sizes and line ends.
+const CHUNK_OVERHEAD_BYTES: usize = 64 << 10;
+
+/// Limits on what a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestLimits {
+    /// Largest head.
+    pub head_bytes: usize,
+    /// Largest body.
+    pub body_bytes: usize,
+    /// Time that the whole request may take after its first byte.
+    pub read_timeout: Duration,
+    /// Time that a connection may wait for its next request.
+    pub idle_timeout: Duration,
+}
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct Request {
+    /// Method of the request line.
+    pub method: Method,
+    /// Target of the request line.
+    pub uri: Uri,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body; empty if there is none.
+    pub body: Bytes,
+    /// Whether the connection stays open after the response.
+    pub keep_alive: bool,
+}
+
+quick_error! {
+    /// Why no request was read.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The caller closed the connection between requests, or nothing can be answered.
+        Closed {
+            display("the connection was closed")
+        }
+        /// The request is answered with a refusal and the connection is closed.
+        Refused(refusal: Refusal, message: &'static str) {
+            display("{}", message)
+        }
+        /// The connection failed.
+        Io(error: io::Error) {
+            display("reading the request: {}", error)
+            from()
+        }
+    }
+}
+
+impl Request {
+    /// Reads the next request of a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal to send if the request is invalid, too large or too slow.
+    pub async fn read(socket: &mut Socket, limits: RequestLimits) -> Result<Self, Error> {
+        if socket.input().is_empty() {
+            socket.shrink();
+            match monoio::time::timeout(limits.idle_timeout, socket.fill()).await {
+                Err(_) | Ok(Ok(0)) => return Err(Error::Closed),
+                Ok(result) => result?,
+            };
+        }
+        let request = read_whole(socket, limits);
+        match monoio::time::timeout(limits.read_timeout, request).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Refused(
+                Refusal::RequestTimeout,
+                "the request was not complete in time",
+            )),
+        }
+    }
+
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+async fn read_whole(socket: &mut Socket, limits: RequestLimits) -> Result<Request, Error> {
+    let head = read_head(socket, limits.head_bytes).await?;
+    let framing = Framing::of(&head.headers)?;
+    if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
+        return Err(body_too_large());
+    }
+    if head.headers.contains_key(EXPECT) && !matches!(framing, Framing::Length(0)) {
+        socket
+            .write_all(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))
+            .await?;
+    }
+    let body = match framing {
+        Framing::Length(length) => read_fixed(socket, length).await?,
+        Framing::Chunked => read_chunked(socket, limits.body_bytes).await?,
+    };
+    let keep_alive = keeps_alive(head.version, &head.headers);
+    Ok(Request {
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        keep_alive,
+    })
+}
+
+async fn read_head(
+    socket: &mut Socket,
+    limit_bytes: usize,
+) -> Result<monoio_http::common::request::RequestHead, Error> {
+    let mut decoder = RequestHeadDecoder;
+    loop {
+        match decoder.decode(socket.input()) {
+            Ok(Decoded::Some(head)) => return Ok(head),
+            Ok(_) if socket.input().len() > limit_bytes => {
+                return Err(Error::Refused(
+                    Refusal::HeadersTooLarge,
+                    "the request head is larger than the limit",
+                ));
+            }
+            Ok(_) => {}
+            Err(_) => return Err(bad_request("the request head is not valid HTTP/1.1")),
+        }
+        if socket.fill().await? == 0 {
+            return Err(bad_request("the request head is truncated"));
+        }
+    }
+}
+
+/// How the length of a body is given.
+enum Framing {
+    Length(usize),
+    Chunked,
+}
+
+impl Framing {
+    /// Reads the framing headers; a message that gives its length in two ways is refused, because two readers could
+    /// disagree on where the next request starts.
+    fn of(headers: &HeaderMap) -> Result<Self, Error> {
+        let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+        let length = lengths.next();
+        if lengths.next().is_some() {
+            return Err(bad_request("content-length is given twice"));
+        }
+        let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+        match (length, codings.next(), codings.next()) {
+            (None, None, _) => Ok(Self::Length(0)),
+            (Some(length), None, _) => length
+                .to_str()
+                .ok()
+                .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))
+                .and_then(|text| text.parse().ok())
+                .map(Self::Length)
+                .ok_or_else(|| bad_request("content-length is not a number")),
+            (None, Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+                Ok(Self::Chunked)
+            }
+            _ => Err(bad_request("the length of the body is not clear")),
+        }
+    }
+}
+
+async fn read_fixed(socket: &mut Socket, length: usize) -> Result<Bytes, Error> {
+    while socket.input().len() < length {
+        if socket.fill().await? == 0 {
+            return Err(truncated());
+        }
+    }
+    Ok(socket.input().split_to(length).freeze())
+}
+
+async fn read_chunked(socket: &mut Socket, limit_bytes: usize) -> Result<Bytes, Error> {
+    let mut decoder = ChunkedBodyDecoder::default();
+    let mut body = BytesMut::new();
+    loop {
+        match decoder.decode(socket.input()) {
+            Ok(Decoded::Some(None)) => return Ok(body.freeze()),
+            Ok(Decoded::Some(Some(chunk))) => {
+                if body.len() + chunk.len() > limit_bytes {
+                    return Err(body_too_large());
+                }
+                body.extend_from_slice(&chunk);
+                continue;
+            }
+            Ok(_) if socket.input().len() > limit_bytes + CHUNK_OVERHEAD_BYTES => {
+                return Err(body_too_large());
+            }
+            Ok(_) => {}
+            Err(_) => return Err(bad_request("the chunked body is not valid")),
+        }
+        if socket.fill().await? == 0 {
+            return Err(truncated());
+        }
+    }
+}
+
+fn keeps_alive(version: Version, headers: &HeaderMap) -> bool {
+    let connection = headers
+        .get(http::header::CONNECTION)
+        .map(http::HeaderValue::as_bytes)
+        .unwrap_or_default();
+    if version == Version::HTTP_11 {
+        !connection.eq_ignore_ascii_case(b"close")
+    } else {
+        connection.eq_ignore_ascii_case(b"keep-alive")
+    }
+}
+
+fn bad_request(message: &'static str) -> Error {
+    Error::Refused(Refusal::BadRequest, message)
+}
+
+fn body_too_large() -> Error {
+    Error::Refused(
+        Refusal::BodyTooLarge,
+        "the request body is larger than the limit",
+    )
+}
+
+fn truncated() -> Error {
+    bad_request("the request body is truncated")
+}
--- /dev/null
+++ b/src/server/socket.rs
@@ -0,0 +1,141 @@
+//! A TCP connection with an input buffer and non-blocking attempts to read and write.
+
+use std::io;
+use std::mem;
+
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::FutureExt;
+use monoio::io::{AsyncReadRent, AsyncWriteRent};
+use monoio::net::TcpStream;
+
+/// Bytes taken from the kernel in one read.
+const READ_BYTES: usize = 16 << 10;
+
+/// A TCP connection with the input that was read and not yet consumed.
+///
+/// An idle connection owns no buffer: the memory for a read is allocated only once the kernel has data. All waits are
+/// cancel-safe, because nothing is read or written until the socket is ready and the transfer then completes at once.
+pub struct Socket {
+    stream: TcpStream,
+    input: BytesMut,
+}
+
+impl Socket {
+    /// Wraps a connected stream and turns off Nagle's algorithm.
+    pub fn new(stream: TcpStream) -> Self {
+        // Failure only costs latency; a broken connection shows at the first read.
+        let _ = stream.set_nodelay(true);
+        Self {
+            stream,
+            input: BytesMut::new(),
+        }
+    }
+
+    /// Returns the input that was read and not yet consumed.
+    pub fn input(&mut self) -> &mut BytesMut {
+        &mut self.input
+    }
+
+    /// Releases the memory of an empty input buffer.
+    pub fn shrink(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+    }
+
+    /// Reads once without waiting; `None` if no data is there and `Ok(0)` at the end of the stream.
+    pub fn try_fill(&mut self) -> Option<io::Result<usize>> {
+        self.try_fill_up_to(READ_BYTES)
+    }
+
+    /// Reads once like [`Socket::try_fill`], but at most `limit_bytes`.
+    pub fn try_fill_up_to(&mut self, limit_bytes: usize) -> Option<io::Result<usize>> {
+        let buffer = Vec::with_capacity(limit_bytes.clamp(1, READ_BYTES));
+        let (result, buffer) = self.stream.read(buffer).now_or_never()?;
+        if let Ok(count) = result {
+            self.input.extend_from_slice(&buffer[..count]);
+        }
+        Some(result)
+    }
+
+    /// Waits for data and appends it to the input; returns 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        self.fill_up_to(READ_BYTES).await
+    }
+
+    /// Waits for data like [`Socket::fill`], but takes at most `limit_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn fill_up_to(&mut self, limit_bytes: usize) -> io::Result<usize> {
+        loop {
+            if let Some(result) = self.try_fill_up_to(limit_bytes) {
+                return result;
+            }
+            self.readable().await?;
+        }
+    }
+
+    /// Waits until a read may have a result.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.stream.readable(true).await
+    }
+
+    /// Waits until a write may take bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn writable(&self) -> io::Result<()> {
+        self.stream.writable(true).await
+    }
+
+    /// Writes once without waiting and removes from `output` what was taken; `None` if the kernel takes nothing now.
+    pub fn try_write(&mut self, output: &mut Bytes) -> Option<io::Result<usize>> {
+        let (result, _) = self.stream.write(output.clone()).now_or_never()?;
+        if let Ok(count) = result {
+            output.advance(count);
+        }
+        Some(result)
+    }
+
+    /// Writes everything.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn write_all(&mut self, output: impl Into<Bytes>) -> io::Result<()> {
+        let mut output = output.into();
+        while !output.is_empty() {
+            match self.try_write(&mut output) {
+                Some(result) => {
+                    if result? == 0 {
+                        return Err(io::ErrorKind::WriteZero.into());
+                    }
+                }
+                None => self.writable().await?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the sending direction, so that the peer sees the end of the stream.
+    pub async fn shutdown(&mut self) {
+        // The peer may be gone already; there is nobody left to tell.
+        let _ = self.stream.shutdown().await;
+    }
+
+    /// Takes the input out of the buffer.
+    pub fn take_input(&mut self) -> Bytes {
+        mem::take(&mut self.input).freeze()
+    }
+}
