--- a/src/fold.rs
+++ b/src/fold.rs
@@ -16,7 +16,7 @@
 use crate::membership::{Member, Members, Phase};
 use crate::quarantine::Quarantine;
 use crate::record::{Batch, Bill, ConfigurationEntry, ContractEntry, Entry, Open};
-use crate::rollout::Rollouts;
+use crate::rollout::{Orders, Rollouts};
 
 /// Number of rejected publications that are remembered for operators.
 const RETAINED_REJECTIONS: usize = 256;
@@ -81,6 +81,8 @@
     Claim(crate::ids::RequestKey),
     /// A rollout changed.
     Rollout,
+    /// An order to an upstream was folded.
+    Order,
     /// A crash was counted.
     Crash(Fingerprint),
     /// A publication was rejected.
@@ -106,6 +108,8 @@
     pub members: Members,
     /// Version rollouts.
     pub rollouts: Rollouts,
+    /// Newest order of every upstream.
+    pub orders: Orders,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     /// Publications that were not accepted, the oldest first.
@@ -238,24 +242,24 @@
                 changes.push(Change::Claim(key));
             }
             Entry::Rollout(rollout) => {
-                let result = self.rollouts.start(rollout);
+                let result = self.rollouts.start(offset, rollout);
                 changes.push(Change::Rollout);
                 self.note_publication(offset, &rollout.id, result, changes);
             }
             Entry::RolloutStep(step) => {
-                self.rollouts.step(step);
+                self.rollouts.step(offset, step);
                 changes.push(Change::Rollout);
             }
             Entry::Evidence(evidence) => {
-                self.rollouts.add_evidence(evidence);
+                self.rollouts.add_evidence(offset, evidence);
                 changes.push(Change::Rollout);
             }
             Entry::Rollback(rollback) => {
-                self.rollouts.roll_back(rollback);
+                self.rollouts.roll_back(offset, rollback);
                 changes.push(Change::Rollout);
             }
             Entry::RolloutEnd(end) => {
-                self.rollouts.end(end);
+                self.rollouts.end(offset, end);
                 changes.push(Change::Rollout);
             }
             Entry::Crash(crash) => {
@@ -263,7 +267,10 @@
                 self.quarantine.add_crash(fingerprint);
                 changes.push(Change::Crash(fingerprint));
             }
-            Entry::Order(_) => {}
+            Entry::Order(order) => {
+                self.orders.apply(offset, writer, order);
+                changes.push(Change::Order);
+            }
         }
     }
 
--- a/src/record.rs
+++ b/src/record.rs
@@ -360,6 +360,9 @@
     /// Revision of the rollout that the step belongs to.
     #[prost(uint64, tag = "4")]
     pub revision: u64,
+    /// Wall-clock time of the proposal, since the Unix epoch; the schedule of later steps counts from it.
+    #[prost(uint64, tag = "5")]
+    pub at_ms: u64,
 }
 
 /// Results of one version on one route within one period, as counted by one process.
@@ -383,6 +386,12 @@
     /// Counts by latency bucket; the buckets are defined in the evidence module.
     #[prost(uint32, repeated, tag = "6")]
     pub latency_counts: Vec<u32>,
+    /// Step of the rollout that was in force when the requests were dispatched.
+    #[prost(uint32, tag = "7")]
+    pub step: u32,
+    /// Wall-clock end of the period, since the Unix epoch.
+    #[prost(uint64, tag = "8")]
+    pub end_ms: u64,
 }
 
 /// Takes a version back; wins over every later step of the rollout.
