Add the holder of spending rights and mend the fold's bill, return and claim rules

A holder credits each rise of its grant's cumulative level once and subtracts reservations, charges, transfers and returns when they are made, so nothing that the log shows later adds rights back. The stock follows the spend rate up to the window of the contract.

--- a/src/fold.rs
+++ b/src/fold.rs
@@ -10,8 +10,8 @@
 
 use crate::collections::FastMap;
 use crate::contract::{Configuration, Contract};
-use crate::ids::{CustomerKey, Fingerprint, IncarnationId, Interner, Offset};
-use crate::intent::Intents;
+use crate::ids::{CustomerKey, Fingerprint, IncarnationId, Interner, Offset, RequestKey};
+use crate::intent::{ClaimStep, Intents};
 use crate::ledger::{BillEffect, Ledger};
 use crate::membership::{Member, Members, Phase};
 use crate::quarantine::Quarantine;
@@ -77,8 +77,15 @@
     },
     /// An incarnation was opened, closed, left or finalised.
     Member(IncarnationId),
-    /// A claim changed.
-    Claim(crate::ids::RequestKey),
+    /// An entry on a claim was folded.
+    Claim {
+        /// Key of the call.
+        key: RequestKey,
+        /// Incarnation that wrote the entry.
+        writer: IncarnationId,
+        /// What the entry did.
+        step: ClaimStep,
+    },
     /// A rollout changed.
     Rollout,
     /// A crash was counted.
@@ -123,7 +130,7 @@
         match Batch::decode(payload) {
             Ok(batch) => self.apply(offset, &batch),
             Err(_) => {
-                self.next_offset = self.next_offset.max(offset + 1);
+                self.next_offset = self.next_offset.max(offset.saturating_add(1));
                 Vec::new()
             }
         }
@@ -135,7 +142,7 @@
         if offset < self.next_offset {
             return changes;
         }
-        self.next_offset = offset + 1;
+        self.next_offset = offset.saturating_add(1);
         let writer = IncarnationId(batch.incarnation);
         if !self.accept_seq(writer, batch) {
             return changes;
@@ -145,6 +152,9 @@
                 self.apply_entry(offset, writer, entry, &mut changes);
             }
         }
+        if self.members.get(writer).is_none() {
+            self.members.end_writer(writer);
+        }
         changes
     }
 
@@ -156,7 +166,7 @@
                 true
             }
             Some(_) => false,
-            None => batch.seq == 1,
+            None => batch.seq == 1 && !self.members.is_ended(writer),
         }
     }
 
@@ -220,22 +230,19 @@
             }
             Entry::Bill(bill) => self.apply_bill(writer, bill, changes),
             Entry::Intent(intent) => {
-                if self.is_open(writer) {
-                    let key = intent.request_key();
-                    self.intents
-                        .claim(key, writer, Fingerprint(intent.fingerprint));
-                    changes.push(Change::Claim(key));
-                }
+                let key = intent.request_key();
+                let step = self.apply_intent(writer, key, Fingerprint(intent.fingerprint));
+                changes.push(Change::Claim { key, writer, step });
             }
             Entry::Outcome(outcome) => {
                 let key = outcome.request_key();
-                self.intents.complete(key, writer, outcome.status as u16);
-                changes.push(Change::Claim(key));
+                let step = self.intents.complete(key, writer, outcome.status);
+                changes.push(Change::Claim { key, writer, step });
             }
             Entry::Abandon(abandon) => {
                 let key = abandon.request_key();
-                self.intents.abandon(key, writer);
-                changes.push(Change::Claim(key));
+                let step = self.intents.abandon(key, writer);
+                changes.push(Change::Claim { key, writer, step });
             }
             Entry::Rollout(rollout) => {
                 let result = self.rollouts.start(rollout);
@@ -323,6 +330,22 @@
         Ok(())
     }
 
+    /// Claims a call for a writer that is open; a closed one may be gone and would block the key for ever.
+    fn apply_intent(
+        &mut self,
+        writer: IncarnationId,
+        key: RequestKey,
+        fingerprint: Fingerprint,
+    ) -> ClaimStep {
+        if !self.is_open(writer) {
+            return ClaimStep::Lost;
+        }
+        let members = &self.members;
+        self.intents.claim(key, writer, fingerprint, |holder| {
+            members.get(holder).is_some()
+        })
+    }
+
     fn apply_bill(&mut self, writer: IncarnationId, bill: &Bill, changes: &mut Vec<Change>) {
         let Some(customer) = self.customers.get(&bill.customer) else {
             return;
@@ -333,7 +356,7 @@
             Fingerprint(bill.fingerprint),
             &bill.draws,
         );
-        if effect == BillEffect::Late {
+        if matches!(effect, BillEffect::Late | BillEffect::PartlyLate) {
             self.late_bills += 1;
         }
         changes.push(Change::Bill {
--- a/src/intent.rs
+++ b/src/intent.rs
@@ -3,9 +3,17 @@
 //! A router dispatches such a call only after it has seen its own claim win in log order. The claim is never reassigned
 //! unless its holder states that it has not dispatched the call and never will. See `docs/design.md`, section 3.
 
+use std::collections::BTreeMap;
+
 use crate::collections::FastMap;
 use crate::ids::{Fingerprint, IncarnationId, RequestKey};
 
+/// Number of claims that are remembered.
+///
+/// The oldest claims beyond it are forgotten once they have an outcome or their holder is finalised. A count is used in
+/// place of a time, because all folds must forget the same claims at the same offset.
+pub const RETAINED_CLAIMS: usize = 1_000_000;
+
 /// State of one claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Claim {
@@ -25,48 +33,145 @@
     },
 }
 
+impl Claim {
+    /// Returns the fingerprint of the claimed call.
+    pub fn fingerprint(self) -> Fingerprint {
+        match self {
+            Self::Open { fingerprint, .. } | Self::Ran { fingerprint, .. } => fingerprint,
+        }
+    }
+}
+
+/// What an entry did to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ClaimStep {
+    /// The writer's intent won the claim.
+    Won,
+    /// The writer's intent lost to an earlier claim, or its incarnation is no longer open.
+    Lost,
+    /// The writer's outcome closed its claim.
+    Completed,
+    /// The writer's claim was released, or it held none.
+    Abandoned,
+    /// The entry had no effect.
+    Ignored,
+}
+
 /// All claims in force.
 #[derive(Clone, Debug, Default)]
 pub struct Intents {
-    claims: FastMap<RequestKey, Claim>,
+    claims: FastMap<RequestKey, Retained>,
+    order: BTreeMap<u64, RequestKey>,
+    next_serial: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Retained {
+    claim: Claim,
+    serial: u64,
 }
 
 impl Intents {
+    /// Restores the claims from [`Self::claims_in_order`].
+    pub fn from_parts(claims: impl IntoIterator<Item = (RequestKey, Claim)>) -> Self {
+        let mut intents = Self::default();
+        for (key, claim) in claims {
+            intents.insert(key, claim);
+        }
+        intents
+    }
+
+    /// Returns all claims, the oldest first.
+    pub fn claims_in_order(&self) -> impl Iterator<Item = (RequestKey, Claim)> + '_ {
+        self.order
+            .values()
+            .filter_map(|key| self.get(*key).map(|claim| (*key, claim)))
+    }
+
     /// Claims a call; the first claim on a key wins and stays.
-    pub fn claim(&mut self, key: RequestKey, holder: IncarnationId, fingerprint: Fingerprint) {
-        self.claims.entry(key).or_insert(Claim::Open {
-            holder,
-            fingerprint,
-        });
+    ///
+    /// `is_member` tells whether an incarnation is not yet finalised. Its open claims are never forgotten.
+    pub fn claim(
+        &mut self,
+        key: RequestKey,
+        holder: IncarnationId,
+        fingerprint: Fingerprint,
+        is_member: impl Fn(IncarnationId) -> bool,
+    ) -> ClaimStep {
+        if self.claims.contains_key(&key) {
+            return ClaimStep::Lost;
+        }
+        self.insert(
+            key,
+            Claim::Open {
+                holder,
+                fingerprint,
+            },
+        );
+        if self.order.len() > RETAINED_CLAIMS {
+            self.forget_oldest(is_member);
+        }
+        ClaimStep::Won
     }
 
     /// Records that the holder's call ran.
-    pub fn complete(&mut self, key: RequestKey, writer: IncarnationId, status: u16) {
-        if let Some(claim) = self.claims.get_mut(&key) {
-            match *claim {
-                Claim::Open {
-                    holder,
-                    fingerprint,
-                } if holder == writer => {
-                    *claim = Claim::Ran {
-                        fingerprint,
-                        status,
-                    };
-                }
-                _ => {}
+    ///
+    /// A status that is not an HTTP status leaves the claim open, which is true in any case.
+    pub fn complete(&mut self, key: RequestKey, writer: IncarnationId, status: u32) -> ClaimStep {
+        let Ok(status) = u16::try_from(status) else {
+            return ClaimStep::Ignored;
+        };
+        match self.claims.get_mut(&key) {
+            Some(retained) if retained.claim.is_held_by(writer) => {
+                retained.claim = Claim::Ran {
+                    fingerprint: retained.claim.fingerprint(),
+                    status,
+                };
+                ClaimStep::Completed
             }
+            _ => ClaimStep::Ignored,
         }
     }
 
     /// Removes the holder's claim; the holder has not dispatched the call and never will.
-    pub fn abandon(&mut self, key: RequestKey, writer: IncarnationId) {
-        if matches!(self.claims.get(&key), Some(Claim::Open { holder, .. }) if *holder == writer) {
-            self.claims.remove(&key);
+    pub fn abandon(&mut self, key: RequestKey, writer: IncarnationId) -> ClaimStep {
+        if let Some(retained) = self.claims.get(&key) {
+            if retained.claim.is_held_by(writer) {
+                self.order.remove(&retained.serial);
+                self.claims.remove(&key);
+            }
         }
+        ClaimStep::Abandoned
     }
 
     /// Returns the claim on a key.
     pub fn get(&self, key: RequestKey) -> Option<Claim> {
-        self.claims.get(&key).copied()
+        self.claims.get(&key).map(|retained| retained.claim)
+    }
+
+    fn insert(&mut self, key: RequestKey, claim: Claim) {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        self.order.insert(serial, key);
+        self.claims.insert(key, Retained { claim, serial });
+    }
+
+    /// Forgets the oldest claim, or makes it the newest if its holder may still dispatch the call.
+    fn forget_oldest(&mut self, is_member: impl Fn(IncarnationId) -> bool) {
+        let Some((_, key)) = self.order.pop_first() else {
+            return;
+        };
+        match self.claims.remove(&key).map(|retained| retained.claim) {
+            Some(claim @ Claim::Open { holder, .. }) if is_member(holder) => {
+                self.insert(key, claim);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Claim {
+    fn is_held_by(self, writer: IncarnationId) -> bool {
+        matches!(self, Self::Open { holder, .. } if holder == writer)
     }
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -22,11 +22,15 @@
 pub enum BillEffect {
     /// The bill counts.
     Counted,
+    /// The bill counts, less the draws on grants that were finalised.
+    PartlyLate,
     /// The request was billed before; the writer takes its draws back.
     Duplicate,
-    /// A grant that the bill draws on was finalised; nothing is charged.
+    /// The key was billed with another fingerprint; nothing is charged and the writer takes its draws back.
+    KeyReused,
+    /// All grants that the bill draws on were finalised; nothing is charged and the key stays free.
     Late,
-    /// A draw exceeds what was granted; nothing is charged.
+    /// The draws on a grant exceed what was granted; nothing is charged.
     Excessive,
 }
 
@@ -50,6 +54,18 @@
     pub billed_tokens: u64,
     /// Cumulative level that the incarnation asked for and got, before returns.
     pub level_tokens: u64,
+    /// Highest cumulative level that the incarnation asked for; tells it which of its requests were folded.
+    pub asked_tokens: u64,
+}
+
+impl BillEffect {
+    /// Returns whether the request key is on the ledger after the bill.
+    pub fn is_key_billed(self) -> bool {
+        match self {
+            Self::Counted | Self::PartlyLate | Self::Duplicate | Self::KeyReused => true,
+            Self::Late | Self::Excessive => false,
+        }
+    }
 }
 
 impl Budget {
@@ -61,6 +77,12 @@
             .saturating_sub(granted)
     }
 
+    /// Returns the tokens that are not billed, whether or not an incarnation holds them.
+    pub fn unbilled_tokens(&self) -> u64 {
+        self.prepaid_total_tokens
+            .saturating_sub(self.billed_tokens())
+    }
+
     /// Returns all tokens billed so far.
     pub fn billed_tokens(&self) -> u64 {
         let billed: u64 = self.grants.values().map(|grant| grant.billed_tokens).sum();
@@ -68,6 +90,38 @@
     }
 }
 
+impl Budget {
+    /// Charges all draws on live grants and returns their number, or charges nothing if one exceeds its grant.
+    fn charge(&mut self, draws: &[Draw]) -> Option<usize> {
+        let mut charged = 0;
+        for (index, draw) in draws.iter().enumerate() {
+            let Some(grant) = self.grants.get_mut(&IncarnationId(draw.grant)) else {
+                continue;
+            };
+            match grant.billed_tokens.checked_add(draw.amount_tokens) {
+                Some(billed_tokens) if billed_tokens <= grant.granted_tokens => {
+                    grant.billed_tokens = billed_tokens;
+                    charged += 1;
+                }
+                _ => {
+                    self.uncharge(&draws[..index]);
+                    return None;
+                }
+            }
+        }
+        Some(charged)
+    }
+
+    /// Takes back draws that [`Self::charge`] has just charged.
+    fn uncharge(&mut self, draws: &[Draw]) {
+        for draw in draws {
+            if let Some(grant) = self.grants.get_mut(&IncarnationId(draw.grant)) {
+                grant.billed_tokens -= draw.amount_tokens;
+            }
+        }
+    }
+}
+
 /// All budgets and the request keys that were billed.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -77,6 +131,33 @@
 }
 
 impl Ledger {
+    /// Restores a ledger from its budgets and the billed keys, the oldest first.
+    pub fn from_parts(
+        budgets: impl IntoIterator<Item = (CustomerKey, Budget)>,
+        billed: impl IntoIterator<Item = (RequestKey, Fingerprint)>,
+    ) -> Self {
+        let mut ledger = Self {
+            budgets: budgets.into_iter().collect(),
+            ..Self::default()
+        };
+        for (key, fingerprint) in billed {
+            ledger.remember(key, fingerprint);
+        }
+        ledger
+    }
+
+    /// Returns all budgets, in no particular order.
+    pub fn budgets(&self) -> impl Iterator<Item = (CustomerKey, &Budget)> {
+        self.budgets.iter().map(|(&key, budget)| (key, budget))
+    }
+
+    /// Returns the billed keys with their fingerprints, the oldest first.
+    pub fn billed_in_order(&self) -> impl Iterator<Item = (RequestKey, Fingerprint)> + '_ {
+        self.billed_order
+            .iter()
+            .filter_map(|key| self.billed.get(key).map(|&fingerprint| (*key, fingerprint)))
+    }
+
     /// Sets the prepaid total of a customer; the caller has checked that it does not fall.
     pub fn set_prepaid(&mut self, customer: CustomerKey, total_tokens: u64) {
         self.budgets
@@ -100,20 +181,28 @@
         let added_tokens = up_to_tokens
             .saturating_sub(grant.level_tokens)
             .min(free_tokens);
+        grant.asked_tokens = grant.asked_tokens.max(up_to_tokens);
         grant.level_tokens += added_tokens;
         grant.granted_tokens += added_tokens;
     }
 
     /// Lowers a grant by rights that the writer held exclusively.
+    ///
+    /// An amount above the unbilled rights cannot be true, so the whole return is ignored: a partial one would free
+    /// rights that some holder may still spend.
     pub fn give_back(&mut self, customer: CustomerKey, grant: IncarnationId, amount_tokens: u64) {
         let Some(state) = self.grant_mut(customer, grant) else {
             return;
         };
-        let unbilled_tokens = state.granted_tokens - state.billed_tokens;
-        state.granted_tokens -= amount_tokens.min(unbilled_tokens);
+        if amount_tokens <= state.granted_tokens - state.billed_tokens {
+            state.granted_tokens -= amount_tokens;
+        }
     }
 
     /// Charges a request once.
+    ///
+    /// Draws on finalised grants are dropped. A bill of which nothing is left does not take the key, so that a later
+    /// attempt that draws on live grants is charged.
     pub fn bill(
         &mut self,
         customer: CustomerKey,
@@ -121,25 +210,28 @@
         fingerprint: Fingerprint,
         draws: &[Draw],
     ) -> BillEffect {
-        if self.billed.contains_key(&key) {
-            return BillEffect::Duplicate;
+        if let Some(&earlier) = self.billed.get(&key) {
+            return if earlier == fingerprint {
+                BillEffect::Duplicate
+            } else {
+                BillEffect::KeyReused
+            };
         }
-        for draw in draws {
-            match self.grant_mut(customer, IncarnationId(draw.grant)) {
-                None => return BillEffect::Late,
-                Some(state) if state.billed_tokens + draw.amount_tokens > state.granted_tokens => {
-                    return BillEffect::Excessive;
-                }
-                Some(_) => {}
-            }
-        }
-        for draw in draws {
-            if let Some(state) = self.grant_mut(customer, IncarnationId(draw.grant)) {
-                state.billed_tokens += draw.amount_tokens;
-            }
+        let Some(budget) = self.budgets.get_mut(&customer) else {
+            return BillEffect::Late;
+        };
+        let Some(charged) = budget.charge(draws) else {
+            return BillEffect::Excessive;
+        };
+        if charged == 0 && !draws.is_empty() {
+            return BillEffect::Late;
         }
         self.remember(key, fingerprint);
-        BillEffect::Counted
+        if charged == draws.len() {
+            BillEffect::Counted
+        } else {
+            BillEffect::PartlyLate
+        }
     }
 
     /// Returns the fingerprint of a billed request.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -2,13 +2,19 @@
 //!
 //! See `docs/design.md`, section 3.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::IncarnationId;
 
+/// Number of ended writers that are remembered so that a delayed copy of their first batch is dropped.
+///
+/// A count is used in place of a time, because all folds must forget the same writers at the same offset. It covers
+/// two days of 10,000 operator batches.
+pub const RETAINED_WRITERS: usize = 20_000;
+
 /// Life cycle of an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -40,6 +46,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
     members: BTreeMap<IncarnationId, Member>,
+    #[serde(default)]
+    ended: VecDeque<IncarnationId>,
 }
 
 impl Members {
@@ -73,12 +81,26 @@
         match self.members.get(&id) {
             Some(member) if member.phase != Phase::Open => {
                 self.members.remove(&id);
+                self.end_writer(id);
                 true
             }
             _ => false,
         }
     }
 
+    /// Remembers a writer that may not write any more.
+    pub fn end_writer(&mut self, id: IncarnationId) {
+        if self.ended.len() == RETAINED_WRITERS {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(id);
+    }
+
+    /// Returns whether a writer was finalised, or was an operator command whose only batch was folded.
+    pub fn is_ended(&self, id: IncarnationId) -> bool {
+        self.ended.contains(&id)
+    }
+
     /// Returns an incarnation.
     pub fn get(&self, id: IncarnationId) -> Option<&Member> {
         self.members.get(&id)
--- /dev/null
+++ b/tests/ledger_holder.rs
@@ -0,0 +1,286 @@
+//! Tests of the rights of one process.
+
+mod ledger_common;
+
+use ledger_common::{contract, draw, Fleet};
+use monsoonfield::fold::Change;
+use monsoonfield::holder::{Holder, Shortage};
+use monsoonfield::ids::IncarnationId;
+use monsoonfield::record::Entry;
+
+const A: IncarnationId = IncarnationId(1);
+const B: IncarnationId = IncarnationId(2);
+const WINDOW_TOKENS: u64 = 1_000;
+
+/// Makes a fleet with a window of 1% of 100,000 tokens.
+fn fleet() -> Fleet {
+    Fleet::new(100_000, 10_000, &[A.0, B.0])
+}
+
+/// Writes what a holder wants to write and lets it see the result.
+fn exchange(fleet: &mut Fleet, holder: &mut Holder, now_ms: u64) -> Vec<Entry> {
+    let entries = holder.entries_to_write(&fleet.state, now_ms);
+    if !entries.is_empty() {
+        for change in fleet.append(holder.incarnation(), entries.clone()) {
+            holder.on_change(&change, &fleet.state);
+        }
+    }
+    entries
+}
+
+/// Makes a holder that has obtained its first rights.
+fn stocked(fleet: &mut Fleet, id: IncarnationId) -> Holder {
+    let mut holder = Holder::new(id);
+    let acme = fleet.acme();
+    holder.reserve(acme, 500).expect_err("no rights yet");
+    exchange(fleet, &mut holder, 1);
+    holder
+}
+
+/// Guards against a first request that is refused for ever because nobody asked for rights.
+#[test]
+fn a_shortage_leads_to_a_grant() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = Holder::new(A);
+
+    let shortage = holder.reserve(acme, 500).expect_err("no rights yet");
+    exchange(&mut fleet, &mut holder, 1);
+
+    assert_eq!(
+        shortage,
+        Shortage {
+            missing_tokens: 500
+        }
+    );
+    let reservation = holder.reserve(acme, 500).expect("the grant was folded");
+    assert_eq!(holder.settle(reservation, 600), [draw(A, 500)]);
+    assert_eq!(holder.unspent_tokens(acme), 0);
+}
+
+/// Guards against spending the released part twice, or not at all.
+#[test]
+fn settling_releases_the_rest() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+
+    let reservation = holder.reserve(acme, 400).expect("rights");
+    assert_eq!(holder.free_tokens(acme), 100);
+    let draws = holder.settle(reservation, 150);
+
+    assert_eq!(draws, [draw(A, 150)]);
+    assert_eq!(holder.free_tokens(acme), 350);
+}
+
+/// Guards against crediting a grant again at each later change of the budget.
+#[test]
+fn a_grant_is_credited_once() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+    let reservation = holder.reserve(acme, 500).expect("rights");
+    holder.settle(reservation, 500);
+
+    let change = Change::Grant {
+        incarnation: A,
+        customer: acme,
+    };
+    holder.on_change(&change, &fleet.state);
+    holder.on_state(&fleet.state);
+
+    assert_eq!(holder.unspent_tokens(acme), 0);
+}
+
+/// Guards against a stock above the window, which a crash would strand.
+#[test]
+fn the_stock_follows_the_spend_rate_up_to_the_window() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+    let mut now_ms = 1;
+
+    for _ in 0..2_000 {
+        now_ms += 1_000;
+        if let Ok(reservation) = holder.reserve(acme, 10) {
+            holder.settle(reservation, 10);
+        }
+        exchange(&mut fleet, &mut holder, now_ms);
+        assert!(holder.unspent_tokens(acme) <= WINDOW_TOKENS);
+    }
+
+    assert!(holder.unspent_tokens(acme) >= WINDOW_TOKENS * 3 / 4);
+}
+
+/// Guards against refusing a request that is larger than the window although the budget covers it.
+#[test]
+fn a_request_above_the_window_is_served() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+
+    holder.reserve(acme, 30_000).expect_err("above the stock");
+    exchange(&mut fleet, &mut holder, 2);
+
+    let reservation = holder.reserve(acme, 30_000).expect("asked for in full");
+    holder.release(reservation);
+    exchange(&mut fleet, &mut holder, 3);
+    exchange(&mut fleet, &mut holder, 60_000);
+    assert!(holder.unspent_tokens(acme) <= WINDOW_TOKENS);
+}
+
+/// Guards against a log queue that fills with the same request during an outage.
+#[test]
+fn a_pending_request_is_not_repeated() {
+    let fleet = fleet();
+    let mut holder = Holder::new(A);
+    holder
+        .reserve(fleet.acme(), 500)
+        .expect_err("no rights yet");
+
+    let first = holder.entries_to_write(&fleet.state, 1);
+    holder
+        .reserve(fleet.acme(), 600)
+        .expect_err("no rights yet");
+    let second = holder.entries_to_write(&fleet.state, 5_000);
+
+    assert_eq!(first.len(), 1);
+    assert!(second.is_empty());
+}
+
+/// Guards against a holder that stops asking after a partial grant, although the budget was topped up.
+#[test]
+fn a_top_up_is_used_after_a_partial_grant() {
+    let mut fleet = Fleet::new(100, 1_000_000, &[A.0]);
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+    assert_eq!(holder.free_tokens(acme), 100);
+
+    fleet.append(
+        IncarnationId(u64::MAX - 1),
+        [contract("acme", 2, 10_000, 1_000_000)],
+    );
+    holder.reserve(acme, 500).expect_err("not granted yet");
+    exchange(&mut fleet, &mut holder, 2);
+
+    assert!(holder.free_tokens(acme) >= 500);
+}
+
+/// Guards against rights that stay with a process whose customer has gone.
+#[test]
+fn idle_rights_are_returned() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+
+    exchange(&mut fleet, &mut holder, 3_600_002);
+    exchange(&mut fleet, &mut holder, 3_700_000);
+
+    assert_eq!(holder.unspent_tokens(acme), 0);
+    let budget = fleet.state.ledger.budget(acme).expect("budget");
+    assert_eq!(budget.unallocated_tokens(), 100_000);
+}
+
+/// Guards against rights that exist at both ends of a transfer, or twice at its receiver.
+#[test]
+fn a_transfer_moves_rights_once() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut home = stocked(&mut fleet, A);
+    let mut member = Holder::new(B);
+    member.set_home(acme, false);
+    member.reserve(acme, 200).expect_err("no rights yet");
+
+    let requests = member.transfer_requests(&fleet.state, 1);
+    let request = &requests[0].1;
+    let answer = home.on_transfer_request(B, request, &fleet.state);
+    let repeated = home.on_transfer_request(B, request, &fleet.state);
+    let is_first_new = member.on_transfer(A, &answer, &fleet.state);
+    let is_second_new = member.on_transfer(A, &repeated, &fleet.state);
+
+    assert_eq!(answer, repeated);
+    assert!(is_first_new && !is_second_new);
+    assert_eq!(home.unspent_tokens(acme), 300);
+    assert_eq!(member.unspent_tokens(acme), 200);
+    let reservation = member.reserve(acme, 200).expect("rights");
+    assert_eq!(member.settle(reservation, 200), [draw(A, 200)]);
+}
+
+/// Guards against a member that waits for ever on a home that does not answer.
+#[test]
+fn a_silent_home_is_bypassed() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut member = Holder::new(B);
+    member.set_home(acme, false);
+    member.reserve(acme, 200).expect_err("no rights yet");
+
+    let first = member.transfer_requests(&fleet.state, 1);
+    assert!(member.entries_to_write(&fleet.state, 100).is_empty());
+    let again = member.transfer_requests(&fleet.state, 500);
+    exchange(&mut fleet, &mut member, 1_100);
+
+    assert_eq!(first, again);
+    assert_eq!(member.free_tokens(acme), 200);
+}
+
+/// Guards against spending transferred rights whose grant has ended, which the fold would not charge.
+#[test]
+fn rights_of_a_finalised_grant_are_dropped() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut home = stocked(&mut fleet, A);
+    let mut member = Holder::new(B);
+    let request = member.transfer_request(&fleet.state, acme, 200);
+    let answer = home.on_transfer_request(B, &request, &fleet.state);
+    member.on_transfer(A, &answer, &fleet.state);
+
+    fleet.close(B, A);
+    for change in fleet.finalize(B, A) {
+        member.on_change(&change, &fleet.state);
+    }
+
+    assert_eq!(member.unspent_tokens(acme), 0);
+    assert!(!member.on_transfer(B, &answer, &fleet.state) || member.unspent_tokens(acme) == 0);
+}
+
+/// Guards against a closed incarnation that goes on to spend after it has seen its closure.
+#[test]
+fn a_closed_holder_reserves_nothing() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+
+    fleet.close(B, A);
+    holder.on_change(&Change::Member(A), &fleet.state);
+
+    assert!(holder.is_closed());
+    holder.reserve(acme, 1).expect_err("closed");
+    assert!(holder.entries_to_write(&fleet.state, 2).is_empty());
+}
+
+/// Guards against a planned stop that strands rights, also those of a request that is granted late.
+#[test]
+fn a_planned_stop_strands_nothing() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut holder = stocked(&mut fleet, A);
+    let reservation = holder.reserve(acme, 450).expect("rights");
+    holder.reserve(acme, 300).expect_err("beyond the stock");
+    let pending = holder.entries_to_write(&fleet.state, 2);
+
+    let first = holder.hand_back(&fleet.state);
+    assert!(!holder.is_drained(&fleet.state));
+    fleet.append(A, pending);
+    for change in fleet.append(A, first) {
+        holder.on_change(&change, &fleet.state);
+    }
+    holder.on_state(&fleet.state);
+    holder.release(reservation);
+    let second = holder.hand_back(&fleet.state);
+    fleet.append(A, second);
+
+    assert!(holder.is_drained(&fleet.state));
+    let budget = fleet.state.ledger.budget(acme).expect("budget");
+    assert_eq!(budget.unallocated_tokens(), 100_000);
+}
