--- a/src/intent.rs
+++ b/src/intent.rs
@@ -14,6 +14,10 @@
 /// place of a time, because all folds must forget the same claims at the same offset.
 pub const RETAINED_CLAIMS: usize = 1_000_000;
 
+mod snapshot;
+
+pub use snapshot::IntentsSnapshot;
+
 /// State of one claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Claim {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -15,6 +15,9 @@
 /// two days of 10,000 operator batches.
 pub const RETAINED_WRITERS: usize = 20_000;
 
+pub mod detector;
+pub mod rendezvous;
+
 /// Life cycle of an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/settings/rules.rs
+++ b/src/settings/rules.rs
@@ -23,6 +23,30 @@
     field("listen", Kind::Object(&LISTEN)),
     field("platform", Kind::Object(&PLATFORM)),
     field("limits", Kind::Object(&LIMITS)).optional(),
+    field("timing", Kind::Object(&TIMING)).optional(),
+]);
+
+const TIMING: Shape = Shape(&[
+    interval("flush_interval_ms"),
+    interval("empty_batch_interval_ms"),
+    interval("append_timeout_ms"),
+    interval("poll_wait_ms"),
+    interval("poll_interval_ms"),
+    interval("heartbeat_interval_ms"),
+    interval("heartbeat_timeout_ms"),
+    interval("close_after_ms"),
+    interval("finalize_after_ms"),
+    interval("vm_list_interval_ms"),
+    interval("reconnect_limit_ms"),
+    field(
+        "snapshot_interval_records",
+        Kind::Integer {
+            min: 1,
+            max: u64::MAX,
+            unit: "records",
+        },
+    )
+    .optional(),
 ]);
 
 const LISTEN: Shape = Shape(&[
@@ -68,6 +92,16 @@
     field(name, kind).optional()
 }
 
+/// An interval of the fleet protocol; the longest default, the time until a closed incarnation is finalised, is two hours.
+const fn interval(name: &'static str) -> Field {
+    let kind = Kind::Integer {
+        min: 1,
+        max: 24 * TIMEOUT_MS_MAX,
+        unit: "milliseconds",
+    };
+    field(name, kind).optional()
+}
+
 const fn timeout(name: &'static str) -> Field {
     let kind = Kind::Integer {
         min: 1,
