--- a/src/intent/snapshot.rs
+++ b/src/intent/snapshot.rs
@@ -29,13 +29,10 @@
 impl Intents {
     /// Returns the serialised form; equal claims give equal forms.
     pub(crate) fn to_snapshot(&self) -> IntentsSnapshot {
-        let Self { claims } = self;
-        let mut sorted: Vec<_> = claims.iter().collect();
-        sorted.sort_unstable_by_key(|(key, _)| **key);
         IntentsSnapshot {
-            claims: sorted
-                .into_iter()
-                .map(|(key, claim)| encode_claim(*key, *claim))
+            claims: self
+                .claims_in_order()
+                .map(|(key, claim)| encode_claim(key, claim))
                 .collect(),
         }
     }
@@ -56,7 +53,7 @@
                     status: claim.status as u16,
                 },
             };
-            intents.claims.insert(RequestKey(key), restored);
+            intents.insert(RequestKey(key), restored);
         }
         Some(intents)
     }
--- a/src/ledger/snapshot.rs
+++ b/src/ledger/snapshot.rs
@@ -40,6 +40,8 @@
     billed_tokens: u64,
     #[prost(uint64, tag = "4")]
     level_tokens: u64,
+    #[prost(uint64, tag = "5")]
+    asked_tokens: u64,
 }
 
 impl Ledger {
@@ -113,12 +115,14 @@
         granted_tokens,
         billed_tokens,
         level_tokens,
+        asked_tokens,
     } = *grant;
     GrantSnapshot {
         incarnation: incarnation.0,
         granted_tokens,
         billed_tokens,
         level_tokens,
+        asked_tokens,
     }
 }
 
@@ -134,6 +138,7 @@
                     granted_tokens: grant.granted_tokens,
                     billed_tokens: grant.billed_tokens,
                     level_tokens: grant.level_tokens,
+                    asked_tokens: grant.asked_tokens,
                 };
                 (IncarnationId(grant.incarnation), state)
             })
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -76,6 +76,8 @@
     rejections: Vec<RejectionSnapshot>,
     #[prost(uint64, tag = "12")]
     late_bills: u64,
+    #[prost(bytes = "vec", tag = "13")]
+    orders_json: Vec<u8>,
 }
 
 /// A contract or configuration in force.
@@ -116,6 +118,7 @@
         quarantine,
         rejections,
         late_bills,
+        orders,
     } = state;
     let mut published: Vec<_> = contracts
         .iter()
@@ -152,6 +155,7 @@
             })
             .collect(),
         late_bills: *late_bills,
+        orders_json: to_json(orders),
     };
     snapshot.encode_to_vec()
 }
@@ -172,6 +176,7 @@
         rollouts: from_json("rollouts", &snapshot.rollouts_json)?,
         quarantine: from_json("quarantine", &snapshot.quarantine_json)?,
         late_bills: snapshot.late_bills,
+        orders: from_json("orders", &snapshot.orders_json)?,
         ..FleetState::default()
     };
     for name in &snapshot.customers {
