--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -172,6 +172,14 @@
         self.send(address, &Outgoing::get(&path)).await
     }
 
+    /// Returns whether something accepts connections at an address; a process that crashed does not.
+    pub async fn is_listening(&self, address: &str) -> bool {
+        match address.parse() {
+            Ok(target) => connect(target, address).await.is_ok(),
+            Err(_) => false,
+        }
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
--- /dev/null
+++ b/src/router/attempt.rs
@@ -0,0 +1,385 @@
+//! Attempts at upstreams, and whole responses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Deserialize;
+
+use super::budget::Budget;
+use super::call::{Call, Kind, Refused};
+use super::claim::{self, Claimed};
+use super::pools::{self, ChosenVersion, Ended, Slot};
+use super::Shared;
+use crate::engine::{Error, Exchange, Outgoing};
+use crate::evidence;
+use crate::holder::Reservation;
+use crate::ids::UpstreamKey;
+use crate::record::{Crash, Entry};
+use crate::refusal::{Ran, Refusal};
+
+/// Most places that one request may use.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Crashes of upstreams after which this process gives a request up, before the fleet's count is folded.
+const CRASH_LIMIT: u32 = 2;
+
+/// Largest response that is held whole.
+const MAX_WHOLE_BYTES: usize = 16 << 20;
+
+/// A response that is sent with its length.
+pub(super) struct Whole {
+    pub(super) status: u16,
+    pub(super) content_type: String,
+    pub(super) body: Bytes,
+}
+
+/// Attempts of one request so far.
+pub(super) struct Attempts<'a> {
+    shared: &'a Shared,
+    call: &'a Call,
+    version: ChosenVersion,
+    excluded: Vec<UpstreamKey>,
+    count: u32,
+    crashes: u32,
+    /// Whether any upstream may have run the request.
+    pub(super) may_have_run: bool,
+}
+
+impl<'a> Attempts<'a> {
+    pub(super) fn new(shared: &'a Shared, call: &'a Call) -> Result<Self, Refused> {
+        Ok(Self {
+            shared,
+            call,
+            version: pools::choose_version(shared, call)?,
+            excluded: Vec::new(),
+            count: 0,
+            crashes: 0,
+            may_have_run: false,
+        })
+    }
+
+    /// Waits for a place at an upstream that has not failed this request.
+    pub(super) async fn next_place(&mut self) -> Result<Slot, Refused> {
+        if self.count > 0 {
+            let may_retry = self.count < MAX_ATTEMPTS && self.shared.pools.borrow_mut().try_retry();
+            if !may_retry {
+                return Err(self.failed("the upstreams failed"));
+            }
+            // The evidence against a version may have come in meanwhile, so the version is chosen again.
+            let version = pools::choose_version(self.shared, self.call)?;
+            self.version = ChosenVersion {
+                arm: None,
+                ..version
+            };
+        }
+        self.count += 1;
+        let place = pools::admit(self.shared, self.call, &self.version, &self.excluded).await;
+        place.map_err(|refused| self.with_ran(refused))
+    }
+
+    /// Reports a response whose first byte came in time.
+    pub(super) fn succeeded(&mut self, slot: &mut Slot, latency_ms: u64) {
+        self.count_evidence(evidence::Outcome::Success {
+            latency_ms: latency_ms as f64,
+        });
+        self.end(slot, Ended::Success { latency_ms });
+    }
+
+    /// Reports a failure; the next place is at another upstream.
+    pub(super) async fn note_failure(
+        &mut self,
+        slot: &mut Slot,
+        error: &Error,
+    ) -> Result<(), Refused> {
+        log::info!(
+            step = "dispatch", peer = slot.name.as_str(), request_key:% = self.call.key; "{error}"
+        );
+        self.excluded.push(slot.upstream);
+        if !error.may_have_run() {
+            self.count_evidence(evidence::Outcome::Failure);
+            self.end(slot, Ended::Refused);
+            return Ok(());
+        }
+        self.may_have_run = true;
+        let is_down = !self.shared.client.is_listening(&slot.address).await;
+        if !is_down {
+            self.count_evidence(evidence::Outcome::Failure);
+            self.end(slot, Ended::Failure);
+            return Ok(());
+        }
+        self.note_crash(slot)
+    }
+
+    /// Reports an upstream that answered with a server error.
+    pub(super) fn note_error_status(&mut self, slot: &mut Slot) {
+        self.excluded.push(slot.upstream);
+        self.may_have_run = true;
+        self.count_evidence(evidence::Outcome::Failure);
+        self.end(slot, Ended::Failure);
+    }
+
+    /// Frees a place without a report on the upstream.
+    pub(super) fn abandon(&mut self, slot: &mut Slot) {
+        self.end(slot, Ended::Neutral);
+    }
+
+    /// Makes the refusal after the last attempt, which says truthfully whether the request may have run.
+    pub(super) fn failed(&self, message: &str) -> Refused {
+        let refusal = if self.may_have_run {
+            Refusal::UpstreamFailed
+        } else {
+            Refusal::NoUpstream
+        };
+        Refused::new(refusal, message).retry_after(500)
+    }
+
+    /// Adds to a refusal that an earlier attempt may have run.
+    pub(super) fn with_ran(&self, mut refused: Refused) -> Refused {
+        if self.may_have_run {
+            refused.ran = Ran::MayHaveRun;
+        }
+        refused
+    }
+
+    fn note_crash(&mut self, slot: &mut Slot) -> Result<(), Refused> {
+        self.crashes += 1;
+        let entry = Entry::Crash(Crash {
+            fingerprint: self.call.fingerprint.0,
+            upstream: slot.name.to_string(),
+            version: slot.version.to_string(),
+        });
+        if let Err(error) = self.shared.fleet.write(entry) {
+            log::warn!(step = "crash", peer = slot.name.as_str(); "{error}");
+        }
+        let is_known = {
+            let state = self.shared.fleet.state();
+            state.quarantine.is_quarantined(self.call.fingerprint)
+        };
+        if is_known || self.crashes >= CRASH_LIMIT {
+            self.end(slot, Ended::Neutral);
+            return Err(quarantined());
+        }
+        self.count_evidence(evidence::Outcome::Failure);
+        self.end(slot, Ended::Refused);
+        Ok(())
+    }
+
+    /// Counts the result of the first attempt for the version's evidence.
+    fn count_evidence(&mut self, outcome: evidence::Outcome) {
+        if let Some(arm) = self.version.arm.take() {
+            self.shared.evidence.borrow_mut().count(&arm, outcome);
+        }
+    }
+
+    fn end(&self, slot: &mut Slot, ended: Ended) {
+        pools::finish(&self.shared.pools, slot, ended, self.shared.now_ms());
+    }
+}
+
+/// Makes the refusal of a request that crashes upstreams.
+pub(super) fn quarantined() -> Refused {
+    Refused::new(
+        Refusal::Quarantined,
+        "the request crashed upstreams and is not run again",
+    )
+}
+
+/// Runs a call whose response is sent whole.
+pub(super) async fn run(shared: &Shared, call: &Call) -> Result<Whole, Refused> {
+    if !call.is_repeatable() {
+        if let Some(claim) = shared.fleet.state().intents.get(call.key) {
+            return claim::judge_earlier(claim, call).map(|claimed| match claimed {
+                Claimed::Ran(status) => repeated(status),
+                Claimed::Won => unreachable!("a claim that is judged is not won"),
+            });
+        }
+    }
+    let reservation = shared.budget.reserve(call, shared.now_ms()).await?;
+    match dispatch(shared, call).await {
+        Ok((whole, charge_tokens)) => {
+            let charged_tokens = shared.budget.settle(call, reservation, charge_tokens).await;
+            note_done(shared, call, charged_tokens);
+            Ok(whole)
+        }
+        Err(refused) => {
+            release(&shared.budget, reservation);
+            Err(refused)
+        }
+    }
+}
+
+fn release(budget: &Budget, reservation: Option<Reservation>) {
+    budget.release(reservation);
+}
+
+/// Records the figures of a finished response.
+pub(super) fn note_done(shared: &Shared, call: &Call, charged_tokens: u64) {
+    let elapsed_ms = shared.now_ms() - call.accepted_ms;
+    shared
+        .metrics
+        .record_whole_response(call.priority, &call.customer_name, elapsed_ms);
+    if charged_tokens > 0 {
+        shared.metrics.count_bill(charged_tokens);
+    }
+}
+
+async fn dispatch(shared: &Shared, call: &Call) -> Result<(Whole, u64), Refused> {
+    let mut attempts = Attempts::new(shared, call)?;
+    let mut slot = attempts.next_place().await?;
+    if !call.is_repeatable() {
+        match claim::claim(shared, call).await {
+            Ok(Claimed::Won) => {}
+            Ok(Claimed::Ran(status)) => {
+                attempts.abandon(&mut slot);
+                return Ok((repeated(status), 0));
+            }
+            Err(refused) => {
+                attempts.abandon(&mut slot);
+                return Err(refused);
+            }
+        }
+    }
+    let result = send_until_answered(&mut attempts, &mut slot).await;
+    if !call.is_repeatable() {
+        match &result {
+            Ok((whole, _)) => claim::complete(shared, call, whole.status),
+            Err(_) if !attempts.may_have_run => claim::abandon(shared, call),
+            // The claim stays open: whether the call ran is not known.
+            Err(_) => {}
+        }
+    }
+    result
+}
+
+async fn send_until_answered(
+    attempts: &mut Attempts<'_>,
+    slot: &mut Slot,
+) -> Result<(Whole, u64), Refused> {
+    let (shared, call) = (attempts.shared, attempts.call);
+    loop {
+        let limit = time_limit(call, shared.now_ms());
+        let Ok(result) = monoio::time::timeout(limit, send_once(shared, call, slot)).await else {
+            return Err(timed_out(attempts, slot).await);
+        };
+        match result {
+            Ok(whole) if whole.status < 500 || !call.is_repeatable() => {
+                let latency_ms = shared.now_ms() - slot.dispatched_ms;
+                attempts.succeeded(slot, latency_ms);
+                let charge_tokens = charge(call, &whole);
+                return Ok((whole, charge_tokens));
+            }
+            Ok(_) => attempts.note_error_status(slot),
+            Err(error) => {
+                attempts.note_failure(slot, &error).await?;
+                if attempts.may_have_run && !call.is_repeatable() {
+                    return Err(attempts
+                        .failed("the upstream broke the connection after the call was sent"));
+                }
+            }
+        }
+        *slot = attempts.next_place().await?;
+    }
+}
+
+async fn timed_out(attempts: &mut Attempts<'_>, slot: &mut Slot) -> Refused {
+    attempts.note_error_status(slot);
+    if matches!(attempts.call.kind, Kind::Chat { .. }) {
+        attempts
+            .shared
+            .client
+            .cancel(&slot.address, attempts.call.key)
+            .await;
+    }
+    Refused::new(
+        Refusal::TimedOut,
+        "the upstream did not answer within the time limit",
+    )
+}
+
+fn time_limit(call: &Call, now_ms: u64) -> Duration {
+    let left_ms = call.deadline_ms.saturating_sub(now_ms);
+    Duration::from_millis(match call.kind {
+        Kind::Service { timeout_ms, .. } => timeout_ms.min(left_ms),
+        Kind::Chat { .. } => left_ms,
+    })
+}
+
+async fn send_once(shared: &Shared, call: &Call, slot: &Slot) -> Result<Whole, Error> {
+    let mut exchange = send(shared, call, slot).await?;
+    let body = exchange.read_all(MAX_WHOLE_BYTES).await?;
+    let whole = Whole {
+        status: exchange.status(),
+        content_type: exchange.content_type().to_owned(),
+        body,
+    };
+    shared.client.finish(&slot.address, exchange);
+    Ok(whole)
+}
+
+/// Sends a call to an upstream and reads the head of the response.
+pub(super) async fn send(shared: &Shared, call: &Call, slot: &Slot) -> Result<Exchange, Error> {
+    let path = match call.kind {
+        Kind::Chat { .. } => "/v1/chat/completions",
+        Kind::Service { .. } => call.request.uri.path_and_query().map_or("/", |path| {
+            let rest = path.as_str().strip_prefix("/services/").unwrap_or_default();
+            rest.find('/').map_or("/", |position| &rest[position..])
+        }),
+    };
+    let outgoing = Outgoing {
+        method: call.request.method.as_str(),
+        path,
+        key: Some(call.key),
+        priority: Some(call.priority.name()),
+        content_type: call
+            .request
+            .header("content-type")
+            .unwrap_or("application/json"),
+        body: &call.request.body,
+        repeatable: call.is_repeatable(),
+    };
+    shared.client.send(&slot.address, &outgoing).await
+}
+
+/// Tokens that an engine reports for a response.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(super) struct Usage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+}
+
+impl Usage {
+    pub(super) fn total_tokens(self) -> u64 {
+        self.prompt_tokens.saturating_add(self.completion_tokens)
+    }
+}
+
+/// The part of a response that carries its usage.
+#[derive(Debug, Deserialize)]
+pub(super) struct WithUsage {
+    pub(super) usage: Option<Usage>,
+}
+
+fn charge(call: &Call, whole: &Whole) -> u64 {
+    if whole.status >= 400 {
+        return 0;
+    }
+    match call.kind {
+        Kind::Service { charge_tokens, .. } => charge_tokens,
+        Kind::Chat { .. } => serde_json::from_slice::<WithUsage>(&whole.body)
+            .ok()
+            .and_then(|body| body.usage)
+            // An engine that does not report its usage is charged like the largest possible response.
+            .map_or(call.bound_tokens, Usage::total_tokens),
+    }
+}
+
+/// Answers a repetition of a call that ran before; its response body is not kept.
+fn repeated(status: u16) -> Whole {
+    Whole {
+        status,
+        content_type: "application/json".into(),
+        body: Bytes::from(format!(
+            "{{\"outcome\":{{\"status\":{status},\"repeated\":true}}}}"
+        )),
+    }
+}
--- /dev/null
+++ b/src/router/budget.rs
@@ -0,0 +1,190 @@
+//! Reservation and settlement of budgets for requests.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use super::call::{Call, Refused};
+use super::notify::Notify;
+use crate::fleet::Fleet;
+use crate::fold::{Change, FleetState};
+use crate::holder::{Holder, Reservation};
+use crate::ids::{CustomerKey, IncarnationId};
+use crate::record::{Bill, Entry};
+use crate::refusal::Refusal;
+
+/// Longest time that a request waits for rights on its customer's budget.
+///
+/// A grant takes one append and one read of the log, together well below a second while the log is available.
+const RESERVE_WAIT: Duration = Duration::from_secs(2);
+
+/// Longest time that the end of a response waits until its bill is safe.
+///
+/// The bill stays in the queue of the log writer afterwards; only a crash of this process in the meantime loses it.
+const SAFE_WAIT: Duration = Duration::from_secs(5);
+
+/// Advice for a retry after rights could not be obtained.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// The spending rights of this process and the bills drawn on them.
+pub(super) struct Budget {
+    fleet: Fleet,
+    pub(super) holder: RefCell<Holder>,
+    changed: Notify,
+    wanted: Notify,
+}
+
+impl Budget {
+    pub(super) fn new(fleet: Fleet) -> Self {
+        Self {
+            holder: RefCell::new(Holder::new(fleet.incarnation())),
+            fleet,
+            changed: Notify::default(),
+            wanted: Notify::default(),
+        }
+    }
+
+    /// Reserves the largest possible charge of a call, waiting a short time for rights.
+    ///
+    /// A retry of a billed request is charged nothing, so it needs no rights and is served even without budget.
+    pub(super) async fn reserve(
+        &self,
+        call: &Call,
+        now_ms: u64,
+    ) -> Result<Option<Reservation>, Refused> {
+        if call.bound_tokens == 0 || self.is_billed(call) {
+            return Ok(None);
+        }
+        if let Ok(reservation) = self.try_reserve(call) {
+            return Ok(Some(reservation));
+        }
+        if !self.may_cover(call) {
+            return Err(Refused::new(
+                Refusal::BudgetExhausted,
+                "the prepaid budget does not cover the largest charge of this request",
+            ));
+        }
+        self.wanted.notify();
+        let left = Duration::from_millis(call.deadline_ms.saturating_sub(now_ms));
+        let reservation = self
+            .changed
+            .wait_for(RESERVE_WAIT.min(left), || self.try_reserve(call).ok())
+            .await;
+        match reservation {
+            Some(reservation) => Ok(Some(reservation)),
+            None if !self.may_cover(call) => Err(Refused::new(
+                Refusal::BudgetExhausted,
+                "the prepaid budget does not cover the largest charge of this request",
+            )),
+            None => Err(Refused::new(
+                Refusal::BudgetUnavailable,
+                "the rights on the budget could not be obtained in time",
+            )
+            .retry_after(RETRY_AFTER_MS)),
+        }
+    }
+
+    /// Waits until a request lacks rights, at most for the given time.
+    pub(super) async fn wait_for_want(&self, limit: Duration) {
+        let mut is_first = true;
+        self.wanted
+            .wait_for(limit, || {
+                let is_woken = !is_first;
+                is_first = false;
+                is_woken.then_some(())
+            })
+            .await;
+    }
+
+    /// Gives a reservation back without a charge.
+    pub(super) fn release(&self, reservation: Option<Reservation>) {
+        if let Some(reservation) = reservation {
+            self.holder.borrow_mut().release(reservation);
+            self.changed.notify();
+        }
+    }
+
+    /// Charges a call and waits until its bill survives a crash of this process; returns the charge.
+    pub(super) async fn settle(
+        &self,
+        call: &Call,
+        reservation: Option<Reservation>,
+        charge_tokens: u64,
+    ) -> u64 {
+        let Some(reservation) = reservation else {
+            return 0;
+        };
+        let draws = self.holder.borrow_mut().settle(reservation, charge_tokens);
+        self.changed.notify();
+        let bill = Bill {
+            key_high: (call.key.0 >> 64) as u64,
+            key_low: call.key.0 as u64,
+            customer: call.customer_name.to_string(),
+            draws,
+            fingerprint: call.fingerprint.0,
+        };
+        let charged_tokens = bill.charge_tokens();
+        if let Err(error) = self
+            .fleet
+            .write_and_wait([Entry::Bill(bill)], SAFE_WAIT)
+            .await
+        {
+            log::warn!(step = "bill", request_key:% = call.key; "{error}");
+        }
+        charged_tokens
+    }
+
+    /// Takes a change of the folded state into account.
+    pub(super) fn on_change(&self, change: &Change) {
+        let state = self.fleet.state();
+        let mut holder = self.holder.borrow_mut();
+        holder.on_change(change, &state);
+        if matches!(change, Change::Grant { .. }) {
+            self.changed.notify();
+        }
+    }
+
+    /// Takes a whole new state into account.
+    pub(super) fn on_state(&self) {
+        self.holder.borrow_mut().on_state(&self.fleet.state());
+        self.changed.notify();
+    }
+
+    /// Starts again without rights, after a peer closed the own incarnation.
+    pub(super) fn on_reincarnation(&self, new: IncarnationId) {
+        *self.holder.borrow_mut() = Holder::new(new);
+    }
+
+    /// Runs a step of the holder on the folded state.
+    pub(super) fn with_holder<T>(&self, step: impl FnOnce(&mut Holder, &FleetState) -> T) -> T {
+        step(&mut self.holder.borrow_mut(), &self.fleet.state())
+    }
+
+    /// Wakes the requests that wait for rights.
+    pub(super) fn notify(&self) {
+        self.changed.notify();
+    }
+
+    fn try_reserve(&self, call: &Call) -> Result<Reservation, ()> {
+        self.holder
+            .borrow_mut()
+            .reserve(call.customer, call.bound_tokens)
+            .map_err(|_| ())
+    }
+
+    fn is_billed(&self, call: &Call) -> bool {
+        self.fleet.state().ledger.billed(call.key) == Some(call.fingerprint)
+    }
+
+    /// Returns whether the budget that is not billed yet covers the call.
+    fn may_cover(&self, call: &Call) -> bool {
+        unbilled_tokens(&self.fleet.state(), call.customer) >= call.bound_tokens
+    }
+}
+
+fn unbilled_tokens(state: &FleetState, customer: CustomerKey) -> u64 {
+    state.ledger.budget(customer).map_or(0, |budget| {
+        budget
+            .prepaid_total_tokens
+            .saturating_sub(budget.billed_tokens())
+    })
+}
--- /dev/null
+++ b/src/router/connection.rs
@@ -0,0 +1,297 @@
+//! Connections of callers: from accept to the last byte of each response.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::net::{TcpListener, TcpStream};
+
+use super::call::{Call, Refused};
+use super::writer::Reader;
+use super::{attempt, stream, Phase, Shared};
+use crate::ids::RequestKey;
+use crate::refusal::Refusal;
+use crate::server::{error_body, Error, ErrorDetail, Request, RequestLimits, ResponseHead, Socket};
+
+/// Time that an idle connection is kept for the next request.
+const KEEP_ALIVE: Duration = Duration::from_secs(60);
+
+/// Pause after an accept that failed, for example because the process has no file descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time and bytes for which input is discarded after an early refusal.
+///
+/// Closing a socket with unread input resets the connection, and the caller could lose the response.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 4 << 20;
+
+/// Connections above the limit that get a response; further ones are closed at once.
+const REFUSED_CONNECTIONS: u32 = 64;
+
+/// Accepts callers until the process ends.
+pub(super) async fn accept_callers(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => accept(&shared, stream),
+            Err(error) => {
+                log::warn!(step = "accept"; "{error}");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn accept(shared: &Rc<Shared>, stream: TcpStream) {
+    let limit = shared.settings.limits.connections;
+    let open = shared.connections.get();
+    if open >= limit.saturating_add(REFUSED_CONNECTIONS) {
+        return;
+    }
+    shared.connections.set(open + 1);
+    let shared = Rc::clone(shared);
+    let mut socket = Socket::new(stream);
+    monoio::spawn(async move {
+        if open >= limit {
+            let refused = Refused::new(
+                Refusal::TooManyConnections,
+                "the router has no free connection",
+            );
+            refuse(&shared, &mut socket, &refused, None, false).await;
+        } else {
+            serve(&shared, socket).await;
+        }
+        shared.connections.set(shared.connections.get() - 1);
+    });
+}
+
+/// Serves the requests of one connection in turn.
+async fn serve(shared: &Rc<Shared>, socket: Socket) {
+    let mut connection = Some(socket);
+    while let Some(mut socket) = connection.take() {
+        match Request::read(&mut socket, limits(shared)).await {
+            Ok(request) => {
+                // The future of a request is large; a connection that waits for its next request does not hold it.
+                connection = Box::pin(answer(shared, socket, request)).await;
+            }
+            Err(Error::Refused(refusal, message)) => {
+                let refused = Refused::new(refusal, message);
+                refuse(shared, &mut socket, &refused, None, false).await;
+                linger(&mut socket).await;
+            }
+            Err(Error::Closed) => {}
+            Err(Error::Io(error)) => log::debug!(step = "read request"; "{error}"),
+        }
+    }
+}
+
+pub(super) fn limits(shared: &Shared) -> RequestLimits {
+    let limits = &shared.settings.limits;
+    RequestLimits {
+        head_bytes: limits.head_bytes as usize,
+        body_bytes: limits.body_bytes as usize,
+        read_timeout: Duration::from_millis(limits.request_read_timeout_ms),
+        idle_timeout: KEEP_ALIVE,
+    }
+}
+
+/// Answers one request; returns the connection if it stays open.
+async fn answer(shared: &Rc<Shared>, mut socket: Socket, request: Request) -> Option<Socket> {
+    let keep_alive = request.keep_alive && shared.phase.get() != Phase::Stopping;
+    match request.uri.path() {
+        "/healthz" => return probe(socket, 200, "ok", keep_alive).await,
+        "/readyz" => {
+            let (status, text) = match shared.phase.get() {
+                Phase::Starting => (503, "starting"),
+                Phase::Serving => (200, "ready"),
+                Phase::Stopping => (503, "stopping"),
+            };
+            return probe(socket, status, text, keep_alive).await;
+        }
+        _ => {}
+    }
+    let admitted = check_phase(shared)
+        .map_err(|refused| (refused, None))
+        .and_then(|()| Call::check(shared, request))
+        .and_then(|call| {
+            let key = call.key;
+            Opened::new(shared, &call)
+                .map(|opened| (call, opened))
+                .map_err(|refused| (refused, Some(key)))
+        });
+    let (call, opened) = match admitted {
+        Ok(admitted) => admitted,
+        Err((refused, key)) => {
+            refuse(shared, &mut socket, &refused, key, keep_alive).await;
+            return keep_alive.then_some(socket);
+        }
+    };
+    shared.metrics.count_request(call.priority);
+    let connection = if call.is_stream() {
+        stream::serve(shared, &call, socket, keep_alive).await
+    } else {
+        serve_whole(shared, &call, socket, keep_alive).await
+    };
+    drop(opened);
+    connection
+}
+
+async fn serve_whole(
+    shared: &Rc<Shared>,
+    call: &Call,
+    mut socket: Socket,
+    keep_alive: bool,
+) -> Option<Socket> {
+    match attempt::run(shared, call).await {
+        Ok(whole) => {
+            let head = ResponseHead {
+                status: whole.status,
+                content_type: &whole.content_type,
+                keep_alive,
+                retry_after_s: None,
+            };
+            let mut reader = Reader::new(shared, call.priority, socket);
+            reader.push(&head.with_body(&whole.body));
+            drop(whole);
+            reader.finish().await.filter(|_| keep_alive)
+        }
+        Err(refused) => {
+            refuse(shared, &mut socket, &refused, Some(call.key), keep_alive).await;
+            keep_alive.then_some(socket)
+        }
+    }
+}
+
+async fn probe(mut socket: Socket, status: u16, text: &str, keep_alive: bool) -> Option<Socket> {
+    let head = ResponseHead {
+        status,
+        content_type: "text/plain",
+        keep_alive,
+        retry_after_s: None,
+    };
+    let written = socket.write_all(head.with_body(text.as_bytes())).await;
+    (written.is_ok() && keep_alive).then_some(socket)
+}
+
+fn check_phase(shared: &Shared) -> Result<(), Refused> {
+    match shared.phase.get() {
+        Phase::Serving => Ok(()),
+        Phase::Starting => Err(Refused::new(
+            Refusal::NoUpstream,
+            "the router does not know the fleet's state yet",
+        )
+        .retry_after(1_000)),
+        Phase::Stopping => {
+            Err(Refused::new(Refusal::ShuttingDown, "the router is shutting down").retry_after(0))
+        }
+    }
+}
+
+/// Sends a refusal; a caller that does not take it within the idle limit gets none.
+pub(super) async fn refuse(
+    shared: &Shared,
+    socket: &mut Socket,
+    refused: &Refused,
+    key: Option<RequestKey>,
+    keep_alive: bool,
+) {
+    shared.metrics.count_refusal(refused.refusal);
+    let detail = ErrorDetail {
+        message: &refused.message,
+        retry_after_ms: refused.retry_after_ms,
+        request_key: key,
+    };
+    let head = ResponseHead {
+        status: refused.refusal.status(),
+        content_type: "application/json",
+        keep_alive,
+        retry_after_s: refused.retry_after_ms.map(|ms| ms.div_ceil(1_000)),
+    };
+    let output = head.with_body(&error_body(refused.refusal, refused.ran, &detail));
+    let write = socket.write_all(output);
+    // The caller is gone or does not read; there is nothing else to tell it.
+    let _ = monoio::time::timeout(shared.reader_idle_timeout(), write).await;
+}
+
+/// Discards input for a short time, so that the response to an early refusal arrives.
+async fn linger(socket: &mut Socket) {
+    socket.shutdown().await;
+    let end = Instant::now() + LINGER;
+    let mut discarded_bytes = 0;
+    while discarded_bytes < LINGER_BYTES {
+        let Some(left) = end.checked_duration_since(Instant::now()) else {
+            return;
+        };
+        match monoio::time::timeout(left, socket.fill()).await {
+            Ok(Ok(count @ 1..)) => discarded_bytes += count,
+            _ => return,
+        }
+        socket.input().clear();
+    }
+}
+
+/// Entry of a request in the table of open requests; dropping it ends the request.
+struct Opened {
+    shared: Rc<Shared>,
+    key: RequestKey,
+}
+
+impl Opened {
+    /// Opens a request, unless its key is in use for another request or its body is stopped everywhere.
+    fn new(shared: &Rc<Shared>, call: &Call) -> Result<Self, Refused> {
+        check_key(shared, call)?;
+        let mut open = shared.open.borrow_mut();
+        let entry = open.entry(call.key).or_insert((call.fingerprint, 0));
+        if entry.0 != call.fingerprint {
+            return Err(key_reused());
+        }
+        if entry.1 > 0 && !call.is_repeatable() {
+            return Err(Refused::new(
+                Refusal::EarlierAttempt,
+                "an earlier attempt with this idempotency key is running",
+            ));
+        }
+        entry.1 += 1;
+        shared.open_requests.set(shared.open_requests.get() + 1);
+        Ok(Self {
+            shared: Rc::clone(shared),
+            key: call.key,
+        })
+    }
+}
+
+impl Drop for Opened {
+    fn drop(&mut self) {
+        let shared = &self.shared;
+        shared.open_requests.set(shared.open_requests.get() - 1);
+        let mut open = shared.open.borrow_mut();
+        if let Some(entry) = open.get_mut(&self.key) {
+            entry.1 -= 1;
+            if entry.1 == 0 {
+                open.remove(&self.key);
+            }
+        }
+    }
+}
+
+fn check_key(shared: &Shared, call: &Call) -> Result<(), Refused> {
+    let state = shared.fleet.state();
+    let claimed = state.intents.get(call.key).map(|claim| claim.fingerprint());
+    for known in [state.ledger.billed(call.key), claimed]
+        .into_iter()
+        .flatten()
+    {
+        if known != call.fingerprint {
+            return Err(key_reused());
+        }
+    }
+    if state.quarantine.is_quarantined(call.fingerprint) {
+        return Err(attempt::quarantined());
+    }
+    Ok(())
+}
+
+fn key_reused() -> Refused {
+    Refused::new(
+        Refusal::KeyReused,
+        "the idempotency key was used before with another request",
+    )
+}
--- /dev/null
+++ b/src/router/pools.rs
@@ -0,0 +1,373 @@
+//! Pools of upstreams: which upstream a request gets, and when.
+//!
+//! All upstreams that serve one version of one model or service form a pool. A request waits in its pool's queue until an
+//! upstream has a free place, and leaves the queue with that place.
+
+mod slot;
+mod update;
+
+use std::cell::RefCell;
+
+use compact_str::CompactString;
+use local_sync::oneshot;
+use rand::{rngs::OsRng, Rng, SeedableRng, TryRngCore};
+use rand_pcg::Pcg64Mcg;
+
+use super::call::{Call, Kind, Refused};
+use super::Shared;
+use crate::admission::{Departure, Queue, Request, RetryBudget, Verdict};
+use crate::collections::FastMap;
+use crate::contract::Configuration;
+use crate::evidence::Arm;
+use crate::health::{Health, Permit};
+use crate::ids::{Interner, RouteKey, UpstreamKey, VersionKey};
+use crate::refusal::Refusal;
+use crate::rollout::VersionChoice;
+use crate::selection::{self, Selector};
+
+pub(super) use slot::{Ended, Slot};
+pub(super) use update::Reporter;
+
+/// Expected time of a response before the first one of a pool has ended.
+const FIRST_ESTIMATE_MS: u64 = 50;
+
+/// Advice for a retry when no upstream can serve.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Names of routes that are told apart; callers choose the paths of services, so the number needs a bound.
+const MAX_ROUTES: usize = 4096;
+
+/// One version of one model or service.
+pub(super) type PoolKey = (RouteKey, VersionKey);
+
+/// What is known of one upstream besides the selection's own view.
+struct Upstream {
+    address: CompactString,
+    pool: PoolKey,
+    version: CompactString,
+    capacity_requests: u32,
+    peer_requests: u32,
+    own_requests: u32,
+}
+
+#[derive(Default)]
+struct Pool {
+    queue: Queue,
+    members: Vec<UpstreamKey>,
+    /// Moving average of the time from dispatch to the end of the response.
+    service_ms: Option<f64>,
+}
+
+/// A request in the queue.
+struct Waiting {
+    route: RouteKey,
+    prefix_blocks: Vec<u64>,
+    prompt_tokens: u64,
+    tokens: u64,
+    excluded: Vec<UpstreamKey>,
+    sender: oneshot::Sender<Result<Slot, Refused>>,
+}
+
+/// All pools of one process.
+pub(super) struct Pools {
+    data_centre: CompactString,
+    routes: Interner<RouteKey>,
+    versions: Interner<VersionKey>,
+    names: Interner<UpstreamKey>,
+    upstreams: FastMap<UpstreamKey, Upstream>,
+    pools: FastMap<PoolKey, Pool>,
+    selector: Selector,
+    health: Health,
+    retries: RetryBudget,
+    waiting: FastMap<u64, Waiting>,
+    next_ticket: u64,
+    routers: u32,
+    rank: u32,
+    random: Pcg64Mcg,
+}
+
+/// The version that shall serve a call and what its result counts for.
+pub(super) struct ChosenVersion {
+    pub(super) pool: PoolKey,
+    pub(super) arm: Option<Arm>,
+}
+
+impl Pools {
+    pub(super) fn new(data_centre: &str) -> Self {
+        Self {
+            data_centre: data_centre.into(),
+            routes: Interner::default(),
+            versions: Interner::default(),
+            names: Interner::default(),
+            upstreams: FastMap::default(),
+            pools: FastMap::default(),
+            selector: Selector::default(),
+            health: Health::default(),
+            retries: RetryBudget::default(),
+            waiting: FastMap::default(),
+            next_ticket: 0,
+            routers: 1,
+            rank: 0,
+            random: Pcg64Mcg::seed_from_u64(OsRng.try_next_u64().unwrap_or_default()),
+        }
+    }
+
+    /// Takes a retry from the budget that keeps retries a share of fresh requests.
+    pub(super) fn try_retry(&mut self) -> bool {
+        self.retries.try_retry()
+    }
+
+    /// Returns the number of requests in all queues.
+    pub(super) fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lets waiting requests of all pools leave as far as there are places.
+    pub(super) fn pump_all(&mut self, now_ms: u64) {
+        let waiting: Vec<PoolKey> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| !pool.queue.is_empty())
+            .map(|(&key, _)| key)
+            .collect();
+        for key in waiting {
+            self.pump(key, now_ms);
+        }
+    }
+
+    fn route_key(&mut self, route: &str, serves: &str) -> RouteKey {
+        if self.routes.get(route).is_none() && self.routes.names().len() >= MAX_ROUTES {
+            return self.routes.intern(serves);
+        }
+        self.routes.intern(route)
+    }
+
+    fn has_healthy_member(&self, key: PoolKey, route: RouteKey, now_ms: u64) -> bool {
+        self.pools.get(&key).is_some_and(|pool| {
+            pool.members
+                .iter()
+                .any(|&upstream| self.health.permit(upstream, route, now_ms) != Permit::Closed)
+        })
+    }
+
+    /// Returns whether an upstream can take a request now.
+    fn is_usable(&self, upstream: UpstreamKey, route: RouteKey, now_ms: u64) -> bool {
+        self.upstreams
+            .get(&upstream)
+            .is_some_and(|known| known.own_requests < self.limit_requests(known))
+            && self.health.permit(upstream, route, now_ms) != Permit::Closed
+    }
+
+    /// Puts a request into its pool's queue, or refuses it at once.
+    fn offer(
+        &mut self,
+        key: PoolKey,
+        call: &Call,
+        waiting: Waiting,
+        now_ms: u64,
+    ) -> Result<(), Refused> {
+        if !self.has_healthy_member(key, waiting.route, now_ms) {
+            return Err(no_upstream());
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let slots = self.slots(key);
+        let pool = self.pools.entry(key).or_default();
+        pool.queue.set_slots(slots);
+        let request = Request {
+            ticket,
+            customer: call.customer,
+            priority: call.priority,
+            deadline_ms: call.deadline_ms,
+            service_ms: pool.service_ms.map_or(FIRST_ESTIMATE_MS, |ms| ms as u64),
+            cost_tokens: waiting.tokens,
+        };
+        if let Verdict::Refused { retry_after_ms } = pool.queue.offer(request, now_ms) {
+            return Err(overloaded(retry_after_ms));
+        }
+        self.waiting.insert(ticket, waiting);
+        self.pump(key, now_ms);
+        Ok(())
+    }
+
+    /// Lets waiting requests of a pool leave as far as there are places.
+    fn pump(&mut self, key: PoolKey, now_ms: u64) {
+        while self.has_place(key, now_ms) {
+            let Some(pool) = self.pools.get_mut(&key) else {
+                return;
+            };
+            match pool.queue.next(now_ms) {
+                None => return,
+                Some(Departure::Dispatch(request)) => self.dispatch(key, request.ticket, now_ms),
+                Some(Departure::Refuse {
+                    request,
+                    retry_after_ms,
+                }) => {
+                    if let Some(waiting) = self.waiting.remove(&request.ticket) {
+                        // A receiver that is gone needs no answer.
+                        let _ = waiting.sender.send(Err(overloaded(retry_after_ms)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn has_place(&self, key: PoolKey, now_ms: u64) -> bool {
+        self.pools.get(&key).is_some_and(|pool| {
+            pool.members.iter().any(|&upstream| {
+                self.upstreams
+                    .get(&upstream)
+                    .is_some_and(|known| known.own_requests < self.limit_requests(known))
+                    && self.health.permit(upstream, key.0, now_ms) != Permit::Closed
+            })
+        })
+    }
+
+    fn dispatch(&mut self, key: PoolKey, ticket: u64, now_ms: u64) {
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let random = self.random.random();
+        let request = selection::Request {
+            route: key.0,
+            version: key.1,
+            prefix_blocks: &waiting.prefix_blocks,
+            prompt_tokens: u32::try_from(waiting.prompt_tokens).unwrap_or(u32::MAX),
+        };
+        let usable = |upstream| self.is_usable(upstream, waiting.route, now_ms);
+        let chosen = self
+            .selector
+            .choose(&request, random, |upstream| {
+                usable(upstream) && !waiting.excluded.contains(&upstream)
+            })
+            // An upstream that failed once is better than none.
+            .or_else(|| self.selector.choose(&request, random, usable));
+        let answer = chosen
+            .map(|upstream| self.take_place(upstream, &waiting, now_ms))
+            .ok_or_else(no_upstream);
+        if let Err(Ok(slot)) = waiting.sender.send(answer) {
+            self.give_back(&slot);
+        }
+    }
+
+    fn take_place(&mut self, upstream: UpstreamKey, waiting: &Waiting, now_ms: u64) -> Slot {
+        if self.health.permit(upstream, waiting.route, now_ms) == Permit::Probe {
+            self.health.probe_sent(upstream, waiting.route, now_ms);
+        }
+        self.selector.dispatched(upstream, waiting.tokens);
+        let (address, version) = match self.upstreams.get_mut(&upstream) {
+            Some(known) => {
+                known.own_requests += 1;
+                (known.address.clone(), known.version.clone())
+            }
+            None => Default::default(),
+        };
+        Slot {
+            upstream,
+            name: self.names.name(upstream).into(),
+            address,
+            version,
+            route: waiting.route,
+            tokens: waiting.tokens,
+            dispatched_ms: now_ms,
+            is_held: true,
+        }
+    }
+}
+
+/// Chooses the version that serves a call.
+pub(super) fn choose_version(shared: &Shared, call: &Call) -> Result<ChosenVersion, Refused> {
+    let state = shared.fleet.state();
+    let choice = state
+        .rollouts
+        .version_for(&call.route, &call.versions, call.key);
+    let (version, arm) = match choice {
+        VersionChoice::Configured => (configured_version(call), None),
+        VersionChoice::Version { version, evidence } => {
+            let arm = evidence.map(|arm| Arm {
+                rollout: arm.rollout.into(),
+                route: call.route.clone(),
+                step: arm.step,
+                is_new: arm.is_new,
+            });
+            (version, arm)
+        }
+        VersionChoice::NotAllowed => return Err(no_upstream()),
+    };
+    let mut pools = shared.pools.borrow_mut();
+    let route = pools.routes.intern(&call.serves);
+    let version = pools.versions.intern(version);
+    Ok(ChosenVersion {
+        pool: (route, version),
+        arm,
+    })
+}
+
+/// Returns the configured version, or the first allowed one if the contract excludes it.
+fn configured_version(call: &Call) -> &str {
+    let configured = &call.configured_version;
+    if call.versions.is_empty() || call.versions.contains(configured) {
+        return configured;
+    }
+    &call.versions[0]
+}
+
+/// Waits for a place at an upstream of the chosen version.
+pub(super) async fn admit(
+    shared: &Shared,
+    call: &Call,
+    version: &ChosenVersion,
+    excluded: &[UpstreamKey],
+) -> Result<Slot, Refused> {
+    let (sender, receiver) = oneshot::channel();
+    let (prefix_blocks, prompt_tokens) = match &call.kind {
+        Kind::Chat {
+            prefix_blocks,
+            prompt_tokens,
+            ..
+        } => (prefix_blocks.clone(), *prompt_tokens),
+        Kind::Service { .. } => (Vec::new(), 0),
+    };
+    {
+        let mut pools = shared.pools.borrow_mut();
+        if excluded.is_empty() {
+            pools.retries.fresh_request();
+        }
+        let waiting = Waiting {
+            route: pools.route_key(&call.route, &call.serves),
+            prefix_blocks,
+            prompt_tokens,
+            tokens: call.bound_tokens,
+            excluded: excluded.to_vec(),
+            sender,
+        };
+        pools.offer(version.pool, call, waiting, shared.now_ms())?;
+    }
+    receiver.await.unwrap_or_else(|_| Err(no_upstream()))
+}
+
+/// Ends the use of a place and lets the next request have it.
+pub(super) fn finish(pools: &RefCell<Pools>, slot: &mut Slot, ended: Ended, now_ms: u64) {
+    pools.borrow_mut().finish(slot, ended, now_ms);
+}
+
+fn no_upstream() -> Refused {
+    Refused::new(Refusal::NoUpstream, "no upstream can serve the request now")
+        .retry_after(RETRY_AFTER_MS)
+}
+
+fn overloaded(retry_after_ms: u64) -> Refused {
+    Refused::new(
+        Refusal::Overloaded,
+        "the response could not be complete within the time limit of the contract",
+    )
+    .retry_after(retry_after_ms)
+}
+
+/// Returns the models and services that a configuration routes, to be compared with its upstreams.
+fn served_names(configuration: &Configuration) -> impl Iterator<Item = &str> {
+    configuration
+        .upstreams
+        .iter()
+        .map(|upstream| upstream.serves.as_str())
+}
--- /dev/null
+++ b/src/router/pools/slot.rs
@@ -0,0 +1,78 @@
+//! A place at an upstream that one request holds.
+
+use compact_str::CompactString;
+
+use super::Pools;
+use crate::health::Outcome;
+use crate::ids::{RouteKey, UpstreamKey};
+
+/// Weight of the newest response in the moving average of response times.
+const NEW_WEIGHT: f64 = 0.1;
+
+/// A place at an upstream.
+#[derive(Debug)]
+pub(in crate::router) struct Slot {
+    pub(in crate::router) upstream: UpstreamKey,
+    pub(in crate::router) name: CompactString,
+    pub(in crate::router) address: CompactString,
+    pub(in crate::router) version: CompactString,
+    pub(in crate::router) route: RouteKey,
+    pub(in crate::router) tokens: u64,
+    pub(in crate::router) dispatched_ms: u64,
+    /// Whether the place still counts against the upstream's capacity.
+    pub(in crate::router) is_held: bool,
+}
+
+/// How the use of a place ended.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::router) enum Ended {
+    /// The upstream answered; the time is from dispatch to the first byte.
+    Success {
+        /// Time to the first byte.
+        latency_ms: u64,
+    },
+    /// The upstream failed.
+    Failure,
+    /// The upstream refused the connection.
+    Refused,
+    /// The request was stopped for a reason that says nothing about the upstream.
+    Neutral,
+}
+
+impl Pools {
+    /// Ends the use of a place, reports the result and lets the next request have the place.
+    pub(super) fn finish(&mut self, slot: &mut Slot, ended: Ended, now_ms: u64) {
+        let outcome = match ended {
+            Ended::Success { latency_ms } => Some(Outcome::Success { latency_ms }),
+            Ended::Failure => Some(Outcome::Failure),
+            Ended::Refused => Some(Outcome::ConnectionRefused),
+            Ended::Neutral => None,
+        };
+        if let Some(outcome) = outcome {
+            self.health
+                .result(slot.upstream, slot.route, outcome, now_ms);
+        }
+        if !slot.is_held {
+            return;
+        }
+        slot.is_held = false;
+        self.give_back(slot);
+        let Some(pool) = self.upstreams.get(&slot.upstream).map(|known| known.pool) else {
+            return;
+        };
+        if let (Ended::Success { .. }, Some(pool)) = (ended, self.pools.get_mut(&pool)) {
+            let elapsed_ms = now_ms.saturating_sub(slot.dispatched_ms) as f64;
+            let average_ms = pool.service_ms.unwrap_or(elapsed_ms);
+            pool.service_ms = Some(average_ms + (elapsed_ms - average_ms) * NEW_WEIGHT);
+        }
+        self.pump(pool, now_ms);
+    }
+
+    /// Frees the place without any report.
+    pub(super) fn give_back(&mut self, slot: &Slot) {
+        self.selector.finished(slot.upstream, slot.tokens);
+        if let Some(known) = self.upstreams.get_mut(&slot.upstream) {
+            known.own_requests = known.own_requests.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/router/pools/update.rs
@@ -0,0 +1,186 @@
+//! Changes of the pools from the configuration, peers and upstreams' reports.
+
+use crate::admission::CapacityShare;
+use crate::collections::FastSet;
+use crate::contract::{Configuration, Upstream as Configured};
+use crate::ids::UpstreamKey;
+use crate::message::Outstanding;
+use crate::selection::{CacheChange, Description, Role};
+
+use super::{PoolKey, Pools, Upstream};
+
+/// Assumed round trip within a data centre.
+const NEAR_US: u32 = 200;
+
+/// Assumed round trip between data centres, which are 1 to 2 ms apart one way.
+const FAR_US: u32 = 3_000;
+
+/// An upstream that reports are read from.
+#[derive(Clone, Debug)]
+pub(in crate::router) struct Reporter {
+    pub(in crate::router) upstream: UpstreamKey,
+    pub(in crate::router) address: String,
+}
+
+impl Pools {
+    /// Takes a new configuration.
+    pub(in crate::router) fn configure(&mut self, configuration: &Configuration, now_ms: u64) {
+        for name in super::served_names(configuration) {
+            self.routes.intern(name);
+        }
+        let mut present = FastSet::default();
+        for configured in &configuration.upstreams {
+            present.insert(self.set_upstream(configured));
+        }
+        let removed: Vec<UpstreamKey> = self
+            .upstreams
+            .keys()
+            .filter(|upstream| !present.contains(upstream))
+            .copied()
+            .collect();
+        for upstream in removed {
+            if let Some(known) = self.upstreams.remove(&upstream) {
+                self.leave_pool(upstream, known.pool);
+            }
+            self.selector.remove(upstream);
+            self.health.remove(upstream);
+        }
+        self.pump_all(now_ms);
+    }
+
+    fn set_upstream(&mut self, configured: &Configured) -> UpstreamKey {
+        let upstream = self.names.intern(&configured.name);
+        let route = self.routes.intern(&configured.serves);
+        let version = self.versions.intern(&configured.version);
+        let pool = (route, version);
+        let before = self.upstreams.remove(&upstream);
+        if let Some(before) = &before {
+            if before.pool != pool {
+                self.leave_pool(upstream, before.pool);
+            }
+        }
+        self.upstreams.insert(
+            upstream,
+            Upstream {
+                address: configured.address.clone(),
+                pool,
+                version: configured.version.clone(),
+                capacity_requests: configured.capacity_requests,
+                peer_requests: before.as_ref().map_or(0, |known| known.peer_requests),
+                own_requests: before.as_ref().map_or(0, |known| known.own_requests),
+            },
+        );
+        let members = &mut self.pools.entry(pool).or_default().members;
+        if !members.contains(&upstream) {
+            members.push(upstream);
+        }
+        let is_near = configured.data_centre == self.data_centre;
+        self.selector.set(
+            upstream,
+            Description {
+                route,
+                version,
+                role: Role::General,
+                distance_us: if is_near { NEAR_US } else { FAR_US },
+                capacity_requests: configured.capacity_requests,
+                tokens_per_second: configured.tokens_per_second,
+            },
+        );
+        upstream
+    }
+
+    fn leave_pool(&mut self, upstream: UpstreamKey, pool: PoolKey) {
+        if let Some(pool) = self.pools.get_mut(&pool) {
+            pool.members.retain(|&member| member != upstream);
+        }
+    }
+
+    /// Sets how many routers share the upstreams and the position of this one among them.
+    pub(in crate::router) fn set_routers(&mut self, routers: u32, rank: u32) {
+        self.routers = routers.max(1);
+        self.rank = rank;
+    }
+
+    /// Sets the work that all other routers together have at the upstreams.
+    pub(in crate::router) fn set_peer_work(&mut self, work: &[Outstanding]) {
+        for known in self.upstreams.values_mut() {
+            known.peer_requests = 0;
+        }
+        for outstanding in work {
+            let Some(upstream) = self.names.get(&outstanding.upstream) else {
+                continue;
+            };
+            if let Some(known) = self.upstreams.get_mut(&upstream) {
+                known.peer_requests += outstanding.requests;
+            }
+            self.selector
+                .set_peer_tokens(upstream, outstanding.outstanding_tokens);
+        }
+    }
+
+    /// Returns the work that this router has at the upstreams.
+    pub(in crate::router) fn own_work(&self) -> Vec<Outstanding> {
+        self.upstreams
+            .iter()
+            .filter(|(_, known)| known.own_requests > 0)
+            .map(|(&upstream, known)| Outstanding {
+                upstream: self.names.name(upstream).into(),
+                requests: known.own_requests,
+                outstanding_tokens: 0,
+            })
+            .collect()
+    }
+
+    /// Returns the engines whose reports are read.
+    pub(in crate::router) fn reporters(&self, configuration: &Configuration) -> Vec<Reporter> {
+        configuration
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.kind == crate::contract::UpstreamKind::Engine)
+            .filter_map(|configured| {
+                Some(Reporter {
+                    upstream: self.names.get(&configured.name)?,
+                    address: configured.address.to_string(),
+                })
+            })
+            .collect()
+    }
+
+    /// Marks an upstream as leaving or usable.
+    pub(in crate::router) fn set_leaving(&mut self, upstream: UpstreamKey, is_leaving: bool) {
+        self.health.set_leaving(upstream, is_leaving);
+    }
+
+    /// Takes a change of an engine's prefix cache.
+    pub(in crate::router) fn cache_change(&mut self, upstream: UpstreamKey, change: &CacheChange) {
+        self.selector.cache_change(upstream, change);
+    }
+
+    /// Forgets the cache contents of an engine whose events have a gap.
+    pub(in crate::router) fn cache_gap(&mut self, upstream: UpstreamKey) {
+        self.selector.cache_gap(upstream);
+    }
+
+    /// Returns the requests that this router may have at an upstream: its share, or what the others leave.
+    pub(super) fn limit_requests(&self, known: &Upstream) -> u32 {
+        let share = CapacityShare {
+            capacity_requests: known.capacity_requests,
+            routers: self.routers,
+            rank: self.rank,
+        };
+        let left = known.capacity_requests.saturating_sub(known.peer_requests);
+        // A router without any share would refuse although the upstream may be idle.
+        share.guaranteed_requests().max(left).max(1)
+    }
+
+    /// Returns the requests that this router may have at all upstreams of a pool.
+    pub(super) fn slots(&self, key: PoolKey) -> u32 {
+        self.pools.get(&key).map_or(0, |pool| {
+            pool.members
+                .iter()
+                .filter_map(|upstream| self.upstreams.get(upstream))
+                .map(|known| self.limit_requests(known))
+                .sum()
+        })
+    }
+}
--- /dev/null
+++ b/src/router/shutdown.rs
@@ -0,0 +1,97 @@
+//! The planned stop.
+//!
+//! Requests that have begun are finished; new ones are refused as not run. The spending rights go back to the budgets
+//! before the incarnation leaves, so that a planned stop strands nothing.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::io::AsyncReadRent;
+use monoio::net::UnixStream;
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use super::{Error, Phase, Shared};
+
+/// Time between two looks at what is still open.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Signals that ask the process to stop, as bytes on a socket that the event loop reads.
+pub(super) struct Signals {
+    stream: UnixStream,
+}
+
+impl Signals {
+    /// Takes over `SIGTERM` and `SIGINT`.
+    pub(super) fn register() -> io::Result<Self> {
+        let (read, write) = std::os::unix::net::UnixStream::pair()?;
+        read.set_nonblocking(true)?;
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::low_level::pipe::register(signal, write.try_clone()?)?;
+        }
+        Ok(Self {
+            stream: UnixStream::from_std(read)?,
+        })
+    }
+
+    /// Waits for the next signal.
+    pub(super) async fn next(&mut self) {
+        let (result, _) = self.stream.read(Vec::with_capacity(1)).await;
+        if let Err(error) = result {
+            log::error!(step = "signal"; "{error}");
+        }
+    }
+}
+
+/// Stops as planned.
+///
+/// # Errors
+///
+/// Returns an error if a second signal came or the time limit passed before everything was finished.
+pub(super) async fn run(shared: &Rc<Shared>, signals: &mut Signals) -> Result<(), Error> {
+    log::info!(open_requests = shared.open_requests.get(); "stopping");
+    shared.phase.set(Phase::Stopping);
+    shared.fleet.announce_leaving();
+    let limit = Duration::from_millis(shared.settings.limits.shutdown_timeout_ms);
+    let end = Instant::now() + limit;
+    let is_finished = monoio::select! {
+        () = signals.next() => false,
+        result = monoio::time::timeout(limit, finish(shared)) => result.is_ok(),
+    };
+    let left = end.saturating_duration_since(Instant::now());
+    if !is_finished {
+        shared.fleet.abort();
+        return Err(Error::Shutdown(shared.open_requests.get()));
+    }
+    shared.fleet.shut_down(left).await?;
+    log::info!("stopped");
+    Ok(())
+}
+
+/// Finishes the open requests and hands the rights back.
+async fn finish(shared: &Shared) {
+    loop {
+        hand_back(shared);
+        if shared.open_requests.get() == 0 && is_drained(shared) {
+            return;
+        }
+        monoio::time::sleep(POLL).await;
+    }
+}
+
+fn hand_back(shared: &Shared) {
+    let entries = shared
+        .budget
+        .with_holder(|holder, state| holder.hand_back(state));
+    for entry in entries {
+        if let Err(error) = shared.fleet.write(entry) {
+            log::warn!(step = "return"; "{error}");
+        }
+    }
+}
+
+fn is_drained(shared: &Shared) -> bool {
+    shared
+        .budget
+        .with_holder(|holder, state| holder.is_closed() || holder.is_drained(state))
+}
--- a/src/server/chat.rs
+++ b/src/server/chat.rs
@@ -3,6 +3,7 @@
 use std::borrow::Cow;
 
 use serde::Deserialize;
+use xxhash_rust::xxh3::Xxh3;
 
 /// Bytes of prompt text that the reservation counts as one token.
 ///
@@ -13,6 +14,12 @@
 /// Tokens that a prompt may need beyond its text.
 const PROMPT_OVERHEAD_TOKENS: u64 = 16;
 
+/// Prompt bytes that make one block of the prefix cache: 64 tokens of about four bytes.
+const PREFIX_BLOCK_BYTES: usize = 256;
+
+/// Largest number of prefix blocks that are compared; longer prompts differ early or share enough.
+const MAX_PREFIX_BLOCKS: usize = 64;
+
 /// The parts of a chat completion request that the router needs; all other fields go to the engine unread.
 #[derive(Debug, Deserialize)]
 pub struct ChatRequest<'a> {
@@ -66,4 +73,26 @@
             .sum();
         (bytes as u64).div_ceil(PROMPT_BYTES_PER_TOKEN) + PROMPT_OVERHEAD_TOKENS
     }
+
+    /// Returns the hashes of the prompt's prefixes, one for each full block, the shortest first.
+    ///
+    /// Engines report their prefix caches by the same hashes: the XXH3 of all message contents up to the block's end.
+    pub fn prefix_blocks(&self) -> Vec<u64> {
+        let mut hasher = Xxh3::new();
+        let mut blocks = Vec::new();
+        let mut missing_bytes = PREFIX_BLOCK_BYTES;
+        for message in &self.messages {
+            let mut content = message.content.as_bytes();
+            while content.len() >= missing_bytes && blocks.len() < MAX_PREFIX_BLOCKS {
+                let (part, rest) = content.split_at(missing_bytes);
+                hasher.update(part);
+                blocks.push(hasher.digest());
+                content = rest;
+                missing_bytes = PREFIX_BLOCK_BYTES;
+            }
+            hasher.update(content);
+            missing_bytes = missing_bytes.saturating_sub(content.len()).max(1);
+        }
+        blocks
+    }
 }
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -30,7 +30,7 @@
 }
 
 /// A request with its whole body.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Request {
     /// Method of the request line.
     pub method: Method,
--- a/src/server/socket.rs
+++ b/src/server/socket.rs
@@ -1,7 +1,6 @@
 //! A TCP connection with an input buffer and non-blocking attempts to read and write.
 
 use std::io;
-use std::mem;
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -36,6 +35,11 @@
         &mut self.input
     }
 
+    /// Returns the number of bytes that were read and not yet consumed.
+    pub fn input_len(&self) -> usize {
+        self.input.len()
+    }
+
     /// Releases the memory of an empty input buffer.
     pub fn shrink(&mut self) {
         if self.input.is_empty() {
@@ -133,9 +137,4 @@
         // The peer may be gone already; there is nobody left to tell.
         let _ = self.stream.shutdown().await;
     }
-
-    /// Takes the input out of the buffer.
-    pub fn take_input(&mut self) -> Bytes {
-        mem::take(&mut self.input).freeze()
-    }
 }
