Add billing and at-most-once calls; bound claims and check bills in the fold

Calls keeps a key busy until its abandon is folded, because the earlier intent would look like the win of a retry while the abandon behind it releases the key to another router. Billing recredits a dropped bill only while it is pending and only if the fold shows this very bill, since a copy written by a peer may be the one that was charged.

--- a/src/intent.rs
+++ b/src/intent.rs
@@ -3,11 +3,15 @@
 //! A router dispatches such a call only after it has seen its own claim win in log order. The claim is never reassigned
 //! unless its holder states that it has not dispatched the call and never will. See `docs/design.md`, section 3.
 
+mod calls;
+
 use std::collections::BTreeMap;
 
 use crate::collections::FastMap;
 use crate::ids::{Fingerprint, IncarnationId, RequestKey};
 
+pub use calls::{Answer, Begin, Calls, Step};
+
 /// Number of claims that are remembered.
 ///
 /// The oldest claims beyond it are forgotten once they have an outcome or their holder is finalised. A count is used in
@@ -108,8 +112,11 @@
                 fingerprint,
             },
         );
-        if self.order.len() > RETAINED_CLAIMS {
-            self.forget_oldest(is_member);
+        // Two steps at a time, so that the number falls again after claims that may not be forgotten were passed over.
+        for _ in 0..2 {
+            if self.order.len() > RETAINED_CLAIMS {
+                self.forget_oldest(&is_member);
+            }
         }
         ClaimStep::Won
     }
--- /dev/null
+++ b/tests/ledger_billing.rs
@@ -0,0 +1,193 @@
+//! Tests of bills that are not on the log yet.
+
+mod ledger_common;
+
+use ledger_common::{bill, draw, grant, Fleet};
+use monsoonfield::billing::{Billing, Settled};
+use monsoonfield::fold::Change;
+use monsoonfield::ids::{IncarnationId, RequestKey};
+use monsoonfield::message::BillCopyAck;
+use monsoonfield::record::Entry;
+
+const A: IncarnationId = IncarnationId(1);
+const B: IncarnationId = IncarnationId(2);
+const KEY: RequestKey = RequestKey(9);
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(1_000, 10_000, &[A.0, B.0]);
+    fleet.append(A, [grant(100)]);
+    fleet.append(B, [grant(100)]);
+    fleet
+}
+
+fn billing_with_one(fleet: &Fleet) -> Billing {
+    let mut billing = Billing::default();
+    billing
+        .add(bill(KEY.0, 1, &[draw(A, 10)]), &fleet.state)
+        .expect("a new bill");
+    billing
+}
+
+/// Lets a process see changes and returns what they mean for its bills.
+fn see(billing: &mut Billing, changes: &[Change], fleet: &Fleet) -> Vec<Settled> {
+    changes
+        .iter()
+        .map(|change| billing.on_change(change, &fleet.state))
+        .filter(|settled| *settled != Settled::default())
+        .collect()
+}
+
+/// Guards against a bill that stays in memory for ever or is written twice.
+#[test]
+fn a_bill_is_written_once_and_removed_when_folded() {
+    let mut fleet = fleet();
+    let mut billing = billing_with_one(&fleet);
+
+    let entries = billing.entries_to_write(10);
+    assert_eq!(entries.len(), 1);
+    assert!(billing.entries_to_write(10).is_empty());
+    assert!(!billing.is_safe(KEY));
+    let changes = fleet.append(A, entries);
+    let settled = see(&mut billing, &changes, &fleet);
+
+    assert_eq!(settled[0].key, Some(KEY));
+    assert_eq!(settled[0].recredit, None);
+    assert_eq!(billing.pending_len(), 0);
+}
+
+/// Guards against a holder that pays for a request which another router had already billed.
+#[test]
+fn the_draws_of_a_dropped_bill_are_recredited_once() {
+    let mut fleet = fleet();
+    let mut billing = billing_with_one(&fleet);
+    let other = Entry::Bill(bill(KEY.0, 1, &[draw(B, 10)]));
+    let changes = fleet.append(B, [other]);
+    assert!(see(&mut billing, &changes, &fleet).is_empty());
+
+    let entries = billing.entries_to_write(10);
+    let changes = fleet.append(A, entries.clone());
+    let first = see(&mut billing, &changes, &fleet);
+    let changes = fleet.append(B, entries);
+    let second = see(&mut billing, &changes, &fleet);
+
+    assert_eq!(first[0].recredit, Some((fleet.acme(), vec![draw(A, 10)])));
+    assert!(second.is_empty());
+}
+
+/// Guards against a double credit: the copy that a witness wrote was charged, so the own bill is no loss.
+#[test]
+fn a_bill_that_a_witness_wrote_is_not_recredited() {
+    let mut fleet = fleet();
+    let mut billing = billing_with_one(&fleet);
+    let entries = billing.entries_to_write(10);
+
+    let changes = fleet.append(B, entries.clone());
+    let by_witness = see(&mut billing, &changes, &fleet);
+    let changes = fleet.append(A, entries);
+    let by_origin = see(&mut billing, &changes, &fleet);
+
+    assert_eq!(by_witness[0].recredit, None);
+    assert!(by_origin.is_empty());
+}
+
+/// Guards against a second bill for a request that this process has just billed.
+#[test]
+fn a_pending_or_billed_key_takes_no_second_bill() {
+    let mut fleet = fleet();
+    let mut billing = billing_with_one(&fleet);
+    let again = bill(KEY.0, 1, &[draw(A, 5)]);
+
+    let pending = billing.add(again.clone(), &fleet.state);
+    let entries = billing.entries_to_write(10);
+    let changes = fleet.append(A, entries);
+    see(&mut billing, &changes, &fleet);
+    let billed = billing.add(again.clone(), &fleet.state);
+
+    assert_eq!(pending.expect_err("pending").bill, again);
+    assert_eq!(billed.expect_err("on the ledger").bill, again);
+}
+
+/// Guards against losing the bill of a router that crashed before it wrote it.
+#[test]
+fn a_witness_writes_the_copies_of_an_ended_origin() {
+    let mut fleet = fleet();
+    let mut origin = billing_with_one(&fleet);
+    let mut witness = Billing::default();
+
+    let copy = origin.copy_to_send(B, 0).expect("a copy");
+    let ack = witness.on_bill_copy(A, &copy, &fleet.state).expect("room");
+    let safe = origin.on_copy_ack(B, &ack);
+    assert!(witness.entries_to_write(10).is_empty());
+    fleet.close(B, A);
+    see(&mut witness, &[Change::Member(A)], &fleet);
+    let entries = witness.entries_to_write(10);
+    let changes = fleet.append(B, entries);
+    see(&mut witness, &changes, &fleet);
+
+    assert_eq!(safe, [KEY]);
+    assert!(origin.is_safe(KEY));
+    assert_eq!(fleet.billed_tokens(), 10);
+    assert_eq!(witness.kept_len(), 0);
+}
+
+/// Guards against a copy that arrives after its origin was closed and is then written by nobody.
+#[test]
+fn a_copy_of_an_origin_that_has_ended_is_written_at_once() {
+    let mut fleet = fleet();
+    let mut origin = billing_with_one(&fleet);
+    let mut witness = Billing::default();
+    let copy = origin.copy_to_send(B, 0).expect("a copy");
+    fleet.close(B, A);
+
+    witness.on_bill_copy(A, &copy, &fleet.state).expect("room");
+
+    assert_eq!(witness.entries_to_write(10).len(), 1);
+}
+
+/// Guards against a response that is held back for ever because one peer does not confirm.
+#[test]
+fn an_unconfirmed_copy_goes_to_another_peer() {
+    let fleet = fleet();
+    let mut origin = billing_with_one(&fleet);
+    let first = origin.copy_to_send(B, 0).expect("a copy");
+
+    assert!(origin.copy_to_send(IncarnationId(3), 100).is_none());
+    let second = origin.copy_to_send(IncarnationId(3), 600).expect("a copy");
+    let late = origin.on_copy_ack(B, &BillCopyAck { id: first.id });
+    let from_wrong_peer = origin.on_copy_ack(B, &BillCopyAck { id: second.id });
+    let confirmed = origin.on_copy_ack(IncarnationId(3), &BillCopyAck { id: second.id });
+
+    assert!(late.is_empty() && from_wrong_peer.is_empty());
+    assert_eq!(confirmed, [KEY]);
+}
+
+/// Guards against losing a bill when the only peer with a copy ends before its origin.
+#[test]
+fn a_bill_is_copied_again_when_the_peer_is_lost() {
+    let fleet = fleet();
+    let mut origin = billing_with_one(&fleet);
+    let copy = origin.copy_to_send(B, 0).expect("a copy");
+    origin.on_copy_ack(B, &BillCopyAck { id: copy.id });
+
+    origin.on_peer_lost(B);
+
+    assert!(!origin.is_safe(KEY));
+    assert!(origin.copy_to_send(IncarnationId(3), 1).is_some());
+}
+
+/// Guards against bills that are lost with the queue of the old incarnation's writer.
+#[test]
+fn a_new_incarnation_writes_pending_bills_again() {
+    let mut fleet = fleet();
+    let mut billing = billing_with_one(&fleet);
+    let lost = billing.entries_to_write(10);
+    fleet.close(B, A);
+
+    billing.rewrite();
+    let again = billing.entries_to_write(10);
+    fleet.append(IncarnationId(3), [ledger_common::open()]);
+    fleet.append(IncarnationId(3), again.clone());
+
+    assert_eq!(lost, again);
+    assert_eq!(fleet.billed_tokens(), 10);
+}
