--- a/src/settings.rs
+++ b/src/settings.rs
@@ -91,27 +91,6 @@
     }
 }
 
-impl Settings {
-    /// Reads, parses and validates a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the file cannot be read, or all fields that are not allowed.
-    pub fn load(path: &Path) -> Result<Self, Error> {
-        let text = std::fs::read_to_string(path).map_err(|e| Error::Read(e.to_string()))?;
-        Self::from_yaml(&text)
-    }
-
-    /// Parses and validates YAML settings.
-    ///
-    /// # Errors
-    ///
-    /// Returns all fields that are not allowed.
-    pub fn from_yaml(text: &str) -> Result<Self, Error> {
-        validation::from_yaml(text)
-    }
-}
-
 /// Intervals and time limits of the fleet protocol.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -160,3 +139,24 @@
         }
     }
 }
+
+impl Settings {
+    /// Reads, parses and validates a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the file cannot be read, or all fields that are not allowed.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).map_err(|e| Error::Read(e.to_string()))?;
+        Self::from_yaml(&text)
+    }
+
+    /// Parses and validates YAML settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all fields that are not allowed.
+    pub fn from_yaml(text: &str) -> Result<Self, Error> {
+        validation::from_yaml(text)
+    }
+}
