--- a/src/fold.rs
+++ b/src/fold.rs
@@ -10,13 +10,13 @@
 
 use crate::collections::FastMap;
 use crate::contract::{Configuration, Contract};
-use crate::ids::{CustomerKey, Fingerprint, IncarnationId, Interner, Offset};
-use crate::intent::Intents;
+use crate::ids::{CustomerKey, Fingerprint, IncarnationId, Interner, Offset, RequestKey};
+use crate::intent::{ClaimStep, Intents};
 use crate::ledger::{BillEffect, Ledger};
 use crate::membership::{Member, Members, Phase};
 use crate::quarantine::Quarantine;
 use crate::record::{Batch, Bill, ConfigurationEntry, ContractEntry, Entry, Open};
-use crate::rollout::Rollouts;
+use crate::rollout::{Orders, Rollouts};
 
 /// Number of rejected publications that are remembered for operators.
 const RETAINED_REJECTIONS: usize = 256;
@@ -77,10 +77,19 @@
     },
     /// An incarnation was opened, closed, left or finalised.
     Member(IncarnationId),
-    /// A claim changed.
-    Claim(crate::ids::RequestKey),
+    /// An entry on a claim was folded.
+    Claim {
+        /// Key of the call.
+        key: RequestKey,
+        /// Incarnation that wrote the entry.
+        writer: IncarnationId,
+        /// What the entry did.
+        step: ClaimStep,
+    },
     /// A rollout changed.
     Rollout,
+    /// An order to an upstream was folded.
+    Order,
     /// A crash was counted.
     Crash(Fingerprint),
     /// A publication was rejected.
@@ -106,6 +115,8 @@
     pub members: Members,
     /// Version rollouts.
     pub rollouts: Rollouts,
+    /// Newest order of every upstream.
+    pub orders: Orders,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     /// Publications that were not accepted, the oldest first.
@@ -123,7 +134,7 @@
         match Batch::decode(payload) {
             Ok(batch) => self.apply(offset, &batch),
             Err(_) => {
-                self.next_offset = self.next_offset.max(offset + 1);
+                self.next_offset = self.next_offset.max(offset.saturating_add(1));
                 Vec::new()
             }
         }
@@ -135,7 +146,7 @@
         if offset < self.next_offset {
             return changes;
         }
-        self.next_offset = offset + 1;
+        self.next_offset = offset.saturating_add(1);
         let writer = IncarnationId(batch.incarnation);
         if !self.accept_seq(writer, batch) {
             return changes;
@@ -145,6 +156,9 @@
                 self.apply_entry(offset, writer, entry, &mut changes);
             }
         }
+        if self.members.get(writer).is_none() {
+            self.members.end_writer(writer);
+        }
         changes
     }
 
@@ -156,7 +170,7 @@
                 true
             }
             Some(_) => false,
-            None => batch.seq == 1,
+            None => batch.seq == 1 && !self.members.is_ended(writer),
         }
     }
 
@@ -220,42 +234,39 @@
             }
             Entry::Bill(bill) => self.apply_bill(writer, bill, changes),
             Entry::Intent(intent) => {
-                if self.is_open(writer) {
-                    let key = intent.request_key();
-                    self.intents
-                        .claim(key, writer, Fingerprint(intent.fingerprint));
-                    changes.push(Change::Claim(key));
-                }
+                let key = intent.request_key();
+                let step = self.apply_intent(writer, key, Fingerprint(intent.fingerprint));
+                changes.push(Change::Claim { key, writer, step });
             }
             Entry::Outcome(outcome) => {
                 let key = outcome.request_key();
-                self.intents.complete(key, writer, outcome.status as u16);
-                changes.push(Change::Claim(key));
+                let step = self.intents.complete(key, writer, outcome.status);
+                changes.push(Change::Claim { key, writer, step });
             }
             Entry::Abandon(abandon) => {
                 let key = abandon.request_key();
-                self.intents.abandon(key, writer);
-                changes.push(Change::Claim(key));
+                let step = self.intents.abandon(key, writer);
+                changes.push(Change::Claim { key, writer, step });
             }
             Entry::Rollout(rollout) => {
-                let result = self.rollouts.start(rollout);
+                let result = self.rollouts.start(offset, rollout);
                 changes.push(Change::Rollout);
                 self.note_publication(offset, &rollout.id, result, changes);
             }
             Entry::RolloutStep(step) => {
-                self.rollouts.step(step);
+                self.rollouts.step(offset, step);
                 changes.push(Change::Rollout);
             }
             Entry::Evidence(evidence) => {
-                self.rollouts.add_evidence(evidence);
+                self.rollouts.add_evidence(offset, evidence);
                 changes.push(Change::Rollout);
             }
             Entry::Rollback(rollback) => {
-                self.rollouts.roll_back(rollback);
+                self.rollouts.roll_back(offset, rollback);
                 changes.push(Change::Rollout);
             }
             Entry::RolloutEnd(end) => {
-                self.rollouts.end(end);
+                self.rollouts.end(offset, end);
                 changes.push(Change::Rollout);
             }
             Entry::Crash(crash) => {
@@ -263,7 +274,10 @@
                 self.quarantine.add_crash(fingerprint);
                 changes.push(Change::Crash(fingerprint));
             }
-            Entry::Order(_) => {}
+            Entry::Order(order) => {
+                self.orders.apply(offset, writer, order);
+                changes.push(Change::Order);
+            }
         }
     }
 
@@ -323,6 +337,22 @@
         Ok(())
     }
 
+    /// Claims a call for a writer that is open; a closed one may be gone and would block the key for ever.
+    fn apply_intent(
+        &mut self,
+        writer: IncarnationId,
+        key: RequestKey,
+        fingerprint: Fingerprint,
+    ) -> ClaimStep {
+        if !self.is_open(writer) {
+            return ClaimStep::Lost;
+        }
+        let members = &self.members;
+        self.intents.claim(key, writer, fingerprint, |holder| {
+            members.get(holder).is_some()
+        })
+    }
+
     fn apply_bill(&mut self, writer: IncarnationId, bill: &Bill, changes: &mut Vec<Change>) {
         let Some(customer) = self.customers.get(&bill.customer) else {
             return;
@@ -333,7 +363,7 @@
             Fingerprint(bill.fingerprint),
             &bill.draws,
         );
-        if effect == BillEffect::Late {
+        if matches!(effect, BillEffect::Late | BillEffect::PartlyLate) {
             self.late_bills += 1;
         }
         changes.push(Change::Bill {
