--- a/src/cli.rs
+++ b/src/cli.rs
@@ -19,7 +19,7 @@
 
 use crate::log_client::http_client::HttpClient;
 use crate::settings::Settings;
-use crate::{explain, logging, publish, status};
+use crate::{explain, logging, publish, router, status};
 
 pub use arguments::command;
 
@@ -143,8 +143,8 @@
 }
 
 /// Runs a router until it has stopped.
-fn start_router(_settings: Settings) -> Result<(), String> {
-    Err("router: this build has no event loop".into())
+fn start_router(settings: Settings) -> Result<(), String> {
+    router::run(settings).map_err(|error| format!("router: {error}"))
 }
 
 fn log_level(arguments: &ArgMatches) -> log::LevelFilter {
--- a/src/router.rs
+++ b/src/router.rs
@@ -30,6 +30,7 @@
 use crate::collections::FastMap;
 use crate::engine::Client;
 use crate::evidence::Collector;
+use crate::explain::Journal;
 use crate::fleet::{self, Fleet};
 use crate::ids::{CustomerKey, Fingerprint, RequestKey};
 use crate::metrics::Metrics;
@@ -37,6 +38,7 @@
 use crate::settings::Settings;
 
 use budget::Budget;
+use claim::Claims;
 use pools::Pools;
 
 /// Size of the kernel's send buffer for one caller; the kernel doubles it.
@@ -84,6 +86,8 @@
     client: Client,
     metrics: Metrics,
     budget: Budget,
+    claims: Claims,
+    journal: RefCell<Journal>,
     pools: RefCell<Pools>,
     evidence: RefCell<Collector>,
     shares: RefCell<Shares>,
@@ -101,7 +105,7 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// Returns the offset at which readers' connections count as idle.
+    /// Returns the time after which a reader that takes nothing is disconnected.
     fn reader_idle_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.limits.reader_idle_timeout_ms)
     }
@@ -162,6 +166,8 @@
         client: Client::default(),
         metrics: Metrics::new(),
         budget: Budget::new(fleet.clone()),
+        claims: Claims::new(fleet.clone()),
+        journal: RefCell::default(),
         pools: RefCell::new(Pools::new(&settings.data_centre)),
         evidence: RefCell::default(),
         shares: RefCell::new(Shares::new(settings.limits.reader_buffer_bytes as usize)),
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -5,8 +5,10 @@
 
 use monoio::net::TcpListener;
 
-use super::{connection, Shared};
+use super::{connection, Phase, Shared};
+use crate::explain;
 use crate::server::{Request, ResponseHead, Socket};
+use crate::status::{FleetReport, PeerReport, ProcessReport};
 
 /// Connections of operators and scrapers at the same time.
 const MAX_CONNECTIONS: usize = 64;
@@ -58,6 +60,55 @@
             shared.metrics.render_text(),
         ),
         "/metrics.json" => (200, "application/json", shared.metrics.render_json()),
-        _ => (404, "text/plain", "no such path".into()),
+        "/status" => {
+            let report = FleetReport::new(process_report(shared), &shared.fleet.state());
+            (200, "application/json", report.render_json())
+        }
+        path => match path.strip_prefix("/explain/") {
+            Some(subject) => explain(shared, subject),
+            None => not_found(),
+        },
+    }
+}
+
+fn explain(shared: &Shared, subject: &str) -> (u16, &'static str, String) {
+    let answer = explain::answer(subject, &shared.fleet.state(), &shared.journal.borrow());
+    match answer {
+        // Strings and a flag always serialise.
+        Some(answer) => (
+            if answer.is_known { 200 } else { 404 },
+            "application/json",
+            serde_json::to_string(&answer).unwrap_or_default(),
+        ),
+        None => not_found(),
+    }
+}
+
+fn not_found() -> (u16, &'static str, String) {
+    (404, "text/plain", "no such path".into())
+}
+
+fn process_report(shared: &Shared) -> ProcessReport {
+    let shares = shared.shares.borrow();
+    let peers = shared.fleet.peers();
+    ProcessReport {
+        vm: shared.settings.vm.clone(),
+        data_centre: shared.settings.data_centre.clone(),
+        incarnation: shared.fleet.incarnation().to_string().into(),
+        is_ready: shared.phase.get() == Phase::Serving,
+        is_stopping: shared.phase.get() == Phase::Stopping,
+        log_lag_records: shared.fleet.log_lag(),
+        log_silent_ms: 0,
+        open_responses: shares.responses() as u64,
+        queued_requests: shared.pools.borrow().queued() as u64,
+        held_bytes: shares.total_held_bytes() as u64,
+        peers: peers
+            .into_iter()
+            .map(|peer| PeerReport {
+                vm: peer.vm,
+                silent_ms: 0,
+                next_offset: peer.next_offset,
+            })
+            .collect(),
     }
 }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -5,15 +5,14 @@
 use bytes::Bytes;
 use serde::Deserialize;
 
-use super::budget::Budget;
 use super::call::{Call, Kind, Refused};
-use super::claim::{self, Claimed};
+use super::claim::Claimed;
 use super::pools::{self, ChosenVersion, Ended, Slot};
 use super::Shared;
 use crate::engine::{Error, Exchange, Outgoing};
 use crate::evidence;
-use crate::holder::Reservation;
 use crate::ids::UpstreamKey;
+use crate::intent::Claim;
 use crate::record::{Crash, Entry};
 use crate::refusal::{Ran, Refusal};
 
@@ -186,13 +185,8 @@
 
 /// Runs a call whose response is sent whole.
 pub(super) async fn run(shared: &Shared, call: &Call) -> Result<Whole, Refused> {
-    if !call.is_repeatable() {
-        if let Some(claim) = shared.fleet.state().intents.get(call.key) {
-            return claim::judge_earlier(claim, call).map(|claimed| match claimed {
-                Claimed::Ran(status) => repeated(status),
-                Claimed::Won => unreachable!("a claim that is judged is not won"),
-            });
-        }
+    if let Some(status) = earlier_status(shared, call) {
+        return Ok(repeated(status));
     }
     let reservation = shared.budget.reserve(call, shared.now_ms()).await?;
     match dispatch(shared, call).await {
@@ -202,14 +196,20 @@
             Ok(whole)
         }
         Err(refused) => {
-            release(&shared.budget, reservation);
+            shared.budget.release(reservation);
             Err(refused)
         }
     }
 }
 
-fn release(budget: &Budget, reservation: Option<Reservation>) {
-    budget.release(reservation);
+/// Returns the status of a call that may not be repeated and has run.
+///
+/// The answer to such a repetition needs neither budget nor an upstream.
+fn earlier_status(shared: &Shared, call: &Call) -> Option<u16> {
+    match shared.fleet.state().intents.get(call.key) {
+        Some(Claim::Ran { status, .. }) if !call.is_repeatable() => Some(status),
+        _ => None,
+    }
 }
 
 /// Records the figures of a finished response.
@@ -227,7 +227,7 @@
     let mut attempts = Attempts::new(shared, call)?;
     let mut slot = attempts.next_place().await?;
     if !call.is_repeatable() {
-        match claim::claim(shared, call).await {
+        match shared.claims.claim(call).await {
             Ok(Claimed::Won) => {}
             Ok(Claimed::Ran(status)) => {
                 attempts.abandon(&mut slot);
@@ -242,10 +242,9 @@
     let result = send_until_answered(&mut attempts, &mut slot).await;
     if !call.is_repeatable() {
         match &result {
-            Ok((whole, _)) => claim::complete(shared, call, whole.status),
-            Err(_) if !attempts.may_have_run => claim::abandon(shared, call),
-            // The claim stays open: whether the call ran is not known.
-            Err(_) => {}
+            Ok((whole, _)) => shared.claims.complete(call.key, whole.status),
+            Err(_) if attempts.may_have_run => shared.claims.fail(call.key),
+            Err(_) => shared.claims.abandon(call.key),
         }
     }
     result
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -1,17 +1,22 @@
 //! Reservation and settlement of budgets for requests.
 
+mod bills;
+
 use std::cell::RefCell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::call::{Call, Refused};
 use super::notify::Notify;
+use crate::billing::Billing;
 use crate::fleet::Fleet;
 use crate::fold::{Change, FleetState};
 use crate::holder::{Holder, Reservation};
 use crate::ids::{CustomerKey, IncarnationId};
-use crate::record::{Bill, Entry};
+use crate::record::{split_key, Bill};
 use crate::refusal::Refusal;
 
+use bills::Copies;
+
 /// Longest time that a request waits for rights on its customer's budget.
 ///
 /// A grant takes one append and one read of the log, together well below a second while the log is available.
@@ -28,18 +33,26 @@
 /// The spending rights of this process and the bills drawn on them.
 pub(super) struct Budget {
     fleet: Fleet,
-    pub(super) holder: RefCell<Holder>,
+    started: Instant,
+    holder: RefCell<Holder>,
+    billing: RefCell<Billing>,
+    copies: RefCell<Copies>,
     changed: Notify,
     wanted: Notify,
+    safe: Notify,
 }
 
 impl Budget {
     pub(super) fn new(fleet: Fleet) -> Self {
         Self {
+            started: Instant::now(),
             holder: RefCell::new(Holder::new(fleet.incarnation())),
+            billing: RefCell::default(),
+            copies: RefCell::default(),
             fleet,
             changed: Notify::default(),
             wanted: Notify::default(),
+            safe: Notify::default(),
         }
     }
 
@@ -54,6 +67,12 @@
         if call.bound_tokens == 0 || self.is_billed(call) {
             return Ok(None);
         }
+        if !self.billing.borrow().has_room() {
+            return Err(
+                Refused::new(Refusal::LogUnavailable, "too many bills wait for the log")
+                    .retry_after(RETRY_AFTER_MS),
+            );
+        }
         if let Ok(reservation) = self.try_reserve(call) {
             return Ok(Some(reservation));
         }
@@ -115,43 +134,70 @@
         };
         let draws = self.holder.borrow_mut().settle(reservation, charge_tokens);
         self.changed.notify();
+        if draws.is_empty() {
+            return 0;
+        }
+        let (key_high, key_low) = split_key(call.key);
         let bill = Bill {
-            key_high: (call.key.0 >> 64) as u64,
-            key_low: call.key.0 as u64,
+            key_high,
+            key_low,
             customer: call.customer_name.to_string(),
             draws,
             fingerprint: call.fingerprint.0,
         };
         let charged_tokens = bill.charge_tokens();
-        if let Err(error) = self
-            .fleet
-            .write_and_wait([Entry::Bill(bill)], SAFE_WAIT)
-            .await
-        {
-            log::warn!(step = "bill", request_key:% = call.key; "{error}");
+        let added = self.billing.borrow_mut().add(bill, &self.fleet.state());
+        if let Err(already) = added {
+            self.holder
+                .borrow_mut()
+                .recredit(call.customer, &already.bill.draws);
+            self.changed.notify();
+            return 0;
+        }
+        self.write_bills();
+        self.send_copies();
+        let is_safe = || self.billing.borrow().is_safe(call.key).then_some(());
+        if self.safe.wait_for(SAFE_WAIT, is_safe).await.is_none() {
+            log::warn!(step = "bill", request_key:% = call.key; "neither the log nor a peer took the bill in time");
         }
         charged_tokens
     }
 
     /// Takes a change of the folded state into account.
     pub(super) fn on_change(&self, change: &Change) {
-        let state = self.fleet.state();
-        let mut holder = self.holder.borrow_mut();
-        holder.on_change(change, &state);
-        if matches!(change, Change::Grant { .. }) {
+        let settled = {
+            let state = self.fleet.state();
+            let mut holder = self.holder.borrow_mut();
+            holder.on_change(change, &state);
+            let settled = self.billing.borrow_mut().on_change(change, &state);
+            if let Some((customer, draws)) = &settled.recredit {
+                holder.recredit(*customer, draws);
+            }
+            settled
+        };
+        if settled.key.is_some() {
+            self.safe.notify();
+        }
+        if settled.recredit.is_some() || matches!(change, Change::Grant { .. }) {
             self.changed.notify();
         }
     }
 
     /// Takes a whole new state into account.
     pub(super) fn on_state(&self) {
-        self.holder.borrow_mut().on_state(&self.fleet.state());
+        let state = self.fleet.state();
+        self.holder.borrow_mut().on_state(&state);
+        self.billing.borrow_mut().on_state(&state);
+        drop(state);
         self.changed.notify();
+        self.safe.notify();
     }
 
     /// Starts again without rights, after a peer closed the own incarnation.
     pub(super) fn on_reincarnation(&self, new: IncarnationId) {
         *self.holder.borrow_mut() = Holder::new(new);
+        self.billing.borrow_mut().rewrite();
+        self.write_bills();
     }
 
     /// Runs a step of the holder on the folded state.
--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -1,13 +1,16 @@
 //! Claims on calls that may run at most once.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use super::call::{Call, Refused};
-use super::Shared;
-use crate::fleet;
-use crate::ids::RequestKey;
-use crate::intent::Claim;
-use crate::record::{Abandon, Entry, Intent, Outcome};
+use super::notify::Notify;
+use crate::collections::FastMap;
+use crate::fleet::Fleet;
+use crate::fold::Change;
+use crate::ids::{IncarnationId, RequestKey};
+use crate::intent::{Answer, Begin, Calls, Step};
+use crate::record::Entry;
 use crate::refusal::Refusal;
 
 /// Longest time that a call waits until its claim is seen in the fold.
@@ -24,94 +27,144 @@
     Ran(u16),
 }
 
-/// Claims a call and waits until the claim has won in log order.
-///
-/// Whatever is not certain is refused: an intent whose place in the log is unknown is abandoned and never dispatched.
-pub(super) async fn claim(shared: &Shared, call: &Call) -> Result<Claimed, Refused> {
-    if let Some(earlier) = shared.fleet.state().intents.get(call.key) {
-        return judge_earlier(earlier, call);
-    }
-    if !shared.fleet.is_log_available() {
-        return Err(log_unavailable());
-    }
-    let own = shared.fleet.incarnation();
-    let intent = Entry::Intent(Intent {
-        key_high: high(call.key),
-        key_low: low(call.key),
-        fingerprint: call.fingerprint.0,
-    });
-    match shared.fleet.write_and_wait([intent], CLAIM_WAIT).await {
-        Ok(_) => {}
-        Err(fleet::Error::NotQueued(_)) => return Err(log_unavailable()),
-        Err(error) => {
-            log::warn!(step = "claim", request_key:% = call.key; "{error}");
-            abandon(shared, call);
-            return Err(log_unavailable());
+/// The claims of this process.
+pub(super) struct Claims {
+    fleet: Fleet,
+    calls: RefCell<Calls>,
+    steps: RefCell<FastMap<RequestKey, Step>>,
+    /// Entries that the log's queue did not take; their order counts.
+    unwritten: RefCell<Vec<Entry>>,
+    changed: Notify,
+}
+
+impl Claims {
+    pub(super) fn new(fleet: Fleet) -> Self {
+        Self {
+            calls: RefCell::new(Calls::new(fleet.incarnation())),
+            fleet,
+            steps: RefCell::default(),
+            unwritten: RefCell::default(),
+            changed: Notify::default(),
         }
     }
-    let claim = shared.fleet.state().intents.get(call.key);
-    match claim {
-        Some(Claim::Open { holder, .. }) if holder == own && own == shared.fleet.incarnation() => {
-            Ok(Claimed::Won)
+
+    /// Claims a call and waits until the claim has won in log order.
+    ///
+    /// Whatever is not certain is refused: a claim whose place in the log is unknown is abandoned and never dispatched.
+    pub(super) async fn claim(&self, call: &Call) -> Result<Claimed, Refused> {
+        let is_available = self.fleet.is_log_available() && self.unwritten.borrow().is_empty();
+        let begin = {
+            let state = self.fleet.state();
+            let mut calls = self.calls.borrow_mut();
+            calls.begin(call.key, call.fingerprint, &state, is_available)
+        };
+        let entry = match begin {
+            Begin::Claim(entry) => entry,
+            Begin::Answer(answer) => return judge(answer),
+        };
+        if self.fleet.write(entry).is_err() {
+            self.abandon(call.key);
+            return Err(refuse(Refusal::LogUnavailable));
+        }
+        let step = self
+            .changed
+            .wait_for(CLAIM_WAIT, || self.steps.borrow_mut().remove(&call.key))
+            .await;
+        match step {
+            Some(Step::Dispatch(_)) => Ok(Claimed::Won),
+            Some(Step::Answer(_, answer)) => judge(answer),
+            None => {
+                self.abandon(call.key);
+                Err(refuse(Refusal::LogUnavailable))
+            }
         }
-        Some(earlier) => judge_earlier(earlier, call),
-        // The own incarnation was closed before the intent was folded, so nobody holds the claim.
-        None => Err(log_unavailable()),
     }
-}
 
-/// Writes that the call ran.
-pub(super) fn complete(shared: &Shared, call: &Call, status: u16) {
-    let outcome = Entry::Outcome(Outcome {
-        key_high: high(call.key),
-        key_low: low(call.key),
-        status: status.into(),
-    });
-    if let Err(error) = shared.fleet.write(outcome) {
-        // The claim stays open, so a retry is answered with `may_have_run`, which is true.
-        log::warn!(step = "outcome", request_key:% = call.key; "{error}");
+    /// Writes that the call ran.
+    pub(super) fn complete(&self, key: RequestKey, status: u16) {
+        let entry = self.calls.borrow_mut().finish(key, status);
+        self.write(entry);
     }
-}
 
-/// Gives the claim up; the call was not dispatched and never will be.
-pub(super) fn abandon(shared: &Shared, call: &Call) {
-    let entry = Entry::Abandon(Abandon {
-        key_high: high(call.key),
-        key_low: low(call.key),
-    });
-    if let Err(error) = shared.fleet.write(entry) {
-        log::warn!(step = "abandon", request_key:% = call.key; "{error}");
+    /// Gives a claim up whose call was not sent and never will be.
+    pub(super) fn abandon(&self, key: RequestKey) {
+        self.steps.borrow_mut().remove(&key);
+        let entry = {
+            let mut calls = self.calls.borrow_mut();
+            calls.give_up(key).or_else(|| calls.not_sent(key))
+        };
+        self.write(entry);
     }
-}
 
-pub(super) fn judge_earlier(earlier: Claim, call: &Call) -> Result<Claimed, Refused> {
-    if earlier.fingerprint() != call.fingerprint {
-        return Err(Refused::new(
-            Refusal::KeyReused,
-            "the idempotency key was used before with another request",
-        ));
+    /// Notes that the call was sent and its result is not known; the claim stays open.
+    pub(super) fn fail(&self, key: RequestKey) {
+        self.calls.borrow_mut().fail(key);
     }
-    match earlier {
-        Claim::Ran { status, .. } => Ok(Claimed::Ran(status)),
-        Claim::Open { .. } => Err(Refused::new(
-            Refusal::EarlierAttempt,
-            "an earlier attempt with this idempotency key may have run",
-        )),
+
+    /// Takes a change of the folded state into account.
+    pub(super) fn on_change(&self, change: &Change) {
+        let step = {
+            let state = self.fleet.state();
+            self.calls.borrow_mut().on_change(change, &state)
+        };
+        if let Some(step) = step {
+            let (Step::Dispatch(key) | Step::Answer(key, _)) = step;
+            self.steps.borrow_mut().insert(key, step);
+            self.changed.notify();
+        }
     }
-}
 
-fn log_unavailable() -> Refused {
-    Refused::new(
-        Refusal::LogUnavailable,
-        "the call may run only once and cannot be claimed now",
-    )
-    .retry_after(RETRY_AFTER_MS)
+    /// Ends the claims of an incarnation that a peer closed.
+    pub(super) fn on_reincarnation(&self, new: IncarnationId) {
+        // An abandon of the closed incarnation has no effect any more.
+        self.unwritten.borrow_mut().clear();
+        let waiting = self.calls.borrow_mut().close(new);
+        for key in waiting {
+            let answer = Answer::Refused(Refusal::LogUnavailable);
+            self.steps
+                .borrow_mut()
+                .insert(key, Step::Answer(key, answer));
+        }
+        self.changed.notify();
+    }
+
+    /// Tries again to write what the log's queue did not take.
+    pub(super) fn tick(&self) {
+        let unwritten = std::mem::take(&mut *self.unwritten.borrow_mut());
+        for entry in unwritten {
+            self.write(Some(entry));
+        }
+    }
+
+    fn write(&self, entry: Option<Entry>) {
+        let Some(entry) = entry else {
+            return;
+        };
+        let mut unwritten = self.unwritten.borrow_mut();
+        if !unwritten.is_empty() || self.fleet.write(entry.clone()).is_err() {
+            unwritten.push(entry);
+        }
+    }
 }
 
-fn high(key: RequestKey) -> u64 {
-    (key.0 >> 64) as u64
+fn judge(answer: Answer) -> Result<Claimed, Refused> {
+    match answer {
+        Answer::Outcome { status } => Ok(Claimed::Ran(status)),
+        Answer::Refused(refusal) => Err(refuse(refusal)),
+    }
 }
 
-fn low(key: RequestKey) -> u64 {
-    key.0 as u64
+fn refuse(refusal: Refusal) -> Refused {
+    let message = match refusal {
+        Refusal::KeyReused => "the idempotency key was used before with another request",
+        Refusal::EarlierAttempt => "an earlier attempt with this idempotency key may have run",
+        Refusal::LogUnavailable => "the call may run only once and cannot be claimed now",
+        _ => "the call may run only once and cannot be started now",
+    };
+    match refusal {
+        Refusal::LogUnavailable | Refusal::Overloaded => {
+            Refused::new(refusal, message).retry_after(RETRY_AFTER_MS)
+        }
+        _ => Refused::new(refusal, message),
+    }
 }
--- a/src/router/events.rs
+++ b/src/router/events.rs
@@ -21,7 +21,14 @@
         match event {
             Event::Change { change, .. } => on_change(&shared, &change),
             Event::StateReplaced => on_state(&shared),
-            Event::Reincarnated { new, .. } => shared.budget.on_reincarnation(new),
+            Event::Reincarnated { new, .. } => {
+                shared.budget.on_reincarnation(new);
+                shared.claims.on_reincarnation(new);
+            }
+            Event::PeerDown(peer) => {
+                shared.budget.on_peer_lost(peer);
+                shared.pools.borrow_mut().remove_peer(peer);
+            }
             Event::Message { from, message } => on_message(&shared, from, &message),
             _ => {}
         }
@@ -31,6 +38,12 @@
 
 fn on_change(shared: &Shared, change: &Change) {
     shared.budget.on_change(change);
+    shared.claims.on_change(change);
+    if matches!(change, Change::Rollout) {
+        let state = shared.fleet.state();
+        let mut journal = shared.journal.borrow_mut();
+        journal.note_rollouts(wall_clock_ms(), &state.rollouts);
+    }
     if matches!(change, Change::Configuration) {
         configure(shared);
     }
@@ -96,6 +109,13 @@
                 .with_holder(|holder, state| holder.on_transfer(from, transfer, state));
             shared.budget.notify();
         }
+        PeerMessage::Heartbeat(heartbeat) => shared.pools.borrow_mut().set_peer_work(
+            from,
+            heartbeat.outstanding.clone(),
+            shared.now_ms(),
+        ),
+        PeerMessage::BillCopy(copy) => shared.budget.on_bill_copy(from, copy),
+        PeerMessage::BillCopyAck(ack) => shared.budget.on_copy_ack(from, ack),
         _ => {}
     }
 }
@@ -105,9 +125,11 @@
     loop {
         shared.budget.wait_for_want(TICK).await;
         note_state(&shared);
-        if shared.phase.get() != Phase::Serving {
+        if shared.phase.get() == Phase::Starting {
             continue;
         }
+        shared.budget.tick();
+        shared.claims.tick();
         ask_for_rights(&shared);
         propose(&shared);
         share_load(&shared);
@@ -174,6 +196,7 @@
     let rank = rank(shared);
     let mut pools = shared.pools.borrow_mut();
     pools.set_routers(peers.saturating_add(1), rank);
+    pools.add_up_peer_work(shared.now_ms());
     shared.fleet.set_outstanding(pools.own_work());
     pools.pump_all(shared.now_ms());
     let shares = shared.shares.borrow();
--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -20,7 +20,8 @@
 use crate::contract::Configuration;
 use crate::evidence::Arm;
 use crate::health::{Health, Permit};
-use crate::ids::{Interner, RouteKey, UpstreamKey, VersionKey};
+use crate::ids::{IncarnationId, Interner, RouteKey, UpstreamKey, VersionKey};
+use crate::message::Outstanding;
 use crate::refusal::Refusal;
 use crate::rollout::VersionChoice;
 use crate::selection::{self, Selector};
@@ -48,6 +49,7 @@
     capacity_requests: u32,
     peer_requests: u32,
     own_requests: u32,
+    own_tokens: u64,
 }
 
 #[derive(Default)]
@@ -83,6 +85,8 @@
     next_ticket: u64,
     routers: u32,
     rank: u32,
+    /// Work of other routers at the upstreams, with the time of the heartbeat.
+    peer_work: FastMap<IncarnationId, (u64, Vec<Outstanding>)>,
     random: Pcg64Mcg,
 }
 
@@ -108,6 +112,7 @@
             next_ticket: 0,
             routers: 1,
             rank: 0,
+            peer_work: FastMap::default(),
             random: Pcg64Mcg::seed_from_u64(OsRng.try_next_u64().unwrap_or_default()),
         }
     }
@@ -258,6 +263,7 @@
         let (address, version) = match self.upstreams.get_mut(&upstream) {
             Some(known) => {
                 known.own_requests += 1;
+                known.own_tokens += waiting.tokens;
                 (known.address.clone(), known.version.clone())
             }
             None => Default::default(),
--- a/src/router/pools/slot.rs
+++ b/src/router/pools/slot.rs
@@ -73,6 +73,7 @@
         self.selector.finished(slot.upstream, slot.tokens);
         if let Some(known) = self.upstreams.get_mut(&slot.upstream) {
             known.own_requests = known.own_requests.saturating_sub(1);
+            known.own_tokens = known.own_tokens.saturating_sub(slot.tokens);
         }
     }
 }
--- a/src/router/pools/update.rs
+++ b/src/router/pools/update.rs
@@ -1,9 +1,9 @@
 //! Changes of the pools from the configuration, peers and upstreams' reports.
 
 use crate::admission::CapacityShare;
-use crate::collections::FastSet;
+use crate::collections::{FastMap, FastSet};
 use crate::contract::{Configuration, Upstream as Configured};
-use crate::ids::UpstreamKey;
+use crate::ids::{IncarnationId, UpstreamKey};
 use crate::message::Outstanding;
 use crate::selection::{CacheChange, Description, Role};
 
@@ -15,6 +15,9 @@
 /// Assumed round trip between data centres, which are 1 to 2 ms apart one way.
 const FAR_US: u32 = 3_000;
 
+/// Time for which the figures of a heartbeat count; heartbeats come every second.
+const PEER_WORK_MS: u64 = 3_000;
+
 /// An upstream that reports are read from.
 #[derive(Clone, Debug)]
 pub(in crate::router) struct Reporter {
@@ -68,6 +71,7 @@
                 capacity_requests: configured.capacity_requests,
                 peer_requests: before.as_ref().map_or(0, |known| known.peer_requests),
                 own_requests: before.as_ref().map_or(0, |known| known.own_requests),
+                own_tokens: before.as_ref().map_or(0, |known| known.own_tokens),
             },
         );
         let members = &mut self.pools.entry(pool).or_default().members;
@@ -101,20 +105,37 @@
         self.rank = rank;
     }
 
-    /// Sets the work that all other routers together have at the upstreams.
-    pub(in crate::router) fn set_peer_work(&mut self, work: &[Outstanding]) {
-        for known in self.upstreams.values_mut() {
-            known.peer_requests = 0;
-        }
-        for outstanding in work {
-            let Some(upstream) = self.names.get(&outstanding.upstream) else {
-                continue;
-            };
-            if let Some(known) = self.upstreams.get_mut(&upstream) {
-                known.peer_requests += outstanding.requests;
+    /// Takes the work of one other router from its heartbeat.
+    pub(in crate::router) fn set_peer_work(
+        &mut self,
+        peer: IncarnationId,
+        work: Vec<Outstanding>,
+        now_ms: u64,
+    ) {
+        self.peer_work.insert(peer, (now_ms, work));
+    }
+
+    /// Forgets the work of a router that is no longer live.
+    pub(in crate::router) fn remove_peer(&mut self, peer: IncarnationId) {
+        self.peer_work.remove(&peer);
+    }
+
+    /// Adds up the work of all other routers; a router without work sends none, so old figures expire.
+    pub(in crate::router) fn add_up_peer_work(&mut self, now_ms: u64) {
+        self.peer_work
+            .retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < PEER_WORK_MS);
+        let mut sums: FastMap<UpstreamKey, (u32, u64)> = FastMap::default();
+        for outstanding in self.peer_work.values().flat_map(|(_, work)| work) {
+            if let Some(upstream) = self.names.get(&outstanding.upstream) {
+                let sum = sums.entry(upstream).or_default();
+                sum.0 = sum.0.saturating_add(outstanding.requests);
+                sum.1 = sum.1.saturating_add(outstanding.outstanding_tokens);
             }
-            self.selector
-                .set_peer_tokens(upstream, outstanding.outstanding_tokens);
+        }
+        for (&upstream, known) in &mut self.upstreams {
+            let (requests, tokens) = sums.get(&upstream).copied().unwrap_or_default();
+            known.peer_requests = requests;
+            self.selector.set_peer_tokens(upstream, tokens);
         }
     }
 
@@ -126,7 +147,7 @@
             .map(|(&upstream, known)| Outstanding {
                 upstream: self.names.name(upstream).into(),
                 requests: known.own_requests,
-                outstanding_tokens: 0,
+                outstanding_tokens: known.own_tokens,
             })
             .collect()
     }
--- a/src/router/shutdown.rs
+++ b/src/router/shutdown.rs
@@ -72,7 +72,7 @@
 async fn finish(shared: &Shared) {
     loop {
         hand_back(shared);
-        if shared.open_requests.get() == 0 && is_drained(shared) {
+        if shared.open_requests.get() == 0 && shared.budget.is_billed_out() && is_drained(shared) {
             return;
         }
         monoio::time::sleep(POLL).await;
--- a/src/router/writer.rs
+++ b/src/router/writer.rs
@@ -1,6 +1,5 @@
 //! The reader of one response and what the process holds for it.
 
-use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -131,26 +130,20 @@
     }
 
     /// Waits until the kernel may take bytes; never returns if nothing waits to be written.
-    pub(super) fn writable(&self) -> impl Future<Output = ()> + '_ {
-        async move {
-            match &self.socket {
-                // An error shows at the next write.
-                Some(socket) if self.held_bytes() > 0 => drop(socket.writable().await),
-                _ => std::future::pending().await,
-            }
+    pub(super) async fn writable(&self) {
+        match &self.socket {
+            // An error shows at the next write.
+            Some(socket) if self.held_bytes() > 0 => drop(socket.writable().await),
+            _ => std::future::pending().await,
         }
     }
 
     /// Waits until the caller sends something or closes the connection.
-    pub(super) fn readable(&self) -> impl Future<Output = ()> + '_ {
-        async move {
-            match &self.socket {
-                Some(socket) if socket.input_len() < MAX_AHEAD_BYTES => {
-                    // An error shows at the next read.
-                    drop(socket.readable().await);
-                }
-                _ => std::future::pending().await,
-            }
+    pub(super) async fn readable(&self) {
+        match &self.socket {
+            // An error shows at the next read.
+            Some(socket) if socket.input_len() < MAX_AHEAD_BYTES => drop(socket.readable().await),
+            _ => std::future::pending().await,
         }
     }
 
