--- a/src/router.rs
+++ b/src/router.rs
@@ -34,6 +34,7 @@
 use crate::fleet::{self, Fleet};
 use crate::ids::{CustomerKey, Fingerprint, RequestKey};
 use crate::metrics::Metrics;
+use crate::quarantine::Quarantine;
 use crate::server;
 use crate::settings::Settings;
 
@@ -90,6 +91,8 @@
     journal: RefCell<Journal>,
     pools: RefCell<Pools>,
     evidence: RefCell<Collector>,
+    /// Crashes that this process saw or was told of by peers; the fold shows them only after an append and a read.
+    early_crashes: RefCell<Quarantine>,
     shares: RefCell<Shares>,
     /// Customers by the SHA-256 hash of their bearer keys.
     api_keys: RefCell<FastMap<[u8; 32], CustomerKey>>,
@@ -105,6 +108,13 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Returns whether a request is stopped because it crashes upstreams.
+    fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        let early = self.early_crashes.borrow();
+        early.is_quarantined(fingerprint)
+            || self.fleet.state().quarantine.is_quarantined(fingerprint)
+    }
+
     /// Returns the time after which a reader that takes nothing is disconnected.
     fn reader_idle_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.limits.reader_idle_timeout_ms)
@@ -170,6 +180,7 @@
         journal: RefCell::default(),
         pools: RefCell::new(Pools::new(&settings.data_centre)),
         evidence: RefCell::default(),
+        early_crashes: RefCell::default(),
         shares: RefCell::new(Shares::new(settings.limits.reader_buffer_bytes as usize)),
         api_keys: RefCell::default(),
         open: RefCell::default(),
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -13,15 +13,13 @@
 use crate::evidence;
 use crate::ids::UpstreamKey;
 use crate::intent::Claim;
+use crate::message::PeerMessage;
 use crate::record::{Crash, Entry};
 use crate::refusal::{Ran, Refusal};
 
 /// Most places that one request may use.
 const MAX_ATTEMPTS: u32 = 4;
 
-/// Crashes of upstreams after which this process gives a request up, before the fleet's count is folded.
-const CRASH_LIMIT: u32 = 2;
-
 /// Largest response that is held whole.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
 
@@ -39,7 +37,6 @@
     version: ChosenVersion,
     excluded: Vec<UpstreamKey>,
     count: u32,
-    crashes: u32,
     /// Whether any upstream may have run the request.
     pub(super) may_have_run: bool,
 }
@@ -52,7 +49,6 @@
             version: pools::choose_version(shared, call)?,
             excluded: Vec::new(),
             count: 0,
-            crashes: 0,
             may_have_run: false,
         })
     }
@@ -141,20 +137,24 @@
     }
 
     fn note_crash(&mut self, slot: &mut Slot) -> Result<(), Refused> {
-        self.crashes += 1;
-        let entry = Entry::Crash(Crash {
-            fingerprint: self.call.fingerprint.0,
+        let fingerprint = self.call.fingerprint;
+        let crash = Crash {
+            fingerprint: fingerprint.0,
             upstream: slot.name.to_string(),
             version: slot.version.to_string(),
-        });
-        if let Err(error) = self.shared.fleet.write(entry) {
+        };
+        let fleet = &self.shared.fleet;
+        self.shared
+            .early_crashes
+            .borrow_mut()
+            .add_crash(fingerprint);
+        for peer in fleet.peers() {
+            fleet.send(peer.incarnation, PeerMessage::CrashNotice(crash.clone()));
+        }
+        if let Err(error) = fleet.write(Entry::Crash(crash)) {
             log::warn!(step = "crash", peer = slot.name.as_str(); "{error}");
         }
-        let is_known = {
-            let state = self.shared.fleet.state();
-            state.quarantine.is_quarantined(self.call.fingerprint)
-        };
-        if is_known || self.crashes >= CRASH_LIMIT {
+        if self.shared.is_quarantined(fingerprint) {
             self.end(slot, Ended::Neutral);
             return Err(quarantined());
         }
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -283,7 +283,7 @@
             return Err(key_reused());
         }
     }
-    if state.quarantine.is_quarantined(call.fingerprint) {
+    if shared.is_quarantined(call.fingerprint) {
         return Err(attempt::quarantined());
     }
     Ok(())
--- a/src/router/events.rs
+++ b/src/router/events.rs
@@ -6,7 +6,7 @@
 use super::{wall_clock_ms, Phase, Shared};
 use crate::fleet::Event;
 use crate::fold::{Change, FleetState};
-use crate::ids::IncarnationId;
+use crate::ids::{Fingerprint, IncarnationId};
 use crate::message::PeerMessage;
 use crate::record::Entry;
 
@@ -114,6 +114,10 @@
             heartbeat.outstanding.clone(),
             shared.now_ms(),
         ),
+        PeerMessage::CrashNotice(crash) => shared
+            .early_crashes
+            .borrow_mut()
+            .add_crash(Fingerprint(crash.fingerprint)),
         PeerMessage::BillCopy(copy) => shared.budget.on_bill_copy(from, copy),
         PeerMessage::BillCopyAck(ack) => shared.budget.on_copy_ack(from, ack),
         _ => {}
