Send new records to routers without the log as soon as they are folded

A router whose way to the log was cut learned of new records only with the next heartbeat. It now asks one peer ahead of time, and a log that does not answer at all is treated alike after 300 ms without a fold. The shared state of the fleet tasks moves to a file of its own.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,29 +5,23 @@
 //! state lasts across an await, so no lock is needed. The request path calls the handle; which entries and messages it
 //! sends is decided by the pure modules. See `docs/design.md`, sections 2 to 4.
 
-use std::cell::{Cell, Ref, RefCell};
+use std::cell::Ref;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use local_sync::mpsc::unbounded;
-use prost::Message;
 use quick_error::quick_error;
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 
 use crate::fold::{Change, FleetState};
 use crate::ids::{CustomerKey, IncarnationId, Offset};
-use crate::log_client::LogService;
-use crate::log_writer::{self, Position, Writer};
-use crate::membership::detector::FailureDetector;
+use crate::log_writer::{self, Position};
 use crate::membership::{rendezvous, Phase};
 use crate::message::{Outstanding, PeerMessage};
-use crate::platform::VmList;
-use crate::record::{Batch, Entry};
+use crate::record::Entry;
 use crate::settings::Settings;
-use crate::snapshot::Assembler;
 
 mod builder;
+mod inner;
 mod notify;
 mod peers;
 mod reader;
@@ -39,9 +33,7 @@
 pub use builder::FleetBuilder;
 pub use peers::Peer;
 
-use notify::Notify;
-use peers::PeerTable;
-use tail::Tail;
+use inner::Inner;
 
 quick_error! {
     /// Why a call on the fleet failed.
@@ -124,36 +116,6 @@
     inner: Rc<Inner>,
 }
 
-/// State that the tasks of one process share.
-struct Inner {
-    settings: Settings,
-    address: String,
-    log: Rc<dyn LogService>,
-    vm_list: Rc<dyn VmList>,
-    started: Instant,
-    random: RefCell<Pcg64Mcg>,
-    incarnation: Cell<IncarnationId>,
-    /// Whether the own `Open` was folded; only after that can a missing or ended incarnation mean a closure.
-    is_open_folded: Cell<bool>,
-    state: RefCell<FleetState>,
-    has_state: Cell<bool>,
-    tail: RefCell<Tail>,
-    writer: RefCell<Writer>,
-    writer_wake: Notify,
-    folded: Notify,
-    detector: RefCell<FailureDetector>,
-    peers: RefCell<PeerTable>,
-    subscribers: RefCell<Vec<unbounded::Tx<Event>>>,
-    log_next: Cell<Offset>,
-    outstanding: RefCell<Vec<Outstanding>>,
-    chunks: RefCell<Assembler>,
-    is_read_ok: Cell<bool>,
-    is_append_ok: Cell<bool>,
-    is_leaving: Cell<bool>,
-    is_stopped: Cell<bool>,
-    stopped: Notify,
-}
-
 impl Fleet {
     /// Connects to the fleet with the services that the settings name.
     ///
@@ -341,196 +303,3 @@
         self.inner.stop();
     }
 }
-
-impl Inner {
-    fn new(
-        settings: Settings,
-        address: String,
-        log: Rc<dyn LogService>,
-        vm_list: Rc<dyn VmList>,
-        seed: u64,
-    ) -> Self {
-        let mut random = Pcg64Mcg::seed_from_u64(seed);
-        let incarnation = IncarnationId(rand::Rng::random(&mut random));
-        let timing = settings.timing.clone();
-        Self {
-            writer: RefCell::new(Writer::new(
-                timing.flush_interval_ms,
-                timing.empty_batch_interval_ms,
-            )),
-            detector: RefCell::new(FailureDetector::new(timing)),
-            settings,
-            address,
-            log,
-            vm_list,
-            started: Instant::now(),
-            random: RefCell::new(random),
-            incarnation: Cell::new(incarnation),
-            is_open_folded: Cell::new(false),
-            state: RefCell::default(),
-            has_state: Cell::new(false),
-            tail: RefCell::default(),
-            writer_wake: Notify::default(),
-            folded: Notify::default(),
-            peers: RefCell::default(),
-            subscribers: RefCell::default(),
-            log_next: Cell::new(0),
-            outstanding: RefCell::default(),
-            chunks: RefCell::default(),
-            is_read_ok: Cell::new(false),
-            is_append_ok: Cell::new(true),
-            is_leaving: Cell::new(false),
-            is_stopped: Cell::new(false),
-            stopped: Notify::default(),
-        }
-    }
-
-    /// Returns the time since the start; a monotonic clock, because wall clocks jump.
-    fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
-    }
-
-    fn push(&self, entry: Entry) -> Result<Position, Error> {
-        if self.is_stopped.get() {
-            return Err(Error::Stopped);
-        }
-        let position = self
-            .writer
-            .borrow_mut()
-            .push(self.incarnation.get(), entry)
-            .map_err(Error::NotQueued)?;
-        self.writer_wake.notify();
-        Ok(position)
-    }
-
-    fn emit(&self, event: &Event) {
-        self.subscribers
-            .borrow_mut()
-            .retain(|subscriber| subscriber.send(event.clone()).is_ok());
-    }
-
-    fn is_log_available(&self) -> bool {
-        self.is_read_ok.get() && self.is_append_ok.get()
-    }
-
-    /// Sets one of the two availability flags and reports a change of the whole.
-    fn set_available(&self, flag: &Cell<bool>, value: bool) {
-        let before = self.is_log_available();
-        flag.set(value);
-        let after = self.is_log_available();
-        if before != after {
-            log::info!("log available: {after}");
-            self.emit(&Event::LogAvailable(after));
-        }
-    }
-
-    fn stop(&self) {
-        self.is_stopped.set(true);
-        self.subscribers.borrow_mut().clear();
-        self.stopped.notify();
-        self.folded.notify();
-        self.writer_wake.notify();
-        self.peers.borrow_mut().clear();
-    }
-
-    /// Runs a task until it ends or the connection is stopped.
-    async fn until_stopped(&self, task: impl std::future::Future<Output = ()>) {
-        let stopped = self
-            .stopped
-            .wait_for(|| self.is_stopped.get().then_some(()));
-        monoio::select! {
-            () = stopped => {}
-            () = task => {}
-        }
-    }
-
-    /// Folds a record and reports what changed; a record below the next offset has no effect.
-    fn fold(&self, offset: Offset, payload: &[u8]) {
-        let batch = Batch::decode(payload);
-        let changes = {
-            let mut state = self.state.borrow_mut();
-            if offset < state.next_offset {
-                return;
-            }
-            match &batch {
-                Ok(batch) => state.apply(offset, batch),
-                Err(_) => state.apply_payload(offset, payload),
-            }
-        };
-        self.tail.borrow_mut().push(offset, payload);
-        if let Ok(batch) = &batch {
-            self.note_batch(IncarnationId(batch.incarnation), batch.seq);
-        }
-        for change in changes {
-            self.emit(&Event::Change { offset, change });
-        }
-    }
-
-    /// Notes whose batch was folded, for the failure detector and the own writer.
-    fn note_batch(&self, id: IncarnationId, seq: u64) {
-        self.detector.borrow_mut().on_record(id, self.now_ms());
-        self.writer.borrow_mut().on_folded(id, seq);
-        if id == self.incarnation.get() {
-            self.is_open_folded.set(true);
-        }
-    }
-
-    /// Replaces the folded state by a newer one; an older one is ignored, because a process never goes back.
-    fn adopt(&self, state: FleetState) {
-        if self.has_state.get() && state.next_offset <= self.state.borrow().next_offset {
-            return;
-        }
-        log::info!("state restored up to offset {}", state.next_offset);
-        let own = self.incarnation.get();
-        let own_seq = state.members.get(own).map(|member| member.last_seq);
-        *self.state.borrow_mut() = state;
-        self.tail.borrow_mut().clear();
-        if let Some(seq) = own_seq {
-            self.note_batch(own, seq);
-        }
-        self.emit(&Event::StateReplaced);
-        self.after_fold();
-    }
-
-    /// Runs after a run of records was folded.
-    fn after_fold(&self) {
-        self.check_own_incarnation();
-        self.folded.notify();
-        self.writer_wake.notify();
-    }
-
-    /// Opens a new incarnation if a peer closed the own one.
-    fn check_own_incarnation(&self) {
-        if !self.is_open_folded.get() || self.is_leaving.get() {
-            return;
-        }
-        let old = self.incarnation.get();
-        let is_open = self
-            .state
-            .borrow()
-            .members
-            .get(old)
-            .is_some_and(|member| member.phase == Phase::Open);
-        if is_open {
-            return;
-        }
-        let new = IncarnationId(rand::Rng::random(&mut *self.random.borrow_mut()));
-        log::warn!("incarnation {old} was closed; opening {new}");
-        self.incarnation.set(new);
-        self.is_open_folded.set(false);
-        self.write_open();
-        self.peers.borrow_mut().clear();
-        self.emit(&Event::Reincarnated { old, new });
-    }
-
-    fn write_open(&self) {
-        let entry = Entry::Open(crate::record::Open {
-            vm: self.settings.vm.to_string(),
-            data_centre: self.settings.data_centre.to_string(),
-            address: self.address.clone(),
-        });
-        if let Err(error) = self.push(entry) {
-            log::error!("write Open: {error}");
-        }
-    }
-}
--- /dev/null
+++ b/src/fleet/inner.rs
@@ -0,0 +1,257 @@
+//! The state that the tasks of one process share, and the steps that they have in common.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use local_sync::mpsc::unbounded;
+use prost::Message;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::notify::Notify;
+use super::peers::PeerTable;
+use super::tail::Tail;
+use super::{restore, Error, Event};
+use crate::fold::FleetState;
+use crate::ids::{IncarnationId, Offset};
+use crate::log_client::LogService;
+use crate::log_writer::{Position, Writer};
+use crate::membership::detector::FailureDetector;
+use crate::membership::Phase;
+use crate::message::Outstanding;
+use crate::platform::VmList;
+use crate::record::{Batch, Entry};
+use crate::settings::Settings;
+use crate::snapshot::Assembler;
+
+/// State that the tasks of one process share.
+pub(super) struct Inner {
+    pub(super) settings: Settings,
+    pub(super) address: String,
+    pub(super) log: Rc<dyn LogService>,
+    pub(super) vm_list: Rc<dyn VmList>,
+    pub(super) started: Instant,
+    pub(super) random: RefCell<Pcg64Mcg>,
+    pub(super) incarnation: Cell<IncarnationId>,
+    /// Whether the own `Open` was folded; only after that can a missing or ended incarnation mean a closure.
+    pub(super) is_open_folded: Cell<bool>,
+    pub(super) state: RefCell<FleetState>,
+    pub(super) has_state: Cell<bool>,
+    pub(super) tail: RefCell<Tail>,
+    pub(super) writer: RefCell<Writer>,
+    pub(super) writer_wake: Notify,
+    pub(super) folded: Notify,
+    pub(super) detector: RefCell<FailureDetector>,
+    pub(super) peers: RefCell<PeerTable>,
+    pub(super) subscribers: RefCell<Vec<unbounded::Tx<Event>>>,
+    pub(super) log_next: Cell<Offset>,
+    pub(super) last_fold_ms: Cell<u64>,
+    /// Peers that wait for the next record, with the offset that they want.
+    pub(super) followers: RefCell<BTreeMap<IncarnationId, Offset>>,
+    pub(super) outstanding: RefCell<Vec<Outstanding>>,
+    pub(super) chunks: RefCell<Assembler>,
+    pub(super) is_read_ok: Cell<bool>,
+    pub(super) is_append_ok: Cell<bool>,
+    pub(super) is_leaving: Cell<bool>,
+    pub(super) is_stopped: Cell<bool>,
+    pub(super) stopped: Notify,
+}
+
+impl Inner {
+    pub(super) fn new(
+        settings: Settings,
+        address: String,
+        log: Rc<dyn LogService>,
+        vm_list: Rc<dyn VmList>,
+        seed: u64,
+    ) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let incarnation = IncarnationId(rand::Rng::random(&mut random));
+        let timing = settings.timing.clone();
+        Self {
+            writer: RefCell::new(Writer::new(
+                timing.flush_interval_ms,
+                timing.empty_batch_interval_ms,
+            )),
+            detector: RefCell::new(FailureDetector::new(timing)),
+            settings,
+            address,
+            log,
+            vm_list,
+            started: Instant::now(),
+            random: RefCell::new(random),
+            incarnation: Cell::new(incarnation),
+            is_open_folded: Cell::new(false),
+            state: RefCell::default(),
+            has_state: Cell::new(false),
+            tail: RefCell::default(),
+            writer_wake: Notify::default(),
+            folded: Notify::default(),
+            peers: RefCell::default(),
+            subscribers: RefCell::default(),
+            log_next: Cell::new(0),
+            last_fold_ms: Cell::new(0),
+            followers: RefCell::default(),
+            outstanding: RefCell::default(),
+            chunks: RefCell::default(),
+            is_read_ok: Cell::new(false),
+            is_append_ok: Cell::new(true),
+            is_leaving: Cell::new(false),
+            is_stopped: Cell::new(false),
+            stopped: Notify::default(),
+        }
+    }
+
+    /// Returns the time since the start; a monotonic clock, because wall clocks jump.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    pub(super) fn push(&self, entry: Entry) -> Result<Position, Error> {
+        if self.is_stopped.get() {
+            return Err(Error::Stopped);
+        }
+        let position = self
+            .writer
+            .borrow_mut()
+            .push(self.incarnation.get(), entry)
+            .map_err(Error::NotQueued)?;
+        self.writer_wake.notify();
+        Ok(position)
+    }
+
+    pub(super) fn emit(&self, event: &Event) {
+        self.subscribers
+            .borrow_mut()
+            .retain(|subscriber| subscriber.send(event.clone()).is_ok());
+    }
+
+    pub(super) fn is_log_available(&self) -> bool {
+        self.is_read_ok.get() && self.is_append_ok.get()
+    }
+
+    /// Sets one of the two availability flags and reports a change of the whole.
+    pub(super) fn set_available(&self, flag: &Cell<bool>, value: bool) {
+        let before = self.is_log_available();
+        flag.set(value);
+        let after = self.is_log_available();
+        if before != after {
+            log::info!("log available: {after}");
+            self.emit(&Event::LogAvailable(after));
+        }
+    }
+
+    pub(super) fn stop(&self) {
+        self.is_stopped.set(true);
+        self.subscribers.borrow_mut().clear();
+        self.stopped.notify();
+        self.folded.notify();
+        self.writer_wake.notify();
+        self.peers.borrow_mut().clear();
+    }
+
+    /// Runs a task until it ends or the connection is stopped.
+    pub(super) async fn until_stopped(&self, task: impl std::future::Future<Output = ()>) {
+        let stopped = self
+            .stopped
+            .wait_for(|| self.is_stopped.get().then_some(()));
+        monoio::select! {
+            () = stopped => {}
+            () = task => {}
+        }
+    }
+
+    /// Folds a record and reports what changed; a record below the next offset has no effect.
+    pub(super) fn fold(&self, offset: Offset, payload: &[u8]) {
+        let batch = Batch::decode(payload);
+        let changes = {
+            let mut state = self.state.borrow_mut();
+            if offset < state.next_offset {
+                return;
+            }
+            match &batch {
+                Ok(batch) => state.apply(offset, batch),
+                Err(_) => state.apply_payload(offset, payload),
+            }
+        };
+        self.tail.borrow_mut().push(offset, payload);
+        if let Ok(batch) = &batch {
+            self.note_batch(IncarnationId(batch.incarnation), batch.seq);
+        }
+        for change in changes {
+            self.emit(&Event::Change { offset, change });
+        }
+    }
+
+    /// Notes whose batch was folded, for the failure detector and the own writer.
+    pub(super) fn note_batch(&self, id: IncarnationId, seq: u64) {
+        self.detector.borrow_mut().on_record(id, self.now_ms());
+        self.writer.borrow_mut().on_folded(id, seq);
+        if id == self.incarnation.get() {
+            self.is_open_folded.set(true);
+        }
+    }
+
+    /// Replaces the folded state by a newer one; an older one is ignored, because a process never goes back.
+    pub(super) fn adopt(&self, state: FleetState) {
+        if self.has_state.get() && state.next_offset <= self.state.borrow().next_offset {
+            return;
+        }
+        log::info!("state restored up to offset {}", state.next_offset);
+        let own = self.incarnation.get();
+        let own_seq = state.members.get(own).map(|member| member.last_seq);
+        *self.state.borrow_mut() = state;
+        self.tail.borrow_mut().clear();
+        if let Some(seq) = own_seq {
+            self.note_batch(own, seq);
+        }
+        self.emit(&Event::StateReplaced);
+        self.after_fold();
+    }
+
+    /// Runs after a run of records was folded.
+    pub(super) fn after_fold(&self) {
+        self.last_fold_ms.set(self.now_ms());
+        self.check_own_incarnation();
+        restore::feed_followers(self);
+        self.folded.notify();
+        self.writer_wake.notify();
+    }
+
+    /// Opens a new incarnation if a peer closed the own one.
+    pub(super) fn check_own_incarnation(&self) {
+        if !self.is_open_folded.get() || self.is_leaving.get() {
+            return;
+        }
+        let old = self.incarnation.get();
+        let is_open = self
+            .state
+            .borrow()
+            .members
+            .get(old)
+            .is_some_and(|member| member.phase == Phase::Open);
+        if is_open {
+            return;
+        }
+        let new = IncarnationId(rand::Rng::random(&mut *self.random.borrow_mut()));
+        log::warn!("incarnation {old} was closed; opening {new}");
+        self.incarnation.set(new);
+        self.is_open_folded.set(false);
+        self.write_open();
+        self.peers.borrow_mut().clear();
+        self.emit(&Event::Reincarnated { old, new });
+    }
+
+    pub(super) fn write_open(&self) {
+        let entry = Entry::Open(crate::record::Open {
+            vm: self.settings.vm.to_string(),
+            data_centre: self.settings.data_centre.to_string(),
+            address: self.address.clone(),
+        });
+        if let Err(error) = self.push(entry) {
+            log::error!("write Open: {error}");
+        }
+    }
+}
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -234,6 +234,7 @@
         {
             table.connections.remove(&id);
             drop(table);
+            self.followers.borrow_mut().remove(&id);
             self.detector.borrow_mut().on_disconnect(id);
             self.report_peers();
         }
--- a/src/fleet/restore.rs
+++ b/src/fleet/restore.rs
@@ -18,6 +18,9 @@
 /// Pause between two requests for a snapshot; a large one takes some time to arrive.
 const REQUEST_INTERVAL_MS: u64 = 1_000;
 
+/// Time without a folded record after which a peer that is ahead is asked for records.
+const STALLED_MS: u64 = 300;
+
 /// Restores the newest snapshot on the log; returns false if the log can't be read.
 pub(super) async fn from_log(inner: &Inner) -> bool {
     match read_snapshot(inner).await {
@@ -98,10 +101,23 @@
     }
 }
 
-/// Asks a peer that is ahead for records while the own reader can't follow the log.
+/// Asks a peer for records while the own reader does not follow the log.
+///
+/// A stalled log looks like one without news until the read times out, so a peer that is ahead is asked as soon as the
+/// own fold has stood still for [`STALLED_MS`]. One peer that is not ahead is asked too: it answers when it has news.
 pub(super) fn follow_peer(inner: &Inner, peer: IncarnationId, peer_offset: Offset) {
+    if !inner.has_state.get() {
+        return;
+    }
     let from_offset = inner.state.borrow().next_offset;
-    if inner.has_state.get() && !inner.is_read_ok.get() && peer_offset > from_offset {
+    let is_ahead = peer_offset > from_offset;
+    let is_stalled = inner.now_ms() > inner.last_fold_ms.get() + STALLED_MS;
+    let wants = if is_ahead {
+        is_stalled || !inner.is_read_ok.get()
+    } else {
+        peer_offset == from_offset && !inner.is_read_ok.get() && is_source(inner, peer)
+    };
+    if wants {
         inner.send(
             peer,
             PeerMessage::RecordsRequest(RecordsRequest { from_offset }),
@@ -109,8 +125,21 @@
     }
 }
 
+/// Returns whether the peer is the one that sends news; with several, each record would arrive several times.
+fn is_source(inner: &Inner, peer: IncarnationId) -> bool {
+    let best = inner
+        .live_peers()
+        .into_iter()
+        .max_by_key(|peer| (peer.next_offset, peer.incarnation));
+    best.is_some_and(|best| best.incarnation == peer)
+}
+
 /// Answers a request for records; an answer without records says that they are no longer kept.
 pub(super) fn send_records(inner: &Inner, to: IncarnationId, from_offset: Offset) {
+    if from_offset >= inner.state.borrow().next_offset {
+        inner.followers.borrow_mut().insert(to, from_offset);
+        return;
+    }
     let payloads = inner.tail.borrow().from(from_offset, RELAY_BYTES);
     let message = Records {
         first_offset: from_offset,
@@ -119,6 +148,22 @@
     inner.send(to, PeerMessage::Records(message));
 }
 
+/// Sends new records to the peers that asked for them before there were any.
+pub(super) fn feed_followers(inner: &Inner) {
+    let next_offset = inner.state.borrow().next_offset;
+    let mut due = Vec::new();
+    inner.followers.borrow_mut().retain(|peer, from_offset| {
+        let is_due = *from_offset < next_offset;
+        if is_due {
+            due.push((*peer, *from_offset));
+        }
+        !is_due
+    });
+    for (peer, from_offset) in due {
+        send_records(inner, peer, from_offset);
+    }
+}
+
 /// Folds relayed records that continue the own state.
 pub(super) fn take_records(inner: &Inner, from: IncarnationId, records: &Records) {
     let next_offset = inner.state.borrow().next_offset;
@@ -133,9 +178,12 @@
         inner.fold(offset, payload);
     }
     inner.after_fold();
-    if inner.log_next.get() > inner.state.borrow().next_offset {
-        follow_peer(inner, from, inner.log_next.get());
-    }
+    // The next records are asked for at once; the answer comes when there are some.
+    follow_peer(
+        inner,
+        from,
+        inner.log_next.get().max(inner.state.borrow().next_offset),
+    );
 }
 
 /// Answers a request for a snapshot.
--- a/tests/common/platform_stub.rs
+++ b/tests/common/platform_stub.rs
@@ -66,6 +66,8 @@
     pub drop_append_responses: u64,
     /// VMs (by the `x-vm` header) that are cut off the log.
     pub blocked_vms: Vec<String>,
+    /// VMs whose requests to the log get no response and have no effect.
+    pub stalled_vms: Vec<String>,
     /// Whether the VM list answers 503.
     pub vm_list_unavailable: bool,
     /// Age of the VM list that is returned.
@@ -281,6 +283,9 @@
     if state.faults.blocked_vms.iter().any(|blocked| blocked == vm) {
         return LogMode::Unavailable;
     }
+    if state.faults.stalled_vms.iter().any(|stalled| stalled == vm) {
+        return LogMode::Stalled;
+    }
     state.faults.log
 }
 
@@ -337,8 +342,8 @@
         (has_records || mode_for(shared, vm) != LogMode::Available).then_some(())
     });
     let _ = monoio::time::timeout(wait, ready).await;
-    if mode_for(shared, vm) != LogMode::Available {
-        return Answer::Drop;
+    if let Some(answer) = log_fault(shared, vm).await {
+        return answer;
     }
     let mut state = shared.borrow_mut();
     state.counters.reads += 1;
--- a/tests/fleet_restore.rs
+++ b/tests/fleet_restore.rs
@@ -68,38 +68,40 @@
     });
 }
 
-/// Guards against a configuration that does not reach a router whose own path to the log is cut.
+/// Guards against a configuration that does not reach a router whose own path to the log is cut, or whose requests to
+/// the log get no response.
 #[test]
 fn records_reach_a_router_that_is_cut_off_the_log() {
-    run(async {
-        let platform = Platform::start();
-        let timing = Timing::default();
-        let cut = platform.fleet("vm-1", &timing).await;
-        let other = platform.fleet("vm-2", &timing).await;
-        wait_until("the routers are connected", || {
-            cut.peers().len() == 1 && other.peers().len() == 1
-        })
-        .await;
-        platform.fault(json!({ "blocked_vms": ["vm-1"] }));
-        wait_until("the cut is noticed", || !cut.is_log_available()).await;
-
-        for revision in 1..=3 {
-            let published = std::time::Instant::now();
-            publish(&platform, revision);
-            cut.wait_until(Duration::from_secs(2), |fleet| {
-                fleet.state().configuration.revision == revision
+    for fault in ["blocked_vms", "stalled_vms"] {
+        run(async {
+            let platform = Platform::start();
+            let timing = Timing::default();
+            let cut = platform.fleet("vm-1", &timing).await;
+            let other = platform.fleet("vm-2", &timing).await;
+            wait_until("the routers are connected", || {
+                cut.peers().len() == 1 && other.peers().len() == 1
             })
-            .await
-            .expect("the configuration is in force within 2 s");
-            println!("in force without the log after {:?}", published.elapsed());
-        }
-
-        assert!(!cut.is_log_available());
-        platform.fault(json!({ "blocked_vms": [] }));
-        wait_until("the log is available again", || cut.is_log_available()).await;
-        cut.abort();
-        other.abort();
-    });
+            .await;
+            platform.fault(json!({ fault: ["vm-1"] }));
+
+            for revision in 1..=4 {
+                let published = std::time::Instant::now();
+                publish(&platform, revision);
+                cut.wait_until(Duration::from_secs(2), |fleet| {
+                    fleet.state().configuration.revision == revision
+                })
+                .await
+                .expect("the configuration is in force within 2 s");
+                println!("{fault}: in force after {:?}", published.elapsed());
+            }
+
+            wait_until("the cut is noticed", || !cut.is_log_available()).await;
+            platform.fault(json!({ fault: [] }));
+            wait_until("the log is available again", || cut.is_log_available()).await;
+            cut.abort();
+            other.abort();
+        });
+    }
 }
 
 /// Guards against a router that can't start, or can't go on, once the log has dropped the oldest records.
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -5,7 +5,7 @@
 use monsoonfield::ids::IncarnationId;
 use monsoonfield::record::{
     Abandon, Batch, Bill, Close, ConfigurationEntry, ContractEntry, Crash, Draw, Entry, Evidence,
-    Finalize, Grant, Intent, Leave, Open, Outcome, Return, Rollback, Rollout, RolloutEnd,
+    Finalize, Grant, Intent, Leave, Open, Order, Outcome, Return, Rollback, Rollout, RolloutEnd,
     RolloutStep,
 };
 use monsoonfield::snapshot::{self, Assembler};
@@ -64,6 +64,7 @@
             step: u.int_in_range(1..=3)?,
             share_ppm: u.int_in_range(0..=1_000_000)?,
             revision: 1,
+            ..RolloutStep::default()
         }),
         2 => Entry::Evidence(Evidence {
             id,
@@ -72,6 +73,7 @@
             total: u.int_in_range(0..=100)?,
             failed: u.int_in_range(0..=3)?,
             latency_counts: vec![1, 2, 3],
+            ..Evidence::default()
         }),
         3 => Entry::Rollback(Rollback {
             id,
@@ -91,7 +93,7 @@
     let customer = (*u.choose(&CUSTOMERS)?).to_string();
     let incarnation = u.int_in_range(1..=3)?;
     let key_low = u.int_in_range(1..=6)?;
-    Ok(match u.int_in_range(0..=14)? {
+    Ok(match u.int_in_range(0..=15)? {
         0 | 1 => Entry::Open(Open {
             vm: "vm".into(),
             data_centre: "dc-1".into(),
@@ -144,6 +146,11 @@
             upstream: "u".into(),
             version: "v1".into(),
         }),
+        14 => Entry::Order(Order {
+            upstream: (*u.choose(&["u", "w"])?).into(),
+            version: "v1".into(),
+            valid_ms: u.int_in_range(0..=1_000)?,
+        }),
         _ => rollout_entry(u)?,
     })
 }
