--- /dev/null
+++ b/examples/rollout_experiment/baseline.rs
@@ -0,0 +1,94 @@
+//! The baseline: a fixed threshold on a window, and a ramp by time alone.
+
+use monsoonfield::evidence::Pair;
+use monsoonfield::record::{Entry, Evidence, Rollback, RolloutEnd, RolloutStep};
+
+/// Length of the window.
+const WINDOW_MS: u64 = 60_000;
+
+/// Requests of the new version without which a window is not judged.
+const LEAST_REQUESTS: u64 = 20;
+
+/// Difference of the failure shares that rolls back: half of what makes a version bad.
+const FAILURE_THRESHOLD: f64 = 0.025;
+
+/// Ratio of the latencies that rolls back: half of what makes a version bad.
+const LATENCY_THRESHOLD: f64 = 1.15;
+
+/// Parts of the time to the deadline at which the share rises, with the share.
+const RAMP: [(f64, u32); 6] = [
+    (0.0, 15_000),
+    (0.2, 100_000),
+    (0.4, 250_000),
+    (0.6, 500_000),
+    (0.8, 750_000),
+    (0.95, 1_000_000),
+];
+
+/// State of the baseline.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Baseline {
+    window: Pair,
+    window_start_ms: u64,
+    step: u32,
+    is_over: bool,
+}
+
+impl Baseline {
+    /// Takes evidence; returns a rollback if a window is over the threshold.
+    pub(crate) fn add_evidence(&mut self, entry: &Evidence) -> Option<Entry> {
+        self.window.add_record(entry);
+        if entry.end_ms < self.window_start_ms + WINDOW_MS {
+            return None;
+        }
+        self.window_start_ms = entry.end_ms;
+        let window = std::mem::take(&mut self.window);
+        if self.is_over || window.smaller() < LEAST_REQUESTS {
+            return None;
+        }
+        let failures = window.new.failure_share() - window.old.failure_share();
+        let ratio = window.latency_ratio().unwrap_or(1.0);
+        if failures < FAILURE_THRESHOLD && ratio < LATENCY_THRESHOLD {
+            return None;
+        }
+        self.is_over = true;
+        Some(Entry::Rollback(Rollback {
+            id: entry.id.clone(),
+            route: String::new(),
+            reason: window.figures(),
+        }))
+    }
+
+    /// Returns the entries that are due.
+    pub(crate) fn propose(&mut self, id: &str, now_ms: u64, deadline_ms: u64) -> Vec<Entry> {
+        if self.is_over {
+            return Vec::new();
+        }
+        let part = now_ms as f64 / deadline_ms as f64;
+        let Some(&(due, share_ppm)) = RAMP.get(self.step as usize) else {
+            self.is_over = now_ms >= deadline_ms;
+            return if self.is_over {
+                vec![Entry::RolloutEnd(RolloutEnd {
+                    id: id.into(),
+                    revision: 1,
+                    is_kept: true,
+                    reason: String::new(),
+                })]
+            } else {
+                Vec::new()
+            };
+        };
+        if part < due {
+            return Vec::new();
+        }
+        self.step += 1;
+        vec![Entry::RolloutStep(RolloutStep {
+            id: id.into(),
+            step: self.step,
+            share_ppm,
+            revision: 1,
+            at_ms: now_ms,
+            route: String::new(),
+        })]
+    }
+}
--- /dev/null
+++ b/examples/rollout_experiment/replay.rs
@@ -0,0 +1,407 @@
+//! Replay of one rollout with nine routers, a log and simulated upstreams.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::rc::Rc;
+
+use monsoonfield::evidence::{Arm, Collector, Outcome};
+use monsoonfield::ids::{IncarnationId, RequestKey};
+use monsoonfield::record::{Batch, Entry, Open, Rollout};
+use monsoonfield::rollout::{Proposer, Rollouts, VersionChoice, FULL_SHARE_PPM};
+use monsoonfield::FleetState;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::baseline::Baseline;
+use super::world::{Kind, Scale, World, ROUTES};
+
+/// Routers of the fleet.
+const ROUTERS: usize = 9;
+
+/// Step of the simulated time.
+const TICK_MS: u64 = 100;
+
+/// Name of the rollout.
+const ROLLOUT: &str = "move";
+
+/// Time that a failed request takes.
+const FAILURE_MS: f64 = 1_000.0;
+
+/// Ticks for which a response may take; slower ones count as ended then.
+const RING_TICKS: usize = 1_024;
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// The sequential test.
+    Sequential,
+    /// A fixed threshold on a window.
+    Threshold,
+}
+
+/// Result of one replay.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Verdict {
+    /// Whether every bad route, and no other, was rolled back.
+    pub(crate) is_judged_right: bool,
+    /// Whether any route was rolled back.
+    pub(crate) is_rolled_back: bool,
+    /// Whether all traffic moved by the deadline.
+    pub(crate) is_kept: bool,
+    /// Requests while the first evidence was incomplete.
+    pub(crate) early_requests: u64,
+    /// Of these, requests to the new version.
+    pub(crate) early_new_requests: u64,
+    /// Requests that the new version served while it was bad.
+    pub(crate) bad_requests: u64,
+    /// All requests until the last rollback or the end.
+    pub(crate) requests: u64,
+    /// Time from the fault to the rollback of the last bad route.
+    pub(crate) found_after_ms: Option<u64>,
+    /// Time from the evidence to the last request that the rolled back version got.
+    pub(crate) last_after_ms: u64,
+    /// Decisions as sentences.
+    pub(crate) decisions: Vec<String>,
+}
+
+struct Router {
+    collector: Collector,
+    proposer: Proposer,
+    lag_ms: u64,
+    next_seq: u64,
+    append_free_ms: u64,
+    ring: Vec<Vec<(Arm, Outcome)>>,
+}
+
+/// An append that reaches the log at a time; ties keep the order of sending.
+type InFlight = Reverse<(u64, u64, usize, Vec<u8>)>;
+
+struct Replay {
+    world: World,
+    policy: Policy,
+    rng: Pcg64Mcg,
+    fleet: FleetState,
+    baseline: Baseline,
+    routers: Vec<Router>,
+    in_flight: BinaryHeap<InFlight>,
+    sent: u64,
+    views: Vec<(u64, Rc<Rollouts>)>,
+    decided: usize,
+    rolled_back_ms: [Option<u64>; ROUTES.len()],
+    passed: [bool; ROUTES.len()],
+    bad_since_ms: Option<u64>,
+    verdict: Verdict,
+}
+
+/// Runs one replay; the same arguments always give the same verdict.
+pub(crate) fn run(kind: Kind, policy: Policy, scale: Scale, seed: u64) -> Verdict {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let world = World::draw(kind, scale, &mut rng);
+    let mut replay = Replay::new(world, policy, rng);
+    let mut now_ms = 0;
+    while now_ms < replay.end_ms() {
+        replay.tick(now_ms);
+        now_ms += TICK_MS;
+    }
+    replay.finish()
+}
+
+impl Replay {
+    fn new(world: World, policy: Policy, mut rng: Pcg64Mcg) -> Self {
+        let mut fleet = FleetState::default();
+        let routers = (0..ROUTERS)
+            .map(|_| Router {
+                collector: Collector::default(),
+                proposer: Proposer::default(),
+                lag_ms: rng.random_range(50..400),
+                next_seq: 2,
+                append_free_ms: 0,
+                ring: vec![Vec::new(); RING_TICKS],
+            })
+            .collect();
+        for index in 0..ROUTERS {
+            let batch = Batch::new(writer(index), 1, [Entry::Open(Open::default())]);
+            fleet.apply(fleet.next_offset, &batch);
+        }
+        let rollout = Rollout {
+            id: ROLLOUT.into(),
+            model: "large".into(),
+            from_version: "v1".into(),
+            to_version: "v2".into(),
+            start_ms: 0,
+            deadline_ms: world.scale.deadline_ms,
+            revision: 1,
+            replaces: 0,
+        };
+        let operator = IncarnationId(1_000);
+        fleet.apply(
+            fleet.next_offset,
+            &Batch::new(operator, 1, [Entry::Rollout(rollout)]),
+        );
+        let views = vec![(0, Rc::new(fleet.rollouts.clone()))];
+        Self {
+            world,
+            policy,
+            rng,
+            fleet,
+            baseline: Baseline::default(),
+            routers,
+            in_flight: BinaryHeap::new(),
+            sent: 0,
+            views,
+            decided: 0,
+            rolled_back_ms: [None; ROUTES.len()],
+            passed: [false; ROUTES.len()],
+            bad_since_ms: None,
+            verdict: Verdict::default(),
+        }
+    }
+
+    /// Returns the time at which the replay stops: some seconds after the last rollback that is expected.
+    fn end_ms(&self) -> u64 {
+        let is_found = match self.world.kind {
+            Kind::Good => false,
+            // The other routes must still move, and must not be rolled back.
+            Kind::BadOnRoute => false,
+            _ => true,
+        };
+        if let (true, Some(last_ms)) = (
+            is_found && self.rolled_back_ms.iter().all(Option::is_some),
+            self.rolled_back_ms.iter().flatten().max(),
+        ) {
+            return last_ms + 5_000;
+        }
+        let scale = &self.world.scale;
+        scale.deadline_ms.max(self.world.onset_ms) + scale.after_ms
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        self.deliver(now_ms);
+        for index in 0..ROUTERS {
+            self.serve(index, now_ms);
+            self.append(index, now_ms);
+        }
+    }
+
+    /// Folds what has reached the log.
+    fn deliver(&mut self, now_ms: u64) {
+        while self
+            .in_flight
+            .peek()
+            .is_some_and(|Reverse((due_ms, ..))| *due_ms <= now_ms)
+        {
+            let Some(Reverse((due_ms, _, _, payload))) = self.in_flight.pop() else {
+                return;
+            };
+            let offset = self.fleet.next_offset;
+            match self.policy {
+                Policy::Sequential => {
+                    self.fleet.apply_payload(offset, &payload);
+                }
+                Policy::Threshold => self.fold_for_baseline(&payload),
+            }
+            self.note_decisions(due_ms);
+        }
+    }
+
+    /// Folds all but the evidence, which the baseline judges in its own way.
+    fn fold_for_baseline(&mut self, payload: &[u8]) {
+        let Ok(mut batch) = <Batch as prost::Message>::decode(payload) else {
+            return;
+        };
+        let mut rollbacks = Vec::new();
+        batch.entries.retain(|envelope| match &envelope.entry {
+            Some(Entry::Evidence(evidence)) => {
+                rollbacks.extend(self.baseline.add_evidence(evidence));
+                false
+            }
+            _ => true,
+        });
+        batch.entries.extend(rollbacks.into_iter().map(Into::into));
+        self.fleet.apply(self.fleet.next_offset, &batch);
+    }
+
+    fn note_decisions(&mut self, now_ms: u64) {
+        let Some(state) = self.fleet.rollouts.get(ROLLOUT) else {
+            return;
+        };
+        let decided = state.decisions.len();
+        if decided == self.decided {
+            return;
+        }
+        self.decided = decided;
+        for (index, (route, _)) in ROUTES.iter().enumerate() {
+            if state.is_rolled_back(route) {
+                self.rolled_back_ms[index].get_or_insert(now_ms);
+            }
+            self.passed[index] |= state.step_and_share(route).1 > 20_000;
+        }
+        self.views
+            .push((now_ms, Rc::new(self.fleet.rollouts.clone())));
+    }
+
+    fn view(&self, index: usize, now_ms: u64) -> Rc<Rollouts> {
+        let seen_ms = now_ms.saturating_sub(self.routers[index].lag_ms);
+        let position = self.views.iter().rposition(|(at_ms, _)| *at_ms <= seen_ms);
+        Rc::clone(&self.views[position.unwrap_or(0)].1)
+    }
+
+    /// Serves the requests that arrive at one router, and counts those that end.
+    fn serve(&mut self, index: usize, now_ms: u64) {
+        let view = self.view(index, now_ms);
+        let rate = self.world.scale.requests_per_second * self.world.load(now_ms);
+        let mean = rate * TICK_MS as f64 / 1_000.0 / ROUTERS as f64;
+        let slot = (now_ms / TICK_MS) as usize % RING_TICKS;
+        for (arm, outcome) in std::mem::take(&mut self.routers[index].ring[slot]) {
+            self.routers[index].collector.count(&arm, outcome);
+        }
+        for _ in 0..poisson(mean, &mut self.rng) {
+            self.serve_request(index, &view, now_ms);
+        }
+    }
+
+    fn serve_request(&mut self, index: usize, view: &Rollouts, now_ms: u64) {
+        let route = draw_route(&mut self.rng);
+        let key = RequestKey(self.rng.random());
+        let name = ROUTES[route].0;
+        let choice = view.version_for(name, &[], key);
+        let VersionChoice::Version { version, evidence } = choice else {
+            return;
+        };
+        let is_new = version == "v2";
+        let share_ppm = view
+            .get(ROLLOUT)
+            .map_or(0, |state| state.step_and_share(name).1);
+        let share = f64::from(share_ppm) / f64::from(FULL_SHARE_PPM);
+        let is_bad = self.world.is_bad(route, share, now_ms);
+        self.note_request(route, is_new, is_bad, now_ms);
+        let result = self
+            .world
+            .serve(route, is_new && is_bad, now_ms, &mut self.rng);
+        let Some(evidence) = evidence else {
+            return;
+        };
+        let outcome = match result {
+            Some(latency_ms) => Outcome::Success { latency_ms },
+            None => Outcome::Failure,
+        };
+        let arm = Arm {
+            rollout: evidence.rollout.into(),
+            route: name.into(),
+            step: evidence.step,
+            is_new,
+        };
+        let ticks = (result.unwrap_or(FAILURE_MS) as u64 / TICK_MS) as usize;
+        let ticks = ticks.clamp(1, RING_TICKS - 1);
+        let slot = (now_ms / TICK_MS) as usize + ticks;
+        self.routers[index].ring[slot % RING_TICKS].push((arm, outcome));
+    }
+
+    fn note_request(&mut self, route: usize, is_new: bool, is_bad: bool, now_ms: u64) {
+        let verdict = &mut self.verdict;
+        verdict.requests += 1;
+        if is_bad && is_new {
+            self.bad_since_ms.get_or_insert(now_ms);
+            verdict.bad_requests += 1;
+        }
+        if !self.passed[route] && self.rolled_back_ms[route].is_none() {
+            verdict.early_requests += 1;
+            verdict.early_new_requests += u64::from(is_new);
+        }
+        if let (true, Some(at_ms)) = (is_new, self.rolled_back_ms[route]) {
+            verdict.last_after_ms = verdict.last_after_ms.max(now_ms.saturating_sub(at_ms));
+        }
+    }
+
+    /// Sends what one router has to write: evidence and proposals, with one append outstanding.
+    fn append(&mut self, index: usize, now_ms: u64) {
+        let (start_ms, end_ms) = self.world.outage_ms;
+        let is_outage = start_ms <= now_ms && now_ms < end_ms;
+        let router = &mut self.routers[index];
+        if is_outage || now_ms < router.append_free_ms {
+            return;
+        }
+        let mut entries: Vec<Entry> = router
+            .collector
+            .take(now_ms)
+            .into_iter()
+            .map(Entry::Evidence)
+            .collect();
+        if now_ms.is_multiple_of(200) {
+            entries.extend(match self.policy {
+                Policy::Sequential => {
+                    router
+                        .proposer
+                        .take(&self.fleet.rollouts, now_ms, index as u32)
+                }
+                Policy::Threshold if index == 0 => {
+                    self.baseline
+                        .propose(ROLLOUT, now_ms, self.world.scale.deadline_ms)
+                }
+                Policy::Threshold => Vec::new(),
+            });
+        }
+        if entries.is_empty() {
+            return;
+        }
+        let batch = Batch::new(writer(index), router.next_seq, entries);
+        router.next_seq += 1;
+        let due_ms = now_ms + self.rng.random_range(20..180);
+        router.append_free_ms = due_ms;
+        self.sent += 1;
+        let payload = prost::Message::encode_to_vec(&batch);
+        self.in_flight
+            .push(Reverse((due_ms, self.sent, index, payload)));
+    }
+
+    fn finish(self) -> Verdict {
+        let mut verdict = self.verdict;
+        let expected: [bool; ROUTES.len()] = std::array::from_fn(|route| match self.world.kind {
+            Kind::Good => false,
+            Kind::BadOnRoute => route == self.world.bad_route,
+            _ => true,
+        });
+        let actual = self.rolled_back_ms.map(|at_ms| at_ms.is_some());
+        verdict.is_judged_right = actual == expected;
+        verdict.is_rolled_back = actual.contains(&true);
+        verdict.found_after_ms = match (
+            self.bad_since_ms,
+            self.rolled_back_ms.iter().flatten().max(),
+        ) {
+            (Some(since_ms), Some(at_ms)) => Some(at_ms.saturating_sub(since_ms)),
+            _ => None,
+        };
+        if let Some(state) = self.fleet.rollouts.get(ROLLOUT) {
+            verdict.is_kept = state.end.as_ref().is_some_and(|end| end.is_kept);
+        }
+        verdict.decisions = self.fleet.rollouts.explain(ROLLOUT);
+        verdict
+    }
+}
+
+fn writer(index: usize) -> IncarnationId {
+    IncarnationId(index as u64 + 1)
+}
+
+fn draw_route(rng: &mut Pcg64Mcg) -> usize {
+    let mut point: f64 = rng.random();
+    for (index, (_, share)) in ROUTES.iter().enumerate() {
+        point -= share;
+        if point < 0.0 {
+            return index;
+        }
+    }
+    ROUTES.len() - 1
+}
+
+/// Draws from a Poisson distribution with a small mean.
+fn poisson(mean: f64, rng: &mut Pcg64Mcg) -> u32 {
+    let limit = (-mean).exp();
+    let mut product: f64 = rng.random();
+    let mut count = 0;
+    while product > limit {
+        product *= rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
--- /dev/null
+++ b/examples/rollout_experiment/world.rs
@@ -0,0 +1,213 @@
+//! The simulated upstreams: load, noise and the fault of the new version.
+
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+
+/// Routes of the model and their shares of the requests.
+pub(crate) const ROUTES: [(&str, f64); 3] = [
+    ("large/chat", 0.5),
+    ("large/stream", 0.3),
+    ("large/batch", 0.2),
+];
+
+/// What is wrong with the new version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// It is bad from the start.
+    BadAtOnce,
+    /// It turns bad at a random time, during or after the rollout.
+    BadLater,
+    /// It is bad only above a random load.
+    BadAboveLoad,
+    /// It is bad on one route.
+    BadOnRoute,
+    /// It is slow but does not fail.
+    Slow,
+    /// Nothing is wrong, but both versions have a noisy day.
+    Good,
+}
+
+impl Kind {
+    /// All kinds.
+    pub(crate) const ALL: [Self; 6] = [
+        Self::BadAtOnce,
+        Self::BadLater,
+        Self::BadAboveLoad,
+        Self::BadOnRoute,
+        Self::Slow,
+        Self::Good,
+    ];
+
+    /// Returns the name for tables.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::BadAtOnce => "bad at once",
+            Self::BadLater => "bad later",
+            Self::BadAboveLoad => "bad above a load",
+            Self::BadOnRoute => "bad on one route",
+            Self::Slow => "slow",
+            Self::Good => "good, noisy day",
+        }
+    }
+}
+
+/// Size of the replays.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scale {
+    /// Mean requests per second of the whole fleet.
+    pub(crate) requests_per_second: f64,
+    /// Time from the start to the deadline.
+    pub(crate) deadline_ms: u64,
+    /// Time that is simulated after the deadline, or after the version turned bad.
+    pub(crate) after_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Burst {
+    start_ms: u64,
+    end_ms: u64,
+    route: Option<usize>,
+    failure: f64,
+    latency: f64,
+}
+
+/// One replay's conditions, drawn from its seed.
+#[derive(Clone, Debug)]
+pub(crate) struct World {
+    /// What is wrong with the new version.
+    pub(crate) kind: Kind,
+    /// Size of the replay.
+    pub(crate) scale: Scale,
+    /// Route that is bad, for [`Kind::BadOnRoute`].
+    pub(crate) bad_route: usize,
+    /// Time at which the version turns bad.
+    pub(crate) onset_ms: u64,
+    /// Outage of the log.
+    pub(crate) outage_ms: (u64, u64),
+    load_threshold: f64,
+    bad_failure: f64,
+    bad_latency: f64,
+    base_failure: [f64; 3],
+    base_latency_ms: [f64; 3],
+    sigma: f64,
+    phase: f64,
+    swing: f64,
+    bursts: Vec<Burst>,
+}
+
+impl World {
+    /// Draws the conditions of a replay.
+    pub(crate) fn draw(kind: Kind, scale: Scale, rng: &mut Pcg64Mcg) -> Self {
+        let length_ms = 2 * scale.deadline_ms + scale.after_ms;
+        let is_edge = rng.random_bool(0.5);
+        let is_latency = kind == Kind::Slow || (kind != Kind::Good && rng.random_bool(0.3));
+        let bad_failure = if is_edge {
+            0.05
+        } else {
+            rng.random_range(0.05..0.4)
+        };
+        let bad_latency = if is_edge {
+            1.3
+        } else {
+            rng.random_range(1.3..4.0)
+        };
+        let swing = rng.random_range(0.0..0.4);
+        let has_outage = rng.random_bool(0.2);
+        let outage_start_ms = rng.random_range(0..scale.deadline_ms * 8 / 10);
+        let mut bursts = Vec::new();
+        let mut time_ms = 0;
+        while time_ms < length_ms {
+            time_ms += rng.random_range(60_000..1_200_000);
+            let end_ms = time_ms + rng.random_range(10_000..180_000);
+            bursts.push(Burst {
+                start_ms: time_ms,
+                end_ms,
+                route: rng
+                    .random_bool(0.5)
+                    .then(|| rng.random_range(0..ROUTES.len())),
+                failure: rng.random_range(0.0..0.2),
+                latency: rng.random_range(1.0..2.5),
+            });
+        }
+        Self {
+            kind,
+            scale,
+            bad_route: rng.random_range(0..ROUTES.len()),
+            onset_ms: match kind {
+                Kind::BadLater => {
+                    rng.random_range(scale.deadline_ms / 8..scale.deadline_ms * 5 / 4)
+                }
+                _ => 0,
+            },
+            outage_ms: if has_outage {
+                (outage_start_ms, outage_start_ms + 120_000)
+            } else {
+                (0, 0)
+            },
+            load_threshold: rng.random_range(0.03..0.95) * (1.0 - swing),
+            bad_failure: if is_latency { 0.0 } else { bad_failure },
+            bad_latency: if is_latency { bad_latency } else { 1.0 },
+            base_failure: std::array::from_fn(|_| rng.random_range(0.002..0.04)),
+            base_latency_ms: std::array::from_fn(|_| rng.random_range(100.0..600.0)),
+            sigma: rng.random_range(0.3..0.8),
+            phase: rng.random_range(0.0..std::f64::consts::TAU),
+            swing,
+            bursts,
+        }
+    }
+
+    /// Returns the factor of the load at a time, around 1.
+    pub(crate) fn load(&self, now_ms: u64) -> f64 {
+        let turn = now_ms as f64 / 7_200_000.0 * std::f64::consts::TAU;
+        1.0 + self.swing * (turn + self.phase).sin()
+    }
+
+    /// Returns whether the new version is bad on a route now, where it has this share of the requests.
+    pub(crate) fn is_bad(&self, route: usize, share: f64, now_ms: u64) -> bool {
+        match self.kind {
+            Kind::Good => false,
+            Kind::BadAtOnce | Kind::Slow => true,
+            Kind::BadLater => now_ms >= self.onset_ms,
+            Kind::BadAboveLoad => share * self.load(now_ms) >= self.load_threshold,
+            Kind::BadOnRoute => route == self.bad_route,
+        }
+    }
+
+    /// Draws the latency of a request, or `None` if it fails.
+    pub(crate) fn serve(
+        &self,
+        route: usize,
+        is_bad: bool,
+        now_ms: u64,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<f64> {
+        let mut failure = self.base_failure[route];
+        let mut latency_ms = self.base_latency_ms[route] * self.load(now_ms);
+        for burst in &self.bursts {
+            let is_on = burst.start_ms <= now_ms && now_ms < burst.end_ms;
+            if is_on && burst.route.is_none_or(|hit| hit == route) {
+                failure += burst.failure;
+                latency_ms *= burst.latency;
+            }
+        }
+        if is_bad {
+            failure += self.bad_failure;
+            latency_ms *= self.bad_latency;
+        }
+        if rng.random_bool(failure.min(1.0)) {
+            return None;
+        }
+        Some(latency_ms * (self.sigma * normal(rng)).exp())
+    }
+}
+
+/// Draws from the standard normal distribution by the polar method.
+fn normal(rng: &mut Pcg64Mcg) -> f64 {
+    loop {
+        let (x, y): (f64, f64) = (rng.random_range(-1.0..1.0), rng.random_range(-1.0..1.0));
+        let square = x * x + y * y;
+        if square > 0.0 && square < 1.0 {
+            return x * (-2.0 * square.ln() / square).sqrt();
+        }
+    }
+}
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -9,6 +9,13 @@
 
 use crate::record;
 
+mod comparison;
+mod tally;
+mod test;
+
+pub use comparison::{Comparison, Finding, Metric};
+pub use tally::{Pair, Tally};
+
 /// Shortest time between two batches of evidence of one process.
 ///
 /// The share of a bad version stops growing only when the evidence is folded, so the period is well below the 2 s in
@@ -21,6 +28,11 @@
 /// Buckets for each doubling of the latency; a bucket is 19% wide, so that a ratio of 1.3 spans more than one.
 const BUCKETS_PER_DOUBLING: f64 = 4.0;
 
+/// Returns the middle of a bucket as the natural logarithm of milliseconds.
+pub fn bucket_log_latency(bucket: usize) -> f64 {
+    (bucket as f64 - 0.5).max(0.0) / BUCKETS_PER_DOUBLING * std::f64::consts::LN_2
+}
+
 /// Returns the bucket of a latency, counted from dispatch to the first byte of the response.
 pub fn bucket(latency_ms: f64) -> usize {
     if latency_ms <= 1.0 {
@@ -54,17 +66,10 @@
     pub is_new: bool,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Counts {
-    total: u64,
-    failed: u64,
-    latency_counts: Vec<u32>,
-}
-
 /// Counts of one process that are not yet on their way to the log.
 #[derive(Clone, Debug, Default)]
 pub struct Collector {
-    counts: BTreeMap<Arm, Counts>,
+    counts: BTreeMap<Arm, Tally>,
     last_taken_ms: u64,
 }
 
@@ -75,22 +80,12 @@
     /// requests than there were. A crash caused by a quarantined request is not counted either.
     pub fn count(&mut self, arm: &Arm, outcome: Outcome) {
         if !self.counts.contains_key(arm) {
-            self.counts.insert(arm.clone(), Counts::default());
+            self.counts.insert(arm.clone(), Tally::default());
         }
         let Some(counts) = self.counts.get_mut(arm) else {
             return;
         };
-        counts.total += 1;
-        match outcome {
-            Outcome::Failure => counts.failed += 1,
-            Outcome::Success { latency_ms } => {
-                let index = bucket(latency_ms);
-                if counts.latency_counts.len() <= index {
-                    counts.latency_counts.resize(index + 1, 0);
-                }
-                counts.latency_counts[index] += 1;
-            }
-        }
+        counts.count(outcome);
     }
 
     /// Returns the time at which [`Self::take`] has something to give, if there is anything.
--- /dev/null
+++ b/src/evidence/test.rs
@@ -0,0 +1,229 @@
+//! The sequential test of a new version against the old one.
+//!
+//! A hash of the request key assigns a request to a version, so among the requests of one stratum (one route, one step,
+//! a short time, the whole fleet) the assignment is random. If the versions do not differ, the results of the version
+//! with fewer requests are a random sample of all results of the stratum, whatever the load and the noise were at the
+//! time. For any score `s` of a result and any tilt `t`,
+//!
+//! ```text
+//! e = exp(t * sum of s over the sample) / (mean of exp(t * s) over the stratum) ^ sample size
+//! ```
+//!
+//! then has an expectation of at most 1: it would be exactly 1 for sampling with replacement, and sampling without
+//! replacement lowers the expectation of a convex function of the sum (Hoeffding 1963). The product of such values
+//! over strata stays below `1 / alpha` for ever with probability `1 - alpha` (Ville), so it may be looked at after each
+//! stratum without correction. The score is 1 for a failure and the logarithm of the latency, so the test compares
+//! failures by difference of proportions and latencies by ratio.
+//!
+//! A margin is tested by moving the old version's results to it: latencies are multiplied by the allowed ratio, and each
+//! success becomes a failure with the allowed probability, over which the value is averaged.
+
+use serde::{Deserialize, Serialize};
+
+use super::{bucket_log_latency, Metric, Pair, Tally, BUCKETS};
+
+/// Number of tilts that are averaged; between them they cover weak and strong differences.
+const TILTS: usize = 5;
+
+/// Ratios of the odds of a failure for which the test of failures is most sensitive.
+///
+/// Five points above 30%, 10%, 2.5%, 1% and 0.2% of failures are ratios of about 1.25, 1.6, 3, 6 and 25.
+const FAILURE_ODDS: [f64; TILTS] = [1.25, 1.6, 3.0, 6.0, 20.0];
+
+/// Tilts of the logarithm of the latency.
+///
+/// The best tilt is the difference over the variance: for a ratio of 1.3 / 1.1 and standard deviations of the logarithm
+/// from 1.1 down to 0.17 it is 0.14 to 6.
+const LATENCY_TILTS: [f64; TILTS] = [0.15, 0.4, 1.0, 2.5, 6.0];
+
+/// Units of a stored logarithm: integers keep the folded state equal and comparable on all machines.
+const MICRO: f64 = 1e6;
+
+/// Stored logarithm of zero.
+const LOG_ZERO_MICRO: i64 = i64::MIN / 4;
+
+/// Standard deviations of the number of converted successes that are summed.
+const CONVERTED_DEVIATIONS: f64 = 8.0;
+
+/// What a detector looks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Direction {
+    /// The new version is worse than the old one by more than the margin.
+    Worse,
+    /// The new version is better than the old one would be with the margin added.
+    Better,
+}
+
+/// Largest difference that the hypothesis under test allows.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Margin {
+    /// Probability that turns a success of the old version into a failure.
+    pub(super) failure: f64,
+    /// Factor on the old version's latency.
+    pub(super) latency_ratio: f64,
+}
+
+/// Evidence against one hypothesis on one metric: the product of the values of all strata, for each tilt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Detector {
+    log_micro: [i64; TILTS],
+}
+
+impl Detector {
+    /// Returns a detector whose whole weight starts now.
+    pub(super) fn started() -> Self {
+        Self {
+            log_micro: [0; TILTS],
+        }
+    }
+
+    /// Returns a detector to which weight is added as strata come, so that it finds a change at any time.
+    pub(super) fn empty() -> Self {
+        Self {
+            log_micro: [LOG_ZERO_MICRO; TILTS],
+        }
+    }
+
+    /// Multiplies by the value of a stratum, after adding `weight` for a change that starts with it.
+    pub(super) fn add(&mut self, values: &[f64; TILTS], weight: f64) {
+        for (log_micro, value) in self.log_micro.iter_mut().zip(values) {
+            let mut log = *log_micro as f64 / MICRO;
+            if weight > 0.0 {
+                log = log_sum(log, weight.ln());
+            }
+            if *log_micro > LOG_ZERO_MICRO || weight > 0.0 {
+                *log_micro = ((log + value) * MICRO).round() as i64;
+            }
+        }
+    }
+
+    /// Returns the logarithm of the evidence: the mean over the tilts.
+    pub(super) fn log(&self) -> f64 {
+        let sum = self
+            .log_micro
+            .iter()
+            .map(|&log| log as f64 / MICRO)
+            .reduce(log_sum)
+            .unwrap_or(f64::NEG_INFINITY);
+        sum - (TILTS as f64).ln()
+    }
+}
+
+fn log_sum(a: f64, b: f64) -> f64 {
+    let (high, low) = if a > b { (a, b) } else { (b, a) };
+    high + (low - high).exp().ln_1p()
+}
+
+/// Returns the logarithms of the values of a stratum for all tilts; `None` if it says nothing on the metric.
+pub(super) fn stratum_values(
+    metric: Metric,
+    direction: Direction,
+    pair: &Pair,
+    margin: Margin,
+) -> Option<[f64; TILTS]> {
+    match metric {
+        Metric::Failures => failure_values(direction, pair, margin.failure),
+        Metric::Latency => latency_values(direction, pair, margin.latency_ratio),
+    }
+}
+
+/// Returns the sign of the tilt: the scores of the sample are high if it is the worse version.
+fn sign(direction: Direction, is_new_sampled: bool) -> f64 {
+    match (direction, is_new_sampled) {
+        (Direction::Worse, true) | (Direction::Better, false) => 1.0,
+        (Direction::Worse, false) | (Direction::Better, true) => -1.0,
+    }
+}
+
+fn failure_values(direction: Direction, pair: &Pair, converted: f64) -> Option<[f64; TILTS]> {
+    let is_new_sampled = pair.new.total <= pair.old.total;
+    let sampled = pair.smaller();
+    if sampled == 0 {
+        return None;
+    }
+    let conversions = binomial(pair.old.total - pair.old.failed, converted);
+    let total = pair.total() as f64;
+    let failed = (pair.old.failed + pair.new.failed) as f64;
+    let sign = sign(direction, is_new_sampled);
+    Some(FAILURE_ODDS.map(|odds| {
+        let tilt = sign * odds.ln();
+        let mean_value: f64 = conversions
+            .iter()
+            .map(|&(count, probability)| {
+                let sampled_failed = if is_new_sampled {
+                    pair.new.failed as f64
+                } else {
+                    pair.old.failed as f64 + count
+                };
+                let mean = 1.0 + (failed + count) / total * tilt.exp_m1();
+                probability * (tilt * sampled_failed - sampled as f64 * mean.ln()).exp()
+            })
+            .sum();
+        mean_value.ln()
+    }))
+}
+
+/// Returns the likely counts of a binomial distribution with their probabilities, which are scaled to a sum of 1.
+fn binomial(trials: u64, probability: f64) -> Vec<(f64, f64)> {
+    let trials = trials as f64;
+    let mean = trials * probability;
+    let reach = CONVERTED_DEVIATIONS * (mean + 1.0).sqrt();
+    let low = (mean - reach).max(0.0).floor();
+    let high = (mean + reach).min(trials).ceil();
+    let odds = probability / (1.0 - probability);
+    let mut terms = Vec::with_capacity((high - low) as usize + 1);
+    let (mut count, mut log_weight) = (low, 0.0_f64);
+    let mut largest = 0.0_f64;
+    while count <= high {
+        terms.push((count, log_weight));
+        largest = largest.max(log_weight);
+        log_weight += ((trials - count) / (count + 1.0) * odds)
+            .max(f64::MIN_POSITIVE)
+            .ln();
+        count += 1.0;
+    }
+    let sum: f64 = terms.iter().map(|(_, log)| (log - largest).exp()).sum();
+    for (_, weight) in &mut terms {
+        *weight = (*weight - largest).exp() / sum;
+    }
+    terms
+}
+
+fn latency_values(direction: Direction, pair: &Pair, ratio: f64) -> Option<[f64; TILTS]> {
+    let (old, new) = (pair.old.timed(), pair.new.timed());
+    if old == 0 || new == 0 {
+        return None;
+    }
+    let shift = ratio.ln();
+    let total = (old + new) as f64;
+    let old_sum = pair.old.sum_log_latency() + shift * old as f64;
+    let new_sum = pair.new.sum_log_latency();
+    let centre = (old_sum + new_sum) / total;
+    let is_new_sampled = new <= old;
+    let (sampled, sampled_sum) = if is_new_sampled {
+        (new as f64, new_sum)
+    } else {
+        (old as f64, old_sum)
+    };
+    let sign = sign(direction, is_new_sampled);
+    Some(LATENCY_TILTS.map(|tilt| {
+        let tilt = sign * tilt;
+        let mean =
+            (tilted(&pair.old, tilt, centre - shift) + tilted(&pair.new, tilt, centre)) / total;
+        tilt * (sampled_sum - sampled * centre) - sampled * mean.ln()
+    }))
+}
+
+/// Returns the sum of `exp(tilt * (score - centre))`.
+fn tilted(tally: &Tally, tilt: f64, centre: f64) -> f64 {
+    tally
+        .latency_counts
+        .iter()
+        .enumerate()
+        .take(BUCKETS)
+        .filter(|(_, &count)| count > 0)
+        .map(|(index, &count)| {
+            f64::from(count) * (tilt * (bucket_log_latency(index) - centre)).exp()
+        })
+        .sum()
+}
--- a/src/record.rs
+++ b/src/record.rs
@@ -345,7 +345,7 @@
     pub replaces: u64,
 }
 
-/// Raises the share of a rollout; the first record for a step counts.
+/// Changes the share of a rollout on a route; the first record for a step counts.
 #[derive(Clone, PartialEq, Message)]
 pub struct RolloutStep {
     /// Name of the rollout.
@@ -363,6 +363,9 @@
     /// Wall-clock time of the proposal, since the Unix epoch; the schedule of later steps counts from it.
     #[prost(uint64, tag = "5")]
     pub at_ms: u64,
+    /// Route whose share changes; empty for all routes without steps of their own.
+    #[prost(string, tag = "6")]
+    pub route: String,
 }
 
 /// Results of one version on one route within one period, as counted by one process.
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -14,52 +14,36 @@
 use crate::record;
 
 mod orders;
+mod schedule;
+mod state;
 
 pub use orders::{plan_order, OrderPlan, OrderState, Orders, StoreLimits};
+pub use schedule::Proposer;
+pub use state::{Check, Decision, RolloutResult, RolloutState, RouteState};
 
-/// Share of the new version before the evidence, in parts per million.
+/// Share of the new version at the start, in parts per million.
 ///
-/// The limit is 2%. The choice by hash lets the actual share vary, so the target is below it.
+/// The limit before the evidence is 2%. The choice by hash lets the actual share vary around this value, the more so the
+/// fewer requests there were.
+pub const FIRST_SHARE_PPM: u32 = 10_000;
+
+/// Share of the new version before the evidence once [`CANARY_REQUESTS`] have ended.
 pub const CANARY_SHARE_PPM: u32 = 15_000;
 
+/// Requests after which the actual share stays below 2% with [`CANARY_SHARE_PPM`]: 2% is four standard deviations away.
+pub const CANARY_REQUESTS: u64 = 10_000;
+
+/// Share of the new version while a suspicion is checked; a quarter for the old version gives evidence soonest.
+pub const CHECK_SHARE_PPM: u32 = 750_000;
+
 /// The whole traffic in parts per million.
 pub const FULL_SHARE_PPM: u32 = 1_000_000;
 
-/// State of one rollout.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutState {
-    /// Model or service whose traffic moves.
-    pub model: CompactString,
-    /// Version that serves now.
-    pub from_version: CompactString,
-    /// Version that shall serve.
-    pub to_version: CompactString,
-    /// Wall-clock time at which the rollout starts, since the Unix epoch.
-    pub start_ms: u64,
-    /// Wall-clock time by which all traffic shall have moved.
-    pub deadline_ms: u64,
-    /// Revision in force.
-    pub revision: u64,
-    /// Newest step.
-    pub step: u32,
-    /// Share of requests that the new version gets, in parts per million.
-    pub share_ppm: u32,
-    /// Routes that were rolled back, with the reason; the empty name stands for the whole version.
-    pub rolled_back: BTreeMap<CompactString, CompactString>,
-    /// End of the rollout.
-    pub end: Option<RolloutResult>,
-    /// Offset of the newest accepted `Rollout` entry.
-    pub offset: Offset,
-}
+/// Time after the deadline for which the versions are still compared.
+pub const WATCH_MS: u64 = 3_600_000;
 
-/// How a rollout ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutResult {
-    /// Whether all traffic moved by the deadline.
-    pub is_kept: bool,
-    /// Why the deadline was not kept.
-    pub reason: CompactString,
-}
+/// Rollouts that are remembered; the oldest ended ones that govern no model are forgotten.
+const RETAINED_ROLLOUTS: usize = 64;
 
 /// Version that shall serve a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,80 +89,116 @@
 impl Rollouts {
     /// Starts or changes a rollout.
     ///
+    /// A new revision keeps the evidence, the steps and the rollbacks as long as it moves the same model between the
+    /// same versions. Of two operators who change the same revision, the first in log order wins.
+    ///
     /// # Errors
     ///
-    /// Returns the reason for the operator if the entry does not replace the revision in force.
+    /// Returns the reason for the operator if the entry is not valid, does not replace the revision in force, or another
+    /// rollout of the model has not ended.
     pub fn start(&mut self, offset: Offset, entry: &record::Rollout) -> Result<(), String> {
-        let in_force = self
-            .rollouts
-            .get(entry.id.as_str())
-            .map_or(0, |state| state.revision);
+        self.check(entry)?;
+        match self.rollouts.get_mut(entry.id.as_str()) {
+            Some(state) => state.revise(offset, entry),
+            None => {
+                self.rollouts
+                    .insert(entry.id.as_str().into(), RolloutState::new(offset, entry));
+                self.forget_oldest();
+            }
+        }
+        Ok(())
+    }
+
+    fn check(&self, entry: &record::Rollout) -> Result<(), String> {
+        let id = &entry.id;
+        if id.is_empty() || entry.model.is_empty() || entry.to_version.is_empty() {
+            return Err(format!(
+                "rollout {id}: id, model and to_version must not be empty"
+            ));
+        }
+        if entry.from_version == entry.to_version {
+            return Err(format!(
+                "rollout {id}: both versions are {}",
+                entry.to_version
+            ));
+        }
+        if entry.deadline_ms <= entry.start_ms {
+            return Err(format!(
+                "rollout {id}: the deadline {} is not after the start {}",
+                entry.deadline_ms, entry.start_ms
+            ));
+        }
+        let known = self.rollouts.get(id.as_str());
+        let in_force = known.map_or(0, |state| state.revision);
         if entry.replaces != in_force || entry.revision <= in_force {
             return Err(format!(
-                "rollout {}: replaces revision {}, but revision {in_force} is in force",
-                entry.id, entry.replaces
+                "rollout {id}: replaces revision {}, but revision {in_force} is in force",
+                entry.replaces
             ));
         }
-        self.rollouts.insert(
-            entry.id.as_str().into(),
-            RolloutState {
-                model: entry.model.as_str().into(),
-                from_version: entry.from_version.as_str().into(),
-                to_version: entry.to_version.as_str().into(),
-                start_ms: entry.start_ms,
-                deadline_ms: entry.deadline_ms,
-                revision: entry.revision,
-                step: 0,
-                share_ppm: 0,
-                rolled_back: BTreeMap::new(),
-                end: None,
-                offset,
-            },
-        );
-        Ok(())
+        if known.is_some_and(|state| state.rolled_back.contains_key("")) {
+            return Err(format!(
+                "rollout {id}: was rolled back; a rollback is final, start another rollout"
+            ));
+        }
+        match self.governing(&entry.model) {
+            Some((other, state)) if other != id && state.end.is_none() => Err(format!(
+                "rollout {id}: rollout {other} of model {} has not ended",
+                entry.model
+            )),
+            Some((other, state)) if other != id && state.serving() != entry.from_version => {
+                Err(format!(
+                    "rollout {id}: moves from {}, but {} serves since rollout {other}",
+                    entry.from_version,
+                    state.serving()
+                ))
+            }
+            Some((other, _)) if other != id && known.is_some() => Err(format!(
+                "rollout {id}: rollout {other} of model {} came after it",
+                entry.model
+            )),
+            _ => Ok(()),
+        }
     }
 
     /// Takes the next step; the first record for a step counts.
-    pub fn step(&mut self, _offset: Offset, entry: &record::RolloutStep) {
-        if let Some(state) = self.rollouts.get_mut(entry.id.as_str()) {
-            if entry.revision == state.revision && entry.step == state.step + 1 {
-                state.step = entry.step;
-                state.share_ppm = entry.share_ppm;
-            }
+    pub fn step(&mut self, offset: Offset, entry: &record::RolloutStep) {
+        if let Some(state) = self.governing_mut(&entry.id) {
+            state.step(offset, entry);
         }
     }
 
-    /// Adds the results of one process.
-    pub fn add_evidence(&mut self, _offset: Offset, _entry: &record::Evidence) {}
+    /// Adds the results of one process and decides on them.
+    pub fn add_evidence(&mut self, offset: Offset, entry: &record::Evidence) {
+        if let Some(state) = self.governing_mut(&entry.id) {
+            state.add_evidence(offset, entry);
+        }
+    }
 
-    /// Rolls a route or the whole version back.
-    pub fn roll_back(&mut self, _offset: Offset, entry: &record::Rollback) {
-        if let Some(state) = self.rollouts.get_mut(entry.id.as_str()) {
-            state
-                .rolled_back
-                .entry(entry.route.as_str().into())
-                .or_insert_with(|| entry.reason.as_str().into());
+    /// Rolls a route or, if its name is empty, the whole version back; this is final and overrides every later step.
+    pub fn roll_back(&mut self, offset: Offset, entry: &record::Rollback) {
+        if let Some(state) = self.governing_mut(&entry.id) {
+            state.roll_back(offset, &entry.route, &entry.reason);
         }
     }
 
     /// Ends a rollout.
-    pub fn end(&mut self, _offset: Offset, entry: &record::RolloutEnd) {
-        if let Some(state) = self.rollouts.get_mut(entry.id.as_str()) {
-            if entry.revision == state.revision && state.end.is_none() {
-                state.end = Some(RolloutResult {
-                    is_kept: entry.is_kept,
-                    reason: entry.reason.as_str().into(),
-                });
-            }
+    pub fn end(&mut self, offset: Offset, entry: &record::RolloutEnd) {
+        if let Some(state) = self.governing_mut(&entry.id) {
+            state.end(offset, entry);
         }
     }
 
     /// Returns the entries that are due at `now_ms`, for this process to append.
     ///
     /// Every process may propose; the first entry in log order counts. `rank` is the position of the process among the
-    /// open incarnations: each waits a little longer than the one before, so that normally only one proposes.
-    pub fn propose(&self, _now_ms: u64, _rank: u32) -> Vec<record::Entry> {
-        Vec::new()
+    /// open incarnations: each waits a little longer than the one before, so that normally only one proposes. Use
+    /// [`Proposer`] to avoid proposing again what is already on its way.
+    pub fn propose(&self, now_ms: u64, rank: u32) -> Vec<record::Entry> {
+        self.iter()
+            .filter(|(id, state)| self.is_governing(id, &state.model))
+            .flat_map(|(id, state)| schedule::propose(id, state, now_ms, rank))
+            .collect()
     }
 
     /// Returns the version that shall serve a request of `route`.
@@ -196,11 +216,10 @@
         };
         let is_allowed =
             |version: &str| allowed.is_empty() || allowed.iter().any(|name| name == version);
-        let is_rolled_back =
-            state.rolled_back.contains_key("") || state.rolled_back.contains_key(route);
-        let may_use_new = !is_rolled_back && is_allowed(&state.to_version);
+        let (step, share_ppm) = state.step_and_share(route);
+        let may_use_new = !state.is_rolled_back(route) && is_allowed(&state.to_version);
         let may_use_old = is_allowed(&state.from_version);
-        let draws_new = is_within_share(id, key, state.share_ppm);
+        let draws_new = is_within_share(id, key, share_ppm);
         let is_new = match (may_use_old, may_use_new) {
             (false, false) => return VersionChoice::NotAllowed,
             (true, true) => draws_new,
@@ -212,17 +231,25 @@
             } else {
                 &state.from_version
             },
-            evidence: (may_use_old && may_use_new).then_some(EvidenceArm {
-                rollout: id,
-                step: state.step,
-                is_new,
-            }),
+            evidence: (may_use_old && may_use_new && share_ppm > 0 && state.is_compared())
+                .then_some(EvidenceArm {
+                    rollout: id,
+                    step,
+                    is_new,
+                }),
         }
     }
 
     /// Returns the sequence of decisions on a rollout as plain sentences, the oldest first.
-    pub fn explain(&self, _id: &str) -> Vec<String> {
-        Vec::new()
+    pub fn explain(&self, id: &str) -> Vec<String> {
+        self.rollouts
+            .get(id)
+            .map_or_else(Vec::new, RolloutState::explain)
+    }
+
+    /// Returns a rollout.
+    pub fn get(&self, id: &str) -> Option<&RolloutState> {
+        self.rollouts.get(id)
     }
 
     /// Returns all rollouts in the order of their names.
@@ -231,10 +258,37 @@
     }
 
     /// Returns the rollout that governs a model: the newest one that was accepted.
-    fn governing(&self, model: &str) -> Option<(&str, &RolloutState)> {
+    pub fn governing(&self, model: &str) -> Option<(&str, &RolloutState)> {
         self.iter()
             .filter(|(_, state)| state.model == model)
-            .max_by_key(|(_, state)| state.offset)
+            .max_by_key(|(_, state)| state.first_offset)
+    }
+
+    fn is_governing(&self, id: &str, model: &str) -> bool {
+        self.governing(model)
+            .is_some_and(|(governing, _)| governing == id)
+    }
+
+    fn governing_mut(&mut self, id: &str) -> Option<&mut RolloutState> {
+        let model = self.rollouts.get(id)?.model.clone();
+        if !self.is_governing(id, &model) {
+            return None;
+        }
+        self.rollouts.get_mut(id)
+    }
+
+    fn forget_oldest(&mut self) {
+        while self.rollouts.len() > RETAINED_ROLLOUTS {
+            let oldest = self
+                .iter()
+                .filter(|(id, state)| state.end.is_some() && !self.is_governing(id, &state.model))
+                .min_by_key(|(_, state)| state.first_offset)
+                .map(|(id, _)| CompactString::from(id));
+            match oldest {
+                Some(id) => self.rollouts.remove(&id),
+                None => return,
+            };
+        }
     }
 }
 
--- /dev/null
+++ b/src/rollout/schedule.rs
@@ -0,0 +1,281 @@
+//! When steps and the end of a rollout are due.
+
+use super::state::{duration, percent};
+use super::{
+    Check, RolloutState, RouteState, CANARY_REQUESTS, CANARY_SHARE_PPM, CHECK_SHARE_PPM,
+    FIRST_SHARE_PPM, FULL_SHARE_PPM,
+};
+use crate::record::{Entry, RolloutEnd, RolloutStep};
+
+/// Shares of the new version, from the first to the whole traffic.
+///
+/// They about double, so that a fault that shows only under load shows at a step at which half the load is known to be
+/// well. At the last but one the old version still serves enough to compare with.
+const SHARES_PPM: [u32; 8] = [
+    CANARY_SHARE_PPM,
+    50_000,
+    100_000,
+    250_000,
+    500_000,
+    750_000,
+    950_000,
+    FULL_SHARE_PPM,
+];
+
+/// Index of the whole traffic in [`SHARES_PPM`].
+const LAST_NOTCH: u64 = SHARES_PPM.len() as u64 - 1;
+
+/// Shortest time between two steps: several periods of evidence and their way through the log.
+const SHORTEST_STEP_MS: u64 = 10_000;
+
+/// Part of the rollout's time that is left before the deadline, as a divisor: 5%.
+const MARGIN_DIVISOR: u64 = 20;
+
+/// Bounds of the time that is left before the deadline.
+const MARGIN_MS: (u64, u64) = (10_000, 600_000);
+
+/// Share in every second check, close to the full load, for a fault that shows only there.
+const LOADED_CHECK_SHARE_PPM: u32 = 950_000;
+
+/// Time that each process waits longer than the one before it.
+const RANK_DELAY_MS: u64 = 1_000;
+
+/// Time after which an entry that was not folded is proposed again.
+const REPEAT_MS: u64 = 2_000;
+
+/// Returns the entries that are due.
+pub(super) fn propose(id: &str, state: &RolloutState, now_ms: u64, rank: u32) -> Vec<Entry> {
+    let due_ms = now_ms.saturating_sub(u64::from(rank) * RANK_DELAY_MS);
+    if state.rolled_back.contains_key("") || due_ms < state.start_ms {
+        return Vec::new();
+    }
+    let planner = Planner {
+        id,
+        state,
+        now_ms,
+        due_ms,
+    };
+    planner.entries()
+}
+
+struct Planner<'a> {
+    id: &'a str,
+    state: &'a RolloutState,
+    now_ms: u64,
+    due_ms: u64,
+}
+
+impl Planner<'_> {
+    fn entries(&self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        if self.state.step == 0 {
+            if self.state.end.is_none() && self.now_ms < self.state.deadline_ms {
+                return vec![self.step("", 0, FIRST_SHARE_PPM)];
+            }
+        } else {
+            for (name, route) in &self.state.routes {
+                if self.state.rolled_back.contains_key(name) {
+                    continue;
+                }
+                let (step, share_ppm) = self.state.step_and_share(name);
+                if let Some(next_ppm) = self.next_share(route, share_ppm) {
+                    entries.push(self.step(name, step, next_ppm));
+                }
+            }
+            entries.extend(self.default_step());
+        }
+        entries.extend(self.end());
+        entries
+    }
+
+    fn step(&self, route: &str, step: u32, share_ppm: u32) -> Entry {
+        Entry::RolloutStep(RolloutStep {
+            id: self.id.into(),
+            step: step + 1,
+            share_ppm,
+            revision: self.state.revision,
+            at_ms: self.now_ms,
+            route: route.into(),
+        })
+    }
+
+    fn next_share(&self, route: &RouteState, share_ppm: u32) -> Option<u32> {
+        match route.check {
+            Check::Due { at_ms } if at_ms <= self.due_ms => {
+                let is_loaded = route.checks % 2 == 1;
+                return Some(if is_loaded {
+                    LOADED_CHECK_SHARE_PPM.min(share_ppm)
+                } else {
+                    CHECK_SHARE_PPM
+                });
+            }
+            Check::Cleared { at_ms } if at_ms <= self.due_ms => return Some(route.resume_ppm),
+            Check::None => {}
+            _ => return None,
+        }
+        if self.state.end.is_some() {
+            return None;
+        }
+        let passed_ms = route.passed_ms?;
+        let notch = SHARES_PPM
+            .iter()
+            .rposition(|&notch| notch <= share_ppm)
+            .unwrap_or(0) as u64;
+        if notch == LAST_NOTCH {
+            return None;
+        }
+        let finish_ms = self.finish_ms();
+        let step_due_ms = if notch == 0 {
+            passed_ms
+        } else {
+            route.step_ms + finish_ms.saturating_sub(route.step_ms) / (LAST_NOTCH - notch)
+        };
+        if self.due_ms < step_due_ms.min(finish_ms) {
+            return None;
+        }
+        let steps_left = finish_ms.saturating_sub(self.now_ms) / SHORTEST_STEP_MS;
+        let next = (notch + 1).max(LAST_NOTCH.saturating_sub(steps_left));
+        Some(SHARES_PPM[next as usize])
+    }
+
+    /// Returns the time at which all traffic shall have moved; the rest until the deadline is left for delays.
+    fn finish_ms(&self) -> u64 {
+        let margin_ms = (self.state.deadline_ms - self.state.start_ms) / MARGIN_DIVISOR;
+        let margin_ms = margin_ms.clamp(MARGIN_MS.0, MARGIN_MS.1);
+        self.state.deadline_ms.saturating_sub(margin_ms)
+    }
+
+    /// Returns the routes that must move on their own evidence.
+    fn material(&self) -> impl Iterator<Item = (&str, &RouteState)> {
+        self.state
+            .routes
+            .iter()
+            .filter(|(name, route)| {
+                !self.state.rolled_back.contains_key(*name) && self.state.is_material(route)
+            })
+            .map(|(name, route)| (name.as_str(), route))
+    }
+
+    /// Returns the step of the routes without steps of their own: small routes follow the slowest of the others.
+    fn default_step(&self) -> Option<Entry> {
+        if self.state.share_ppm == FIRST_SHARE_PPM && self.state.end.is_none() {
+            let requests: u64 = self
+                .state
+                .routes
+                .values()
+                .map(|route| route.comparison.since_start().total())
+                .sum();
+            let is_due = requests >= CANARY_REQUESTS;
+            return is_due.then(|| self.step("", self.state.step, CANARY_SHARE_PPM));
+        }
+        let slowest_ppm = self
+            .material()
+            .map(|(name, _)| self.state.step_and_share(name).1)
+            .min()?;
+        let is_due = self.state.end.is_none() && slowest_ppm > self.state.share_ppm;
+        is_due.then(|| self.step("", self.state.step, slowest_ppm))
+    }
+
+    fn end(&self) -> Option<Entry> {
+        if self.state.end.is_some() {
+            return None;
+        }
+        let has_moved = self.state.share_ppm == FULL_SHARE_PPM && self.material().next().is_some();
+        let reason = if has_moved {
+            self.reason_after_move()
+        } else if self.due_ms >= self.state.deadline_ms && !self.is_late_step_due() {
+            self.reason_at_deadline()
+        } else {
+            return None;
+        };
+        Some(Entry::RolloutEnd(RolloutEnd {
+            id: self.id.into(),
+            revision: self.state.revision,
+            is_kept: reason.is_empty(),
+            reason,
+        }))
+    }
+
+    /// Returns whether all routes have passed, so that only steps are missing, for example after a log outage.
+    fn is_late_step_due(&self) -> bool {
+        let mut routes = self.material().peekable();
+        routes.peek().is_some() && routes.all(|(_, route)| route.passed_ms.is_some())
+    }
+
+    fn reason_after_move(&self) -> String {
+        if !self.state.rolled_back.is_empty() {
+            let names: Vec<&str> = self
+                .state
+                .rolled_back
+                .keys()
+                .map(|name| name.as_str())
+                .collect();
+            return format!(
+                "rolled back on {}; all other traffic moved",
+                names.join(", ")
+            );
+        }
+        if self.now_ms > self.state.deadline_ms {
+            return format!(
+                "all traffic moved, but {} after the deadline, because the steps could not be written earlier",
+                duration(self.now_ms - self.state.deadline_ms)
+            );
+        }
+        String::new()
+    }
+
+    fn reason_at_deadline(&self) -> String {
+        let open: Vec<String> = self
+            .material()
+            .filter(|(_, route)| route.passed_ms.is_none())
+            .map(|(name, route)| {
+                let (_, not_bad) = route.comparison.progress();
+                format!(
+                    "on route {name} the evidence reached {:.0}% of what is needed after {} requests at a share of {}",
+                    not_bad * 100.0,
+                    route.comparison.since_start().new.total,
+                    percent(self.state.step_and_share(name).1)
+                )
+            })
+            .collect();
+        if open.is_empty() {
+            return "no requests came that could give evidence before the deadline".into();
+        }
+        open.join("; ")
+    }
+}
+
+/// Proposals of one process, without repeating what is on its way to the log.
+#[derive(Clone, Debug, Default)]
+pub struct Proposer {
+    sent: Vec<(u64, Entry)>,
+}
+
+impl Proposer {
+    /// Returns the entries that are due and were not returned in the last 2 s.
+    ///
+    /// Call this after each fold that changed a rollout, and at least once a second.
+    pub fn take(&mut self, rollouts: &super::Rollouts, now_ms: u64, rank: u32) -> Vec<Entry> {
+        self.sent
+            .retain(|(sent_ms, _)| now_ms < sent_ms + REPEAT_MS);
+        let mut fresh = Vec::new();
+        for entry in rollouts.propose(now_ms, rank) {
+            if !self.sent.iter().any(|(_, sent)| is_same(sent, &entry)) {
+                self.sent.push((now_ms, entry.clone()));
+                fresh.push(entry);
+            }
+        }
+        fresh
+    }
+}
+
+/// Returns whether two proposals are for the same step or end; the time of the proposal does not matter.
+fn is_same(a: &Entry, b: &Entry) -> bool {
+    match (a, b) {
+        (Entry::RolloutStep(a), Entry::RolloutStep(b)) => {
+            (&a.id, &a.route, a.step, a.revision) == (&b.id, &b.route, b.step, b.revision)
+        }
+        (Entry::RolloutEnd(a), Entry::RolloutEnd(b)) => (&a.id, a.revision) == (&b.id, b.revision),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/src/rollout/state.rs
@@ -0,0 +1,503 @@
+//! State of one rollout and the decisions that follow from evidence.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use super::{CHECK_SHARE_PPM, FIRST_SHARE_PPM, FULL_SHARE_PPM, WATCH_MS};
+use crate::evidence::{Comparison, Finding, Metric};
+use crate::ids::Offset;
+use crate::record;
+
+/// Decisions that are remembered for each rollout.
+const RETAINED_DECISIONS: usize = 500;
+
+/// Routes that are compared separately; requests of further routes follow the other routes without evidence.
+const COMPARED_ROUTES: usize = 64;
+
+/// Share of the rollout's requests from which a route must pass on its own evidence, as a divisor: 5%.
+///
+/// A smaller route cannot give enough evidence at the first share. It follows the others, where its traffic on a bad
+/// version is at most this share of the whole.
+const MATERIAL_DIVISOR: u64 = 20;
+
+/// Routes that turn out bad before the whole version is taken back.
+const BAD_ROUTES_OF_BAD_VERSION: usize = 2;
+
+/// How a rollout ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutResult {
+    /// Whether all traffic moved by the deadline.
+    pub is_kept: bool,
+    /// Why the deadline was not kept.
+    pub reason: CompactString,
+}
+
+/// A decision on a rollout, with the figures on which it rests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// Offset of the record by which it was decided.
+    pub offset: Offset,
+    /// Newest time that the records stated by then, since the Unix epoch.
+    pub at_ms: u64,
+    /// The decision as a sentence.
+    pub sentence: CompactString,
+}
+
+/// Check of a suspicion on a version that serves a whole route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Check {
+    /// Nothing is suspected.
+    None,
+    /// Results became worse; a part of the requests shall go back to the old version for a comparison.
+    Due {
+        /// Time of the evidence.
+        at_ms: u64,
+    },
+    /// The versions are being compared.
+    Running,
+    /// The comparison shows that the version is not bad; it shall serve all requests again.
+    Cleared {
+        /// Time of the evidence.
+        at_ms: u64,
+    },
+}
+
+/// State of one route of a rollout.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteState {
+    /// Newest step, if the route has steps of its own.
+    pub step: Option<u32>,
+    /// Share of requests that the new version gets; only in force if the route has steps of its own.
+    pub share_ppm: u32,
+    /// Time of the newest step.
+    pub step_ms: u64,
+    /// Time at which the evidence was complete.
+    pub passed_ms: Option<u64>,
+    /// Check of a suspicion.
+    pub check: Check,
+    /// Share to which the route returns after a check.
+    pub resume_ppm: u32,
+    /// Checks so far.
+    pub checks: u32,
+    /// Results of both versions.
+    pub comparison: Comparison,
+}
+
+/// State of one rollout.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutState {
+    /// Model or service whose traffic moves.
+    pub model: CompactString,
+    /// Version that served before.
+    pub from_version: CompactString,
+    /// Version that shall serve.
+    pub to_version: CompactString,
+    /// Wall-clock time at which the rollout starts, since the Unix epoch.
+    pub start_ms: u64,
+    /// Wall-clock time by which all traffic shall have moved.
+    pub deadline_ms: u64,
+    /// Revision in force.
+    pub revision: u64,
+    /// Newest step of the routes without steps of their own.
+    pub step: u32,
+    /// Share of requests that the new version gets on these routes, in parts per million.
+    pub share_ppm: u32,
+    /// Routes with evidence.
+    pub routes: BTreeMap<CompactString, RouteState>,
+    /// Routes that were rolled back, with the reason; the empty name stands for the whole version.
+    pub rolled_back: BTreeMap<CompactString, CompactString>,
+    /// End of the rollout.
+    pub end: Option<RolloutResult>,
+    /// Whether the time of the comparison is over.
+    pub is_watch_over: bool,
+    /// Offset of the first entry of the rollout.
+    pub first_offset: Offset,
+    /// Newest time that a record of the rollout stated.
+    pub newest_ms: u64,
+    /// Decisions, the oldest first.
+    pub decisions: Vec<Decision>,
+}
+
+impl RolloutState {
+    pub(super) fn new(offset: Offset, entry: &record::Rollout) -> Self {
+        let mut state = Self {
+            model: entry.model.as_str().into(),
+            from_version: entry.from_version.as_str().into(),
+            to_version: entry.to_version.as_str().into(),
+            start_ms: entry.start_ms,
+            deadline_ms: entry.deadline_ms,
+            revision: entry.revision,
+            step: 0,
+            share_ppm: 0,
+            routes: BTreeMap::new(),
+            rolled_back: BTreeMap::new(),
+            end: None,
+            is_watch_over: false,
+            first_offset: offset,
+            newest_ms: entry.start_ms,
+            decisions: Vec::new(),
+        };
+        state.note_revision(offset);
+        state
+    }
+
+    /// Takes a new revision, which the caller has checked.
+    pub(super) fn revise(&mut self, offset: Offset, entry: &record::Rollout) {
+        let is_same_move = self.model == entry.model
+            && self.from_version == entry.from_version
+            && self.to_version == entry.to_version;
+        if !is_same_move {
+            let decisions = std::mem::take(&mut self.decisions);
+            let first_offset = self.first_offset;
+            *self = Self::new(offset, entry);
+            let note = std::mem::replace(&mut self.decisions, decisions);
+            self.decisions.extend(note);
+            self.first_offset = first_offset;
+            return;
+        }
+        self.revision = entry.revision;
+        self.start_ms = entry.start_ms;
+        self.deadline_ms = entry.deadline_ms;
+        self.is_watch_over = false;
+        if self.end.take().is_some_and(|end| !end.is_kept) {
+            self.resume();
+        }
+        self.note_revision(offset);
+    }
+
+    /// Returns routes that went back at the end of an earlier revision to the first share.
+    fn resume(&mut self) {
+        if self.step > 0 && self.share_ppm == 0 {
+            self.step += 1;
+            self.share_ppm = FIRST_SHARE_PPM;
+        }
+        for route in self.routes.values_mut() {
+            if let (Some(step), 0) = (route.step, route.share_ppm) {
+                route.step = Some(step + 1);
+                route.share_ppm = FIRST_SHARE_PPM;
+            }
+        }
+    }
+
+    fn note_revision(&mut self, offset: Offset) {
+        let sentence = format!(
+            "Revision {} accepted: model {} moves from {} to {} within {}.",
+            self.revision,
+            self.model,
+            self.from_version,
+            self.to_version,
+            duration(self.deadline_ms - self.start_ms)
+        );
+        self.decide(offset, sentence);
+    }
+
+    /// Returns the version that serves when no rollout follows.
+    pub fn serving(&self) -> &str {
+        let has_moved = !self.rolled_back.contains_key("")
+            && self.end.is_some()
+            && self.share_ppm == FULL_SHARE_PPM;
+        if has_moved {
+            &self.to_version
+        } else {
+            &self.from_version
+        }
+    }
+
+    /// Returns whether a route, or the whole version, was rolled back.
+    pub fn is_rolled_back(&self, route: &str) -> bool {
+        self.rolled_back.contains_key("") || self.rolled_back.contains_key(route)
+    }
+
+    /// Returns whether results still count as evidence.
+    pub fn is_compared(&self) -> bool {
+        !self.is_watch_over && !self.rolled_back.contains_key("")
+    }
+
+    /// Returns the step and the share in force on a route.
+    pub fn step_and_share(&self, route: &str) -> (u32, u32) {
+        match self.routes.get(route) {
+            Some(RouteState {
+                step: Some(step),
+                share_ppm,
+                ..
+            }) => (*step, *share_ppm),
+            _ => (self.step, self.share_ppm),
+        }
+    }
+
+    /// Returns whether a route has so many requests that it must pass on its own evidence.
+    pub fn is_material(&self, route: &RouteState) -> bool {
+        let requests = |route: &RouteState| route.comparison.since_start().total();
+        let all: u64 = self.routes.values().map(requests).sum();
+        requests(route) * MATERIAL_DIVISOR >= all
+    }
+
+    pub(super) fn step(&mut self, offset: Offset, entry: &record::RolloutStep) {
+        if entry.revision != self.revision || entry.share_ppm > FULL_SHARE_PPM {
+            return;
+        }
+        let (step, old_share_ppm) = self.step_and_share(&entry.route);
+        if entry.step != step + 1 {
+            return;
+        }
+        if entry.route.is_empty() {
+            self.step = entry.step;
+            self.share_ppm = entry.share_ppm;
+        } else {
+            let Some(route) = self.routes.get_mut(entry.route.as_str()) else {
+                return;
+            };
+            route.take_step(entry);
+        }
+        self.newest_ms = self.newest_ms.max(entry.at_ms);
+        let subject = match self.routes.get(entry.route.as_str()) {
+            Some(route) => format!(
+                "Route {}: {}.",
+                entry.route,
+                route.comparison.since_step().figures()
+            ),
+            None => "Routes without steps of their own.".into(),
+        };
+        let sentence = format!(
+            "Share of {} set from {} to {}. {subject}",
+            self.to_version,
+            percent(old_share_ppm),
+            percent(entry.share_ppm)
+        );
+        self.decide(offset, sentence);
+    }
+
+    pub(super) fn add_evidence(&mut self, offset: Offset, entry: &record::Evidence) {
+        self.newest_ms = self.newest_ms.max(entry.end_ms);
+        if entry.end_ms > self.deadline_ms.saturating_add(WATCH_MS) {
+            self.is_watch_over = true;
+        }
+        if !self.is_compared() || self.is_rolled_back(&entry.route) || entry.step == 0 {
+            return;
+        }
+        let number = self.routes.len();
+        if number >= COMPARED_ROUTES && !self.routes.contains_key(entry.route.as_str()) {
+            return;
+        }
+        let (step, share_ppm) = self.step_and_share(&entry.route);
+        let is_watched = entry.step == step && share_ppm > CHECK_SHARE_PPM;
+        let is_full = entry.step == step && share_ppm == FULL_SHARE_PPM;
+        let compared_ms = (self.deadline_ms - self.start_ms).saturating_add(WATCH_MS);
+        let route = self
+            .routes
+            .entry(entry.route.as_str().into())
+            .or_insert_with(|| RouteState::new(number as u32, compared_ms));
+        let findings = route.comparison.add(entry, is_watched, is_full);
+        for finding in findings {
+            self.take_finding(offset, entry, finding);
+        }
+    }
+
+    fn take_finding(&mut self, offset: Offset, entry: &record::Evidence, finding: Finding) {
+        let Some(route) = self.routes.get_mut(entry.route.as_str()) else {
+            return;
+        };
+        let figures = route.comparison.since_step().figures();
+        let name = &entry.route;
+        match finding {
+            Finding::Worse(metric) => {
+                let reason = format!("{} worse since the newest step: {figures}", noun(metric));
+                self.roll_back(offset, name, &reason);
+            }
+            Finding::NotBad if route.check == Check::Running => {
+                route.check = Check::Cleared {
+                    at_ms: entry.end_ms,
+                };
+                let sentence = format!("Route {name}: the suspicion is not confirmed: {figures}.");
+                self.decide(offset, sentence);
+            }
+            Finding::NotBad if route.passed_ms.is_none() => {
+                route.passed_ms = Some(entry.end_ms);
+                let sentence = format!("Route {name}: the evidence is complete: {figures}.");
+                self.decide(offset, sentence);
+            }
+            Finding::Suspicious(metric) if route.check == Check::None => {
+                route.check = Check::Due {
+                    at_ms: entry.end_ms,
+                };
+                let sentence = format!(
+                    "Route {name}: {} rose since the old version serves few requests or none: {figures}. It serves \
+                     more for a comparison.",
+                    noun(metric)
+                );
+                self.decide(offset, sentence);
+            }
+            Finding::NotBad | Finding::Suspicious(_) => {}
+        }
+    }
+
+    pub(super) fn roll_back(&mut self, offset: Offset, route: &str, reason: &str) {
+        if self.is_rolled_back(route) {
+            return;
+        }
+        self.rolled_back.insert(route.into(), reason.into());
+        let subject = if route.is_empty() {
+            format!("Version {}", self.to_version)
+        } else {
+            format!("Route {route}")
+        };
+        self.decide(offset, format!("{subject} rolled back: {reason}."));
+        self.suspect_others();
+        if route.is_empty() {
+            if self.end.is_none() {
+                self.end = Some(RolloutResult {
+                    is_kept: false,
+                    reason: format!("rolled back: {reason}").into(),
+                });
+            }
+            return;
+        }
+        let bad = self.rolled_back.len();
+        let is_any_left = self
+            .routes
+            .iter()
+            .any(|(name, state)| !self.rolled_back.contains_key(name) && self.is_material(state));
+        if bad >= BAD_ROUTES_OF_BAD_VERSION || !is_any_left {
+            let names: Vec<&str> = self.rolled_back.keys().map(CompactString::as_str).collect();
+            let reason = format!("bad on {}", names.join(", "));
+            self.roll_back(offset, "", &reason);
+        }
+    }
+
+    /// Starts a check of the routes that the new version serves almost alone, after another route was rolled back.
+    fn suspect_others(&mut self) {
+        let at_ms = self.newest_ms;
+        for (name, route) in &mut self.routes {
+            let is_suspect = route.check == Check::None
+                && route.step.is_some()
+                && route.share_ppm > CHECK_SHARE_PPM
+                && !self.rolled_back.contains_key(name);
+            if is_suspect {
+                route.check = Check::Due { at_ms };
+            }
+        }
+    }
+
+    pub(super) fn end(&mut self, offset: Offset, entry: &record::RolloutEnd) {
+        if entry.revision != self.revision || self.end.is_some() {
+            return;
+        }
+        if !entry.is_kept {
+            self.return_unmoved();
+        }
+        let sentence = if entry.is_kept {
+            "The rollout is done: all traffic moved by the deadline.".into()
+        } else {
+            format!("The deadline was not kept: {}.", entry.reason)
+        };
+        self.end = Some(RolloutResult {
+            is_kept: entry.is_kept,
+            reason: entry.reason.as_str().into(),
+        });
+        self.decide(offset, sentence);
+    }
+
+    /// Gives the requests of all routes that have not moved back to the old version.
+    fn return_unmoved(&mut self) {
+        let (default_step, default_share_ppm) = (self.step, self.share_ppm);
+        for route in self.routes.values_mut() {
+            let (step, share_ppm) = match route.step {
+                Some(step) => (step, route.share_ppm),
+                None => (default_step, default_share_ppm),
+            };
+            if share_ppm < FULL_SHARE_PPM && route.check == Check::None {
+                route.step = Some(step + 1);
+                route.share_ppm = 0;
+            }
+        }
+        if default_share_ppm < FULL_SHARE_PPM {
+            self.step += 1;
+            self.share_ppm = 0;
+        }
+    }
+
+    fn decide(&mut self, offset: Offset, sentence: String) {
+        if self.decisions.len() == RETAINED_DECISIONS {
+            self.decisions.remove(0);
+        }
+        self.decisions.push(Decision {
+            offset,
+            at_ms: self.newest_ms,
+            sentence: sentence.into(),
+        });
+    }
+
+    /// Returns the decisions as plain sentences, the oldest first.
+    pub(super) fn explain(&self) -> Vec<String> {
+        self.decisions
+            .iter()
+            .map(|decision| {
+                format!(
+                    "{} after the start (offset {}): {}",
+                    duration(decision.at_ms.saturating_sub(self.start_ms)),
+                    decision.offset,
+                    decision.sentence
+                )
+            })
+            .collect()
+    }
+}
+
+impl RouteState {
+    fn new(number: u32, compared_ms: u64) -> Self {
+        Self {
+            step: None,
+            share_ppm: 0,
+            step_ms: 0,
+            passed_ms: None,
+            check: Check::None,
+            resume_ppm: FULL_SHARE_PPM,
+            checks: 0,
+            comparison: Comparison::new(number, compared_ms),
+        }
+    }
+
+    fn take_step(&mut self, entry: &record::RolloutStep) {
+        let old_share_ppm = self.share_ppm;
+        self.step = Some(entry.step);
+        self.share_ppm = entry.share_ppm;
+        self.step_ms = entry.at_ms;
+        match self.check {
+            Check::Due { .. } if entry.share_ppm <= old_share_ppm => {
+                self.check = Check::Running;
+                self.resume_ppm = old_share_ppm;
+                self.checks += 1;
+                self.comparison.start_check();
+            }
+            Check::Cleared { .. } if entry.share_ppm >= old_share_ppm => {
+                self.check = Check::None;
+                self.comparison.end_check();
+            }
+            _ => {}
+        }
+    }
+}
+
+fn noun(metric: Metric) -> &'static str {
+    match metric {
+        Metric::Failures => "failures",
+        Metric::Latency => "latency",
+    }
+}
+
+/// Formats a share as a percentage.
+pub(super) fn percent(share_ppm: u32) -> String {
+    format!("{}%", f64::from(share_ppm) / 10_000.0)
+}
+
+/// Formats a duration with its two largest units.
+pub(super) fn duration(ms: u64) -> String {
+    let seconds = ms / 1_000;
+    match (seconds / 3_600, seconds / 60 % 60, seconds % 60) {
+        (0, 0, seconds) => format!("{seconds} s"),
+        (0, minutes, seconds) => format!("{minutes} min {seconds} s"),
+        (hours, minutes, _) => format!("{hours} h {minutes} min"),
+    }
+}
