--- a/examples/stub_upstream.rs
+++ b/examples/stub_upstream.rs
@@ -19,7 +19,7 @@
 const POLL: Duration = Duration::from_millis(5);
 
 /// Events that are written at once.
-const EVENTS_PER_WRITE: u64 = 16;
+const EVENTS_PER_WRITE: u64 = 4;
 
 const LIMITS: RequestLimits = RequestLimits {
     head_bytes: 16 << 10,
@@ -390,18 +390,17 @@
     }
 
     fn event(&self, key: &str, index: u64) -> String {
-        let body = json!({
-            "choices": [{ "index": 0, "delta": { "content": self.text(key, index) } }],
-        });
-        format!("id: {index}\ndata: {body}\n\n")
+        // The text needs no escapes; building a JSON value for every event would make the stub the bottleneck.
+        let text = self.text(key, index);
+        format!(
+            "id: {index}\ndata: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n"
+        )
     }
 
     fn text(&self, key: &str, index: u64) -> String {
         let tail = &key[key.len().saturating_sub(4)..];
         let mut text = format!("{tail}.{index} ");
-        while text.len() < self.event_bytes {
-            text.push('x');
-        }
+        text.push_str(&"x".repeat(self.event_bytes.saturating_sub(text.len())));
         text
     }
 
--- a/src/backpressure.rs
+++ b/src/backpressure.rs
@@ -15,6 +15,11 @@
 /// Bytes that one response may hold however many responses are open, so that each makes progress.
 pub const MIN_RESPONSE_BYTES: usize = 2 << 10;
 
+/// Part of the total that is left over when every response holds its equal share.
+///
+/// Without it slow readers could fill the memory, and each new response would wait for one of them.
+const RESERVED_DIVISOR: usize = 4;
+
 /// Weight of each class, in the order of [`Priority::ALL`].
 const WEIGHTS: [usize; 3] = [4, 2, 1];
 
@@ -89,7 +94,8 @@
 
     /// Returns the most that one response may hold now.
     pub fn response_bound_bytes(&self) -> usize {
-        let equal_share = self.total_bytes / self.responses.max(1);
+        let shared_bytes = self.total_bytes - self.total_bytes / RESERVED_DIVISOR;
+        let equal_share = shared_bytes / self.responses.max(1);
         equal_share.clamp(MIN_RESPONSE_BYTES, MAX_RESPONSE_BYTES)
     }
 
--- a/src/engine/exchange.rs
+++ b/src/engine/exchange.rs
@@ -12,6 +12,9 @@
 /// Largest head that is accepted from an upstream.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Bytes read at once until the head is complete; what follows the head is not yet accounted for.
+const HEAD_READ_BYTES: usize = 1 << 10;
+
 /// Largest chunk that is accepted from an upstream.
 const MAX_CHUNK_BYTES: usize = 1 << 20;
 
@@ -48,7 +51,7 @@
                 Ok(_) => {}
                 Err(error) => return Err((broken(upstream, error), true)),
             }
-            match socket.fill().await {
+            match socket.fill_up_to(HEAD_READ_BYTES).await {
                 Ok(0) => return Err((broken(upstream, "connection closed"), received)),
                 Ok(_) => received = true,
                 Err(error) => return Err((broken(upstream, error), received)),
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -106,7 +106,10 @@
     }
 
     /// Reports an upstream that answered with a server error.
-    pub(super) fn note_error_status(&mut self, slot: &mut Slot) {
+    pub(super) fn note_error_status(&mut self, slot: &mut Slot, reason: &str) {
+        log::info!(
+            step = "dispatch", peer = slot.name.as_str(), request_key:% = self.call.key; "{reason}"
+        );
         self.excluded.push(slot.upstream);
         self.may_have_run = true;
         self.count_evidence(evidence::Outcome::Failure);
@@ -267,7 +270,7 @@
                 let charge_tokens = charge(call, &whole);
                 return Ok((whole, charge_tokens));
             }
-            Ok(_) => attempts.note_error_status(slot),
+            Ok(_) => attempts.note_error_status(slot, "server error"),
             Err(error) => {
                 attempts.note_failure(slot, &error).await?;
                 if attempts.may_have_run && !call.is_repeatable() {
@@ -281,7 +284,7 @@
 }
 
 async fn timed_out(attempts: &mut Attempts<'_>, slot: &mut Slot) -> Refused {
-    attempts.note_error_status(slot);
+    attempts.note_error_status(slot, "no response in time");
     if matches!(attempts.call.kind, Kind::Chat { .. }) {
         attempts
             .shared
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -149,7 +149,7 @@
                 retry_after_s: None,
             };
             let mut reader = Reader::new(shared, call.priority, socket);
-            reader.push(&head.with_body(&whole.body));
+            reader.push(head.with_body(&whole.body));
             drop(whole);
             reader.finish().await.filter(|_| keep_alive)
         }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -143,7 +143,7 @@
     pub(super) async fn into_completed(mut self) -> Reader {
         let tail = std::mem::take(&mut self.tail);
         self.reader.push_chunk(&tail);
-        self.reader.push(b"0\r\n\r\n");
+        self.reader.push(Bytes::from_static(b"0\r\n\r\n"));
         self.reader.write_now();
         self.reuse_connection().await;
         self.reader
@@ -211,10 +211,11 @@
                     self.attempts.abandon(&mut slot);
                     return Err(rejected(exchange.status()));
                 }
-                Ok(Ok(_)) => self.attempts.note_error_status(&mut slot),
+                Ok(Ok(_)) => self.attempts.note_error_status(&mut slot, "server error"),
                 Ok(Err(error)) => self.attempts.note_failure(&mut slot, &error).await?,
                 Err(_) => {
-                    self.attempts.note_error_status(&mut slot);
+                    self.attempts
+                        .note_error_status(&mut slot, "no response in time");
                     self.check_deadline()?;
                 }
             }
@@ -236,13 +237,17 @@
                 self.source = Source::Open(exchange);
                 return Ok(true);
             }
-            Ok(Ok(_)) => self.attempts.note_error_status(slot),
+            Ok(Ok(_)) => self
+                .attempts
+                .note_error_status(slot, "the stream is not kept"),
             Ok(Err(error)) => {
                 // A refused connection here means that the engine went away with the stream.
                 let error = Error::Broken("resuming", slot.address.to_string(), error.to_string());
                 self.attempts.note_failure(slot, &error).await?;
             }
-            Err(_) => self.attempts.note_error_status(slot),
+            Err(_) => self
+                .attempts
+                .note_error_status(slot, "no answer to resuming in time"),
         }
         Ok(false)
     }
@@ -326,7 +331,7 @@
                 keep_alive: self.keep_alive,
                 retry_after_s: None,
             };
-            self.reader.push(&head.chunked());
+            self.reader.push(head.chunked());
             self.note_first_event();
         }
         self.reader.push_chunk(batch);
@@ -344,7 +349,12 @@
 
     fn note_full(&mut self, permit: Permit) {
         match permit {
-            Permit::Read(_) => self.full_since = None,
+            Permit::Read(_) => {
+                if self.full_since.take().is_some() {
+                    // The engine was not read meanwhile, so its silence starts now.
+                    self.last_received = Instant::now();
+                }
+            }
             Permit::Pause => {
                 self.full_since.get_or_insert_with(Instant::now);
             }
@@ -425,8 +435,8 @@
 fn usage_of(event: &Event) -> Option<u64> {
     let data = event.data();
     // Parsing every event would cost more than the rest of the relay.
-    let needle = b"\"usage\"";
-    if !data.windows(needle.len()).any(|window| window == needle) {
+    let text = std::str::from_utf8(data).ok()?;
+    if !text.contains("\"usage\"") {
         return None;
     }
     let body: WithUsage = serde_json::from_slice(data).ok()?;
--- a/src/router/relay/wait.rs
+++ b/src/router/relay/wait.rs
@@ -3,12 +3,15 @@
 use std::future::{poll_fn, Future};
 use std::pin::pin;
 use std::task::Poll;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Relay, Source, DETACH_DELAY, UPSTREAM_SILENCE};
 use crate::backpressure::Permit;
 use crate::engine::Error;
 
+/// Time after which a paused response looks again whether there is memory for more.
+const MEMORY_POLL: Duration = Duration::from_millis(100);
+
 /// What ended the wait.
 pub(super) enum Wake {
     /// Bytes came from the engine, or its stream broke.
@@ -65,14 +68,14 @@
             Permit::Pause => self.full_since.unwrap_or(now) + DETACH_DELAY,
         };
         if matches!(self.source, Source::Paused) {
-            end = now + UPSTREAM_SILENCE;
+            end = now + MEMORY_POLL;
         }
         if let Some(idle_end) = self.reader.idle_end() {
             end = end.min(idle_end);
         }
         if !self.was_paused {
             let left_ms = self.call.deadline_ms.saturating_sub(self.shared.now_ms());
-            end = end.min(now + std::time::Duration::from_millis(left_ms));
+            end = end.min(now + Duration::from_millis(left_ms));
         }
         end
     }
--- a/src/router/writer.rs
+++ b/src/router/writer.rs
@@ -1,18 +1,28 @@
 //! The reader of one response and what the process holds for it.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 use super::Shared;
-use crate::backpressure::Permit;
+use crate::backpressure::{Permit, MIN_RESPONSE_BYTES};
 use crate::contract::Priority;
 use crate::server::Socket;
 
 /// Most input that a caller may send ahead while its response is written; more is not read until the response ends.
 const MAX_AHEAD_BYTES: usize = 16 << 10;
 
+/// Memory of one piece beyond its bytes: its entry in the queue and the allocation's own records.
+const PIECE_OVERHEAD_BYTES: usize = 96;
+
+/// A part of a response that waits to be written.
+struct Piece {
+    rest: Bytes,
+    size_bytes: usize,
+}
+
 /// The caller's end of one response.
 ///
 /// What is held for the caller is counted against the process's shares until it is written or the caller is gone.
@@ -20,8 +30,9 @@
     shared: Rc<Shared>,
     class: Priority,
     socket: Option<Socket>,
-    output: BytesMut,
-    writing: Bytes,
+    /// Pieces of the response in order; the first may be written in part.
+    pieces: VecDeque<Piece>,
+    held_bytes: usize,
     counted_bytes: usize,
     last_progress: Instant,
 }
@@ -33,8 +44,8 @@
             shared: Rc::clone(shared),
             class,
             socket: Some(socket),
-            output: BytesMut::new(),
-            writing: Bytes::new(),
+            pieces: VecDeque::new(),
+            held_bytes: 0,
             counted_bytes: 0,
             last_progress: Instant::now(),
         }
@@ -45,57 +56,66 @@
         self.socket.is_none()
     }
 
-    /// Returns the bytes that wait to be written.
+    /// Returns the memory of the pieces that wait to be written.
     pub(super) fn held_bytes(&self) -> usize {
-        self.output.len() + self.writing.len()
+        self.held_bytes
     }
 
-    /// Adds bytes of the response.
-    pub(super) fn push(&mut self, bytes: &[u8]) {
-        if self.socket.is_none() {
+    /// Adds a piece of the response.
+    pub(super) fn push(&mut self, bytes: Bytes) {
+        if self.socket.is_none() || bytes.is_empty() {
             return;
         }
-        if self.held_bytes() == 0 {
+        if self.held_bytes == 0 {
             self.last_progress = Instant::now();
         }
-        self.output.extend_from_slice(bytes);
+        let size_bytes = bytes.len() + PIECE_OVERHEAD_BYTES;
+        self.held_bytes += size_bytes;
+        self.pieces.push_back(Piece {
+            rest: bytes,
+            size_bytes,
+        });
     }
 
     /// Adds a part of the response as one chunk.
+    ///
+    /// The chunk is copied into an allocation of its own size, because the parts share the larger buffers that they
+    /// were received in.
     pub(super) fn push_chunk(&mut self, parts: &[Bytes]) {
         let length: usize = parts.iter().map(Bytes::len).sum();
-        if length == 0 {
+        if length == 0 || self.socket.is_none() {
             return;
         }
-        self.push(format!("{length:x}\r\n").as_bytes());
+        let size_line = format!("{length:x}\r\n");
+        let mut chunk = Vec::with_capacity(size_line.len() + length + 2);
+        chunk.extend_from_slice(size_line.as_bytes());
         for part in parts {
-            self.push(part);
+            chunk.extend_from_slice(part);
         }
-        self.push(b"\r\n");
+        chunk.extend_from_slice(b"\r\n");
+        self.push(chunk.into());
     }
 
     /// Writes what the kernel takes without waiting.
     pub(super) fn write_now(&mut self) {
-        while self.held_bytes() > 0 {
-            if self.writing.is_empty() {
-                self.writing = self.output.split().freeze();
-            }
-            let Some(socket) = &mut self.socket else {
-                break;
-            };
-            match socket.try_write(&mut self.writing) {
+        while let (Some(piece), Some(socket)) = (self.pieces.front_mut(), &mut self.socket) {
+            match socket.try_write(&mut piece.rest) {
                 Some(Ok(1..)) => self.last_progress = Instant::now(),
                 Some(_) => {
                     self.disconnect();
-                    break;
+                    return;
                 }
-                None => break,
+                None => return,
+            }
+            if piece.rest.is_empty() {
+                // The memory of a piece is free only after its last byte was written.
+                self.held_bytes -= piece.size_bytes;
+                self.pieces.pop_front();
             }
         }
-        if self.held_bytes() == 0 {
-            // A response without backlog keeps no buffer.
-            self.writing = Bytes::new();
-            self.output = BytesMut::new();
+        if self.pieces.is_empty() {
+            // A response without backlog keeps no queue.
+            self.pieces = VecDeque::new();
         }
     }
 
@@ -109,10 +129,17 @@
         self.shared.shares.borrow().permit(self.class, held_bytes)
     }
 
-    /// Returns whether so little is held that a paused source is worth resuming.
+    /// Returns whether a paused source is worth resuming: little is held, and there is memory for more.
     pub(super) fn is_drained(&self) -> bool {
-        let bound_bytes = self.shared.shares.borrow().response_bound_bytes();
-        self.is_gone() || self.held_bytes() * 4 <= bound_bytes
+        if self.is_gone() {
+            return true;
+        }
+        let shares = self.shared.shares.borrow();
+        let has_room = match shares.permit(self.class, self.held_bytes) {
+            Permit::Read(bytes) => bytes >= MIN_RESPONSE_BYTES,
+            Permit::Pause => false,
+        };
+        has_room && self.held_bytes * 4 <= shares.response_bound_bytes()
     }
 
     /// Returns the time at which a reader that takes nothing is disconnected.
@@ -161,8 +188,8 @@
     /// Closes the connection and releases what is held for it.
     pub(super) fn disconnect(&mut self) {
         self.socket = None;
-        self.output = BytesMut::new();
-        self.writing = Bytes::new();
+        self.pieces = VecDeque::new();
+        self.held_bytes = 0;
         self.count(0);
     }
 
--- a/tests/http_common/mod.rs
+++ b/tests/http_common/mod.rs
@@ -488,7 +488,13 @@
     /// Checks that the response is a whole stream of `tokens` events with their usage and end.
     pub fn assert_whole_stream(&self, tokens: u64) {
         assert_eq!(self.status, 200, "{}", String::from_utf8_lossy(&self.body));
-        assert!(self.is_complete, "the last chunk is missing");
+        let end = &self.body[self.body.len().saturating_sub(400)..];
+        assert!(
+            self.is_complete,
+            "the last chunk is missing after {} bytes: {}",
+            self.body.len(),
+            String::from_utf8_lossy(end)
+        );
         let (indexes, _) = self.events();
         assert_eq!(indexes, (0..tokens + 2).collect::<Vec<_>>());
         assert!(self.body.ends_with(b"data: [DONE]\n\n"));
