--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod forwarder;
 pub mod platform_stub;
+pub mod process;
 
 /// Bound of every wait in these tests; far above what any of them needs.
 pub const LIMIT: Duration = Duration::from_secs(30);
