--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -31,7 +31,7 @@
 mod writer;
 
 pub use builder::FleetBuilder;
-pub use peers::Peer;
+pub use peers::{Peer, Traffic};
 
 use inner::Inner;
 
@@ -238,6 +238,11 @@
         self.inner.send(peer, message)
     }
 
+    /// Returns what was exchanged with peers since the start.
+    pub fn traffic(&self) -> Traffic {
+        self.inner.traffic.get()
+    }
+
     /// Sets what the next heartbeats report of this process's work at upstreams.
     pub fn set_outstanding(&self, outstanding: Vec<Outstanding>) {
         *self.inner.outstanding.borrow_mut() = outstanding;
--- a/src/fleet/inner.rs
+++ b/src/fleet/inner.rs
@@ -11,7 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::notify::Notify;
-use super::peers::PeerTable;
+use super::peers::{PeerTable, Traffic};
 use super::tail::Tail;
 use super::{restore, Error, Event};
 use crate::fold::FleetState;
@@ -45,6 +45,7 @@
     pub(super) folded: Notify,
     pub(super) detector: RefCell<FailureDetector>,
     pub(super) peers: RefCell<PeerTable>,
+    pub(super) traffic: Cell<Traffic>,
     pub(super) subscribers: RefCell<Vec<unbounded::Tx<Event>>>,
     pub(super) log_next: Cell<Offset>,
     pub(super) last_fold_ms: Cell<u64>,
@@ -90,6 +91,7 @@
             writer_wake: Notify::default(),
             folded: Notify::default(),
             peers: RefCell::default(),
+            traffic: Cell::default(),
             subscribers: RefCell::default(),
             log_next: Cell::new(0),
             last_fold_ms: Cell::new(0),
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -44,6 +44,19 @@
     pub next_offset: Offset,
 }
 
+/// Frames exchanged with all peers since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Frames sent.
+    pub sent_frames: u64,
+    /// Bytes of the frames sent, without the overhead of the network.
+    pub sent_bytes: u64,
+    /// Frames received.
+    pub received_frames: u64,
+    /// Bytes of the frames received, without the overhead of the network.
+    pub received_bytes: u64,
+}
+
 /// Messages that wait for one connection.
 #[derive(Default)]
 struct SendQueue {
@@ -114,6 +127,12 @@
 }
 
 impl Inner {
+    fn count_traffic(&self, count: impl FnOnce(&mut Traffic)) {
+        let mut traffic = self.traffic.get();
+        count(&mut traffic);
+        self.traffic.set(traffic);
+    }
+
     /// Queues a message on the connection to a peer; returns whether there is one with room.
     pub(super) fn send(&self, peer: IncarnationId, message: PeerMessage) -> bool {
         self.peers
@@ -416,7 +435,7 @@
     }));
     let result = monoio::select! {
         result = receive(inner, id, &mut reader, limit) => result,
-        result = transmit(&queue, &mut writer) => result,
+        result = transmit(inner, &queue, &mut writer) => result,
     };
     inner.deregister(id, &queue);
     result
@@ -429,12 +448,17 @@
     limit: Duration,
 ) -> Result<(), Error> {
     loop {
+        let before = reader.received_bytes();
         let message = reader.next(limit).await?;
+        inner.count_traffic(|traffic| {
+            traffic.received_frames += 1;
+            traffic.received_bytes += reader.received_bytes() - before;
+        });
         inner.on_message(id, message);
     }
 }
 
-async fn transmit(queue: &SendQueue, writer: &mut FrameWriter) -> Result<(), Error> {
+async fn transmit(inner: &Inner, queue: &SendQueue, writer: &mut FrameWriter) -> Result<(), Error> {
     loop {
         let messages = queue
             .changed
@@ -449,7 +473,11 @@
             return Ok(());
         }
         for message in messages {
-            writer.feed(message).await?;
+            let bytes = writer.feed(message).await?;
+            inner.count_traffic(|traffic| {
+                traffic.sent_frames += 1;
+                traffic.sent_bytes += bytes as u64;
+            });
         }
         writer.flush().await?;
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,6 +17,13 @@
 
 use crate::message::{Frame, Hello, PeerMessage, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 
+/// Buffer of one direction of a connection, in bytes; small because a process has hundreds of peers and most frames are
+/// heartbeats.
+const BUFFER_BYTES: usize = 4 << 10;
+
+/// Length field of a frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+
 /// First pause after a failed connection, in milliseconds.
 const FIRST_BACKOFF_MS: u64 = 50;
 
@@ -58,6 +65,7 @@
 /// Receiving half of a connection.
 pub struct FrameReader {
     frames: FramedRead<StreamWrapper<OwnedReadHalf<TcpStream>>, LengthDelimitedCodec>,
+    received_bytes: u64,
 }
 
 /// Sending half of a connection.
@@ -71,10 +79,18 @@
     let (read, write) = stream.into_split();
     (
         FrameReader {
-            frames: FramedRead::new(StreamWrapper::new(read), codec()),
+            frames: FramedRead::with_capacity(
+                StreamWrapper::new_with_buffer_size(read, BUFFER_BYTES, 1),
+                codec(),
+                BUFFER_BYTES,
+            ),
+            received_bytes: 0,
         },
         FrameWriter {
-            frames: FramedWrite::new(StreamWrapper::new(write), codec()),
+            frames: FramedWrite::new(
+                StreamWrapper::new_with_buffer_size(write, 1, BUFFER_BYTES),
+                codec(),
+            ),
         },
     )
 }
@@ -98,12 +114,18 @@
                 Ok(None) => return Err(Error::Closed),
                 Err(_) => return Err(Error::Timeout),
             };
+            self.received_bytes += (bytes.len() + LENGTH_BYTES) as u64;
             if let Some(message) = Frame::decode(bytes)?.message {
                 return Ok(message);
             }
         }
     }
 
+    /// Returns the bytes of all frames received so far.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
     /// Receives the `Hello` that opens the connection and checks the protocol version.
     ///
     /// # Errors
@@ -119,15 +141,16 @@
 }
 
 impl FrameWriter {
-    /// Queues a message in the write buffer, which is written when it is large or flushed.
+    /// Queues a message in the write buffer, which is written when it is large or flushed, and returns its size.
     ///
     /// # Errors
     ///
     /// Returns an error if the frame is too large or the connection broke.
-    pub async fn feed(&mut self, message: PeerMessage) -> Result<(), Error> {
-        let bytes = Frame::from(message).encode_to_vec();
-        self.frames.feed(Bytes::from(bytes)).await?;
-        Ok(())
+    pub async fn feed(&mut self, message: PeerMessage) -> Result<usize, Error> {
+        let frame = Frame::from(message).encode_to_vec();
+        let bytes = frame.len() + LENGTH_BYTES;
+        self.frames.feed(Bytes::from(frame)).await?;
+        Ok(bytes)
     }
 
     /// Writes all queued messages.
