Keep the work per heartbeat independent of the number of peers

Each heartbeat compared all live peers, each tick ranked all members, the list of tasks waiting for the stop was searched at every poll and kept tasks that had ended. These now cost a look-up, ranks are computed for due proposals only, and ended waits are forgotten. write_and_wait queues all of its entries or none; large pages of the log are read in smaller parts after a failure.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,7 +14,7 @@
 
 use crate::fold::{Change, FleetState};
 use crate::ids::{CustomerKey, IncarnationId, Offset};
-use crate::log_writer::{self, Position};
+use crate::log_writer;
 use crate::membership::{rendezvous, Phase};
 use crate::message::{Outstanding, PeerMessage};
 use crate::record::Entry;
@@ -192,7 +192,7 @@
     ///
     /// Returns an error if the queue is full or the connection is shut down; the entry is then never written.
     pub fn write(&self, entry: Entry) -> Result<(), Error> {
-        self.inner.push(entry).map(|_| ())
+        self.inner.push_all(vec![entry]).map(|_| ())
     }
 
     /// Queues entries and waits until the own fold has passed them; returns the next offset at that time.
@@ -208,10 +208,7 @@
         entries: impl IntoIterator<Item = Entry>,
         limit: Duration,
     ) -> Result<Offset, Error> {
-        let mut last: Position = 0;
-        for entry in entries {
-            last = self.inner.push(entry)?;
-        }
+        let last = self.inner.push_all(entries.into_iter().collect())?;
         self.wait_until(limit, |fleet| fleet.inner.writer.borrow().folded() >= last)
             .await?;
         Ok(self.inner.state.borrow().next_offset)
--- a/src/fleet/inner.rs
+++ b/src/fleet/inner.rs
@@ -111,14 +111,14 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    pub(super) fn push(&self, entry: Entry) -> Result<Position, Error> {
+    pub(super) fn push_all(&self, entries: Vec<Entry>) -> Result<Position, Error> {
         if self.is_stopped.get() {
             return Err(Error::Stopped);
         }
         let position = self
             .writer
             .borrow_mut()
-            .push(self.incarnation.get(), entry)
+            .push_all(self.incarnation.get(), entries)
             .map_err(Error::NotQueued)?;
         self.writer_wake.notify();
         Ok(position)
@@ -252,7 +252,7 @@
             data_centre: self.settings.data_centre.to_string(),
             address: self.address.clone(),
         });
-        if let Err(error) = self.push(entry) {
+        if let Err(error) = self.push_all(vec![entry]) {
             log::error!("write Open: {error}");
         }
     }
--- a/src/fleet/notify.rs
+++ b/src/fleet/notify.rs
@@ -1,36 +1,65 @@
 //! Wakes tasks of the same thread when a shared condition may have changed.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
-use std::task::{Poll, Waker};
+use std::task::{Context, Poll, Waker};
 
-/// A list of tasks that wait for a condition.
+use crate::collections::FastMap;
+
+/// The tasks that wait for a condition.
 #[derive(Default)]
 pub(super) struct Notify {
-    wakers: RefCell<Vec<Waker>>,
+    next_id: Cell<u64>,
+    wakers: RefCell<FastMap<u64, Waker>>,
+}
+
+/// One waiting task; it is forgotten when its wait ends or is cancelled, so that ended tasks do not pile up.
+struct Waiter<'a> {
+    notify: &'a Notify,
+    id: u64,
 }
 
 impl Notify {
     /// Wakes all waiting tasks, so that they check their conditions again.
     pub(super) fn notify(&self) {
         let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
-        for waker in wakers {
+        for waker in wakers.into_values() {
             waker.wake();
         }
     }
 
     /// Waits until the condition yields a value.
     pub(super) async fn wait_for<T>(&self, mut condition: impl FnMut() -> Option<T>) -> T {
-        poll_fn(|context| {
-            if let Some(value) = condition() {
-                return Poll::Ready(value);
+        let waiter = Waiter {
+            notify: self,
+            id: self.next_id.get(),
+        };
+        self.next_id.set(waiter.id + 1);
+        poll_fn(|context| match condition() {
+            Some(value) => Poll::Ready(value),
+            None => {
+                waiter.register(context);
+                Poll::Pending
             }
-            let mut wakers = self.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(context.waker())) {
-                wakers.push(context.waker().clone());
-            }
-            Poll::Pending
         })
         .await
     }
 }
+
+impl Waiter<'_> {
+    fn register(&self, context: &Context<'_>) {
+        let mut wakers = self.notify.wakers.borrow_mut();
+        match wakers.get_mut(&self.id) {
+            Some(waker) => waker.clone_from(context.waker()),
+            None => {
+                wakers.insert(self.id, context.waker().clone());
+            }
+        }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.notify.wakers.borrow_mut().remove(&self.id);
+    }
+}
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -14,6 +14,7 @@
 use super::builder::spawn;
 use super::notify::Notify;
 use super::{restore, Event, Inner};
+use crate::collections::FastSet;
 use crate::ids::{IncarnationId, Offset};
 use crate::membership::Phase;
 use crate::message::{Heartbeat, Hello, PeerMessage, PROTOCOL_VERSION};
@@ -23,7 +24,7 @@
 const DIAL_DELAY_MS: u64 = 2_000;
 
 /// Pause between two looks at the list of members to dial.
-const DIAL_INTERVAL_MS: u64 = 50;
+const DIAL_INTERVAL_MS: u64 = 100;
 
 /// Messages that wait for one connection; more are dropped, as on a broken connection.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
@@ -269,7 +270,10 @@
         }
         self.log_next
             .set(self.log_next.get().max(heartbeat.next_offset));
-        self.report_peers();
+        // All peers are looked at once per tick; here only a new one matters, because heartbeats are many.
+        if !self.peers.borrow().up.contains(&from) {
+            self.report_peers();
+        }
         restore::follow_peer(self, from, heartbeat.next_offset);
         if !heartbeat.outstanding.is_empty() {
             let message = PeerMessage::Heartbeat(heartbeat);
@@ -357,12 +361,13 @@
             wanted.insert(member.address.clone(), own < id);
         }
     }
+    let connected: FastSet<&str> = table
+        .connections
+        .values()
+        .map(|connection| connection.peer.vm.as_str())
+        .collect();
     for (vm, address) in &table.hints {
-        let is_connected = table
-            .connections
-            .values()
-            .any(|connection| connection.peer.vm == *vm);
-        if !is_connected && *vm != inner.settings.vm {
+        if !connected.contains(vm.as_str()) && *vm != inner.settings.vm {
             wanted.entry(address.clone()).or_insert(true);
         }
     }
--- a/src/fleet/reader.rs
+++ b/src/fleet/reader.rs
@@ -6,7 +6,7 @@
 use super::{restore, Inner};
 use crate::log_client::{Page, FLEET_STREAM};
 
-/// Records in one page.
+/// Largest number of records in one page.
 const PAGE_RECORDS: u32 = 512;
 
 /// Pause after a failed read.
@@ -15,6 +15,7 @@
 /// Reads the log until the connection is stopped.
 pub(super) async fn run(inner: Rc<Inner>) {
     let mut is_restored = false;
+    let mut limit = PAGE_RECORDS;
     loop {
         if !is_restored {
             is_restored = restore::from_log(&inner).await;
@@ -26,12 +27,9 @@
         }
         let from = inner.state.borrow().next_offset;
         let wait_ms = inner.settings.timing.poll_wait_ms;
-        match inner
-            .log
-            .read(FLEET_STREAM, from, PAGE_RECORDS, wait_ms)
-            .await
-        {
+        match inner.log.read(FLEET_STREAM, from, limit, wait_ms).await {
             Ok(page) => {
+                limit = (2 * limit).min(PAGE_RECORDS);
                 inner.set_available(&inner.is_read_ok, true);
                 if take_page(&inner, &page) {
                     pause(inner.settings.timing.poll_interval_ms).await;
@@ -43,6 +41,8 @@
             }
             Err(error) => {
                 log::debug!("{error}");
+                // A page of large records may exceed the size or the time limit of a response.
+                limit = (limit / 4).max(1);
                 inner.set_available(&inner.is_read_ok, false);
                 inner
                     .detector
--- a/src/fleet/restore.rs
+++ b/src/fleet/restore.rs
@@ -41,7 +41,7 @@
 /// Reads the newest complete snapshot of the stream.
 async fn read_snapshot(inner: &Inner) -> Result<Option<crate::FleetState>, Error> {
     let read = |from, limit| inner.log.read(SNAPSHOT_STREAM, from, limit, 0);
-    let end = read(Offset::MAX >> 1, 1).await?;
+    let end = read(0, 1).await?;
     if end.next == end.oldest {
         return Ok(None);
     }
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -41,7 +41,7 @@
     );
     for entry in entries {
         log::info!("propose {entry:?}");
-        if let Err(error) = inner.push(entry) {
+        if let Err(error) = inner.push_all(vec![entry]) {
             log::warn!("propose a closure: {error}");
         }
     }
--- a/src/log_client/http_client.rs
+++ b/src/log_client/http_client.rs
@@ -16,7 +16,7 @@
 use super::Error;
 
 /// Largest response body that the client accepts, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// A client of one address.
 pub(crate) struct HttpClient {
--- a/src/log_writer.rs
+++ b/src/log_writer.rs
@@ -21,6 +21,9 @@
 /// An hour of log outage at 50 bills per second and 80 bytes per bill needs about 14 MB.
 pub const MAX_QUEUE_BYTES: usize = 32 << 20;
 
+/// Bound of the tags and lengths around one entry of a batch, in bytes.
+const ENVELOPE_BYTES: usize = 16;
+
 quick_error! {
     /// Why an entry is not taken.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,22 +124,34 @@
     ///
     /// Returns an error if the entry is too large or the queue is full.
     pub fn push(&mut self, incarnation: IncarnationId, entry: Entry) -> Result<Position, Error> {
-        // Tag and length of the entry within its envelope and of the envelope within the batch.
-        const ENVELOPE_BYTES: usize = 16;
-        let bytes = entry.encoded_len() + ENVELOPE_BYTES;
-        if bytes > MAX_BATCH_BYTES {
+        self.push_all(incarnation, vec![entry])
+    }
+
+    /// Queues several entries, or none of them, and returns the position of the last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an entry is too large or the queue is full.
+    pub fn push_all(
+        &mut self,
+        incarnation: IncarnationId,
+        entries: Vec<Entry>,
+    ) -> Result<Position, Error> {
+        let size = |entry: &Entry| entry.encoded_len() + ENVELOPE_BYTES;
+        if entries.iter().any(|entry| size(entry) > MAX_BATCH_BYTES) {
             return Err(Error::TooLarge);
         }
+        let bytes: usize = entries.iter().map(size).sum();
         if self.queue_bytes + bytes > MAX_QUEUE_BYTES {
             return Err(Error::Full);
         }
         self.queue_bytes += bytes;
-        self.queued += 1;
-        self.queue.push_back(Queued {
+        self.queued += entries.len() as Position;
+        self.queue.extend(entries.into_iter().map(|entry| Queued {
             incarnation,
+            bytes: size(&entry),
             entry,
-            bytes,
-        });
+        }));
         Ok(self.queued)
     }
 
--- a/src/membership/detector.rs
+++ b/src/membership/detector.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use crate::ids::IncarnationId;
-use crate::membership::{rendezvous, Members, Phase};
+use crate::membership::{rendezvous, Member, Members, Phase};
 use crate::record::{Close, Entry, Finalize};
 use crate::settings::Timing;
 
@@ -100,36 +100,22 @@
         let mut entries = Vec::new();
         for (id, member) in members.iter().filter(|(id, _)| *id != own) {
             let observation = self.observations.get(&id).copied().unwrap_or_default();
-            let rank = rendezvous::rank(&id.0.to_be_bytes(), live.iter().copied())
-                .iter()
-                .position(|candidate| *candidate == own)
-                .unwrap_or(live.len()) as u64;
-            let delay_ms = rank * self.timing.heartbeat_timeout_ms;
-            let entry = match observation.ended_ms {
-                None => {
-                    let silent_since_ms = observation.last_record_ms.max(caught_up_since_ms);
-                    let is_silent = now_ms
-                        >= silent_since_ms + self.timing.close_after_ms + delay_ms
-                        && !self.has_heartbeat(&observation, now_ms);
-                    is_silent.then(|| {
-                        Entry::Close(Close {
-                            incarnation: id.0,
-                            last_seq: member.last_seq,
-                            reason: format!(
-                                "no log record for {} ms and no heartbeat",
-                                now_ms - silent_since_ms
-                            ),
-                        })
-                    })
-                }
-                Some(ended_ms) => (now_ms >= ended_ms + self.timing.finalize_after_ms + delay_ms)
-                    .then_some(Entry::Finalize(Finalize { incarnation: id.0 })),
+            let Some((due_ms, entry)) = self.next_proposal(id, member, caught_up_since_ms, now_ms)
+            else {
+                continue;
             };
             // The proposal is repeated only after some time, because the log may take long to confirm it.
             let may_propose = observation
                 .proposed_ms
                 .is_none_or(|proposed| now_ms >= proposed + self.timing.heartbeat_timeout_ms);
-            if let (Some(entry), true) = (entry, may_propose) {
+            if now_ms < due_ms || !may_propose {
+                continue;
+            }
+            let rank = rendezvous::rank(&id.0.to_be_bytes(), live.iter().copied())
+                .iter()
+                .position(|candidate| *candidate == own)
+                .unwrap_or(live.len()) as u64;
+            if now_ms >= due_ms + rank * self.timing.heartbeat_timeout_ms {
                 self.observations.entry(id).or_default().proposed_ms = Some(now_ms);
                 entries.push(entry);
             }
@@ -137,6 +123,32 @@
         entries
     }
 
+    /// Returns what to propose for a member and when the first candidate may do so.
+    fn next_proposal(
+        &self,
+        id: IncarnationId,
+        member: &Member,
+        caught_up_since_ms: u64,
+        now_ms: u64,
+    ) -> Option<(u64, Entry)> {
+        let observation = self.observations.get(&id).copied().unwrap_or_default();
+        if let Some(ended_ms) = observation.ended_ms {
+            let entry = Entry::Finalize(Finalize { incarnation: id.0 });
+            return Some((ended_ms + self.timing.finalize_after_ms, entry));
+        }
+        if self.has_heartbeat(&observation, now_ms) {
+            return None;
+        }
+        let silent_since_ms = observation.last_record_ms.max(caught_up_since_ms);
+        let silent_ms = now_ms.saturating_sub(silent_since_ms);
+        let entry = Entry::Close(Close {
+            incarnation: id.0,
+            last_seq: member.last_seq,
+            reason: format!("no log record for {silent_ms} ms and no heartbeat"),
+        });
+        Some((silent_since_ms + self.timing.close_after_ms, entry))
+    }
+
     fn has_heartbeat(&self, observation: &Observation, now_ms: u64) -> bool {
         observation
             .last_heartbeat_ms
@@ -157,14 +169,13 @@
 
     /// Notes when this process first saw that an incarnation had ended, and forgets those that were finalised.
     fn note_ends(&mut self, members: &Members, now_ms: u64) {
+        // Heartbeats of a process whose `Open` is not yet in the log are kept while they arrive.
+        let keep_ms = self.timing.close_after_ms;
         self.observations.retain(|id, observation| {
             members.get(*id).is_some()
-                || self.timing.close_after_ms > 0 && {
-                    // Heartbeats of a process whose `Open` is not yet in the log are kept while they arrive.
-                    observation
-                        .last_heartbeat_ms
-                        .is_some_and(|last| now_ms < last + self.timing.close_after_ms)
-                }
+                || observation
+                    .last_heartbeat_ms
+                    .is_some_and(|last| now_ms < last + keep_ms)
         });
         for (id, member) in members.iter() {
             if member.phase != Phase::Open {
