--- a/src/router.rs
+++ b/src/router.rs
@@ -30,13 +30,16 @@
 use crate::collections::FastMap;
 use crate::engine::Client;
 use crate::evidence::Collector;
+use crate::explain::Journal;
 use crate::fleet::{self, Fleet};
 use crate::ids::{CustomerKey, Fingerprint, RequestKey};
 use crate::metrics::Metrics;
+use crate::quarantine::Quarantine;
 use crate::server;
 use crate::settings::Settings;
 
 use budget::Budget;
+use claim::Claims;
 use pools::Pools;
 
 /// Size of the kernel's send buffer for one caller; the kernel doubles it.
@@ -84,8 +87,12 @@
     client: Client,
     metrics: Metrics,
     budget: Budget,
+    claims: Claims,
+    journal: RefCell<Journal>,
     pools: RefCell<Pools>,
     evidence: RefCell<Collector>,
+    /// Crashes that this process saw or was told of by peers; the fold shows them only after an append and a read.
+    early_crashes: RefCell<Quarantine>,
     shares: RefCell<Shares>,
     /// Customers by the SHA-256 hash of their bearer keys.
     api_keys: RefCell<FastMap<[u8; 32], CustomerKey>>,
@@ -101,7 +108,14 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// Returns the offset at which readers' connections count as idle.
+    /// Returns whether a request is stopped because it crashes upstreams.
+    fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        let early = self.early_crashes.borrow();
+        early.is_quarantined(fingerprint)
+            || self.fleet.state().quarantine.is_quarantined(fingerprint)
+    }
+
+    /// Returns the time after which a reader that takes nothing is disconnected.
     fn reader_idle_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.limits.reader_idle_timeout_ms)
     }
@@ -162,8 +176,11 @@
         client: Client::default(),
         metrics: Metrics::new(),
         budget: Budget::new(fleet.clone()),
+        claims: Claims::new(fleet.clone()),
+        journal: RefCell::default(),
         pools: RefCell::new(Pools::new(&settings.data_centre)),
         evidence: RefCell::default(),
+        early_crashes: RefCell::default(),
         shares: RefCell::new(Shares::new(settings.limits.reader_buffer_bytes as usize)),
         api_keys: RefCell::default(),
         open: RefCell::default(),
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -5,24 +5,21 @@
 use bytes::Bytes;
 use serde::Deserialize;
 
-use super::budget::Budget;
 use super::call::{Call, Kind, Refused};
-use super::claim::{self, Claimed};
+use super::claim::Claimed;
 use super::pools::{self, ChosenVersion, Ended, Slot};
 use super::Shared;
 use crate::engine::{Error, Exchange, Outgoing};
 use crate::evidence;
-use crate::holder::Reservation;
 use crate::ids::UpstreamKey;
+use crate::intent::Claim;
+use crate::message::PeerMessage;
 use crate::record::{Crash, Entry};
 use crate::refusal::{Ran, Refusal};
 
 /// Most places that one request may use.
 const MAX_ATTEMPTS: u32 = 4;
 
-/// Crashes of upstreams after which this process gives a request up, before the fleet's count is folded.
-const CRASH_LIMIT: u32 = 2;
-
 /// Largest response that is held whole.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
 
@@ -40,7 +37,6 @@
     version: ChosenVersion,
     excluded: Vec<UpstreamKey>,
     count: u32,
-    crashes: u32,
     /// Whether any upstream may have run the request.
     pub(super) may_have_run: bool,
 }
@@ -53,7 +49,6 @@
             version: pools::choose_version(shared, call)?,
             excluded: Vec::new(),
             count: 0,
-            crashes: 0,
             may_have_run: false,
         })
     }
@@ -142,20 +137,24 @@
     }
 
     fn note_crash(&mut self, slot: &mut Slot) -> Result<(), Refused> {
-        self.crashes += 1;
-        let entry = Entry::Crash(Crash {
-            fingerprint: self.call.fingerprint.0,
+        let fingerprint = self.call.fingerprint;
+        let crash = Crash {
+            fingerprint: fingerprint.0,
             upstream: slot.name.to_string(),
             version: slot.version.to_string(),
-        });
-        if let Err(error) = self.shared.fleet.write(entry) {
+        };
+        let fleet = &self.shared.fleet;
+        self.shared
+            .early_crashes
+            .borrow_mut()
+            .add_crash(fingerprint);
+        for peer in fleet.peers() {
+            fleet.send(peer.incarnation, PeerMessage::CrashNotice(crash.clone()));
+        }
+        if let Err(error) = fleet.write(Entry::Crash(crash)) {
             log::warn!(step = "crash", peer = slot.name.as_str(); "{error}");
         }
-        let is_known = {
-            let state = self.shared.fleet.state();
-            state.quarantine.is_quarantined(self.call.fingerprint)
-        };
-        if is_known || self.crashes >= CRASH_LIMIT {
+        if self.shared.is_quarantined(fingerprint) {
             self.end(slot, Ended::Neutral);
             return Err(quarantined());
         }
@@ -186,13 +185,8 @@
 
 /// Runs a call whose response is sent whole.
 pub(super) async fn run(shared: &Shared, call: &Call) -> Result<Whole, Refused> {
-    if !call.is_repeatable() {
-        if let Some(claim) = shared.fleet.state().intents.get(call.key) {
-            return claim::judge_earlier(claim, call).map(|claimed| match claimed {
-                Claimed::Ran(status) => repeated(status),
-                Claimed::Won => unreachable!("a claim that is judged is not won"),
-            });
-        }
+    if let Some(status) = earlier_status(shared, call) {
+        return Ok(repeated(status));
     }
     let reservation = shared.budget.reserve(call, shared.now_ms()).await?;
     match dispatch(shared, call).await {
@@ -202,14 +196,20 @@
             Ok(whole)
         }
         Err(refused) => {
-            release(&shared.budget, reservation);
+            shared.budget.release(reservation);
             Err(refused)
         }
     }
 }
 
-fn release(budget: &Budget, reservation: Option<Reservation>) {
-    budget.release(reservation);
+/// Returns the status of a call that may not be repeated and has run.
+///
+/// The answer to such a repetition needs neither budget nor an upstream.
+fn earlier_status(shared: &Shared, call: &Call) -> Option<u16> {
+    match shared.fleet.state().intents.get(call.key) {
+        Some(Claim::Ran { status, .. }) if !call.is_repeatable() => Some(status),
+        _ => None,
+    }
 }
 
 /// Records the figures of a finished response.
@@ -227,7 +227,7 @@
     let mut attempts = Attempts::new(shared, call)?;
     let mut slot = attempts.next_place().await?;
     if !call.is_repeatable() {
-        match claim::claim(shared, call).await {
+        match shared.claims.claim(call).await {
             Ok(Claimed::Won) => {}
             Ok(Claimed::Ran(status)) => {
                 attempts.abandon(&mut slot);
@@ -242,10 +242,9 @@
     let result = send_until_answered(&mut attempts, &mut slot).await;
     if !call.is_repeatable() {
         match &result {
-            Ok((whole, _)) => claim::complete(shared, call, whole.status),
-            Err(_) if !attempts.may_have_run => claim::abandon(shared, call),
-            // The claim stays open: whether the call ran is not known.
-            Err(_) => {}
+            Ok((whole, _)) => shared.claims.complete(call.key, whole.status),
+            Err(_) if attempts.may_have_run => shared.claims.fail(call.key),
+            Err(_) => shared.claims.abandon(call.key),
         }
     }
     result
