--- /dev/null
+++ b/src/router/claim.rs
@@ -0,0 +1,170 @@
+//! Claims on calls that may run at most once.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use super::call::{Call, Refused};
+use super::notify::Notify;
+use crate::collections::FastMap;
+use crate::fleet::Fleet;
+use crate::fold::Change;
+use crate::ids::{IncarnationId, RequestKey};
+use crate::intent::{Answer, Begin, Calls, Step};
+use crate::record::Entry;
+use crate::refusal::Refusal;
+
+/// Longest time that a call waits until its claim is seen in the fold.
+const CLAIM_WAIT: Duration = Duration::from_secs(2);
+
+/// Advice for a retry while the log is unavailable.
+const RETRY_AFTER_MS: u64 = 2_000;
+
+/// What the claim permits.
+pub(super) enum Claimed {
+    /// This process may dispatch the call once.
+    Won,
+    /// The call ran before with this status.
+    Ran(u16),
+}
+
+/// The claims of this process.
+pub(super) struct Claims {
+    fleet: Fleet,
+    calls: RefCell<Calls>,
+    steps: RefCell<FastMap<RequestKey, Step>>,
+    /// Entries that the log's queue did not take; their order counts.
+    unwritten: RefCell<Vec<Entry>>,
+    changed: Notify,
+}
+
+impl Claims {
+    pub(super) fn new(fleet: Fleet) -> Self {
+        Self {
+            calls: RefCell::new(Calls::new(fleet.incarnation())),
+            fleet,
+            steps: RefCell::default(),
+            unwritten: RefCell::default(),
+            changed: Notify::default(),
+        }
+    }
+
+    /// Claims a call and waits until the claim has won in log order.
+    ///
+    /// Whatever is not certain is refused: a claim whose place in the log is unknown is abandoned and never dispatched.
+    pub(super) async fn claim(&self, call: &Call) -> Result<Claimed, Refused> {
+        let is_available = self.fleet.is_log_available() && self.unwritten.borrow().is_empty();
+        let begin = {
+            let state = self.fleet.state();
+            let mut calls = self.calls.borrow_mut();
+            calls.begin(call.key, call.fingerprint, &state, is_available)
+        };
+        let entry = match begin {
+            Begin::Claim(entry) => entry,
+            Begin::Answer(answer) => return judge(answer),
+        };
+        if self.fleet.write(entry).is_err() {
+            self.abandon(call.key);
+            return Err(refuse(Refusal::LogUnavailable));
+        }
+        let step = self
+            .changed
+            .wait_for(CLAIM_WAIT, || self.steps.borrow_mut().remove(&call.key))
+            .await;
+        match step {
+            Some(Step::Dispatch(_)) => Ok(Claimed::Won),
+            Some(Step::Answer(_, answer)) => judge(answer),
+            None => {
+                self.abandon(call.key);
+                Err(refuse(Refusal::LogUnavailable))
+            }
+        }
+    }
+
+    /// Writes that the call ran.
+    pub(super) fn complete(&self, key: RequestKey, status: u16) {
+        let entry = self.calls.borrow_mut().finish(key, status);
+        self.write(entry);
+    }
+
+    /// Gives a claim up whose call was not sent and never will be.
+    pub(super) fn abandon(&self, key: RequestKey) {
+        self.steps.borrow_mut().remove(&key);
+        let entry = {
+            let mut calls = self.calls.borrow_mut();
+            calls.give_up(key).or_else(|| calls.not_sent(key))
+        };
+        self.write(entry);
+    }
+
+    /// Notes that the call was sent and its result is not known; the claim stays open.
+    pub(super) fn fail(&self, key: RequestKey) {
+        self.calls.borrow_mut().fail(key);
+    }
+
+    /// Takes a change of the folded state into account.
+    pub(super) fn on_change(&self, change: &Change) {
+        let step = {
+            let state = self.fleet.state();
+            self.calls.borrow_mut().on_change(change, &state)
+        };
+        if let Some(step) = step {
+            let (Step::Dispatch(key) | Step::Answer(key, _)) = step;
+            self.steps.borrow_mut().insert(key, step);
+            self.changed.notify();
+        }
+    }
+
+    /// Ends the claims of an incarnation that a peer closed.
+    pub(super) fn on_reincarnation(&self, new: IncarnationId) {
+        // An abandon of the closed incarnation has no effect any more.
+        self.unwritten.borrow_mut().clear();
+        let waiting = self.calls.borrow_mut().close(new);
+        for key in waiting {
+            let answer = Answer::Refused(Refusal::LogUnavailable);
+            self.steps
+                .borrow_mut()
+                .insert(key, Step::Answer(key, answer));
+        }
+        self.changed.notify();
+    }
+
+    /// Tries again to write what the log's queue did not take.
+    pub(super) fn tick(&self) {
+        let unwritten = std::mem::take(&mut *self.unwritten.borrow_mut());
+        for entry in unwritten {
+            self.write(Some(entry));
+        }
+    }
+
+    fn write(&self, entry: Option<Entry>) {
+        let Some(entry) = entry else {
+            return;
+        };
+        let mut unwritten = self.unwritten.borrow_mut();
+        if !unwritten.is_empty() || self.fleet.write(entry.clone()).is_err() {
+            unwritten.push(entry);
+        }
+    }
+}
+
+fn judge(answer: Answer) -> Result<Claimed, Refused> {
+    match answer {
+        Answer::Outcome { status } => Ok(Claimed::Ran(status)),
+        Answer::Refused(refusal) => Err(refuse(refusal)),
+    }
+}
+
+fn refuse(refusal: Refusal) -> Refused {
+    let message = match refusal {
+        Refusal::KeyReused => "the idempotency key was used before with another request",
+        Refusal::EarlierAttempt => "an earlier attempt with this idempotency key may have run",
+        Refusal::LogUnavailable => "the call may run only once and cannot be claimed now",
+        _ => "the call may run only once and cannot be started now",
+    };
+    match refusal {
+        Refusal::LogUnavailable | Refusal::Overloaded => {
+            Refused::new(refusal, message).retry_after(RETRY_AFTER_MS)
+        }
+        _ => Refused::new(refusal, message),
+    }
+}
