--- a/src/router.rs
+++ b/src/router.rs
@@ -1,6 +1,6 @@
 //! The event loop that connects all modules.
 //!
-//! Each connection of a caller is one task on the one thread. Tasks share [`Shared`] through `Rc` and `RefCell`; no borrow
+//! Each connection of a caller is one task on the one thread. Tasks share `Shared` through `Rc` and `RefCell`; no borrow
 //! lasts across an await, so no lock is needed and no request can stop another. See `docs/design.md`, section 2.
 
 mod admin;
--- a/src/validation.rs
+++ b/src/validation.rs
@@ -1,6 +1,6 @@
 //! Validation of operators' files and of published bodies.
 //!
-//! A document is first read as a plain value and compared with a [`Shape`], a static description of its fields. Serde
+//! A document is first read as a plain value and compared with a `Shape`, a static description of its fields. Serde
 //! stops at the first error of a document, which would make an operator correct one field at a time; the comparison
 //! collects every [`Problem`]. The rules read nothing but their input, because the fold of the log applies them to
 //! published bodies and must give the same result in every process.
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -64,6 +64,7 @@
             step: u.int_in_range(1..=3)?,
             share_ppm: u.int_in_range(0..=1_000_000)?,
             revision: 1,
+            at_ms: u.int_in_range(0..=2_000_000)?,
         }),
         2 => Entry::Evidence(Evidence {
             id,
@@ -72,6 +73,8 @@
             total: u.int_in_range(0..=100)?,
             failed: u.int_in_range(0..=3)?,
             latency_counts: vec![1, 2, 3],
+            step: u.int_in_range(0..=3)?,
+            end_ms: u.int_in_range(0..=2_000_000)?,
         }),
         3 => Entry::Rollback(Rollback {
             id,
