Run the quickstart without extra tools

Responses are read by their length or last chunk with bash alone, so that a server that keeps its connection open does not hold the script up.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -54,7 +54,7 @@
 pid_of() {
     local index
     for index in "${!names[@]}"; do
-        [ "${names[$index]}" = "$1" ] && echo "${pids[$index]}"
+        if [ "${names[$index]}" = "$1" ]; then echo "${pids[$index]}"; fi
     done
 }
 
@@ -62,15 +62,14 @@
     ! kill -0 "$1" 2>/dev/null
 }
 
-# Stops a process by its id and prints its exit code: stop NAME
+# Stops a process by its id and sets exit_code: stop NAME
 stop() {
     local pid
     pid=$(pid_of "$1")
     kill -TERM "$pid"
     wait_for "the end of $1" is_gone "$pid"
-    local code=0
-    wait "$pid" || code=$?
-    echo "$code"
+    exit_code=0
+    wait "$pid" || exit_code=$?
 }
 
 cleanup() {
@@ -99,18 +98,54 @@
 trap 'exit 143' TERM
 
 # Makes an HTTP call and prints the response with its head: http METHOD ADDRESS PATH BODY [HEADER...]
+#
+# The end of the body is found by its length or its last chunk, because a server may keep the connection open.
 http() {
     local method=$1 address=$2 path=$3 body=$4 header
     shift 4
     exec 3<>"/dev/tcp/${address%:*}/${address##*:}" || return
     {
-        printf '%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n' "$method" "$path" "$address"
+        printf '%s %s HTTP/1.1\r\nhost: %s\r\n' "$method" "$path" "$address"
         printf 'content-type: application/json\r\ncontent-length: %d\r\n' "${#body}"
         for header in "$@"; do printf '%s\r\n' "$header"; done
         printf '\r\n%s' "$body"
     } >&3
-    timeout "$WAIT_LIMIT_S" cat <&3
+    local code=0
+    read_response || code=$?
     exec 3<&- 3>&-
+    return "$code"
+}
+
+# Copies one response from descriptor 3 to standard output; chunked bodies are decoded.
+read_response() {
+    local LC_ALL=C line length=0 is_chunked=
+    while IFS= read -r -t "$WAIT_LIMIT_S" line <&3; do
+        printf '%s\n' "$line"
+        case $(printf '%s' "$line" | tr 'A-Z' 'a-z') in
+        content-length:*) length=${line#*:} length=${length//[!0-9]/} ;;
+        transfer-encoding:*chunked*) is_chunked=1 ;;
+        $'\r') break ;;
+        esac
+    done
+    [ "${line-}" = $'\r' ] || return 1
+    if [ -z "$is_chunked" ]; then
+        read_bytes "$length"
+        return
+    fi
+    while IFS= read -r -t "$WAIT_LIMIT_S" line <&3; do
+        length=$((16#${line%$'\r'}))
+        ((length > 0)) || return 0
+        read_bytes "$length" || return 1
+        IFS= read -r -t "$WAIT_LIMIT_S" line <&3 || return 1
+    done
+    return 1
+}
+
+# Copies a number of bytes from descriptor 3 to standard output.
+read_bytes() {
+    local data=
+    (($1 == 0)) || IFS= read -r -N "$1" -t "$WAIT_LIMIT_S" data <&3 || return 1
+    printf '%s' "$data"
 }
 
 # Prints the status of a response on standard input.
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -65,6 +65,7 @@
             share_ppm: u.int_in_range(0..=1_000_000)?,
             revision: 1,
             at_ms: u.int_in_range(0..=2_000_000)?,
+            route: (*u.choose(&["", "m"])?).into(),
         }),
         2 => Entry::Evidence(Evidence {
             id,
