Judge a version over all its routes together

A difference on all routes took three minutes to confirm on one of them. The test of the version adds the strata of all routes and requires the difference without the worst route as well.

--- a/examples/rollout_experiment/main.rs
+++ b/examples/rollout_experiment/main.rs
@@ -1,7 +1,7 @@
 //! Measures the rollout policy against a fixed threshold on seeded replays.
 //!
 //! `cargo run --release --example rollout_experiment -- --seed N --replays 1000` prints one line for each policy and kind
-//! of version. `--explain KIND` prints the decisions of the first replay of one kind instead.
+//! of version. `--explain KIND --replay I` prints the decisions of one replay instead; kinds count from 0.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -28,6 +28,7 @@
     let matches = Command::new("rollout_experiment")
         .arg(number("seed", "1"))
         .arg(number("replays", "1000"))
+        .arg(number("replay", "0"))
         .arg(
             Arg::new("explain")
                 .long("explain")
@@ -38,7 +39,8 @@
     let replays = matches.get_one::<u64>("replays").copied().unwrap_or(1_000);
     if let Some(&index) = matches.get_one::<usize>("explain") {
         let kind = Kind::ALL[index % Kind::ALL.len()];
-        let verdict = replay::run(kind, Policy::Sequential, SCALE, seed_of(seed, kind, 0));
+        let replay = matches.get_one::<u64>("replay").copied().unwrap_or(0);
+        let verdict = replay::run(kind, Policy::Sequential, SCALE, seed_of(seed, kind, replay));
         println!("{}", verdict.decisions.join("\n"));
         return;
     }
@@ -150,14 +152,29 @@
         median_s,
         last_ms,
     );
-    let wrong: Vec<String> = verdicts
+    print_replays("judged wrong", verdicts, |verdict| !verdict.is_judged_right);
+    if kind == Kind::Good {
+        print_replays("not kept", verdicts, |verdict| !verdict.is_kept);
+    } else {
+        print_replays("most bad requests", verdicts, |verdict| {
+            percent(verdict.bad_requests, verdict.requests) > 2.0
+        });
+    }
+}
+
+fn print_replays(label: &str, verdicts: &[(u64, Verdict)], is: impl Fn(&Verdict) -> bool) {
+    let listed: Vec<String> = verdicts
         .iter()
-        .filter(|(_, verdict)| !verdict.is_judged_right)
-        .take(5)
+        .filter(|(_, verdict)| is(verdict))
         .map(|(index, _)| index.to_string())
         .collect();
-    if !wrong.is_empty() {
-        println!("           judged wrong in replays {}", wrong.join(", "));
+    if !listed.is_empty() {
+        let shown = listed.len().min(10);
+        println!(
+            "           {label}: {} replays: {}",
+            listed.len(),
+            listed[..shown].join(", ")
+        );
     }
 }
 
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -9,12 +9,15 @@
 
 use crate::record;
 
+mod change;
 mod comparison;
 mod tally;
 mod test;
+mod version;
 
-pub use comparison::{Comparison, Finding, Metric};
+pub use comparison::{Closed, Comparison, Finding, Metric};
 pub use tally::{Pair, Tally};
+pub use version::VersionTest;
 
 /// Shortest time between two batches of evidence of one process.
 ///
--- /dev/null
+++ b/src/evidence/change.rs
@@ -0,0 +1,75 @@
+//! Evidence for a difference that may start at any time.
+
+use serde::{Deserialize, Serialize};
+
+use super::test::{Detector, Values};
+use super::{Metric, PERIOD_MS};
+
+/// Weight of a difference that exists from the start.
+const START_WEIGHT: f64 = 0.5;
+
+/// Weight of all differences that start with a step; step `n` gets `1 / (n (n + 1))` of twice this.
+const STEP_WEIGHT: f64 = 0.25;
+
+/// Weight of all differences that start at any other time.
+const LATER_WEIGHT: f64 = 0.25;
+
+/// Evidence on both metrics for a difference that may start at any time.
+///
+/// Each possible start carries a part of the whole weight of 1, so the bound on the error holds for all of them together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ChangeDetector {
+    detectors: [Detector; 2],
+    later_strata: u64,
+    closed: u64,
+    steps: u32,
+}
+
+impl ChangeDetector {
+    /// Returns a detector for a comparison that is expected to take `expected_ms`.
+    pub(super) fn new(expected_ms: u64) -> Self {
+        Self {
+            detectors: [Detector::empty(), Detector::empty()],
+            later_strata: (expected_ms / PERIOD_MS).max(1),
+            closed: 0,
+            steps: 1,
+        }
+    }
+
+    /// Adds a stratum; `is_first_of_step` says that the share changed before it.
+    pub(super) fn add(&mut self, values: &[Option<Values>; 2], is_first_of_step: bool) {
+        let weight = self.weight(is_first_of_step);
+        for (detector, values) in self.detectors.iter_mut().zip(values) {
+            match values {
+                Some(values) => detector.add(values, weight),
+                None => detector.add(&Values::default(), weight),
+            }
+        }
+    }
+
+    fn weight(&mut self, is_first_of_step: bool) -> f64 {
+        let mut weight = 0.0;
+        if self.closed == 0 {
+            weight += START_WEIGHT;
+        } else if is_first_of_step {
+            self.steps += 1;
+            let number = f64::from(self.steps);
+            weight += 2.0 * STEP_WEIGHT / (number * (number + 1.0));
+        }
+        if self.closed < self.later_strata {
+            weight += LATER_WEIGHT / self.later_strata as f64;
+        }
+        self.closed += 1;
+        weight
+    }
+
+    /// Returns the metric with more evidence, and the logarithm of the evidence.
+    pub(super) fn strongest(&self) -> (Metric, f64) {
+        let [failures, latency] = [self.detectors[0].log(), self.detectors[1].log()];
+        if failures >= latency {
+            (Metric::Failures, failures)
+        } else {
+            (Metric::Latency, latency)
+        }
+    }
+}
--- a/src/evidence/comparison.rs
+++ b/src/evidence/comparison.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::test::{stratum_values, Detector, Direction, Margin};
+use super::change::ChangeDetector;
+use super::test::{stratum_values, Detector, Direction, Margin, Values};
 use super::{Pair, Tally, PERIOD_MS};
 use crate::record;
 
@@ -16,7 +17,7 @@
 ///
 /// The target is 1 in 1,000. Half of it is left for what the test does not cover, above all differences between the
 /// workers of the two versions, which no choice by request key averages out.
-const FALSE_ROLLBACK: f64 = 1.0 / 2_000.0;
+pub(super) const FALSE_ROLLBACK: f64 = 1.0 / 2_000.0;
 
 /// Probability that a version that is bad on a route passes there.
 const FALSE_PASS: f64 = 1.0 / 2_000.0;
@@ -38,23 +39,25 @@
     latency_ratio: 1.3,
 };
 
-/// Weight of a difference that exists from the start.
-const START_WEIGHT: f64 = 0.5;
-
-/// Weight of all differences that start with a step; step `n` gets `1 / (n (n + 1))` of twice this.
-const STEP_WEIGHT: f64 = 0.25;
-
-/// Weight of all differences that start at any other time.
-const LATER_WEIGHT: f64 = 0.25;
-
 /// Requests of the new version in one window of the watch at full share.
 const WATCH_WINDOW_REQUESTS: u64 = 100;
 
+/// Part by which the average follows each window, as a divisor.
+const AVERAGE_DIVISOR: i64 = 3;
+
 /// Rise of the failure share that raises a suspicion at full share.
 ///
 /// Over windows of 100 requests it is more than three standard deviations for a failure share of 5%.
 const SUSPICIOUS_FAILURES: f64 = 0.03;
 
+/// Part by which the reference level follows the present one with each window, as a divisor.
+///
+/// It follows the load of the day, which changes over minutes, and not a fault, which the average of a few windows shows.
+const REFERENCE_DIVISOR: i64 = 32;
+
+/// Time after which a version that serves alone is compared again; a slow decline raises no suspicion.
+const ROUTINE_MS: u64 = 900_000;
+
 /// Rise of the logarithm of the latency that raises a suspicion at full share: a ratio of 1.15.
 const SUSPICIOUS_LOG_LATENCY: f64 = 0.14;
 
@@ -74,8 +77,17 @@
     Worse(Metric),
     /// The new version is not bad.
     NotBad,
-    /// At full share the results of the new version have become worse than the old version's were.
+    /// At full share the results of the new version have become worse than they or the old version's were.
     Suspicious(Metric),
+    /// The new version has served alone for so long that it is compared again, whatever its results.
+    Routine,
+}
+
+/// A stratum that is complete, as the test of the whole version takes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Closed {
+    pub(super) values: [Option<Values>; 2],
+    pub(super) is_first_of_step: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -102,24 +114,13 @@
         }
     }
 
-    fn mean(&self, other: &Self) -> Self {
-        Self {
-            failure_micro: (self.failure_micro + other.failure_micro) / 2,
-            log_latency_micro: (self.log_latency_micro + other.log_latency_micro) / 2,
-        }
-    }
-
-    fn max(&self, other: &Self) -> Self {
-        Self {
-            failure_micro: self.failure_micro.max(other.failure_micro),
-            log_latency_micro: self.log_latency_micro.max(other.log_latency_micro),
-        }
-    }
-
-    fn min(&self, other: &Self) -> Self {
+    /// Returns this level moved towards another one by a part of the difference.
+    fn towards(&self, other: &Self, divisor: i64) -> Self {
         Self {
-            failure_micro: self.failure_micro.min(other.failure_micro),
-            log_latency_micro: self.log_latency_micro.min(other.log_latency_micro),
+            failure_micro: self.failure_micro
+                + (other.failure_micro - self.failure_micro) / divisor,
+            log_latency_micro: self.log_latency_micro
+                + (other.log_latency_micro - self.log_latency_micro) / divisor,
         }
     }
 
@@ -140,12 +141,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Comparison {
     number: u32,
-    later_strata: u64,
-    weighted_step: u32,
+    closed_step: u32,
     open: Vec<Stratum>,
     newest_step: u32,
-    closed: u64,
-    worse: [Detector; 2],
+    full_since_ms: u64,
+    worse: ChangeDetector,
     not_bad: [Detector; 2],
     is_check: bool,
     since_step: Pair,
@@ -162,12 +162,11 @@
     pub fn new(number: u32, expected_ms: u64) -> Self {
         Self {
             number,
-            later_strata: (expected_ms / PERIOD_MS).max(1),
-            weighted_step: 1,
+            closed_step: 0,
             open: Vec::new(),
             newest_step: 0,
-            closed: 0,
-            worse: [Detector::empty(), Detector::empty()],
+            full_since_ms: 0,
+            worse: ChangeDetector::new(expected_ms),
             not_bad: [Detector::started(), Detector::started()],
             is_check: false,
             since_step: Pair::default(),
@@ -178,55 +177,67 @@
         }
     }
 
-    /// Adds a record.
+    /// Adds a record; `is_full` says that the new version alone serves the route at this step.
     ///
-    /// `is_watched` says that the new version serves so much of the route at this step that its own level is judged as
-    /// well, `is_full` that it serves alone and there is nothing to compare with.
+    /// Returns what the record shows and the stratum that it completes.
     pub fn add(
         &mut self,
         entry: &record::Evidence,
-        is_watched: bool,
         is_full: bool,
-    ) -> Vec<Finding> {
+    ) -> (Vec<Finding>, Option<Closed>) {
         if entry.step > self.newest_step {
-            self.newest_step = entry.step;
-            self.since_step = Pair::default();
-            self.window = Pair::default();
+            self.start_step(entry);
         }
         self.since_start.add_record(entry);
         if entry.step == self.newest_step {
             self.since_step.add_record(entry);
         }
-        let mut findings = Vec::new();
-        if is_watched && entry.is_new {
-            findings.extend(self.watch(entry));
+        if is_full {
+            let finding = if entry.is_new {
+                self.watch(entry)
+            } else {
+                None
+            };
+            return (finding.into_iter().collect(), None);
         }
-        if !is_full {
-            if let Some(stratum) = self.collect(entry) {
-                findings.extend(self.close(&stratum));
-            }
+        match self.collect(entry) {
+            Some(stratum) => self.close(&stratum),
+            None => (Vec::new(), None),
+        }
+    }
+
+    /// Starts the counts of a new step; the old version's level in the last one is the first reference of the watch.
+    fn start_step(&mut self, entry: &record::Evidence) {
+        let last = std::mem::take(&mut self.since_step);
+        if last.old.total >= WATCH_WINDOW_REQUESTS {
+            self.reference = Some(Level::of(&last.old));
         }
-        findings
+        self.average = None;
+        self.newest_step = entry.step;
+        self.full_since_ms = entry.end_ms;
+        self.window = Pair::default();
     }
 
-    /// Judges the new version while it serves almost alone, by the level at which the old one served.
+    /// Judges the new version while it serves alone, by its recent level.
     ///
     /// The level of another time is weak evidence, because load and noise vary. It therefore only raises a suspicion,
     /// which is checked by serving a part of the requests with the old version again.
     fn watch(&mut self, entry: &record::Evidence) -> Option<Finding> {
         self.window.add_record(entry);
+        if entry.end_ms >= self.full_since_ms + ROUTINE_MS {
+            return Some(Finding::Routine);
+        }
         if self.window.new.total < WATCH_WINDOW_REQUESTS {
             return None;
         }
         let level = Level::of(&std::mem::take(&mut self.window).new);
         let average = match &self.average {
-            Some(average) => average.mean(&level),
+            Some(average) => average.towards(&level, AVERAGE_DIVISOR),
             None => level,
         };
-        let base = Level::of(&self.since_start.old);
         let reference = match &self.reference {
-            Some(reference) => base.max(&reference.min(&reference.mean(&average))),
-            None => base,
+            Some(reference) => reference.towards(&average, REFERENCE_DIVISOR),
+            None => average.clone(),
         };
         let finding = average.suspicion(&reference);
         self.average = Some(average);
@@ -240,10 +251,11 @@
         self.is_check = true;
     }
 
-    /// Ends the check of a suspicion; the present level is no longer suspicious.
+    /// Ends the check of a suspicion.
+    ///
+    /// The old version's level in the check is the next reference, so the present level is no longer suspicious.
     pub fn end_check(&mut self) {
         self.is_check = false;
-        self.reference = self.average.clone();
     }
 
     /// Returns the counts since the newest step.
@@ -258,7 +270,7 @@
 
     /// Returns the evidence that the version is worse and the evidence that it is not bad, in parts of what is needed.
     pub fn progress(&self) -> (f64, f64) {
-        let worse = self.worse[0].log().max(self.worse[1].log()) / self.worse_threshold();
+        let worse = self.worse.strongest().1 / self.worse_threshold();
         let not_bad = self.not_bad[0].log().min(self.not_bad[1].log()) / self.not_bad_threshold();
         (worse.clamp(0.0, 1.0), not_bad.clamp(0.0, 1.0))
     }
@@ -294,19 +306,23 @@
         is_complete.then(|| self.open.remove(position))
     }
 
-    fn close(&mut self, stratum: &Stratum) -> Vec<Finding> {
-        let weight = self.weight(stratum.step);
+    fn close(&mut self, stratum: &Stratum) -> (Vec<Finding>, Option<Closed>) {
+        let metrics = [Metric::Failures, Metric::Latency];
+        let closed = Closed {
+            values: metrics
+                .map(|metric| stratum_values(metric, Direction::Worse, &stratum.pair, HARMLESS)),
+            is_first_of_step: stratum.step > self.closed_step,
+        };
+        self.closed_step = self.closed_step.max(stratum.step);
+        self.worse.add(&closed.values, closed.is_first_of_step);
         let mut findings = Vec::new();
-        for (index, metric) in [Metric::Failures, Metric::Latency].into_iter().enumerate() {
-            if let Some(values) = stratum_values(metric, Direction::Worse, &stratum.pair, HARMLESS)
-            {
-                self.worse[index].add(&values, weight);
-            }
+        let (metric, evidence) = self.worse.strongest();
+        if evidence >= self.worse_threshold() {
+            findings.push(Finding::Worse(metric));
+        }
+        for (detector, metric) in self.not_bad.iter_mut().zip(metrics) {
             if let Some(values) = stratum_values(metric, Direction::Better, &stratum.pair, BAD) {
-                self.not_bad[index].add(&values, 0.0);
-            }
-            if self.worse[index].log() >= self.worse_threshold() {
-                findings.push(Finding::Worse(metric));
+                detector.add(&values, 0.0);
             }
         }
         let threshold = self.not_bad_threshold();
@@ -317,30 +333,13 @@
         {
             findings.push(Finding::NotBad);
         }
-        findings
-    }
-
-    /// Returns the weight of a difference that starts with this stratum; all weights together are at most 1.
-    fn weight(&mut self, step: u32) -> f64 {
-        let mut weight = 0.0;
-        if self.closed == 0 {
-            weight += START_WEIGHT;
-        }
-        if self.closed < self.later_strata {
-            weight += LATER_WEIGHT / self.later_strata as f64;
-        }
-        if step > self.weighted_step {
-            let number = f64::from(step);
-            weight += 2.0 * STEP_WEIGHT / (number * (number + 1.0));
-            self.weighted_step = step;
-        }
-        self.closed += 1;
-        weight
+        (findings, Some(closed))
     }
 
     fn worse_threshold(&self) -> f64 {
         let number = f64::from(self.number);
-        let share = 0.5 / ((number + 1.0) * (number + 2.0));
+        // Half is for the version as a whole, half of the rest for each metric; route `n` gets 1 / ((n + 1) (n + 2)).
+        let share = 0.25 / ((number + 1.0) * (number + 2.0));
         -(FALSE_ROLLBACK * share).ln()
     }
 
--- a/src/evidence/test.rs
+++ b/src/evidence/test.rs
@@ -36,6 +36,9 @@
 /// from 1.1 down to 0.17 it is 0.14 to 6.
 const LATENCY_TILTS: [f64; TILTS] = [0.15, 0.4, 1.0, 2.5, 6.0];
 
+/// Logarithms of the values of one stratum, for each tilt.
+pub(super) type Values = [f64; TILTS];
+
 /// Units of a stored logarithm: integers keep the folded state equal and comparable on all machines.
 const MICRO: f64 = 1e6;
 
@@ -85,7 +88,7 @@
     }
 
     /// Multiplies by the value of a stratum, after adding `weight` for a change that starts with it.
-    pub(super) fn add(&mut self, values: &[f64; TILTS], weight: f64) {
+    pub(super) fn add(&mut self, values: &Values, weight: f64) {
         for (log_micro, value) in self.log_micro.iter_mut().zip(values) {
             let mut log = *log_micro as f64 / MICRO;
             if weight > 0.0 {
@@ -120,7 +123,7 @@
     direction: Direction,
     pair: &Pair,
     margin: Margin,
-) -> Option<[f64; TILTS]> {
+) -> Option<Values> {
     match metric {
         Metric::Failures => failure_values(direction, pair, margin.failure),
         Metric::Latency => latency_values(direction, pair, margin.latency_ratio),
@@ -135,7 +138,7 @@
     }
 }
 
-fn failure_values(direction: Direction, pair: &Pair, converted: f64) -> Option<[f64; TILTS]> {
+fn failure_values(direction: Direction, pair: &Pair, converted: f64) -> Option<Values> {
     let is_new_sampled = pair.new.total <= pair.old.total;
     let sampled = pair.smaller();
     if sampled == 0 {
@@ -189,7 +192,7 @@
     terms
 }
 
-fn latency_values(direction: Direction, pair: &Pair, ratio: f64) -> Option<[f64; TILTS]> {
+fn latency_values(direction: Direction, pair: &Pair, ratio: f64) -> Option<Values> {
     let (old, new) = (pair.old.timed(), pair.new.timed());
     if old == 0 || new == 0 {
         return None;
--- a/src/rollout/schedule.rs
+++ b/src/rollout/schedule.rs
@@ -18,7 +18,7 @@
     250_000,
     500_000,
     750_000,
-    950_000,
+    900_000,
     FULL_SHARE_PPM,
 ];
 
@@ -35,7 +35,7 @@
 const MARGIN_MS: (u64, u64) = (10_000, 600_000);
 
 /// Share in every second check, close to the full load, for a fault that shows only there.
-const LOADED_CHECK_SHARE_PPM: u32 = 950_000;
+const LOADED_CHECK_SHARE_PPM: u32 = 900_000;
 
 /// Time that each process waits longer than the one before it.
 const RANK_DELAY_MS: u64 = 1_000;
@@ -170,7 +170,7 @@
         }
         let slowest_ppm = self
             .material()
-            .map(|(name, _)| self.state.step_and_share(name).1)
+            .map(|(name, _)| self.state.reached_ppm(name))
             .min()?;
         let is_due = self.state.end.is_none() && slowest_ppm > self.state.share_ppm;
         is_due.then(|| self.step("", self.state.step, slowest_ppm))
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -5,8 +5,8 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::{CHECK_SHARE_PPM, FIRST_SHARE_PPM, FULL_SHARE_PPM, WATCH_MS};
-use crate::evidence::{Comparison, Finding, Metric};
+use super::{FIRST_SHARE_PPM, FULL_SHARE_PPM, WATCH_MS};
+use crate::evidence::{Comparison, Finding, Metric, VersionTest};
 use crate::ids::Offset;
 use crate::record;
 
@@ -22,7 +22,7 @@
 /// version is at most this share of the whole.
 const MATERIAL_DIVISOR: u64 = 20;
 
-/// Routes that turn out bad before the whole version is taken back.
+/// Routes that turn out bad before the whole version is taken back, whatever the evidence on the others.
 const BAD_ROUTES_OF_BAD_VERSION: usize = 2;
 
 /// How a rollout ended.
@@ -81,6 +81,8 @@
     pub resume_ppm: u32,
     /// Checks so far.
     pub checks: u32,
+    /// Number of the route within the rollout.
+    pub number: u32,
     /// Results of both versions.
     pub comparison: Comparison,
 }
@@ -106,6 +108,8 @@
     pub share_ppm: u32,
     /// Routes with evidence.
     pub routes: BTreeMap<CompactString, RouteState>,
+    /// Evidence over all routes.
+    pub version_test: VersionTest,
     /// Routes that were rolled back, with the reason; the empty name stands for the whole version.
     pub rolled_back: BTreeMap<CompactString, CompactString>,
     /// End of the rollout.
@@ -132,6 +136,7 @@
             step: 0,
             share_ppm: 0,
             routes: BTreeMap::new(),
+            version_test: VersionTest::new(compared_ms(entry.start_ms, entry.deadline_ms)),
             rolled_back: BTreeMap::new(),
             end: None,
             is_watch_over: false,
@@ -227,6 +232,16 @@
         }
     }
 
+    /// Returns the share that a route has reached; a check of a suspicion does not lower it.
+    pub fn reached_ppm(&self, route: &str) -> u32 {
+        match self.routes.get(route) {
+            Some(state) if matches!(state.check, Check::Running | Check::Cleared { .. }) => {
+                state.resume_ppm
+            }
+            _ => self.step_and_share(route).1,
+        }
+    }
+
     /// Returns whether a route has so many requests that it must pass on its own evidence.
     pub fn is_material(&self, route: &RouteState) -> bool {
         let requests = |route: &RouteState| route.comparison.since_start().total();
@@ -282,17 +297,44 @@
             return;
         }
         let (step, share_ppm) = self.step_and_share(&entry.route);
-        let is_watched = entry.step == step && share_ppm > CHECK_SHARE_PPM;
         let is_full = entry.step == step && share_ppm == FULL_SHARE_PPM;
-        let compared_ms = (self.deadline_ms - self.start_ms).saturating_add(WATCH_MS);
+        let expected_ms = compared_ms(self.start_ms, self.deadline_ms);
         let route = self
             .routes
             .entry(entry.route.as_str().into())
-            .or_insert_with(|| RouteState::new(number as u32, compared_ms));
-        let findings = route.comparison.add(entry, is_watched, is_full);
+            .or_insert_with(|| RouteState::new(number as u32, expected_ms));
+        let (findings, closed) = route.comparison.add(entry, is_full);
+        if let Some(closed) = closed {
+            self.version_test.add(route.number, &closed);
+        }
         for finding in findings {
             self.take_finding(offset, entry, finding);
         }
+        self.judge_version(offset);
+    }
+
+    /// Rolls the whole version back if the evidence over all routes shows that it is worse.
+    fn judge_version(&mut self, offset: Offset) {
+        if self.rolled_back.contains_key("") {
+            return;
+        }
+        let metric = self.version_test.is_worse();
+        let has_spread = self.rolled_back.keys().any(|name| {
+            self.routes
+                .get(name)
+                .is_some_and(|route| self.version_test.is_worse_without(route.number))
+        });
+        if metric.is_none() && !has_spread {
+            return;
+        }
+        let figures: Vec<String> = self
+            .routes
+            .iter()
+            .map(|(name, route)| format!("{name}: {}", route.comparison.since_step().figures()))
+            .collect();
+        let subject = metric.map_or("results", noun);
+        let reason = format!("{subject} worse on several routes: {}", figures.join("; "));
+        self.roll_back(offset, "", &reason);
     }
 
     fn take_finding(&mut self, offset: Offset, entry: &record::Evidence, finding: Finding) {
@@ -310,7 +352,7 @@
                 route.check = Check::Cleared {
                     at_ms: entry.end_ms,
                 };
-                let sentence = format!("Route {name}: the suspicion is not confirmed: {figures}.");
+                let sentence = format!("Route {name}: the comparison shows no fault: {figures}.");
                 self.decide(offset, sentence);
             }
             Finding::NotBad if route.passed_ms.is_none() => {
@@ -323,13 +365,20 @@
                     at_ms: entry.end_ms,
                 };
                 let sentence = format!(
-                    "Route {name}: {} rose since the old version serves few requests or none: {figures}. It serves \
-                     more for a comparison.",
+                    "Route {name}: {} rose while the new version served alone: {figures}. The old one serves a part \
+                     again for a comparison.",
                     noun(metric)
                 );
                 self.decide(offset, sentence);
             }
-            Finding::NotBad | Finding::Suspicious(_) => {}
+            Finding::Routine if route.check == Check::None => {
+                route.check = Check::Due {
+                    at_ms: entry.end_ms,
+                };
+                let sentence = format!("Route {name}: a routine comparison is due: {figures}.");
+                self.decide(offset, sentence);
+            }
+            Finding::NotBad | Finding::Suspicious(_) | Finding::Routine => {}
         }
     }
 
@@ -366,13 +415,13 @@
         }
     }
 
-    /// Starts a check of the routes that the new version serves almost alone, after another route was rolled back.
+    /// Starts a check of the routes that the new version serves alone, after another route was rolled back.
     fn suspect_others(&mut self) {
         let at_ms = self.newest_ms;
         for (name, route) in &mut self.routes {
             let is_suspect = route.check == Check::None
                 && route.step.is_some()
-                && route.share_ppm > CHECK_SHARE_PPM
+                && route.share_ppm == FULL_SHARE_PPM
                 && !self.rolled_back.contains_key(name);
             if is_suspect {
                 route.check = Check::Due { at_ms };
@@ -455,6 +504,7 @@
             check: Check::None,
             resume_ppm: FULL_SHARE_PPM,
             checks: 0,
+            number,
             comparison: Comparison::new(number, compared_ms),
         }
     }
@@ -480,6 +530,13 @@
     }
 }
 
+/// Returns the time over which versions are compared.
+fn compared_ms(start_ms: u64, deadline_ms: u64) -> u64 {
+    deadline_ms
+        .saturating_sub(start_ms)
+        .saturating_add(WATCH_MS)
+}
+
 fn noun(metric: Metric) -> &'static str {
     match metric {
         Metric::Failures => "failures",
