--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -304,13 +304,15 @@
             .entry(entry.route.as_str().into())
             .or_insert_with(|| RouteState::new(number as u32, expected_ms));
         let (findings, closed) = route.comparison.add(entry, is_full);
-        if let Some(closed) = closed {
-            self.version_test.add(route.number, &closed);
+        if let Some(closed) = &closed {
+            self.version_test.add(route.number, closed);
         }
         for finding in findings {
             self.take_finding(offset, entry, finding);
         }
-        self.judge_version(offset);
+        if closed.is_some() {
+            self.judge_version(offset);
+        }
     }
 
     /// Rolls the whole version back if the evidence over all routes shows that it is worse.
