--- a/src/holder.rs
+++ b/src/holder.rs
@@ -46,6 +46,11 @@
         self.customer
     }
 
+    /// Returns the rights held, by grant.
+    pub fn draws(&self) -> &[Draw] {
+        &self.draws
+    }
+
     /// Returns the amount held.
     pub fn amount_tokens(&self) -> u64 {
         self.draws.iter().map(|draw| draw.amount_tokens).sum()
@@ -117,6 +122,17 @@
         self.accounts.get(&customer).map_or(0, Account::free_tokens)
     }
 
+    /// Returns the rights that can be reserved now, by grant.
+    pub fn free_rights(
+        &self,
+        customer: CustomerKey,
+    ) -> impl Iterator<Item = (IncarnationId, u64)> + '_ {
+        let account = self.accounts.get(&customer);
+        account
+            .into_iter()
+            .flat_map(|account| account.free.iter().map(|(&grant, &tokens)| (grant, tokens)))
+    }
+
     /// Returns the rights that are not charged, whether reserved or not.
     pub fn unspent_tokens(&self, customer: CustomerKey) -> u64 {
         self.accounts
