--- a/src/fleet/inner.rs
+++ b/src/fleet/inner.rs
@@ -1,9 +1,9 @@
 //! The state that the tasks of one process share, and the steps that they have in common.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use local_sync::mpsc::unbounded;
 use prost::Message;
@@ -24,7 +24,10 @@
 use crate::platform::VmList;
 use crate::record::{Batch, Entry};
 use crate::settings::Settings;
-use crate::snapshot::Assembler;
+use crate::snapshot::{Assembler, Encoder};
+
+/// Pause between two steps of serialising a state, which leaves the loop to requests.
+const SNAPSHOT_STEP_PAUSE: Duration = Duration::from_millis(1);
 
 /// State that the tasks of one process share.
 pub(super) struct Inner {
@@ -39,6 +42,9 @@
     pub(super) is_open_folded: Cell<bool>,
     pub(super) state: RefCell<FleetState>,
     pub(super) has_state: Cell<bool>,
+    /// Whether a snapshot is being serialised, during which the state must not change.
+    pub(super) is_frozen: Cell<bool>,
+    pub(super) thawed: Notify,
     pub(super) tail: RefCell<Tail>,
     pub(super) writer: RefCell<Writer>,
     pub(super) writer_wake: Notify,
@@ -53,6 +59,8 @@
     pub(super) followers: RefCell<BTreeMap<IncarnationId, Offset>>,
     pub(super) outstanding: RefCell<Vec<Outstanding>>,
     pub(super) chunks: RefCell<Assembler>,
+    /// Peers to which a snapshot is being sent.
+    pub(super) serving_snapshots: RefCell<BTreeSet<IncarnationId>>,
     pub(super) is_read_ok: Cell<bool>,
     pub(super) is_append_ok: Cell<bool>,
     pub(super) is_leaving: Cell<bool>,
@@ -87,6 +95,8 @@
             is_open_folded: Cell::new(false),
             state: RefCell::default(),
             has_state: Cell::new(false),
+            is_frozen: Cell::new(false),
+            thawed: Notify::default(),
             tail: RefCell::default(),
             writer_wake: Notify::default(),
             folded: Notify::default(),
@@ -98,6 +108,7 @@
             followers: RefCell::default(),
             outstanding: RefCell::default(),
             chunks: RefCell::default(),
+            serving_snapshots: RefCell::default(),
             is_read_ok: Cell::new(false),
             is_append_ok: Cell::new(true),
             is_leaving: Cell::new(false),
@@ -198,7 +209,8 @@
 
     /// Replaces the folded state by a newer one; an older one is ignored, because a process never goes back.
     pub(super) fn adopt(&self, state: FleetState) {
-        if self.has_state.get() && state.next_offset <= self.state.borrow().next_offset {
+        let is_older = state.next_offset <= self.state.borrow().next_offset;
+        if self.is_frozen.get() || (self.has_state.get() && is_older) {
             return;
         }
         log::info!("state restored up to offset {}", state.next_offset);
@@ -213,6 +225,30 @@
         self.after_fold();
     }
 
+    /// Waits until the state may change.
+    pub(super) async fn wait_for_thaw(&self) {
+        self.thawed
+            .wait_for(|| (!self.is_frozen.get()).then_some(()))
+            .await;
+    }
+
+    /// Serialises the state in steps, between which other tasks run; records are folded afterwards.
+    pub(super) async fn encode_state(&self) -> (Offset, Vec<u8>) {
+        self.wait_for_thaw().await;
+        self.is_frozen.set(true);
+        let mut encoder = Encoder::new();
+        let next_offset = self.state.borrow().next_offset;
+        loop {
+            if encoder.step(&self.state.borrow()) {
+                break;
+            }
+            monoio::time::sleep(SNAPSHOT_STEP_PAUSE).await;
+        }
+        self.is_frozen.set(false);
+        self.thawed.notify();
+        (next_offset, encoder.into_bytes())
+    }
+
     /// Runs after a run of records was folded.
     pub(super) fn after_fold(&self) {
         self.last_fold_ms.set(self.now_ms());
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -281,7 +281,7 @@
         }
     }
 
-    fn on_message(&self, from: IncarnationId, message: PeerMessage) {
+    fn on_message(self: &Rc<Self>, from: IncarnationId, message: PeerMessage) {
         if let Some(connection) = self.peers.borrow_mut().connections.get_mut(&from) {
             connection.last_received_ms = self.now_ms();
         }
--- a/src/fleet/reader.rs
+++ b/src/fleet/reader.rs
@@ -31,6 +31,7 @@
             Ok(page) => {
                 limit = (2 * limit).min(PAGE_RECORDS);
                 inner.set_available(&inner.is_read_ok, true);
+                inner.wait_for_thaw().await;
                 if take_page(&inner, &page) {
                     pause(inner.settings.timing.poll_interval_ms).await;
                 } else {
--- a/src/fleet/restore.rs
+++ b/src/fleet/restore.rs
@@ -18,6 +18,9 @@
 /// Pause between two requests for a snapshot; a large one takes some time to arrive.
 const REQUEST_INTERVAL_MS: u64 = 1_000;
 
+/// Time that a peer may take to make room for a chunk.
+const CHUNK_LIMIT_MS: u64 = 2_000;
+
 /// Time without a folded record after which a peer that is ahead is asked for records.
 const STALLED_MS: u64 = 300;
 
@@ -167,7 +170,8 @@
 /// Folds relayed records that continue the own state.
 pub(super) fn take_records(inner: &Inner, from: IncarnationId, records: &Records) {
     let next_offset = inner.state.borrow().next_offset;
-    if !inner.has_state.get() || records.first_offset > next_offset {
+    // Records that arrive while a snapshot is serialised are asked for again after the next heartbeat.
+    if !inner.has_state.get() || inner.is_frozen.get() || records.first_offset > next_offset {
         return;
     }
     if records.payloads.is_empty() {
@@ -187,14 +191,27 @@
 }
 
 /// Answers a request for a snapshot.
-pub(super) fn send_snapshot(inner: &Inner, to: IncarnationId) {
-    if !inner.has_state.get() {
+///
+/// Requests for a snapshot that is already on its way are dropped: it may take longer than the requester waits.
+pub(super) fn send_snapshot(inner: &Rc<Inner>, to: IncarnationId) {
+    if !inner.has_state.get() || !inner.serving_snapshots.borrow_mut().insert(to) {
         return;
     }
-    let state = inner.state.borrow();
-    for chunk in snapshot::chunks(&state) {
-        inner.send(to, PeerMessage::SnapshotChunk(chunk));
-    }
+    let task_inner = inner.clone();
+    super::builder::spawn(inner, async move {
+        let (next_offset, bytes) = task_inner.encode_state().await;
+        'chunks: for chunk in snapshot::split(next_offset, &bytes) {
+            let started_ms = task_inner.now_ms();
+            // A full queue drains as fast as the peer reads.
+            while !task_inner.send(to, PeerMessage::SnapshotChunk(chunk.clone())) {
+                if task_inner.now_ms() > started_ms + CHUNK_LIMIT_MS {
+                    break 'chunks;
+                }
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        task_inner.serving_snapshots.borrow_mut().remove(&to);
+    });
 }
 
 /// Takes a part of a snapshot from a peer and restores the state when it is complete.
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -86,8 +86,8 @@
         if !is_chosen(&inner, turn) {
             continue;
         }
-        let chunks = snapshot::chunks(&inner.state.borrow());
-        for chunk in chunks {
+        let (next_offset, bytes) = inner.encode_state().await;
+        for chunk in snapshot::split(next_offset, &bytes) {
             let payload = Bytes::from(chunk.encode_to_vec());
             while let Err(error) = inner.log.append(SNAPSHOT_STREAM, payload.clone()).await {
                 log::warn!("write a snapshot: {error}");
--- a/src/intent/snapshot.rs
+++ b/src/intent/snapshot.rs
@@ -27,14 +27,20 @@
 }
 
 impl Intents {
-    /// Returns the serialised form; equal claims give equal forms.
-    pub(crate) fn to_snapshot(&self) -> IntentsSnapshot {
-        IntentsSnapshot {
-            claims: self
-                .claims_in_order()
-                .map(|(key, claim)| encode_claim(key, claim))
-                .collect(),
+    /// Returns up to `limit` serialised claims from a serial on, the oldest first, and the serial to go on with.
+    pub(crate) fn snapshot_claims(
+        &self,
+        from: u64,
+        limit: usize,
+    ) -> (IntentsSnapshot, Option<u64>) {
+        let mut claims = Vec::new();
+        for (serial, key) in self.order.range(from..) {
+            if claims.len() == limit {
+                return (IntentsSnapshot { claims }, Some(*serial));
+            }
+            claims.extend(self.get(*key).map(|claim| encode_claim(*key, claim)));
         }
+        (IntentsSnapshot { claims }, None)
     }
 
     /// Restores the claims; returns `None` if the form is damaged.
--- a/src/ledger/snapshot.rs
+++ b/src/ledger/snapshot.rs
@@ -1,5 +1,7 @@
 //! Serialised form of the ledger.
 
+use std::ops::Range;
+
 use prost::Message;
 
 use super::{Budget, GrantState, Ledger};
@@ -14,8 +16,8 @@
     #[prost(message, repeated, tag = "1")]
     budgets: Vec<BudgetSnapshot>,
     /// Keys and fingerprints as big-endian integers, the oldest first; a million of them need a compact form.
-    #[prost(bytes = "vec", tag = "2")]
-    billed: Vec<u8>,
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    billed: Vec<Vec<u8>>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -45,30 +47,43 @@
 }
 
 impl Ledger {
-    /// Returns the serialised form; equal ledgers give equal forms.
-    pub(crate) fn to_snapshot(&self) -> LedgerSnapshot {
+    /// Returns the serialised budgets of a range of customers, in the order of their keys.
+    pub(crate) fn snapshot_budgets(&self, customers: Range<u32>) -> LedgerSnapshot {
+        let budgets = customers.map(CustomerKey).filter_map(|customer| {
+            let budget = self.budgets.get(&customer)?;
+            Some(encode_budget(customer, budget))
+        });
+        LedgerSnapshot {
+            budgets: budgets.collect(),
+            billed: Vec::new(),
+        }
+    }
+
+    /// Returns a range of the serialised billed keys, the oldest first.
+    pub(crate) fn snapshot_billed(&self, range: Range<usize>) -> LedgerSnapshot {
+        // Naming every field makes a new one an error here until it is encoded.
         let Self {
-            budgets,
+            budgets: _,
             billed,
             billed_order,
         } = self;
-        let mut budgets: Vec<_> = budgets
-            .iter()
-            .map(|(customer, budget)| encode_budget(*customer, budget))
-            .collect();
-        budgets.sort_unstable_by_key(|budget| budget.customer);
-        let mut bytes = Vec::with_capacity(billed_order.len() * BILLED_BYTES);
-        for key in billed_order {
+        let mut bytes = Vec::with_capacity(range.len() * BILLED_BYTES);
+        for key in billed_order.range(range) {
             let fingerprint = billed.get(key).copied().unwrap_or(Fingerprint(0));
             bytes.extend_from_slice(&key.0.to_be_bytes());
             bytes.extend_from_slice(&fingerprint.0.to_be_bytes());
         }
         LedgerSnapshot {
-            budgets,
-            billed: bytes,
+            budgets: Vec::new(),
+            billed: vec![bytes],
         }
     }
 
+    /// Returns the number of billed keys.
+    pub(crate) fn billed_count(&self) -> usize {
+        self.billed_order.len()
+    }
+
     /// Restores a ledger; returns `None` if the form is damaged.
     pub(crate) fn from_snapshot(snapshot: &LedgerSnapshot) -> Option<Self> {
         let mut ledger = Self::default();
@@ -77,17 +92,20 @@
                 .budgets
                 .insert(CustomerKey(budget.customer), decode_budget(budget));
         }
-        let entries = snapshot.billed.chunks_exact(BILLED_BYTES);
-        if !entries.remainder().is_empty() {
-            return None;
-        }
-        ledger.billed.reserve(entries.len());
-        for entry in entries {
-            let (key, fingerprint) = entry.split_at(16);
-            let key = RequestKey(u128::from_be_bytes(key.try_into().ok()?));
-            let fingerprint = Fingerprint(u64::from_be_bytes(fingerprint.try_into().ok()?));
-            ledger.billed.insert(key, fingerprint);
-            ledger.billed_order.push_back(key);
+        let bytes: usize = snapshot.billed.iter().map(Vec::len).sum();
+        ledger.billed.reserve(bytes / BILLED_BYTES);
+        for part in &snapshot.billed {
+            let entries = part.chunks_exact(BILLED_BYTES);
+            if !entries.remainder().is_empty() {
+                return None;
+            }
+            for entry in entries {
+                let (key, fingerprint) = entry.split_at(16);
+                let key = RequestKey(u128::from_be_bytes(key.try_into().ok()?));
+                let fingerprint = Fingerprint(u64::from_be_bytes(fingerprint.try_into().ok()?));
+                ledger.billed.insert(key, fingerprint);
+                ledger.billed_order.push_back(key);
+            }
         }
         Some(ledger)
     }
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -17,6 +17,10 @@
 use crate::ledger::{Ledger, LedgerSnapshot};
 use crate::message::SnapshotChunk;
 
+mod encoder;
+
+pub use encoder::Encoder;
+
 /// Data in one chunk, in bytes; with its envelope it stays below 512 KiB.
 pub const CHUNK_BYTES: usize = 384 << 10;
 
@@ -105,59 +109,9 @@
 
 /// Serialises a state; equal states give equal bytes.
 pub fn encode(state: &FleetState) -> Vec<u8> {
-    // Naming every field makes a new one an error here until it is encoded.
-    let FleetState {
-        next_offset,
-        customers,
-        contracts,
-        configuration,
-        ledger,
-        intents,
-        members,
-        rollouts,
-        quarantine,
-        rejections,
-        late_bills,
-        orders,
-    } = state;
-    let mut published: Vec<_> = contracts
-        .iter()
-        .map(|(key, contract)| Published {
-            customer: key.0,
-            revision: contract.revision,
-            offset: contract.offset,
-            body_json: to_json(&contract.contract),
-        })
-        .collect();
-    published.sort_unstable_by_key(|contract| contract.customer);
-    let snapshot = Snapshot {
-        format_version: FORMAT_VERSION,
-        next_offset: *next_offset,
-        customers: customers.names().iter().map(ToString::to_string).collect(),
-        contracts: published,
-        configuration: Some(Published {
-            customer: 0,
-            revision: configuration.revision,
-            offset: configuration.offset,
-            body_json: to_json(&configuration.configuration),
-        }),
-        ledger: Some(ledger.to_snapshot()),
-        intents: Some(intents.to_snapshot()),
-        members_json: to_json(members),
-        rollouts_json: to_json(rollouts),
-        quarantine_json: to_json(quarantine),
-        rejections: rejections
-            .iter()
-            .map(|rejection| RejectionSnapshot {
-                offset: rejection.offset,
-                subject: rejection.subject.to_string(),
-                reason: rejection.reason.to_string(),
-            })
-            .collect(),
-        late_bills: *late_bills,
-        orders_json: to_json(orders),
-    };
-    snapshot.encode_to_vec()
+    let mut encoder = Encoder::new();
+    while !encoder.step(state) {}
+    encoder.into_bytes()
 }
 
 /// Restores a state.
@@ -220,13 +174,17 @@
 
 /// Serialises a state in chunks.
 pub fn chunks(state: &FleetState) -> Vec<SnapshotChunk> {
-    let bytes = encode(state);
+    split(state.next_offset, &encode(state))
+}
+
+/// Splits a serialised state into chunks.
+pub fn split(next_offset: Offset, bytes: &[u8]) -> Vec<SnapshotChunk> {
     let count = bytes.len().div_ceil(CHUNK_BYTES) as u32;
     bytes
         .chunks(CHUNK_BYTES)
         .zip(0..)
         .map(|(data, index)| SnapshotChunk {
-            next_offset: state.next_offset,
+            next_offset,
             index,
             count,
             data: data.to_vec(),
--- /dev/null
+++ b/src/snapshot/encoder.rs
@@ -0,0 +1,173 @@
+//! Serialises a state step by step.
+//!
+//! A large state takes some hundred milliseconds, for which the event loop must not stop. Encoded messages that follow one
+//! another are merged when they are decoded, so each step appends a part of the whole.
+
+use prost::Message;
+
+use super::{to_json, Published, RejectionSnapshot, Snapshot, FORMAT_VERSION};
+use crate::fold::FleetState;
+use crate::ids::{CustomerKey, Offset};
+
+/// Customers in one step; about 3 ms with 9 grants each.
+const STEP_CUSTOMERS: usize = 500;
+
+/// Billed keys in one step; about 3 ms.
+const STEP_BILLED: usize = 20_000;
+
+/// Claims in one step.
+const STEP_CLAIMS: usize = 10_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Stage {
+    Customers(usize),
+    Billed(usize),
+    Claims(u64),
+    Rest,
+    Done,
+}
+
+/// Serialises one state in steps of a few milliseconds.
+///
+/// The state must not change between the steps.
+#[derive(Debug)]
+pub struct Encoder {
+    stage: Stage,
+    next_offset: Option<Offset>,
+    bytes: Vec<u8>,
+}
+
+impl Default for Encoder {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Encoder {
+    /// Makes an encoder that has done nothing.
+    pub fn new() -> Self {
+        Self {
+            stage: Stage::Customers(0),
+            next_offset: None,
+            bytes: Vec::new(),
+        }
+    }
+
+    /// Does one step and returns whether the state is complete.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the state has another offset than in the step before, because the parts would not fit together.
+    pub fn step(&mut self, state: &FleetState) -> bool {
+        let next_offset = *self.next_offset.get_or_insert(state.next_offset);
+        assert_eq!(
+            next_offset, state.next_offset,
+            "the state changed between two steps"
+        );
+        let part = match self.stage {
+            Stage::Customers(from) => self.customers(state, from),
+            Stage::Billed(from) => self.billed(state, from),
+            Stage::Claims(from) => self.claims(state, from),
+            Stage::Rest => self.rest(state),
+            Stage::Done => return true,
+        };
+        // A vector grows as needed, so encoding into it can't fail.
+        let _ = part.encode(&mut self.bytes);
+        matches!(self.stage, Stage::Done)
+    }
+
+    /// Returns the serialised state.
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.bytes
+    }
+
+    fn customers(&mut self, state: &FleetState, from: usize) -> Snapshot {
+        let names = state.customers.names();
+        let to = names.len().min(from + STEP_CUSTOMERS);
+        self.stage = if to == names.len() {
+            Stage::Billed(0)
+        } else {
+            Stage::Customers(to)
+        };
+        let keys = from as u32..to as u32;
+        let contracts = keys.clone().filter_map(|key| {
+            let contract = state.contracts.get(&CustomerKey(key))?;
+            Some(Published {
+                customer: key,
+                revision: contract.revision,
+                offset: contract.offset,
+                body_json: to_json(&contract.contract),
+            })
+        });
+        Snapshot {
+            customers: names[from..to].iter().map(ToString::to_string).collect(),
+            contracts: contracts.collect(),
+            ledger: Some(state.ledger.snapshot_budgets(keys)),
+            ..Snapshot::default()
+        }
+    }
+
+    fn billed(&mut self, state: &FleetState, from: usize) -> Snapshot {
+        let count = state.ledger.billed_count();
+        let to = count.min(from + STEP_BILLED);
+        self.stage = if to == count {
+            Stage::Claims(0)
+        } else {
+            Stage::Billed(to)
+        };
+        Snapshot {
+            ledger: Some(state.ledger.snapshot_billed(from..to)),
+            ..Snapshot::default()
+        }
+    }
+
+    fn claims(&mut self, state: &FleetState, from: u64) -> Snapshot {
+        let (claims, next) = state.intents.snapshot_claims(from, STEP_CLAIMS);
+        self.stage = next.map_or(Stage::Rest, Stage::Claims);
+        Snapshot {
+            intents: Some(claims),
+            ..Snapshot::default()
+        }
+    }
+
+    fn rest(&mut self, state: &FleetState) -> Snapshot {
+        // Naming every field makes a new one an error here until it is encoded.
+        let FleetState {
+            next_offset,
+            customers: _,
+            contracts: _,
+            configuration,
+            ledger: _,
+            intents: _,
+            members,
+            rollouts,
+            orders,
+            quarantine,
+            rejections,
+            late_bills,
+        } = state;
+        self.stage = Stage::Done;
+        let rejections = rejections.iter().map(|rejection| RejectionSnapshot {
+            offset: rejection.offset,
+            subject: rejection.subject.to_string(),
+            reason: rejection.reason.to_string(),
+        });
+        Snapshot {
+            format_version: FORMAT_VERSION,
+            next_offset: *next_offset,
+            configuration: Some(Published {
+                customer: 0,
+                revision: configuration.revision,
+                offset: configuration.offset,
+                body_json: to_json(&configuration.configuration),
+            }),
+            members_json: to_json(members),
+            rollouts_json: to_json(rollouts),
+            orders_json: to_json(orders),
+            quarantine_json: to_json(quarantine),
+            rejections: rejections.collect(),
+            late_bills: *late_bills,
+            ..Snapshot::default()
+        }
+    }
+}
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
-use monsoonfield::ids::IncarnationId;
+use monsoonfield::ids::{Fingerprint, IncarnationId, RequestKey};
 use monsoonfield::record::{
     Abandon, Batch, Bill, Close, ConfigurationEntry, ContractEntry, Crash, Draw, Entry, Evidence,
     Finalize, Grant, Intent, Leave, Open, Outcome, Return, Rollback, Rollout, RolloutEnd,
@@ -234,6 +234,87 @@
     assert_eq!(offsets, [7, 8]);
 }
 
+/// Guards against a part of a large state that falls between two steps of the encoder.
+#[test]
+fn a_state_of_many_steps_is_restored_whole() {
+    let mut state = FleetState::default();
+    let mut seq = 0;
+    let mut write = |entries: Vec<Entry>| {
+        seq += 1;
+        let batch = Batch::new(IncarnationId(1), seq, entries);
+        let offset = state.next_offset;
+        state.apply(offset, &batch);
+    };
+    write(vec![Entry::Open(Open::default())]);
+    for number in 0..1_201 {
+        let customer = format!("customer-{number}");
+        let body = serde_json::json!({
+            "customer": customer,
+            "api_key_sha256": [format!("{number:064x}")],
+            "prepaid_total_tokens": 1_000_000,
+            "priority": "normal",
+            "response_time_limit_ms": 30_000,
+            "models": [{"model": "m"}],
+        });
+        let contract = Entry::Contract(ContractEntry {
+            customer: customer.clone(),
+            revision: 1,
+            replaces: 0,
+            body_json: body.to_string().into_bytes(),
+        });
+        let grant = Entry::Grant(Grant {
+            customer,
+            up_to_tokens: 10_000,
+        });
+        write(vec![contract, grant]);
+    }
+    for number in 0..45_000 {
+        let bill = Entry::Bill(Bill {
+            key_high: 1,
+            key_low: number,
+            customer: format!("customer-{}", number % 1_201),
+            draws: vec![Draw {
+                grant: 1,
+                amount_tokens: 1,
+            }],
+            fingerprint: number,
+        });
+        let intent = Entry::Intent(Intent {
+            key_high: 2,
+            key_low: number,
+            fingerprint: number,
+        });
+        write(vec![bill, intent]);
+    }
+
+    let bytes = snapshot::encode(&state);
+    let restored = snapshot::decode(&bytes).expect("a state");
+
+    assert!(
+        snapshot::encode(&restored) == bytes,
+        "equal states give equal bytes"
+    );
+    let key = |high: u128, low: u128| RequestKey(high << 64 | low);
+    for number in [0, 19_999, 20_000, 20_001, 44_999] {
+        assert_eq!(
+            restored.ledger.billed(key(1, number)),
+            Some(Fingerprint(number as u64))
+        );
+    }
+    for number in [0, 9_999, 10_000, 44_999] {
+        assert!(restored.intents.get(key(2, number)).is_some());
+    }
+    assert_eq!(restored.customers.names(), state.customers.names());
+    for (customer, contract) in &state.contracts {
+        assert_eq!(restored.contracts.get(customer), Some(contract));
+        assert_eq!(
+            restored.ledger.budget(*customer),
+            state.ledger.budget(*customer)
+        );
+    }
+    assert_eq!(restored.contracts.len(), 1_201);
+}
+
 /// Guards against a damaged snapshot that is taken for a state or ends the process.
 #[test]
 fn damaged_bytes_are_refused_or_decode_without_a_panic() {
