Advertise a reachable address for listeners on all interfaces; test the platform clients

Peers were told 0.0.0.0 by a router that listens on all interfaces. It now names the address that the VM uses towards the platform. The clients of the log, the VM list and the weight store are tested against unusable answers, stalls, dropped responses, long polls, a lagging list and rate limits.

--- a/src/fleet/builder.rs
+++ b/src/fleet/builder.rs
@@ -1,5 +1,6 @@
 //! Options of a fleet connection.
 
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -70,7 +71,12 @@
         let listener = TcpListener::bind(listen).map_err(failed)?;
         let address = match self.advertised_address {
             Some(address) => address,
-            None => listener.local_addr().map_err(failed)?.to_string(),
+            None => {
+                let address = listener.local_addr().map_err(failed)?;
+                reachable(address, &settings.platform.log)
+                    .map_err(failed)?
+                    .to_string()
+            }
         };
         let timeout = Duration::from_millis(settings.timing.append_timeout_ms);
         let vm = settings.vm.as_str();
@@ -93,6 +99,19 @@
     }
 }
 
+/// Returns the address at which peers reach a listener.
+///
+/// A listener on all interfaces has no address of its own; the one that the VM uses towards the platform takes its place.
+/// Connecting a datagram socket only asks the kernel for the route and sends nothing.
+fn reachable(listener: SocketAddr, platform: &str) -> std::io::Result<SocketAddr> {
+    if !listener.ip().is_unspecified() {
+        return Ok(listener);
+    }
+    let socket = UdpSocket::bind((listener.ip(), 0))?;
+    socket.connect(platform)?;
+    Ok(SocketAddr::new(socket.local_addr()?.ip(), listener.port()))
+}
+
 /// Starts a task that ends when the connection is stopped.
 pub(super) fn spawn(inner: &Rc<Inner>, task: impl std::future::Future<Output = ()> + 'static) {
     let inner = inner.clone();
--- /dev/null
+++ b/tests/platform_clients.rs
@@ -0,0 +1,200 @@
+//! Tests of the clients of the platform's services.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use common::{run, short_timing, Platform, LIMIT};
+use monsoonfield::fleet::FleetBuilder;
+use monsoonfield::log_client::{Error, LogClient, LogService};
+use monsoonfield::platform::{
+    VmList, VmListClient, VmState, WeightStore, WeightStoreClient, Weights,
+};
+use serde_json::json;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Answers each connection with the next of the given bytes, and keeps the last one open.
+fn canned_server(answers: Vec<Vec<u8>>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("bound").to_string();
+    std::thread::spawn(move || {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().expect("a client connects");
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request);
+            let _ = stream.write_all(&answer);
+        }
+    });
+    address
+}
+
+fn response(head: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 {head}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Guards against a client that fails for good, or ends the process, after an answer that it can't use.
+#[test]
+fn a_client_goes_on_after_unusable_answers() {
+    let unusable = [
+        ("empty", Vec::new()),
+        ("garbage", vec![0xa5; 2_000]),
+        ("HTML", response("200 OK", "<html></html>")),
+        ("another shape", response("200 OK", r#"{"offset":"x"}"#)),
+        (
+            "cut off",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{".to_vec(),
+        ),
+        ("an error status", response("500 Oops", "{}")),
+        (
+            "an impossible length",
+            b"HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n".to_vec(),
+        ),
+    ];
+    for (name, answer) in unusable {
+        let usable = response("200 OK", r#"{"offset":41}"#);
+        // A connection that ended may be tried twice by one call.
+        let address = canned_server(vec![answer, usable.clone(), usable]);
+        run(async {
+            let log = LogClient::new(&address, "vm-1", TIMEOUT);
+
+            let first = log.append("fleet", Bytes::from_static(b"x")).await;
+            let second = log.append("fleet", Bytes::from_static(b"x")).await;
+
+            assert!(first.is_err(), "{name}: {first:?}");
+            assert_eq!(second.expect(name), 41, "{name}");
+        });
+    }
+}
+
+/// Guards against a call that outlasts its time limit, and against an idle connection that the server closed.
+#[test]
+fn calls_end_in_time_and_reconnect() {
+    run(async {
+        let platform = Platform::start();
+        let log = LogClient::new(&platform.address, "vm-1", TIMEOUT);
+        assert_eq!(
+            log.append("s", Bytes::from_static(b"a"))
+                .await
+                .expect("an offset"),
+            0
+        );
+
+        platform.fault(json!({ "log": "stalled" }));
+        let started = Instant::now();
+        let result = log.append("s", Bytes::from_static(b"b")).await;
+        assert!(matches!(result, Err(Error::Timeout(..))), "{result:?}");
+        assert!(started.elapsed() < TIMEOUT * 3);
+
+        platform.fault(json!({ "log": "available", "drop_append_responses": 1 }));
+        let dropped = log.append("s", Bytes::from_static(b"c")).await;
+        assert!(dropped.is_err(), "{dropped:?}");
+        let page = log.read("s", 0, 10, 0).await.expect("a page");
+        let payloads: Vec<_> = page.records.iter().map(|r| r.payload.as_slice()).collect();
+        assert_eq!(
+            payloads,
+            [b"a", b"c"],
+            "the append took effect without a response"
+        );
+        assert_eq!((page.oldest, page.next), (0, 2));
+
+        platform.fault(json!({ "log": "unavailable" }));
+        let refused = log.read("s", 0, 10, 0).await;
+        assert!(
+            matches!(refused, Err(Error::Status(_, _, 503))),
+            "{refused:?}"
+        );
+    });
+}
+
+/// Guards against a long poll that returns late when a record arrives, or early without one.
+#[test]
+fn a_waiting_read_returns_with_the_next_record() {
+    run(async {
+        let platform = Platform::start();
+        let log = LogClient::new(&platform.address, "vm-1", TIMEOUT);
+        let empty = log.read("s", 0, 10, 50).await.expect("a page");
+        assert!(empty.records.is_empty());
+
+        let writer = log.clone();
+        monoio::spawn(async move {
+            writer
+                .append("s", Bytes::from_static(b"a"))
+                .await
+                .expect("an offset");
+        });
+        let started = Instant::now();
+        let page = log.read("s", 0, 10, 20_000).await.expect("a page");
+
+        assert_eq!(page.records.len(), 1);
+        assert!(started.elapsed() < Duration::from_secs(10));
+    });
+}
+
+/// Guards against a VM list or a weight store whose faults are not told apart.
+#[test]
+fn list_and_weights_report_what_the_platform_says() {
+    run(async {
+        let platform = Platform::start();
+        let list = VmListClient::new(&platform.address, "vm-1", TIMEOUT);
+        let weights = WeightStoreClient::new(&platform.address, "vm-1", TIMEOUT);
+        platform.set_vms(&[("vm-1", "10.0.0.1:7000")]);
+        platform.fault(json!({
+            "wrong_vms": [{ "vm": "vm-9", "address": "10.0.0.9:7000", "state": "leaving" }],
+        }));
+
+        let vms = list.read().await.expect("a list");
+        let states: Vec<_> = vms.iter().map(|vm| (vm.vm.as_str(), vm.state)).collect();
+        assert_eq!(
+            states,
+            [("vm-1", VmState::Live), ("vm-9", VmState::Leaving)]
+        );
+        platform.fault(json!({ "vm_list_lag_ms": 3_600_000, "wrong_vms": [] }));
+        assert_eq!(
+            list.read().await.expect("a list"),
+            [],
+            "the list of an hour ago is empty"
+        );
+        platform.fault(json!({ "vm_list_unavailable": true }));
+        assert!(list.read().await.is_err());
+
+        let mut answers = Vec::new();
+        for _ in 0..4 {
+            answers.push(weights.read("v1").await.expect("an answer"));
+        }
+        assert!(matches!(answers[0], Weights::Found(_)), "{answers:?}");
+        assert!(answers.contains(&Weights::RateLimited), "{answers:?}");
+    });
+}
+
+/// Guards against peers that are told an address on which nobody can be reached.
+#[test]
+fn a_listener_on_all_interfaces_advertises_a_reachable_address() {
+    run(async {
+        let platform = Platform::start();
+        let mut settings = platform.settings("vm-1", "dc-1", short_timing());
+        settings.listen.peers = "0.0.0.0:0".into();
+        let first = FleetBuilder::new(&settings).start().expect("a listener");
+        let second = platform.fleet("vm-2", &short_timing()).await;
+
+        assert!(
+            first.address().starts_with("127.0.0.1:"),
+            "{}",
+            first.address()
+        );
+        let started = Instant::now();
+        while second.peers().is_empty() {
+            assert!(started.elapsed() < LIMIT, "the routers are not connected");
+            monoio::time::sleep(Duration::from_millis(2)).await;
+        }
+        first.abort();
+        second.abort();
+    });
+}
