--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -11,10 +11,11 @@
 mod report;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use clap::{value_parser, Arg, ArgMatches, Command};
 
 use arrivals::{Background, Plan};
 use report::{Report, TargetReport};
@@ -30,7 +31,7 @@
     slow_bytes_per_s: u64,
     idle_streams: u64,
     pid: Option<u32>,
-    is_json: bool,
+    json: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -45,11 +46,16 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run(&options)) {
-        Ok(report) => {
-            println!("{}", report.render(options.is_json));
-            ExitCode::SUCCESS
+    let written = runtime.block_on(run(&options)).and_then(|report| {
+        println!("{}", report.table());
+        match &options.json {
+            Some(path) => std::fs::write(path, report.json())
+                .map_err(|error| format!("{}: {error}", path.display())),
+            None => Ok(()),
         }
+    });
+    match written {
+        Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("load: {message}");
             ExitCode::FAILURE
@@ -114,7 +120,7 @@
         slow_bytes_per_s: number("slow-bytes-per-s"),
         idle_streams: number("idle-streams"),
         pid: matches.get_one("pid").copied(),
-        is_json: matches.get_flag("json"),
+        json: matches.get_one("json").cloned(),
     }
 }
 
@@ -179,7 +185,8 @@
         .arg(
             Arg::new("json")
                 .long("json")
-                .action(ArgAction::SetTrue)
-                .help("Prints JSON in place of a table"),
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Writes the figures to this file as JSON, beside the table"),
         )
 }
--- a/examples/load/report.rs
+++ b/examples/load/report.rs
@@ -116,24 +116,38 @@
 }
 
 impl Report {
-    pub(crate) fn render(&self, is_json: bool) -> String {
-        let figures: Vec<_> = self.targets.iter().map(TargetReport::figures).collect();
-        let added = match figures.as_slice() {
+    /// Returns the figures of all targets.
+    fn figures(&self) -> Vec<Figures> {
+        self.targets.iter().map(TargetReport::figures).collect()
+    }
+
+    /// Returns what the router adds to the median and the 99th percentile of the time to first token.
+    fn added(&self) -> Option<(f64, f64)> {
+        match self.figures().as_slice() {
             [direct, router] => Some((
                 router.first_token_p50_ms - direct.first_token_p50_ms,
                 router.first_token_p99_ms - direct.first_token_p99_ms,
             )),
             _ => None,
-        };
-        if is_json {
-            return json!({
-                "targets": figures,
-                "added_first_token_p50_ms": added.map(|(p50, _)| p50),
-                "added_first_token_p99_ms": added.map(|(_, p99)| p99),
-                "memory": self.memory,
-            })
-            .to_string();
         }
+    }
+
+    /// Renders the figures as one line of JSON.
+    pub(crate) fn json(&self) -> String {
+        let added = self.added();
+        let figures = json!({
+            "targets": self.figures(),
+            "added_first_token_p50_ms": added.map(|(p50, _)| p50),
+            "added_first_token_p99_ms": added.map(|(_, p99)| p99),
+            "memory": self.memory,
+        });
+        format!("{figures}\n")
+    }
+
+    /// Renders the figures as a table.
+    pub(crate) fn table(&self) -> String {
+        let figures = self.figures();
+        let added = self.added();
         let mut out = String::from(
             "target   requests  errors  unfinished  broken  requests/s  first p50 ms  first p99 ms  whole p50 ms  whole p99 ms  late p99 ms\n",
         );
