--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -173,3 +173,37 @@
     assert_eq!(output.status.code(), Some(1), "{}", stderr(&output));
     assert_ne!(stderr(&output), "");
 }
+
+/// Guards against refusal codes and settings that operators meet and that no page explains.
+#[test]
+fn the_operator_pages_cover_every_code_and_setting() {
+    let read = |name: &str| {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
+        std::fs::read_to_string(path).expect("the file is readable")
+    };
+    let refusals = read("docs/operations/refusals.md");
+    let settings = read("docs/operations/settings.md");
+    let source = read("src/refusal.rs");
+    let codes: Vec<_> = source
+        .lines()
+        .filter_map(|line| line.trim().strip_prefix("Self::")?.split_once("=> \""))
+        .filter_map(|(_, rest)| rest.split_once('"'))
+        .map(|(code, _)| code)
+        .collect();
+    assert!(codes.len() >= 20, "found only {codes:?}");
+
+    for code in codes {
+        assert!(
+            refusals.contains(&format!("| `{code}` |")),
+            "no row for {code}"
+        );
+    }
+    let limits = serde_json::to_value(monsoonfield::settings::Limits::default()).expect("JSON");
+    let timing = serde_json::to_value(monsoonfield::settings::Timing::default()).expect("JSON");
+    for section in [limits, timing] {
+        for (key, value) in section.as_object().expect("an object") {
+            let row = format!("| `{key}` | {value} |");
+            assert!(settings.contains(&row), "no row {row}");
+        }
+    }
+}
