--- a/src/fleet/inner.rs
+++ b/src/fleet/inner.rs
@@ -11,7 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::notify::Notify;
-use super::peers::PeerTable;
+use super::peers::{PeerTable, Traffic};
 use super::tail::Tail;
 use super::{restore, Error, Event};
 use crate::fold::FleetState;
@@ -45,6 +45,7 @@
     pub(super) folded: Notify,
     pub(super) detector: RefCell<FailureDetector>,
     pub(super) peers: RefCell<PeerTable>,
+    pub(super) traffic: Cell<Traffic>,
     pub(super) subscribers: RefCell<Vec<unbounded::Tx<Event>>>,
     pub(super) log_next: Cell<Offset>,
     pub(super) last_fold_ms: Cell<u64>,
@@ -90,6 +91,7 @@
             writer_wake: Notify::default(),
             folded: Notify::default(),
             peers: RefCell::default(),
+            traffic: Cell::default(),
             subscribers: RefCell::default(),
             log_next: Cell::new(0),
             last_fold_ms: Cell::new(0),
@@ -109,14 +111,14 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    pub(super) fn push(&self, entry: Entry) -> Result<Position, Error> {
+    pub(super) fn push_all(&self, entries: Vec<Entry>) -> Result<Position, Error> {
         if self.is_stopped.get() {
             return Err(Error::Stopped);
         }
         let position = self
             .writer
             .borrow_mut()
-            .push(self.incarnation.get(), entry)
+            .push_all(self.incarnation.get(), entries)
             .map_err(Error::NotQueued)?;
         self.writer_wake.notify();
         Ok(position)
@@ -250,7 +252,7 @@
             data_centre: self.settings.data_centre.to_string(),
             address: self.address.clone(),
         });
-        if let Err(error) = self.push(entry) {
+        if let Err(error) = self.push_all(vec![entry]) {
             log::error!("write Open: {error}");
         }
     }
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -14,6 +14,7 @@
 use super::builder::spawn;
 use super::notify::Notify;
 use super::{restore, Event, Inner};
+use crate::collections::FastSet;
 use crate::ids::{IncarnationId, Offset};
 use crate::membership::Phase;
 use crate::message::{Heartbeat, Hello, PeerMessage, PROTOCOL_VERSION};
@@ -23,7 +24,7 @@
 const DIAL_DELAY_MS: u64 = 2_000;
 
 /// Pause between two looks at the list of members to dial.
-const DIAL_INTERVAL_MS: u64 = 50;
+const DIAL_INTERVAL_MS: u64 = 100;
 
 /// Messages that wait for one connection; more are dropped, as on a broken connection.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
@@ -44,6 +45,19 @@
     pub next_offset: Offset,
 }
 
+/// Frames exchanged with all peers since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Frames sent.
+    pub sent_frames: u64,
+    /// Bytes of the frames sent, without the overhead of the network.
+    pub sent_bytes: u64,
+    /// Frames received.
+    pub received_frames: u64,
+    /// Bytes of the frames received, without the overhead of the network.
+    pub received_bytes: u64,
+}
+
 /// Messages that wait for one connection.
 #[derive(Default)]
 struct SendQueue {
@@ -114,6 +128,12 @@
 }
 
 impl Inner {
+    fn count_traffic(&self, count: impl FnOnce(&mut Traffic)) {
+        let mut traffic = self.traffic.get();
+        count(&mut traffic);
+        self.traffic.set(traffic);
+    }
+
     /// Queues a message on the connection to a peer; returns whether there is one with room.
     pub(super) fn send(&self, peer: IncarnationId, message: PeerMessage) -> bool {
         self.peers
@@ -250,7 +270,10 @@
         }
         self.log_next
             .set(self.log_next.get().max(heartbeat.next_offset));
-        self.report_peers();
+        // All peers are looked at once per tick; here only a new one matters, because heartbeats are many.
+        if !self.peers.borrow().up.contains(&from) {
+            self.report_peers();
+        }
         restore::follow_peer(self, from, heartbeat.next_offset);
         if !heartbeat.outstanding.is_empty() {
             let message = PeerMessage::Heartbeat(heartbeat);
@@ -338,12 +361,13 @@
             wanted.insert(member.address.clone(), own < id);
         }
     }
+    let connected: FastSet<&str> = table
+        .connections
+        .values()
+        .map(|connection| connection.peer.vm.as_str())
+        .collect();
     for (vm, address) in &table.hints {
-        let is_connected = table
-            .connections
-            .values()
-            .any(|connection| connection.peer.vm == *vm);
-        if !is_connected && *vm != inner.settings.vm {
+        if !connected.contains(vm.as_str()) && *vm != inner.settings.vm {
             wanted.entry(address.clone()).or_insert(true);
         }
     }
@@ -416,7 +440,7 @@
     }));
     let result = monoio::select! {
         result = receive(inner, id, &mut reader, limit) => result,
-        result = transmit(&queue, &mut writer) => result,
+        result = transmit(inner, &queue, &mut writer) => result,
     };
     inner.deregister(id, &queue);
     result
@@ -429,12 +453,17 @@
     limit: Duration,
 ) -> Result<(), Error> {
     loop {
+        let before = reader.received_bytes();
         let message = reader.next(limit).await?;
+        inner.count_traffic(|traffic| {
+            traffic.received_frames += 1;
+            traffic.received_bytes += reader.received_bytes() - before;
+        });
         inner.on_message(id, message);
     }
 }
 
-async fn transmit(queue: &SendQueue, writer: &mut FrameWriter) -> Result<(), Error> {
+async fn transmit(inner: &Inner, queue: &SendQueue, writer: &mut FrameWriter) -> Result<(), Error> {
     loop {
         let messages = queue
             .changed
@@ -449,7 +478,11 @@
             return Ok(());
         }
         for message in messages {
-            writer.feed(message).await?;
+            let bytes = writer.feed(message).await?;
+            inner.count_traffic(|traffic| {
+                traffic.sent_frames += 1;
+                traffic.sent_bytes += bytes as u64;
+            });
         }
         writer.flush().await?;
     }
