--- a/examples/rollout_experiment/main.rs
+++ b/examples/rollout_experiment/main.rs
@@ -1,7 +1,8 @@
 //! Measures the rollout policy against a fixed threshold on seeded replays.
 //!
 //! `cargo run --release --example rollout_experiment -- --seed N --replays 1000` prints one line for each policy and kind
-//! of version. `--explain KIND --replay I` prints the decisions of one replay instead; kinds count from 0.
+//! of version. `--explain KIND --replay I` prints the decisions of one replay instead, and `--kind KIND` runs
+//! the replays of one kind only; kinds count from 0.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -21,6 +22,16 @@
     after_ms: 1_200_000,
 };
 
+/// All kinds of versions.
+const KINDS: [Kind; 6] = [
+    Kind::BadAtOnce,
+    Kind::BadLater,
+    Kind::BadAboveLoad,
+    Kind::BadOnRoute,
+    Kind::Slow,
+    Kind::Good,
+];
+
 /// Threads that run replays; each replay runs on one of them.
 const THREADS: u64 = 5;
 
@@ -29,6 +40,11 @@
         .arg(number("seed", "1"))
         .arg(number("replays", "1000"))
         .arg(number("replay", "0"))
+        .arg(
+            Arg::new("kind")
+                .long("kind")
+                .value_parser(value_parser!(usize)),
+        )
         .arg(
             Arg::new("policy")
                 .long("policy")
@@ -44,7 +60,7 @@
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
     let replays = matches.get_one::<u64>("replays").copied().unwrap_or(1_000);
     if let Some(&index) = matches.get_one::<usize>("explain") {
-        let kind = Kind::ALL[index % Kind::ALL.len()];
+        let kind = KINDS[index % KINDS.len()];
         let replay = matches.get_one::<u64>("replay").copied().unwrap_or(0);
         let verdict = replay::run(kind, Policy::Sequential, SCALE, seed_of(seed, kind, replay));
         println!("{}", verdict.decisions.join("\n"));
@@ -65,20 +81,31 @@
         "found s",
         "last ms"
     );
+    let only = matches.get_one::<usize>("kind").copied();
     let asked = matches
         .get_one::<String>("policy")
         .map_or("both", String::as_str);
     for policy in [Policy::Sequential, Policy::Threshold] {
-        if asked != "both" && asked != policy.name() {
+        if asked != "both" && asked != name_of(policy) {
             continue;
         }
-        for kind in Kind::ALL {
+        for (index, kind) in KINDS.into_iter().enumerate() {
+            if only.is_some_and(|only| only != index) {
+                continue;
+            }
             let verdicts = run_all(kind, policy, seed, replays);
             print_line(policy, kind, &verdicts);
         }
     }
 }
 
+fn name_of(policy: Policy) -> &'static str {
+    match policy {
+        Policy::Sequential => "sequential",
+        Policy::Threshold => "threshold",
+    }
+}
+
 fn number(name: &'static str, default: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
@@ -149,7 +176,7 @@
         .unwrap_or(0);
     println!(
         "{:<10} {:<17} {:>6} {:>7} {:>7} {:>8.2}% {:>8.2}% {:>8} {:>7.2}% {:>8} {:>8}",
-        policy.name(),
+        name_of(policy),
         kind.name(),
         count(|verdict| verdict.is_judged_right),
         count(|verdict| verdict.is_rolled_back),
--- a/examples/rollout_experiment/replay.rs
+++ b/examples/rollout_experiment/replay.rs
@@ -40,16 +40,6 @@
     Threshold,
 }
 
-impl Policy {
-    /// Returns the name for tables.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::Sequential => "sequential",
-            Self::Threshold => "threshold",
-        }
-    }
-}
-
 /// Result of one replay.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Verdict {
--- a/examples/rollout_experiment/world.rs
+++ b/examples/rollout_experiment/world.rs
@@ -28,16 +28,6 @@
 }
 
 impl Kind {
-    /// All kinds.
-    pub(crate) const ALL: [Self; 6] = [
-        Self::BadAtOnce,
-        Self::BadLater,
-        Self::BadAboveLoad,
-        Self::BadOnRoute,
-        Self::Slow,
-        Self::Good,
-    ];
-
     /// Returns the name for tables.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -4,15 +4,16 @@
 //! that comes too late is lost for everybody. What waits is ordered by priority, then by fairness between customers, then
 //! by deadline. See `docs/policies/admission.md`.
 
-use std::collections::VecDeque;
-
 use crate::contract::Priority;
 use crate::ids::CustomerKey;
 
 mod capacity;
+mod fair;
 mod retry;
 
-pub use capacity::{CapacityShare, PeerLoad};
+use fair::FairQueue;
+
+pub use capacity::{share_requests, CapacityShare, PeerLoad, SETTLE_MS};
 pub use retry::RetryBudget;
 
 /// Shortest advice for a retry.
@@ -21,6 +22,24 @@
 /// Longest advice for a retry; a longer queue estimate says little about the time at which it ends.
 const LONGEST_RETRY_AFTER_MS: u64 = 60_000;
 
+/// Slots of which one is kept free for the high class while it sends requests.
+///
+/// A request with little time to spare cannot wait for the next slot that the lower classes leave. One slot in 16 costs
+/// them at most 6% and is used by the high class itself under load.
+const SLOTS_PER_RESERVED: u32 = 16;
+
+/// Fewest slots of which one is kept free.
+const LEAST_SLOTS_TO_RESERVE: u32 = 8;
+
+/// Time over which the arriving work of each class is averaged.
+const RATE_PERIOD_MS: u64 = 1_000;
+
+/// Weight of the newest period in the average, as a divisor.
+const RATE_DIVISOR: u64 = 16;
+
+/// Least part of the slots that is counted on for a class, as a divisor, however much the higher classes send.
+const LEAST_RATE_DIVISOR: u64 = 50;
+
 /// A request that asks for admission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -65,10 +84,18 @@
 }
 
 /// Queue of one pool of upstreams: all that serve one version of one route.
+///
+/// The higher class always goes first, so it waits for nothing but the next slot that becomes free.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    classes: [VecDeque<Request>; 3],
+    classes: [FairQueue; 3],
     slots: u32,
+    in_flight: u32,
+    mean_service_ms: u64,
+    mean_expected_ms: u64,
+    arriving_ms: [u64; 3],
+    rates_ms: [u64; 3],
+    period_start_ms: u64,
 }
 
 impl Queue {
@@ -77,47 +104,70 @@
         self.slots = slots;
     }
 
+    /// Returns the number of requests that were dispatched and have not ended.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
     /// Takes a request or refuses it.
     pub fn offer(&mut self, request: Request, now_ms: u64) -> Verdict {
-        let wait_ms = self.wait_ms(request.priority, request.service_ms);
-        if now_ms + wait_ms + request.service_ms > request.deadline_ms {
+        self.start_period(now_ms);
+        let wait_ms = self.wait_ms(&request);
+        let ready_ms = now_ms
+            .saturating_add(wait_ms)
+            .saturating_add(request.service_ms);
+        if self.slots == 0 || ready_ms > request.deadline_ms {
             return Verdict::Refused {
-                retry_after_ms: self.retry_after_ms(request.priority, request.service_ms),
+                retry_after_ms: retry_after_ms(ready_ms.saturating_sub(request.deadline_ms)),
             };
         }
-        self.classes[request.priority as usize].push_back(request);
+        self.arriving_ms[request.priority as usize] += request.service_ms;
+        self.classes[request.priority as usize].push(request);
         Verdict::Queued
     }
 
-    /// Returns the next request that leaves; the caller asks again until it has no free upstream or gets `None`.
+    /// Returns the next request that leaves, or `None` if no slot is free or nothing waits.
+    ///
+    /// The caller asks again until it gets `None`, and reports the end of each dispatched request with
+    /// [`Self::finished`].
     pub fn next(&mut self, now_ms: u64) -> Option<Departure> {
         for class in 0..self.classes.len() {
-            if let Some(request) = self.classes[class].pop_front() {
-                if now_ms + request.service_ms > request.deadline_ms {
-                    let retry_after_ms = self.retry_after_ms(request.priority, request.service_ms);
-                    return Some(Departure::Refuse {
-                        request,
-                        retry_after_ms,
-                    });
-                }
+            if self.in_flight >= self.usable_slots(class) {
+                return None;
+            }
+            let is_in_time = |request: &Request| now_ms + request.service_ms <= request.deadline_ms;
+            let Some((request, is_run)) = self.classes[class].pop(is_in_time) else {
+                continue;
+            };
+            if is_run {
+                self.in_flight += 1;
+                self.mean_expected_ms = average_ms(self.mean_expected_ms, request.service_ms);
                 return Some(Departure::Dispatch(request));
             }
+            let late_ms = (now_ms + request.service_ms).saturating_sub(request.deadline_ms);
+            let retry_after_ms = retry_after_ms(late_ms + self.wait_ms(&request));
+            return Some(Departure::Refuse {
+                request,
+                retry_after_ms,
+            });
         }
         None
     }
 
+    /// Notes that a dispatched request ended after `service_ms` at the upstream.
+    pub fn finished(&mut self, service_ms: u64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.mean_service_ms = average_ms(self.mean_service_ms, service_ms);
+    }
+
     /// Removes a request whose caller has gone; returns whether it waited.
-    pub fn cancel(&mut self, ticket: u64) -> bool {
-        let before = self.len();
-        for class in &mut self.classes {
-            class.retain(|request| request.ticket != ticket);
-        }
-        self.len() < before
+    pub fn cancel(&mut self, request: &Request) -> bool {
+        self.classes[request.priority as usize].remove(request.customer, request.ticket)
     }
 
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
-        self.classes.iter().map(VecDeque::len).sum()
+        self.classes.iter().map(FairQueue::len).sum()
     }
 
     /// Returns whether nothing waits.
@@ -125,16 +175,78 @@
         self.len() == 0
     }
 
-    fn wait_ms(&self, priority: Priority, service_ms: u64) -> u64 {
-        let ahead: usize = self.classes[..=priority as usize]
+    /// Returns the slots that a class may fill; the classes below the first leave some to it.
+    fn usable_slots(&self, class: usize) -> u32 {
+        let high = Priority::High as usize;
+        let is_high_seen = self.rates_ms[high] > 0;
+        if class == high || !is_high_seen || self.slots < LEAST_SLOTS_TO_RESERVE {
+            return self.slots;
+        }
+        self.slots - self.slots.div_ceil(SLOTS_PER_RESERVED)
+    }
+
+    /// Returns the time that a request is expected to wait.
+    fn wait_ms(&self, request: &Request) -> u64 {
+        let class = request.priority as usize;
+        let higher_ms: u64 = self.classes[..class]
             .iter()
-            .map(VecDeque::len)
+            .map(FairQueue::service_ms)
             .sum();
-        ahead as u64 * service_ms / u64::from(self.slots.max(1))
+        let same_ms = self.classes[class].ahead_ms(request.customer, request.service_ms);
+        let ahead_ms = higher_ms + same_ms;
+        let usable_slots = self.usable_slots(class);
+        if ahead_ms == 0 && self.in_flight < usable_slots {
+            return 0;
+        }
+        let slots = u64::from(usable_slots.max(1));
+        // Work that arrives later in a higher class goes first as well.
+        let all_ms = slots * RATE_PERIOD_MS;
+        let higher_rate_ms = self.real_ms(self.rates_ms[..class].iter().sum());
+        let rate_ms = all_ms
+            .saturating_sub(higher_rate_ms)
+            .max(all_ms / LEAST_RATE_DIVISOR)
+            .max(1);
+        let next_slot_ms = self.mean_service_ms / slots;
+        next_slot_ms + self.real_ms(ahead_ms).saturating_mul(RATE_PERIOD_MS) / rate_ms
     }
 
-    fn retry_after_ms(&self, priority: Priority, service_ms: u64) -> u64 {
-        self.wait_ms(priority, service_ms)
-            .clamp(SHORTEST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS)
+    /// Returns the time that work really takes, by the ratio of recent service times to what was expected of them.
+    ///
+    /// Callers of this module expect rather too much, because a response may end before its maximum of tokens.
+    fn real_ms(&self, expected_ms: u64) -> u64 {
+        if self.mean_service_ms == 0 || self.mean_expected_ms == 0 {
+            return expected_ms;
+        }
+        expected_ms.saturating_mul(self.mean_service_ms) / self.mean_expected_ms
     }
+
+    /// Averages the work that each class has sent, once a period.
+    fn start_period(&mut self, now_ms: u64) {
+        let periods = now_ms.saturating_sub(self.period_start_ms) / RATE_PERIOD_MS;
+        if periods > 0 {
+            self.period_start_ms += periods * RATE_PERIOD_MS;
+            for (rate_ms, arriving_ms) in self.rates_ms.iter_mut().zip(&mut self.arriving_ms) {
+                *rate_ms -= *rate_ms / RATE_DIVISOR;
+                *rate_ms += std::mem::take(arriving_ms) / RATE_DIVISOR;
+                if periods > RATE_DIVISOR {
+                    *rate_ms = 0;
+                }
+            }
+        }
+    }
+}
+
+/// Moves an average by a sixteenth of the difference to a new value; the first value is the first average.
+fn average_ms(average_ms: u64, value_ms: u64) -> u64 {
+    if average_ms == 0 {
+        return value_ms;
+    }
+    (average_ms * 15 + value_ms) / 16
+}
+
+/// Returns the advice for a caller whose response would have been late by this time.
+///
+/// By then the queue has become shorter by what was too much, if no more requests come than now.
+fn retry_after_ms(late_ms: u64) -> u64 {
+    late_ms.clamp(SHORTEST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS)
 }
--- /dev/null
+++ b/src/admission/fair.rs
@@ -0,0 +1,128 @@
+//! Fair queue of one priority class.
+//!
+//! Start-time fair queueing: each customer's next request carries the virtual time at which its customer would start it
+//! if all customers shared the class equally, measured by cost. The earliest start goes first, so a customer that sends
+//! much waits behind its own requests and not in front of others. It needs no quantum, which deficit round robin would
+//! have to fit to costs that differ a thousandfold. The requests of one customer go by deadline.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Request;
+use crate::collections::FastMap;
+use crate::ids::CustomerKey;
+
+/// Customers without waiting requests that may be remembered before they are cleared away.
+const IDLE_CUSTOMERS: usize = 256;
+
+#[derive(Clone, Debug, Default)]
+struct CustomerQueue {
+    requests: BTreeMap<(u64, u64), Request>,
+    start: u64,
+    finish: u64,
+    service_ms: u64,
+}
+
+/// Waiting requests of one class.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairQueue {
+    customers: FastMap<CustomerKey, CustomerQueue>,
+    order: BTreeSet<(u64, CustomerKey)>,
+    virtual_time: u64,
+    len: usize,
+    service_ms: u64,
+}
+
+impl FairQueue {
+    /// Adds a request.
+    pub(super) fn push(&mut self, request: Request) {
+        self.clear_idle();
+        let customer = self.customers.entry(request.customer).or_default();
+        if customer.requests.is_empty() {
+            customer.start = customer.finish.max(self.virtual_time);
+            self.order.insert((customer.start, request.customer));
+        }
+        let key = (request.deadline_ms, request.ticket);
+        if customer.requests.insert(key, request).is_none() {
+            customer.service_ms += request.service_ms;
+            self.service_ms += request.service_ms;
+            self.len += 1;
+        }
+    }
+
+    /// Removes the request whose turn it is; if it does not run, its customer keeps the turn.
+    pub(super) fn pop(&mut self, is_run: impl Fn(&Request) -> bool) -> Option<(Request, bool)> {
+        let &(start, key) = self.order.first()?;
+        let customer = self.customers.get_mut(&key)?;
+        let (_, request) = customer.requests.pop_first()?;
+        customer.service_ms -= request.service_ms;
+        self.service_ms -= request.service_ms;
+        self.len -= 1;
+        let is_run = is_run(&request);
+        self.order.pop_first();
+        if is_run {
+            self.virtual_time = start;
+            customer.finish = start + request.cost_tokens.max(1);
+            customer.start = customer.finish;
+        }
+        if !customer.requests.is_empty() {
+            self.order.insert((customer.start, key));
+        }
+        Some((request, is_run))
+    }
+
+    /// Removes a request whose caller has gone.
+    pub(super) fn remove(&mut self, customer: CustomerKey, ticket: u64) -> bool {
+        let Some(queue) = self.customers.get_mut(&customer) else {
+            return false;
+        };
+        let found = queue.requests.keys().find(|(_, number)| *number == ticket);
+        let Some(request) = found.copied().and_then(|key| queue.requests.remove(&key)) else {
+            return false;
+        };
+        queue.service_ms -= request.service_ms;
+        self.service_ms -= request.service_ms;
+        self.len -= 1;
+        if queue.requests.is_empty() {
+            self.order.remove(&(queue.start, customer));
+        }
+        true
+    }
+
+    /// Returns the work that goes before a new request of a customer.
+    ///
+    /// Of each other customer, fairness lets no more go first than the customer itself has waiting.
+    pub(super) fn ahead_ms(&self, customer: CustomerKey, service_ms: u64) -> u64 {
+        let own_ms = self
+            .customers
+            .get(&customer)
+            .map_or(0, |queue| queue.service_ms);
+        let turn_ms = own_ms + service_ms;
+        let others_ms: u64 = self
+            .order
+            .iter()
+            .filter(|(_, key)| *key != customer)
+            .filter_map(|(_, key)| self.customers.get(key))
+            .map(|queue| queue.service_ms.min(turn_ms))
+            .sum();
+        own_ms + others_ms
+    }
+
+    /// Returns the work of all waiting requests.
+    pub(super) fn service_ms(&self) -> u64 {
+        self.service_ms
+    }
+
+    /// Returns the number of waiting requests.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Forgets customers whose turn has passed; their next request starts at the present virtual time either way.
+    fn clear_idle(&mut self) {
+        if self.customers.len() > self.order.len() + IDLE_CUSTOMERS {
+            let virtual_time = self.virtual_time;
+            self.customers
+                .retain(|_, queue| !queue.requests.is_empty() || queue.finish > virtual_time);
+        }
+    }
+}
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,204 @@
+//! Tests of the queue, the shares of capacity and the retry budget.
+
+use monsoonfield::admission::{
+    share_requests, CapacityShare, Departure, PeerLoad, Queue, Request, RetryBudget, Verdict,
+    SETTLE_MS,
+};
+use monsoonfield::contract::Priority;
+use monsoonfield::ids::CustomerKey;
+
+fn request(ticket: u64, customer: u32, priority: Priority, deadline_ms: u64) -> Request {
+    Request {
+        ticket,
+        customer: CustomerKey(customer),
+        priority,
+        deadline_ms,
+        service_ms: 1_000,
+        cost_tokens: 100,
+    }
+}
+
+fn queue(slots: u32) -> Queue {
+    let mut queue = Queue::default();
+    queue.set_slots(slots);
+    queue
+}
+
+fn dispatched(queue: &mut Queue, now_ms: u64) -> Vec<u64> {
+    std::iter::from_fn(|| queue.next(now_ms))
+        .filter_map(|departure| match departure {
+            Departure::Dispatch(request) => Some(request.ticket),
+            Departure::Refuse { .. } => None,
+        })
+        .collect()
+}
+
+/// Guards against a request that waits behind lower classes.
+#[test]
+fn the_higher_class_goes_first() {
+    let mut queue = queue(1);
+    for (ticket, priority) in [
+        (1, Priority::Low),
+        (2, Priority::Normal),
+        (3, Priority::High),
+    ] {
+        queue.offer(request(ticket, ticket as u32, priority, 60_000), 0);
+    }
+
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        order.extend(dispatched(&mut queue, 0));
+        queue.finished(1_000);
+    }
+
+    assert_eq!(order, [3, 2, 1]);
+}
+
+/// Guards against a customer that takes all slots by sending more than the others.
+#[test]
+fn customers_of_one_class_share_the_slots() {
+    let mut queue = queue(10);
+    for ticket in 0..100 {
+        queue.offer(request(ticket, 1, Priority::Normal, 600_000), 0);
+    }
+    for ticket in 100..110 {
+        queue.offer(request(ticket, 2, Priority::Normal, 600_000), 0);
+    }
+
+    let order = dispatched(&mut queue, 0);
+
+    let of_second = order.iter().filter(|&&ticket| ticket >= 100).count();
+    assert_eq!((order.len(), of_second), (10, 5));
+}
+
+/// Guards against work on responses that come too late, and against callers that come back too early.
+#[test]
+fn a_request_that_cannot_be_in_time_is_refused_at_once() {
+    let mut queue = queue(2);
+    for ticket in 0..20 {
+        queue.offer(request(ticket, 1, Priority::Normal, 600_000), 0);
+    }
+
+    let verdict = queue.offer(request(20, 1, Priority::Normal, 5_000), 0);
+
+    // 20 requests of 1 s on 2 slots take 10 s, so the response would be ready 6 s late.
+    assert_eq!(
+        verdict,
+        Verdict::Refused {
+            retry_after_ms: 6_000
+        }
+    );
+    assert_eq!(queue.len(), 20);
+}
+
+/// Guards against refusing a customer because of another customer's queue.
+#[test]
+fn a_long_queue_of_one_customer_refuses_no_other() {
+    let mut queue = queue(2);
+    for ticket in 0..200 {
+        queue.offer(request(ticket, 1, Priority::Normal, 600_000), 0);
+    }
+
+    let verdict = queue.offer(request(200, 2, Priority::Normal, 3_000), 0);
+
+    assert_eq!(verdict, Verdict::Queued);
+}
+
+/// Guards against the dispatch of a request whose time ran out in the queue.
+#[test]
+fn a_request_that_became_late_is_not_dispatched() {
+    let mut queue = queue(1);
+    let late = request(1, 1, Priority::Normal, 2_000);
+    queue.offer(late, 0);
+
+    let departure = queue.next(1_500);
+
+    assert!(matches!(departure, Some(Departure::Refuse { request, .. }) if request == late));
+    assert_eq!(queue.in_flight(), 0);
+}
+
+/// Guards against dispatching more than the slots, or requests whose caller has gone.
+#[test]
+fn slots_and_cancelled_requests_are_respected() {
+    let mut queue = queue(2);
+    let requests: Vec<Request> = (0..4)
+        .map(|ticket| request(ticket, 1, Priority::Low, 60_000))
+        .collect();
+    for &request in &requests {
+        queue.offer(request, 0);
+    }
+
+    let is_removed = queue.cancel(&requests[1]);
+    let order = dispatched(&mut queue, 0);
+
+    assert!(is_removed);
+    assert_eq!((order, queue.len(), queue.in_flight()), (vec![0, 2], 1, 2));
+}
+
+/// Guards against routers whose shares add up to more than an upstream can hold, or leave slots unused.
+#[test]
+fn the_shares_of_all_routers_are_the_capacity() {
+    for upstream in ["gpu-1", "gpu-2", "desk-1"] {
+        for capacity in [0, 1, 8, 9, 64, 100] {
+            for routers in [1, 3, 9, 520] {
+                let sum: u32 = (0..routers)
+                    .map(|rank| share_requests(upstream, capacity, routers, rank))
+                    .sum();
+                assert_eq!(sum, capacity, "{upstream}, {routers} routers");
+            }
+        }
+    }
+}
+
+/// Guards against slots that two routers use because one of them saw a change of the members first.
+#[test]
+fn a_share_falls_at_once_and_grows_late() {
+    let mut share = CapacityShare::default();
+    share.set(8, 0);
+
+    let limits = [share.limit(&[], SETTLE_MS - 1), share.limit(&[], SETTLE_MS)];
+    share.set(6, SETTLE_MS + 1);
+    let after_fall = share.limit(&[], SETTLE_MS + 1);
+
+    assert_eq!((limits, after_fall), ([0, 8], 6));
+}
+
+/// Guards against an upstream that still runs the streams of a router that is gone, and against reports that are old.
+#[test]
+fn reports_of_excess_lower_the_limit() {
+    let mut share = CapacityShare::default();
+    share.set(8, 0);
+    let gone = PeerLoad {
+        requests: 6,
+        share: 0,
+        at_ms: 10_000,
+    };
+    let within = PeerLoad {
+        requests: 4,
+        share: 8,
+        at_ms: 10_000,
+    };
+
+    let limits = [
+        share.limit(&[gone, within], 10_100),
+        share.limit(&[gone, within], 16_000),
+    ];
+
+    assert_eq!(limits, [6, 8]);
+}
+
+/// Guards against retries that multiply the load while upstreams fail.
+#[test]
+fn retries_stay_a_share_of_fresh_requests() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+
+    for _ in 0..10_000 {
+        budget.fresh_request();
+        while budget.try_retry() {
+            retries += 1;
+        }
+    }
+
+    assert!((1_000..=1_020).contains(&retries), "{retries}");
+}
