--- a/tests/ledger_random.rs
+++ b/tests/ledger_random.rs
@@ -59,5 +59,5 @@
     })
     .size_min(2_000)
     .size_max(20_000)
-    .budget(Duration::from_secs(10));
+    .budget(Duration::from_secs(30));
 }
