--- a/src/router.rs
+++ b/src/router.rs
@@ -35,6 +35,7 @@
 use crate::ids::{CustomerKey, Fingerprint, RequestKey};
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
+use crate::rollout::Proposer;
 use crate::server;
 use crate::settings::Settings;
 
@@ -91,6 +92,7 @@
     journal: RefCell<Journal>,
     pools: RefCell<Pools>,
     evidence: RefCell<Collector>,
+    proposer: RefCell<Proposer>,
     /// Crashes that this process saw or was told of by peers; the fold shows them only after an append and a read.
     early_crashes: RefCell<Quarantine>,
     shares: RefCell<Shares>,
@@ -178,8 +180,9 @@
         budget: Budget::new(fleet.clone()),
         claims: Claims::new(fleet.clone()),
         journal: RefCell::default(),
-        pools: RefCell::new(Pools::new(&settings.data_centre)),
+        pools: RefCell::new(Pools::new(&settings.data_centre, fleet.incarnation())),
         evidence: RefCell::default(),
+        proposer: RefCell::default(),
         early_crashes: RefCell::default(),
         shares: RefCell::new(Shares::new(settings.limits.reader_buffer_bytes as usize)),
         api_keys: RefCell::default(),
--- a/src/router/events.rs
+++ b/src/router/events.rs
@@ -179,27 +179,38 @@
     let evidence = shared.evidence.borrow_mut().take(now_ms);
     write_all(shared, evidence.into_iter().map(Entry::Evidence));
     let rank = rank(shared);
-    let proposals = shared.fleet.state().rollouts.propose(now_ms, rank);
+    let proposals = {
+        let state = shared.fleet.state();
+        let mut proposer = shared.proposer.borrow_mut();
+        proposer.take(&state.rollouts, now_ms, rank)
+    };
     write_all(shared, proposals);
 }
 
 /// Returns the position of this process among the open incarnations.
 fn rank(shared: &Shared) -> u32 {
     let own = shared.fleet.incarnation();
+    let before = open_incarnations(shared)
+        .into_iter()
+        .filter(|id| *id < own)
+        .count();
+    u32::try_from(before).unwrap_or(u32::MAX)
+}
+
+/// Returns the open incarnations in the order of their ids, on which all routers agree.
+fn open_incarnations(shared: &Shared) -> Vec<IncarnationId> {
     let state = shared.fleet.state();
-    let before = state
+    state
         .members
         .iter()
-        .filter(|(id, member)| member.phase == crate::membership::Phase::Open && *id < own)
-        .count();
-    u32::try_from(before).unwrap_or(u32::MAX)
+        .filter(|(_, member)| member.phase == crate::membership::Phase::Open)
+        .map(|(id, _)| id)
+        .collect()
 }
 
 fn share_load(shared: &Shared) {
-    let peers = u32::try_from(shared.fleet.peers().len()).unwrap_or(u32::MAX);
-    let rank = rank(shared);
     let mut pools = shared.pools.borrow_mut();
-    pools.set_routers(peers.saturating_add(1), rank);
+    pools.set_routers(shared.fleet.incarnation(), open_incarnations(shared));
     pools.add_up_peer_work(shared.now_ms());
     shared.fleet.set_outstanding(pools.own_work());
     pools.pump_all(shared.now_ms());
--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -15,7 +15,7 @@
 
 use super::call::{Call, Kind, Refused};
 use super::Shared;
-use crate::admission::{Departure, Queue, Request, RetryBudget, Verdict};
+use crate::admission::{CapacityShare, Departure, Queue, Request, RetryBudget, Verdict};
 use crate::collections::FastMap;
 use crate::contract::Configuration;
 use crate::evidence::Arm;
@@ -47,7 +47,8 @@
     pool: PoolKey,
     version: CompactString,
     capacity_requests: u32,
-    peer_requests: u32,
+    share: Option<CapacityShare>,
+    limit_requests: u32,
     own_requests: u32,
     own_tokens: u64,
 }
@@ -83,8 +84,9 @@
     retries: RetryBudget,
     waiting: FastMap<u64, Waiting>,
     next_ticket: u64,
-    routers: u32,
-    rank: u32,
+    /// Open incarnations, which share the upstreams.
+    routers: Vec<IncarnationId>,
+    own: IncarnationId,
     /// Work of other routers at the upstreams, with the time of the heartbeat.
     peer_work: FastMap<IncarnationId, (u64, Vec<Outstanding>)>,
     random: Pcg64Mcg,
@@ -97,7 +99,7 @@
 }
 
 impl Pools {
-    pub(super) fn new(data_centre: &str) -> Self {
+    pub(super) fn new(data_centre: &str, own: IncarnationId) -> Self {
         Self {
             data_centre: data_centre.into(),
             routes: Interner::default(),
@@ -110,8 +112,8 @@
             retries: RetryBudget::default(),
             waiting: FastMap::default(),
             next_ticket: 0,
-            routers: 1,
-            rank: 0,
+            routers: vec![own],
+            own,
             peer_work: FastMap::default(),
             random: Pcg64Mcg::seed_from_u64(OsRng.try_next_u64().unwrap_or_default()),
         }
@@ -159,7 +161,7 @@
     fn is_usable(&self, upstream: UpstreamKey, route: RouteKey, now_ms: u64) -> bool {
         self.upstreams
             .get(&upstream)
-            .is_some_and(|known| known.own_requests < self.limit_requests(known))
+            .is_some_and(|known| known.own_requests < known.limit_requests)
             && self.health.permit(upstream, route, now_ms) != Permit::Closed
     }
 
@@ -222,7 +224,7 @@
             pool.members.iter().any(|&upstream| {
                 self.upstreams
                     .get(&upstream)
-                    .is_some_and(|known| known.own_requests < self.limit_requests(known))
+                    .is_some_and(|known| known.own_requests < known.limit_requests)
                     && self.health.permit(upstream, key.0, now_ms) != Permit::Closed
             })
         })
@@ -248,14 +250,29 @@
             // An upstream that failed once is better than none.
             .or_else(|| self.selector.choose(&request, random, usable));
         let answer = chosen
-            .map(|upstream| self.take_place(upstream, &waiting, now_ms))
+            .map(|upstream| self.take_place(key, upstream, &waiting, now_ms))
             .ok_or_else(no_upstream);
-        if let Err(Ok(slot)) = waiting.sender.send(answer) {
-            self.give_back(&slot);
+        match waiting.sender.send(answer) {
+            Ok(()) if chosen.is_some() => {}
+            Err(Ok(slot)) => self.give_back(&slot, now_ms),
+            _ => self.leave_queue(key, now_ms, now_ms),
         }
     }
 
-    fn take_place(&mut self, upstream: UpstreamKey, waiting: &Waiting, now_ms: u64) -> Slot {
+    /// Tells the queue that a request which it dispatched has ended.
+    fn leave_queue(&mut self, key: PoolKey, dispatched_ms: u64, now_ms: u64) {
+        if let Some(pool) = self.pools.get_mut(&key) {
+            pool.queue.finished(now_ms.saturating_sub(dispatched_ms));
+        }
+    }
+
+    fn take_place(
+        &mut self,
+        key: PoolKey,
+        upstream: UpstreamKey,
+        waiting: &Waiting,
+        now_ms: u64,
+    ) -> Slot {
         if self.health.permit(upstream, waiting.route, now_ms) == Permit::Probe {
             self.health.probe_sent(upstream, waiting.route, now_ms);
         }
@@ -271,6 +288,7 @@
         Slot {
             upstream,
             name: self.names.name(upstream).into(),
+            pool: key,
             address,
             version,
             route: waiting.route,
--- a/src/router/pools/slot.rs
+++ b/src/router/pools/slot.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use super::Pools;
+use super::{PoolKey, Pools};
 use crate::health::Outcome;
 use crate::ids::{RouteKey, UpstreamKey};
 
@@ -14,6 +14,7 @@
 pub(in crate::router) struct Slot {
     pub(in crate::router) upstream: UpstreamKey,
     pub(in crate::router) name: CompactString,
+    pub(super) pool: PoolKey,
     pub(in crate::router) address: CompactString,
     pub(in crate::router) version: CompactString,
     pub(in crate::router) route: RouteKey,
@@ -56,20 +57,18 @@
             return;
         }
         slot.is_held = false;
-        self.give_back(slot);
-        let Some(pool) = self.upstreams.get(&slot.upstream).map(|known| known.pool) else {
-            return;
-        };
-        if let (Ended::Success { .. }, Some(pool)) = (ended, self.pools.get_mut(&pool)) {
+        self.give_back(slot, now_ms);
+        if let (Ended::Success { .. }, Some(pool)) = (ended, self.pools.get_mut(&slot.pool)) {
             let elapsed_ms = now_ms.saturating_sub(slot.dispatched_ms) as f64;
             let average_ms = pool.service_ms.unwrap_or(elapsed_ms);
             pool.service_ms = Some(average_ms + (elapsed_ms - average_ms) * NEW_WEIGHT);
         }
-        self.pump(pool, now_ms);
+        self.pump(slot.pool, now_ms);
     }
 
     /// Frees the place without any report.
-    pub(super) fn give_back(&mut self, slot: &Slot) {
+    pub(super) fn give_back(&mut self, slot: &Slot, now_ms: u64) {
+        self.leave_queue(slot.pool, slot.dispatched_ms, now_ms);
         self.selector.finished(slot.upstream, slot.tokens);
         if let Some(known) = self.upstreams.get_mut(&slot.upstream) {
             known.own_requests = known.own_requests.saturating_sub(1);
--- a/src/router/pools/update.rs
+++ b/src/router/pools/update.rs
@@ -1,6 +1,6 @@
 //! Changes of the pools from the configuration, peers and upstreams' reports.
 
-use crate::admission::CapacityShare;
+use crate::admission::{share_requests, CapacityShare, PeerLoad};
 use crate::collections::{FastMap, FastSet};
 use crate::contract::{Configuration, Upstream as Configured};
 use crate::ids::{IncarnationId, UpstreamKey};
@@ -48,6 +48,7 @@
             self.selector.remove(upstream);
             self.health.remove(upstream);
         }
+        self.add_up_peer_work(now_ms);
         self.pump_all(now_ms);
     }
 
@@ -69,7 +70,8 @@
                 pool,
                 version: configured.version.clone(),
                 capacity_requests: configured.capacity_requests,
-                peer_requests: before.as_ref().map_or(0, |known| known.peer_requests),
+                share: before.as_ref().and_then(|known| known.share),
+                limit_requests: before.as_ref().map_or(0, |known| known.limit_requests),
                 own_requests: before.as_ref().map_or(0, |known| known.own_requests),
                 own_tokens: before.as_ref().map_or(0, |known| known.own_tokens),
             },
@@ -99,10 +101,14 @@
         }
     }
 
-    /// Sets how many routers share the upstreams and the position of this one among them.
-    pub(in crate::router) fn set_routers(&mut self, routers: u32, rank: u32) {
-        self.routers = routers.max(1);
-        self.rank = rank;
+    /// Sets the routers that share the upstreams, in an order on which all agree.
+    pub(in crate::router) fn set_routers(&mut self, own: IncarnationId, open: Vec<IncarnationId>) {
+        self.own = own;
+        self.routers = open;
+        if !self.routers.contains(&own) {
+            // The own start is not folded yet; it will be the newest.
+            self.routers.push(own);
+        }
     }
 
     /// Takes the work of one other router from its heartbeat.
@@ -120,22 +126,54 @@
         self.peer_work.remove(&peer);
     }
 
-    /// Adds up the work of all other routers; a router without work sends none, so old figures expire.
+    /// Takes the work of all other routers into account; a router without work sends none, so old figures expire.
     pub(in crate::router) fn add_up_peer_work(&mut self, now_ms: u64) {
         self.peer_work
             .retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < PEER_WORK_MS);
-        let mut sums: FastMap<UpstreamKey, (u32, u64)> = FastMap::default();
-        for outstanding in self.peer_work.values().flat_map(|(_, work)| work) {
-            if let Some(upstream) = self.names.get(&outstanding.upstream) {
-                let sum = sums.entry(upstream).or_default();
-                sum.0 = sum.0.saturating_add(outstanding.requests);
-                sum.1 = sum.1.saturating_add(outstanding.outstanding_tokens);
+        let mut work: FastMap<(UpstreamKey, IncarnationId), (u32, u64)> = FastMap::default();
+        let mut sums: FastMap<UpstreamKey, u64> = FastMap::default();
+        for (&peer, (_, list)) in &self.peer_work {
+            for outstanding in list {
+                if let Some(upstream) = self.names.get(&outstanding.upstream) {
+                    let entry = work.entry((upstream, peer)).or_default();
+                    entry.0 = entry.0.saturating_add(outstanding.requests);
+                    let sum = sums.entry(upstream).or_default();
+                    *sum = sum.saturating_add(outstanding.outstanding_tokens);
+                }
             }
         }
+        let routers = self.routers.len() as u32;
         for (&upstream, known) in &mut self.upstreams {
-            let (requests, tokens) = sums.get(&upstream).copied().unwrap_or_default();
-            known.peer_requests = requests;
-            self.selector.set_peer_tokens(upstream, tokens);
+            let name = self.names.name(upstream);
+            let share = |rank| share_requests(name, known.capacity_requests, routers, rank);
+            let mut loads = Vec::with_capacity(self.routers.len());
+            let mut own_share = 0;
+            for (rank, &router) in self.routers.iter().enumerate() {
+                let share = share(rank as u32);
+                if router == self.own {
+                    own_share = share;
+                    continue;
+                }
+                loads.push(PeerLoad {
+                    requests: work.get(&(upstream, router)).map_or(0, |entry| entry.0),
+                    share,
+                    at_ms: now_ms,
+                });
+            }
+            if known.capacity_requests < routers {
+                // A router without any share would refuse although the upstream may be idle.
+                own_share = own_share.max(1);
+            }
+            known.set_share(own_share, &loads, now_ms);
+            self.selector
+                .set_peer_tokens(upstream, sums.get(&upstream).copied().unwrap_or(0));
+        }
+        let keys: Vec<PoolKey> = self.pools.keys().copied().collect();
+        for key in keys {
+            let slots = self.slots(key);
+            if let Some(pool) = self.pools.get_mut(&key) {
+                pool.queue.set_slots(slots);
+            }
         }
     }
 
@@ -182,26 +220,28 @@
         self.selector.cache_gap(upstream);
     }
 
-    /// Returns the requests that this router may have at an upstream: its share, or what the others leave.
-    pub(super) fn limit_requests(&self, known: &Upstream) -> u32 {
-        let share = CapacityShare {
-            capacity_requests: known.capacity_requests,
-            routers: self.routers,
-            rank: self.rank,
-        };
-        let left = known.capacity_requests.saturating_sub(known.peer_requests);
-        // A router without any share would refuse although the upstream may be idle.
-        share.guaranteed_requests().max(left).max(1)
-    }
-
     /// Returns the requests that this router may have at all upstreams of a pool.
     pub(super) fn slots(&self, key: PoolKey) -> u32 {
         self.pools.get(&key).map_or(0, |pool| {
             pool.members
                 .iter()
                 .filter_map(|upstream| self.upstreams.get(upstream))
-                .map(|known| self.limit_requests(known))
+                .map(|known| known.limit_requests)
                 .sum()
         })
     }
 }
+
+impl Upstream {
+    /// Sets this router's share and computes its limit.
+    ///
+    /// The first share of an upstream counts at once. When this process has just started, the others lower their shares
+    /// only as they fold its start, so an upstream may get the work of one more router for that time.
+    fn set_share(&mut self, share_requests: u32, peers: &[PeerLoad], now_ms: u64) {
+        let share = self
+            .share
+            .get_or_insert_with(|| CapacityShare::settled(share_requests));
+        share.set(share_requests, now_ms);
+        self.limit_requests = share.limit(peers, now_ms);
+    }
+}
