--- a/examples/control_slopes.rs
+++ b/examples/control_slopes.rs
@@ -30,7 +30,7 @@
 #[path = "../tests/common/platform_stub.rs"]
 mod platform_stub;
 
-/// Size of the head of a request or a response of the log, in bytes; a request to the stub has 130, a response 65.
+/// Allowance for the head of one HTTP message to or from the log, in bytes; a platform adds headers of its own.
 const HEAD_BYTES: u64 = 200;
 
 /// Sizes of the fleets.
--- a/src/fleet/inner.rs
+++ b/src/fleet/inner.rs
@@ -54,6 +54,7 @@
     pub(super) traffic: Cell<Traffic>,
     pub(super) subscribers: RefCell<Vec<unbounded::Tx<Event>>>,
     pub(super) log_next: Cell<Offset>,
+    pub(super) log_oldest: Cell<Offset>,
     pub(super) last_fold_ms: Cell<u64>,
     /// Peers that wait for the next record, with the offset that they want.
     pub(super) followers: RefCell<BTreeMap<IncarnationId, Offset>>,
@@ -104,6 +105,7 @@
             traffic: Cell::default(),
             subscribers: RefCell::default(),
             log_next: Cell::new(0),
+            log_oldest: Cell::new(0),
             last_fold_ms: Cell::new(0),
             followers: RefCell::default(),
             outstanding: RefCell::default(),
--- a/src/fleet/reader.rs
+++ b/src/fleet/reader.rs
@@ -12,6 +12,9 @@
 /// Pause after a failed read.
 const RETRY_MS: u64 = 200;
 
+/// Pause before the snapshots are read again after a gap; longer, because a read can be as large as a state.
+const GAP_RETRY_MS: u64 = 1_000;
+
 /// Reads the log until the connection is stopped.
 pub(super) async fn run(inner: Rc<Inner>) {
     let mut is_restored = false;
@@ -30,14 +33,15 @@
         match inner.log.read(FLEET_STREAM, from, limit, wait_ms).await {
             Ok(page) => {
                 limit = (2 * limit).min(PAGE_RECORDS);
-                inner.set_available(&inner.is_read_ok, true);
                 inner.wait_for_thaw().await;
                 if take_page(&inner, &page) {
+                    inner.set_available(&inner.is_read_ok, true);
                     pause(inner.settings.timing.poll_interval_ms).await;
                 } else {
-                    // The log no longer holds the next record, so only a snapshot can bridge the gap.
+                    // The log no longer holds the next record. Only a snapshot, or a peer, can bridge the gap.
+                    inner.set_available(&inner.is_read_ok, false);
                     is_restored = false;
-                    pause(RETRY_MS).await;
+                    pause(GAP_RETRY_MS).await;
                 }
             }
             Err(error) => {
@@ -58,6 +62,7 @@
 /// Folds a page; returns false if records before it are missing.
 fn take_page(inner: &Inner, page: &Page) -> bool {
     inner.log_next.set(inner.log_next.get().max(page.next));
+    inner.log_oldest.set(page.oldest);
     let next = inner.state.borrow().next_offset;
     if page.oldest > next {
         log::warn!(
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 
 use super::Inner;
+use crate::ids::Offset;
 use crate::log_client::SNAPSHOT_STREAM;
 use crate::membership::rendezvous;
 use crate::platform::VmState;
@@ -70,8 +71,15 @@
 /// The choice rotates with the interval, so a failed process leaves out at most one snapshot. Two processes with
 /// different views of who is live can both write, which costs space only: readers take the newest complete one.
 async fn write_snapshots(inner: Rc<Inner>) {
-    let interval = inner.settings.timing.snapshot_interval_records.max(1);
-    let turn_now = || inner.state.borrow().next_offset / interval;
+    let turn_now = || {
+        let retained = inner.log_next.get().saturating_sub(inner.log_oldest.get());
+        let interval = snapshot_interval(
+            inner.settings.timing.snapshot_interval_records,
+            inner.log_oldest.get(),
+            retained,
+        );
+        inner.state.borrow().next_offset / interval
+    };
     inner
         .folded
         .wait_for(|| inner.has_state.get().then_some(()))
@@ -80,7 +88,7 @@
     loop {
         let turn = inner
             .folded
-            .wait_for(|| Some(turn_now()).filter(|turn| *turn > last_turn))
+            .wait_for(|| Some(turn_now()).filter(|turn| *turn != last_turn))
             .await;
         last_turn = turn;
         if !is_chosen(&inner, turn) {
@@ -91,7 +99,7 @@
             let payload = Bytes::from(chunk.encode_to_vec());
             while let Err(error) = inner.log.append(SNAPSHOT_STREAM, payload.clone()).await {
                 log::warn!("write a snapshot: {error}");
-                if turn_now() > turn {
+                if turn_now() != turn {
                     break;
                 }
                 monoio::time::sleep(SNAPSHOT_RETRY).await;
@@ -100,6 +108,19 @@
     }
 }
 
+/// Returns the number of records between two snapshots: the configured one, or less where the log retains little.
+///
+/// A quarter of the retained records leaves time for a snapshot that fails. Powers of two keep the processes in step while
+/// the retained number varies.
+fn snapshot_interval(configured: u64, oldest: Offset, retained: u64) -> u64 {
+    let configured = configured.max(1);
+    if oldest == 0 {
+        return configured;
+    }
+    let quarter = (retained / 4).max(1);
+    configured.min(1 << quarter.ilog2())
+}
+
 fn is_chosen(inner: &Inner, turn: u64) -> bool {
     let own = inner.incarnation.get();
     let candidates = inner
--- a/tests/fleet_peers.rs
+++ b/tests/fleet_peers.rs
@@ -212,6 +212,39 @@
     });
 }
 
+/// Guards against memory that grows without bound for a peer that does not read.
+#[test]
+fn messages_for_a_peer_that_does_not_read_are_bounded() {
+    const MESSAGE_BYTES: usize = 100_000;
+    run(async {
+        let platform = Platform::start();
+        let fleet = platform.fleet("vm-1", &short_timing()).await;
+        let mut stream = TcpStream::connect(fleet.address()).expect("the router listens");
+        let heartbeat = frame(PeerMessage::Heartbeat(Heartbeat::default()));
+        stream
+            .write_all(&[hello(PROTOCOL_VERSION), heartbeat].concat())
+            .expect("the router reads");
+        wait_until("the peer is live", || fleet.peers().len() == 1).await;
+
+        let message = PeerMessage::Records(monsoonfield::message::Records {
+            first_offset: 0,
+            payloads: vec![vec![0; MESSAGE_BYTES]],
+        });
+        let mut queued = 0;
+        while fleet.send(IncarnationId(99), message.clone()) {
+            queued += 1;
+            assert!(
+                queued * MESSAGE_BYTES < 64 << 20,
+                "{queued} messages are queued"
+            );
+        }
+
+        assert!(queued > 1);
+        wait_until("the silent peer is dropped", || fleet.peers().is_empty()).await;
+        fleet.abort();
+    });
+}
+
 /// Guards against routers that all dial again at the same instant, and against pauses without bound.
 #[test]
 fn reconnect_pauses_grow_to_the_limit_with_jitter() {
--- a/tests/fleet_restore.rs
+++ b/tests/fleet_restore.rs
@@ -145,6 +145,76 @@
     });
 }
 
+/// Guards against a VM that can't start where the log retains fewer records than lie between two snapshots.
+#[test]
+fn a_short_retention_makes_snapshots_more_frequent() {
+    run(async {
+        let options = common::platform_stub::Options {
+            retained_records: 120,
+            ..Default::default()
+        };
+        let platform = Platform::with_options(options);
+        let timing = Timing {
+            snapshot_interval_records: 10_000,
+            ..fast_records()
+        };
+        let first = platform.fleet("vm-1", &timing).await;
+        publish(&platform, 1);
+        wait_until("the log has dropped records", || {
+            platform.read("fleet").oldest > 130
+        })
+        .await;
+        wait_until("a snapshot is on the log", || {
+            platform.read("snapshots").next >= 2
+        })
+        .await;
+
+        first.abort();
+        let started = platform.fleet("vm-2", &timing).await;
+
+        assert_eq!(started.state().configuration.revision, 1);
+        started.abort();
+    });
+}
+
+/// Guards against a VM that waits for ever because the log has dropped records and holds no snapshot of them.
+#[test]
+fn a_gap_without_a_snapshot_is_bridged_by_a_peer() {
+    run(async {
+        let options = common::platform_stub::Options {
+            retained_records: 3,
+            ..Default::default()
+        };
+        let platform = Platform::with_options(options);
+        let first = platform.fleet("vm-1", &short_timing()).await;
+        for revision in 1..=8 {
+            publish(&platform, revision);
+            first
+                .wait_until(LIMIT, |fleet| {
+                    fleet.state().configuration.revision == revision
+                })
+                .await
+                .expect("the configuration is folded");
+        }
+        platform.set_vms(&[("vm-1", first.address())]);
+
+        let settings = platform.settings("vm-2", "dc-1", short_timing());
+        let started = FleetBuilder::new(&settings).start().expect("a listener");
+
+        started
+            .wait_for_state(LIMIT)
+            .await
+            .expect("a state from the peer");
+        assert_eq!(started.state().configuration.revision, 8);
+        started
+            .wait_until(LIMIT, |fleet| fleet.is_log_available())
+            .await
+            .expect("the log is followed from there");
+        first.abort();
+        started.abort();
+    });
+}
+
 /// Guards against several routers that each write the same snapshot.
 #[test]
 fn one_router_writes_each_snapshot() {
