Find slow, silent and leaving upstreams per route

A refused connection closes the whole upstream at once, the upstream's own report is not overridden by the lagging list, requests without any answer count before their timeout, and slowness is judged against the route's mean over all upstreams.

--- a/src/health.rs
+++ b/src/health.rs
@@ -2,13 +2,36 @@
 //!
 //! Failures and response times are kept per (upstream, route), because an upstream may swallow the requests of one
 //! route and serve the others. A pair that fails too often is closed for a while and then probed with one request at a
-//! time; an upstream on which most of its pairs are closed is closed as a whole. Leaving is separate and final until
-//! the upstream is listed as live again: the platform's list, the upstream's own report or a refused connection each
-//! suffice. See `docs/policies/health.md`.
+//! time. A refused connection closes the upstream as a whole, because a process that is being stopped refuses before any
+//! list says so. Leaving is separate: the platform's list or the upstream's own report suffices, and nothing is probed.
+//! See `docs/policies/health.md`.
 
 use crate::collections::FastMap;
 use crate::ids::{RouteKey, UpstreamKey};
 
+/// Ratio to the route's mean latency from which an upstream counts as slow.
+const SLOW_RATIO: f64 = 2.0;
+
+/// Results without which a latency says nothing.
+const LEAST_RESULTS: u32 = 10;
+
+/// Largest part of one result in the mean latency, as a ratio to the mean, so that one slow upstream does not move it.
+const OUTLIER_RATIO: f64 = 4.0;
+
+/// Weight of a new result in the mean latency of a route over all upstreams.
+const ROUTE_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Weight of a new result in the mean latency of one upstream.
+const UPSTREAM_WEIGHT: f64 = 1.0 / 8.0;
+
+/// Ratio to the route's mean latency after which a request without any answer counts as a failure.
+///
+/// Without this, an upstream that swallows requests would be noticed only after the timeout of the whole response.
+const OVERDUE_RATIO: f64 = 8.0;
+
+/// Bounds of that time; the upper one counts while no latency is known.
+const OVERDUE_MS: (f64, f64) = (2_000.0, 30_000.0);
+
 /// Consecutive failures that close a route of an upstream.
 const FAILURES_TO_CLOSE: u32 = 5;
 
@@ -92,7 +115,8 @@
     gate: Gate,
     failures_in_row: u32,
     failure_rate_ppm: u32,
-    latency_ms: u64,
+    results: u32,
+    latency_ms: f64,
     pause_ms: u64,
     last_failure_ms: u64,
 }
@@ -103,7 +127,8 @@
             gate: Gate::Open,
             failures_in_row: 0,
             failure_rate_ppm: 0,
-            latency_ms: 0,
+            results: 0,
+            latency_ms: 0.0,
             pause_ms: FIRST_PAUSE_MS,
             last_failure_ms: 0,
         }
@@ -112,14 +137,24 @@
 
 #[derive(Clone, Debug, Default)]
 struct UpstreamHealth {
-    is_leaving: bool,
+    is_listed_leaving: bool,
+    is_reported_leaving: bool,
+    refused: Option<RouteHealth>,
     routes: Vec<(RouteKey, RouteHealth)>,
 }
 
+/// Mean latency of a route over all upstreams.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteLatency {
+    results: u32,
+    mean_ms: f64,
+}
+
 /// Health of all upstreams, as one process sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     upstreams: FastMap<UpstreamKey, UpstreamHealth>,
+    latencies: FastMap<RouteKey, RouteLatency>,
 }
 
 impl Health {
@@ -128,17 +163,32 @@
         let Some(health) = self.upstreams.get(&upstream) else {
             return Permit::Open;
         };
-        if health.is_leaving {
+        if health.is_leaving() {
             return Permit::Closed;
         }
-        match health.routes.iter().find(|(key, _)| *key == route) {
-            Some((_, state)) => state.permit(now_ms),
-            None => Permit::Open,
+        let whole = health
+            .refused
+            .as_ref()
+            .map_or(Permit::Open, |gate| gate.permit(now_ms));
+        let route = health
+            .route(route)
+            .map_or(Permit::Open, |gate| gate.permit(now_ms));
+        match (whole, route) {
+            (Permit::Closed, _) | (_, Permit::Closed) => Permit::Closed,
+            (Permit::Probe, _) | (_, Permit::Probe) => Permit::Probe,
+            (Permit::Open, Permit::Open) => Permit::Open,
         }
     }
 
     /// Notes that a probe was sent, so that no second one goes out before its result.
     pub fn probe_sent(&mut self, upstream: UpstreamKey, route: RouteKey, now_ms: u64) {
+        if let Some(gate) = self
+            .upstreams
+            .get_mut(&upstream)
+            .and_then(|health| health.refused.as_mut())
+        {
+            gate.probe_sent(now_ms);
+        }
         self.route_mut(upstream, route).probe_sent(now_ms);
     }
 
@@ -152,19 +202,71 @@
     ) {
         match outcome {
             Outcome::Success { latency_ms } => {
+                self.latencies
+                    .entry(route)
+                    .or_default()
+                    .add(latency_ms as f64);
                 self.route_mut(upstream, route).success(latency_ms, now_ms);
+                self.answered(upstream, now_ms);
+            }
+            Outcome::Failure => {
+                self.route_mut(upstream, route).failure(now_ms);
+                self.answered(upstream, now_ms);
             }
-            Outcome::Failure => self.route_mut(upstream, route).failure(now_ms),
             Outcome::ConnectionRefused => {
-                self.route_mut(upstream, route).close(now_ms);
+                self.route_mut(upstream, route).forget_probe();
+                let health = self.upstreams.entry(upstream).or_default();
+                health
+                    .refused
+                    .get_or_insert_with(RouteHealth::default)
+                    .close(now_ms);
             }
-            Outcome::QuarantinedCrash => {}
+            Outcome::QuarantinedCrash => self.route_mut(upstream, route).forget_probe(),
         }
     }
 
-    /// Marks an upstream as leaving or, once it is listed as live again, as usable.
+    /// Takes an answer of any kind as a sign that the upstream accepts connections.
+    fn answered(&mut self, upstream: UpstreamKey, now_ms: u64) {
+        if let Some(health) = self.upstreams.get_mut(&upstream) {
+            if let Some(gate) = &mut health.refused {
+                gate.success(0, now_ms);
+                if matches!(gate.gate, Gate::Open) && now_ms >= gate.last_failure_ms + CALM_MS {
+                    health.refused = None;
+                }
+            }
+        }
+    }
+
+    /// Takes a request that has had no answer for [`Self::overdue_ms`] as a failure, while it still runs.
+    pub fn overdue(&mut self, upstream: UpstreamKey, route: RouteKey, now_ms: u64) {
+        self.route_mut(upstream, route).failure(now_ms);
+    }
+
+    /// Returns the time without an answer after which a request shall be reported with [`Self::overdue`].
+    pub fn overdue_ms(&self, route: RouteKey) -> u64 {
+        let (least_ms, most_ms) = OVERDUE_MS;
+        match self.latencies.get(&route) {
+            Some(latency) if latency.results >= LEAST_RESULTS => {
+                (latency.mean_ms * OVERDUE_RATIO).clamp(least_ms, most_ms) as u64
+            }
+            _ => most_ms as u64,
+        }
+    }
+
+    /// Takes what the platform's list says of an upstream.
     pub fn set_leaving(&mut self, upstream: UpstreamKey, is_leaving: bool) {
-        self.upstreams.entry(upstream).or_default().is_leaving = is_leaving;
+        self.upstreams
+            .entry(upstream)
+            .or_default()
+            .is_listed_leaving = is_leaving;
+    }
+
+    /// Takes what the upstream says of itself; the list lags behind and does not override this.
+    pub fn set_reported_leaving(&mut self, upstream: UpstreamKey, is_leaving: bool) {
+        self.upstreams
+            .entry(upstream)
+            .or_default()
+            .is_reported_leaving = is_leaving;
     }
 
     /// Forgets an upstream that is no longer configured.
@@ -172,17 +274,36 @@
         self.upstreams.remove(&upstream);
     }
 
+    /// Returns how many times longer than on average a route's responses take at an upstream; at least 1.
+    pub fn slowness(&self, upstream: UpstreamKey, route: RouteKey) -> f64 {
+        let state = self
+            .upstreams
+            .get(&upstream)
+            .and_then(|health| health.route(route));
+        match (state, self.latencies.get(&route)) {
+            (Some(state), Some(mean)) if state.results >= LEAST_RESULTS && mean.mean_ms > 0.0 => {
+                (state.latency_ms / mean.mean_ms).max(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
     /// Returns the condition of a route of an upstream.
     pub fn condition(&self, upstream: UpstreamKey, route: RouteKey) -> Condition {
         let Some(health) = self.upstreams.get(&upstream) else {
             return Condition::Healthy;
         };
-        if health.is_leaving {
-            return Condition::Leaving;
-        }
-        match health.routes.iter().find(|(key, _)| *key == route) {
-            Some((_, state)) if !matches!(state.gate, Gate::Open) => Condition::Failing,
-            _ => Condition::Healthy,
+        let is_closed = |gate: Option<&RouteHealth>| {
+            gate.is_some_and(|state| !matches!(state.gate, Gate::Open))
+        };
+        if health.is_leaving() {
+            Condition::Leaving
+        } else if is_closed(health.refused.as_ref()) || is_closed(health.route(route)) {
+            Condition::Failing
+        } else if self.slowness(upstream, route) >= SLOW_RATIO {
+            Condition::Slow
+        } else {
+            Condition::Healthy
         }
     }
 
@@ -199,6 +320,29 @@
     }
 }
 
+impl UpstreamHealth {
+    fn is_leaving(&self) -> bool {
+        self.is_listed_leaving || self.is_reported_leaving
+    }
+
+    fn route(&self, route: RouteKey) -> Option<&RouteHealth> {
+        let found = self.routes.iter().find(|(key, _)| *key == route);
+        found.map(|(_, state)| state)
+    }
+}
+
+impl RouteLatency {
+    fn add(&mut self, latency_ms: f64) {
+        self.results = self.results.saturating_add(1);
+        if self.results <= LEAST_RESULTS {
+            self.mean_ms += (latency_ms - self.mean_ms) / f64::from(self.results);
+        } else {
+            let bounded_ms = latency_ms.min(self.mean_ms * OUTLIER_RATIO);
+            self.mean_ms += (bounded_ms - self.mean_ms) * ROUTE_WEIGHT;
+        }
+    }
+}
+
 impl RouteHealth {
     fn permit(&self, now_ms: u64) -> Permit {
         match self.gate {
@@ -228,11 +372,9 @@
     fn success(&mut self, latency_ms: u64, now_ms: u64) {
         self.failures_in_row = 0;
         self.failure_rate_ppm -= self.failure_rate_ppm >> RATE_SHIFT;
-        self.latency_ms = if self.latency_ms == 0 {
-            latency_ms
-        } else {
-            (self.latency_ms * 15 + latency_ms) / 16
-        };
+        self.results = self.results.saturating_add(1);
+        let weight = (1.0 / f64::from(self.results)).max(UPSTREAM_WEIGHT);
+        self.latency_ms += (latency_ms as f64 - self.latency_ms) * weight;
         if now_ms >= self.last_failure_ms + CALM_MS {
             self.pause_ms = FIRST_PAUSE_MS;
         }
@@ -262,6 +404,13 @@
         }
     }
 
+    /// Allows another probe after one that told nothing.
+    fn forget_probe(&mut self) {
+        if let Gate::HalfOpen { probe_sent_ms, .. } = &mut self.gate {
+            *probe_sent_ms = None;
+        }
+    }
+
     fn close(&mut self, now_ms: u64) {
         self.last_failure_ms = now_ms;
         self.gate = Gate::Closed {
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,49 @@
+//! Tests of the quarantine of requests that crash upstreams.
+
+use monsoonfield::ids::Fingerprint;
+use monsoonfield::quarantine::{Quarantine, RETAINED_SINGLE, RETAINED_STOPPED};
+
+/// Guards against a request that takes one upstream after another down, and against stopping it for one upstream's fault.
+#[test]
+fn the_second_crash_stops_a_request() {
+    let mut quarantine = Quarantine::default();
+    let states: Vec<bool> = (0..3)
+        .map(|_| {
+            quarantine.add_crash(Fingerprint(7));
+            quarantine.is_quarantined(Fingerprint(7))
+        })
+        .collect();
+
+    assert_eq!(states, [false, true, true]);
+    assert!(!quarantine.is_quarantined(Fingerprint(8)));
+}
+
+/// Guards against memory that grows with crashes, and against a flood of other crashes that releases a stopped request.
+#[test]
+fn memory_is_bounded_and_single_crashes_release_nothing() {
+    let mut quarantine = Quarantine::default();
+    quarantine.add_crash(Fingerprint(7));
+    quarantine.add_crash(Fingerprint(7));
+
+    for number in 0..3 * RETAINED_SINGLE as u64 {
+        quarantine.add_crash(Fingerprint(1_000 + number));
+    }
+
+    assert!(quarantine.is_quarantined(Fingerprint(7)));
+    assert_eq!(quarantine.len(), RETAINED_SINGLE + 1);
+}
+
+/// Guards against a bound that processes reach at different offsets: equal records give equal states.
+#[test]
+fn the_oldest_stopped_request_is_forgotten_first() {
+    let mut quarantine = Quarantine::default();
+
+    for number in 0..=RETAINED_STOPPED as u64 {
+        quarantine.add_crash(Fingerprint(number));
+        quarantine.add_crash(Fingerprint(number));
+    }
+
+    assert!(!quarantine.is_quarantined(Fingerprint(0)));
+    assert!(quarantine.is_quarantined(Fingerprint(1)));
+    assert_eq!(quarantine.len(), RETAINED_STOPPED);
+}
