--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -72,8 +72,16 @@
         place.map_err(|refused| self.with_ran(refused))
     }
 
-    /// Reports a response whose first byte came in time.
-    pub(super) fn succeeded(&mut self, slot: &mut Slot, latency_ms: u64) {
+    /// Reports a response, with the time from dispatch to its first byte if that came in this place.
+    pub(super) fn succeeded(&mut self, slot: &mut Slot, first_latency_ms: Option<u64>) {
+        if !slot.is_held {
+            // The result was reported when the place was freed.
+            return;
+        }
+        let Some(latency_ms) = first_latency_ms else {
+            self.end(slot, Ended::Neutral);
+            return;
+        };
         self.count_evidence(evidence::Outcome::Success {
             latency_ms: latency_ms as f64,
         });
@@ -266,7 +274,7 @@
         match result {
             Ok(whole) if whole.status < 500 || !call.is_repeatable() => {
                 let latency_ms = shared.now_ms() - slot.dispatched_ms;
-                attempts.succeeded(slot, latency_ms);
+                attempts.succeeded(slot, Some(latency_ms));
                 let charge_tokens = charge(call, &whole);
                 return Ok((whole, charge_tokens));
             }
--- a/src/router/pools/update.rs
+++ b/src/router/pools/update.rs
@@ -205,9 +205,9 @@
             .collect()
     }
 
-    /// Marks an upstream as leaving or usable.
+    /// Takes what an engine says of itself.
     pub(in crate::router) fn set_leaving(&mut self, upstream: UpstreamKey, is_leaving: bool) {
-        self.health.set_leaving(upstream, is_leaving);
+        self.health.set_reported_leaving(upstream, is_leaving);
     }
 
     /// Takes a change of an engine's prefix cache.
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -72,6 +72,8 @@
     is_complete: bool,
     breaks: u32,
     charge_tokens: Option<u64>,
+    /// Time from dispatch to the first event.
+    first_latency_ms: Option<u64>,
     /// Events that are held back until the bill is safe.
     tail: Vec<Bytes>,
     last_received: Instant,
@@ -103,6 +105,7 @@
             is_complete: false,
             breaks: 0,
             charge_tokens: None,
+            first_latency_ms: None,
             tail: Vec::new(),
             last_received: Instant::now(),
             full_since: None,
@@ -340,6 +343,7 @@
     fn note_first_event(&mut self) {
         let now_ms = self.shared.now_ms();
         let call = self.call;
+        self.first_latency_ms = self.slot.as_ref().map(|slot| now_ms - slot.dispatched_ms);
         self.shared.metrics.record_first_token(
             call.priority,
             &call.customer_name,
@@ -391,10 +395,8 @@
         self.source = Source::Paused;
         self.was_paused = true;
         self.splitter = EventSplitter::default();
-        let now_ms = self.shared.now_ms();
         if let Some(slot) = &mut self.slot {
-            let latency_ms = now_ms - slot.dispatched_ms;
-            self.attempts.succeeded(slot, latency_ms);
+            self.attempts.succeeded(slot, self.first_latency_ms);
         }
     }
 
@@ -419,8 +421,7 @@
         let Some(mut slot) = self.slot.take() else {
             return;
         };
-        let latency_ms = self.shared.now_ms() - slot.dispatched_ms;
-        self.attempts.succeeded(&mut slot, latency_ms);
+        self.attempts.succeeded(&mut slot, self.first_latency_ms);
         if let Source::Open(mut exchange) = std::mem::replace(&mut self.source, Source::Closed) {
             if !exchange.is_ended() {
                 // Without the last chunk the connection is closed, which costs only a new one.
