Choose upstreams by expected time to first token

Random choice reads every prompt again on most workers. The choice now weighs the prompt that is not cached, the work ahead, the slowness and the distance of two random upstreams and of the likely cache holders. An entry of the prefix map is a likelihood: a dispatch creates it, an event confirms it, a gap halves it.

Queue takes the requests in flight from its caller, so that the caller's count of places stays the only one.

--- a/examples/admission_experiment.rs
+++ b/examples/admission_experiment.rs
@@ -85,6 +85,13 @@
     peers: Vec<u32>,
 }
 
+impl Router {
+    fn next(&mut self, now_ms: u64) -> Option<Departure> {
+        self.queue.set_in_flight(self.outstanding.iter().sum());
+        self.queue.next(now_ms)
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
     offered: u64,
@@ -215,6 +222,7 @@
         router.budget.fresh_request();
         match self.policy {
             Policy::Admission => {
+                router.queue.set_in_flight(router.outstanding.iter().sum());
                 if let Verdict::Refused { .. } = router.queue.offer(job.request, now_ms) {
                     self.count(number, |count| count.refused += 1);
                 }
@@ -239,7 +247,7 @@
                 return;
             };
             match self.policy {
-                Policy::Admission => match router.queue.next(now_ms) {
+                Policy::Admission => match router.next(now_ms) {
                     Some(Departure::Dispatch(request)) => {
                         self.dispatch(request.ticket as usize, upstream, now_ms);
                     }
@@ -303,6 +311,7 @@
         job.attempts += 1;
         let is_tried_again = match self.policy {
             Policy::Admission => {
+                router.queue.set_in_flight(router.outstanding.iter().sum());
                 router.budget.try_retry()
                     && router.queue.offer(job.request, now_ms) == Verdict::Queued
             }
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -13,7 +13,7 @@
 
 use fair::FairQueue;
 
-pub use capacity::{share_requests, CapacityShare, PeerLoad, SETTLE_MS};
+pub use capacity::{share_requests, CapacityShare, PeerLoad, ShareLimit, SETTLE_MS};
 pub use retry::RetryBudget;
 
 /// Shortest advice for a retry.
@@ -104,9 +104,11 @@
         self.slots = slots;
     }
 
-    /// Returns the number of requests that were dispatched and have not ended.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight
+    /// Sets the number of requests that this router has at the pool's upstreams now.
+    ///
+    /// With it the lower classes leave a place to the high one, and a full pool counts in the expected wait.
+    pub fn set_in_flight(&mut self, requests: u32) {
+        self.in_flight = requests;
     }
 
     /// Takes a request or refuses it.
@@ -126,13 +128,10 @@
         Verdict::Queued
     }
 
-    /// Returns the next request that leaves, or `None` if no slot is free or nothing waits.
-    ///
-    /// The caller asks again until it gets `None`, and reports the end of each dispatched request with
-    /// [`Self::finished`].
+    /// Returns the next request that leaves; the caller asks only while it has a free place, until it gets `None`.
     pub fn next(&mut self, now_ms: u64) -> Option<Departure> {
         for class in 0..self.classes.len() {
-            if self.in_flight >= self.usable_slots(class) {
+            if class > 0 && self.in_flight >= self.usable_slots(class) {
                 return None;
             }
             let is_in_time = |request: &Request| now_ms + request.service_ms <= request.deadline_ms;
@@ -140,7 +139,6 @@
                 continue;
             };
             if is_run {
-                self.in_flight += 1;
                 self.mean_expected_ms = average_ms(self.mean_expected_ms, request.service_ms);
                 return Some(Departure::Dispatch(request));
             }
@@ -156,13 +154,12 @@
 
     /// Notes that a dispatched request ended after `service_ms` at the upstream.
     pub fn finished(&mut self, service_ms: u64) {
-        self.in_flight = self.in_flight.saturating_sub(1);
         self.mean_service_ms = average_ms(self.mean_service_ms, service_ms);
     }
 
     /// Removes a request whose caller has gone; returns whether it waited.
-    pub fn cancel(&mut self, request: &Request) -> bool {
-        self.classes[request.priority as usize].remove(request.customer, request.ticket)
+    pub fn cancel(&mut self, ticket: u64) -> bool {
+        self.classes.iter_mut().any(|class| class.remove(ticket))
     }
 
     /// Returns the number of requests that wait.
--- a/src/admission/capacity.rs
+++ b/src/admission/capacity.rs
@@ -38,15 +38,36 @@
     capacity_requests / routers + u32::from(place < capacity_requests % routers)
 }
 
-/// Limit on the requests that this router may have outstanding at one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Part of an upstream's capacity, without regard to the upstream's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CapacityShare {
+    /// Requests that the upstream can run at the same time, for the whole fleet.
+    pub capacity_requests: u32,
+    /// Routers that share the upstream, this one included.
+    pub routers: u32,
+    /// Position of this router among them, in an order on which all agree.
+    pub rank: u32,
+}
+
+impl CapacityShare {
+    /// Returns the requests that this router may have outstanding whatever the others do.
+    ///
+    /// The remainder of the division goes to the lowest ranks at every upstream; [`share_requests`] spreads it.
+    pub fn guaranteed_requests(&self) -> u32 {
+        let routers = self.routers.max(1);
+        self.capacity_requests / routers + u32::from(self.rank < self.capacity_requests % routers)
+    }
+}
+
+/// Limit on the requests that this router may have outstanding at one upstream, which follows changes safely.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShareLimit {
     in_use: u32,
     pending: u32,
     pending_since_ms: u64,
 }
 
-impl CapacityShare {
+impl ShareLimit {
     /// Returns a share that counts at once.
     ///
     /// This is safe where no other router can still use the same slots: for an upstream that is new to the fleet, and
--- a/src/admission/fair.rs
+++ b/src/admission/fair.rs
@@ -27,6 +27,7 @@
 pub(super) struct FairQueue {
     customers: FastMap<CustomerKey, CustomerQueue>,
     order: BTreeSet<(u64, CustomerKey)>,
+    tickets: FastMap<u64, (CustomerKey, u64)>,
     virtual_time: u64,
     len: usize,
     service_ms: u64,
@@ -42,6 +43,8 @@
             self.order.insert((customer.start, request.customer));
         }
         let key = (request.deadline_ms, request.ticket);
+        self.tickets
+            .insert(request.ticket, (request.customer, request.deadline_ms));
         if customer.requests.insert(key, request).is_none() {
             customer.service_ms += request.service_ms;
             self.service_ms += request.service_ms;
@@ -55,6 +58,7 @@
         let customer = self.customers.get_mut(&key)?;
         let (_, request) = customer.requests.pop_first()?;
         customer.service_ms -= request.service_ms;
+        self.tickets.remove(&request.ticket);
         self.service_ms -= request.service_ms;
         self.len -= 1;
         let is_run = is_run(&request);
@@ -71,12 +75,14 @@
     }
 
     /// Removes a request whose caller has gone.
-    pub(super) fn remove(&mut self, customer: CustomerKey, ticket: u64) -> bool {
+    pub(super) fn remove(&mut self, ticket: u64) -> bool {
+        let Some((customer, deadline_ms)) = self.tickets.remove(&ticket) else {
+            return false;
+        };
         let Some(queue) = self.customers.get_mut(&customer) else {
             return false;
         };
-        let found = queue.requests.keys().find(|(_, number)| *number == ticket);
-        let Some(request) = found.copied().and_then(|key| queue.requests.remove(&key)) else {
+        let Some(request) = queue.requests.remove(&(deadline_ms, ticket)) else {
             return false;
         };
         queue.service_ms -= request.service_ms;
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -8,9 +8,18 @@
 use crate::collections::FastMap;
 use crate::ids::{RouteKey, UpstreamKey, VersionKey};
 
+mod prefix;
+
+use prefix::PrefixMap;
+
 /// Random candidates that are compared; two suffice against herding on stale figures.
 const RANDOM_CANDIDATES: usize = 2;
 
+/// Ratio of the rates at which an engine reads a prompt and generates a response.
+///
+/// A prompt is read in one pass over many tokens. The ratio decides only how far a cached prefix outweighs load.
+const PROMPT_SPEED: u64 = 16;
+
 /// Tokens of one block of the engines' prefix caches.
 pub const BLOCK_TOKENS: u32 = 64;
 
@@ -71,6 +80,8 @@
     own_tokens: u64,
     own_requests: u32,
     peer_tokens: u64,
+    peer_requests: u32,
+    slowness_percent: u64,
 }
 
 /// Upstreams with their load and cache contents, as one process knows them.
@@ -78,7 +89,7 @@
 pub struct Selector {
     upstreams: FastMap<UpstreamKey, UpstreamState>,
     pools: FastMap<(RouteKey, VersionKey), Vec<UpstreamKey>>,
-    holders: FastMap<u64, Vec<UpstreamKey>>,
+    prefixes: PrefixMap,
 }
 
 impl Selector {
@@ -100,6 +111,8 @@
                     own_tokens: 0,
                     own_requests: 0,
                     peer_tokens: 0,
+                    peer_requests: 0,
+                    slowness_percent: 100,
                 };
                 self.upstreams.insert(upstream, state);
                 self.pools.entry(pool_key).or_default().push(upstream);
@@ -131,36 +144,47 @@
         }
     }
 
-    /// Sets the tokens that all other routers together have outstanding, from their heartbeats.
+    /// Sets what all other routers together have outstanding, from their heartbeats.
+    pub fn set_peer_load(&mut self, upstream: UpstreamKey, requests: u32, tokens: u64) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.peer_requests = requests;
+            state.peer_tokens = tokens;
+        }
+    }
+
+    /// Sets the tokens that all other routers together have outstanding, where their requests are not known.
     pub fn set_peer_tokens(&mut self, upstream: UpstreamKey, tokens: u64) {
         if let Some(state) = self.upstreams.get_mut(&upstream) {
             state.peer_tokens = tokens;
         }
     }
 
+    /// Sets how many times longer than on average responses take, from [`crate::health::Health::slowness`].
+    pub fn set_slowness(&mut self, upstream: UpstreamKey, slowness: f64) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.slowness_percent = (slowness.max(1.0) * 100.0) as u64;
+        }
+    }
+
+    /// Notes that a request with these prefixes was sent, before any cache event says so.
+    pub fn expect_cached(&mut self, upstream: UpstreamKey, prefix_blocks: &[u64]) {
+        for &block in prefix_blocks {
+            self.prefixes.expect(upstream, block);
+        }
+    }
+
     /// Takes a change of an upstream's prefix cache.
     pub fn cache_change(&mut self, upstream: UpstreamKey, change: &CacheChange) {
         match change {
-            CacheChange::Stored(block) => {
-                let holders = self.holders.entry(*block).or_default();
-                if !holders.contains(&upstream) {
-                    holders.push(upstream);
-                }
-            }
-            CacheChange::Removed(block) => {
-                if let Some(holders) = self.holders.get_mut(block) {
-                    holders.retain(|&holder| holder != upstream);
-                }
-            }
-            CacheChange::Cleared => self.cache_gap(upstream),
+            CacheChange::Stored(block) => self.prefixes.store(upstream, *block),
+            CacheChange::Removed(block) => self.prefixes.remove(upstream, *block),
+            CacheChange::Cleared => self.prefixes.clear(upstream),
         }
     }
 
-    /// Forgets the cache contents of an upstream whose events have a gap.
+    /// Notes that events of an upstream were lost; what is known of its cache is less certain from now on.
     pub fn cache_gap(&mut self, upstream: UpstreamKey) {
-        for holders in self.holders.values_mut() {
-            holders.retain(|&holder| holder != upstream);
-        }
+        self.prefixes.gap(upstream);
     }
 
     /// Chooses the upstream with the least expected cost among two random candidates and the likely cache holders.
@@ -178,7 +202,7 @@
             return None;
         }
         let mut best: Option<(u64, UpstreamKey)> = None;
-        let mut consider = |upstream: UpstreamKey, cached_blocks: usize| {
+        let mut consider = |upstream: UpstreamKey, cached_blocks: f64| {
             if !is_usable(upstream) {
                 return;
             }
@@ -191,18 +215,16 @@
         for number in 0..RANDOM_CANDIDATES {
             let part = (random >> (32 * number)) as u32;
             let index = (u64::from(part) * pool.len() as u64) >> 32;
-            consider(pool[index as usize], 0);
+            consider(pool[index as usize], 0.0);
         }
-        if let Some((blocks, holders)) = self.longest_prefix(request) {
-            for &holder in holders {
-                consider(holder, blocks);
-            }
+        for holder in self.prefixes.likely_holders(request.prefix_blocks) {
+            consider(holder.upstream, holder.expected_blocks);
         }
         if best.is_none() {
             let start = (random % pool.len() as u64) as usize;
             for offset in 0..pool.len() {
                 let upstream = pool[(start + offset) % pool.len()];
-                if is_usable(upstream) && self.cost_us(upstream, request, 0).is_some() {
+                if is_usable(upstream) && self.cost_us(upstream, request, 0.0).is_some() {
                     return Some(upstream);
                 }
             }
@@ -210,22 +232,12 @@
         best.map(|(_, upstream)| upstream)
     }
 
-    fn longest_prefix(&self, request: &Request<'_>) -> Option<(usize, &Vec<UpstreamKey>)> {
-        let position = request.prefix_blocks.iter().rposition(|block| {
-            self.holders
-                .get(block)
-                .is_some_and(|holders| !holders.is_empty())
-        })?;
-        self.holders
-            .get(&request.prefix_blocks[position])
-            .map(|holders| (position + 1, holders))
-    }
-
+    /// Returns the time until the first token that is expected, or `None` if the upstream is not for this request.
     fn cost_us(
         &self,
         upstream: UpstreamKey,
         request: &Request<'_>,
-        cached_blocks: usize,
+        cached_blocks: f64,
     ) -> Option<u64> {
         let state = self.upstreams.get(&upstream)?;
         let description = &state.description;
@@ -233,13 +245,27 @@
         if !is_pool || description.role == Role::Reserved {
             return None;
         }
-        let cached_tokens = u64::from(BLOCK_TOKENS) * cached_blocks as u64;
+        let cached_tokens = (f64::from(BLOCK_TOKENS) * cached_blocks) as u64;
         let prompt_tokens = u64::from(request.prompt_tokens).saturating_sub(cached_tokens);
-        let tokens = state.own_tokens + state.peer_tokens + prompt_tokens;
-        let work_us = (tokens * 1_000_000)
-            .checked_div(description.tokens_per_second)
-            .unwrap_or(u64::from(state.own_requests) * 1_000);
-        Some(work_us + u64::from(description.distance_us))
+        let requests = u64::from(state.own_requests + state.peer_requests);
+        let capacity = u64::from(description.capacity_requests.max(1));
+        let work_us = if description.tokens_per_second == 0 {
+            // A plain service generates no tokens; only its requests in flight can be compared.
+            requests * 1_000_000 / capacity
+        } else {
+            let rate = description.tokens_per_second;
+            let prompt_us = prompt_tokens * 1_000_000 / (rate * PROMPT_SPEED);
+            let drain_us = (state.own_tokens + state.peer_tokens) * 1_000_000 / rate;
+            // While slots are free, a request waits only for the prompts before it; a full upstream must drain first.
+            let is_full = requests >= capacity;
+            prompt_us
+                + if is_full {
+                    drain_us
+                } else {
+                    drain_us / PROMPT_SPEED
+                }
+        };
+        Some(work_us * state.slowness_percent / 100 + u64::from(description.distance_us))
     }
 
     fn leave_pool(&mut self, upstream: UpstreamKey, key: (RouteKey, VersionKey)) {
--- /dev/null
+++ b/src/selection/prefix.rs
@@ -0,0 +1,161 @@
+//! What is known of the engines' prefix caches.
+//!
+//! Cache events arrive late and with gaps, so an entry is a likelihood. A dispatch creates an expected entry at once, an
+//! event confirms it, and a gap halves the trust in all earlier entries of the upstream without a walk over them.
+
+use std::collections::VecDeque;
+
+use crate::collections::FastMap;
+use crate::ids::UpstreamKey;
+
+/// Blocks that are remembered; the oldest are forgotten.
+///
+/// The number just fills a hash table of 2^19 places; `selection_experiment` prints the memory.
+const RETAINED_BLOCKS: usize = 450_000;
+
+/// Upstreams that are remembered for each block; more do not improve the choice.
+const HOLDERS: usize = 4;
+
+/// Candidates that are returned for one request.
+const LIKELY_HOLDERS: usize = 4;
+
+/// Likelihood of an entry that an event confirmed.
+const CONFIRMED: f64 = 0.95;
+
+/// Likelihood of an entry that only a dispatch suggests.
+const EXPECTED: f64 = 0.8;
+
+/// Factor on the likelihood of an entry for each gap in the upstream's events since.
+const GAP_FACTOR: f64 = 0.5;
+
+/// Gaps after which an entry is ignored.
+const GAPS_TO_IGNORE: u32 = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    upstream: UpstreamKey,
+    gaps: u32,
+    is_confirmed: bool,
+}
+
+/// An upstream that probably holds a prefix.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Holder {
+    pub(super) upstream: UpstreamKey,
+    pub(super) expected_blocks: f64,
+}
+
+/// Likely contents of all prefix caches.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PrefixMap {
+    blocks: FastMap<u64, [Option<Entry>; HOLDERS]>,
+    order: VecDeque<u64>,
+    gaps: FastMap<UpstreamKey, u32>,
+}
+
+impl PrefixMap {
+    pub(super) fn store(&mut self, upstream: UpstreamKey, block: u64) {
+        self.put(upstream, block, true);
+    }
+
+    pub(super) fn expect(&mut self, upstream: UpstreamKey, block: u64) {
+        self.put(upstream, block, false);
+    }
+
+    pub(super) fn remove(&mut self, upstream: UpstreamKey, block: u64) {
+        if let Some(entries) = self.blocks.get_mut(&block) {
+            for slot in entries {
+                if slot.is_some_and(|entry| entry.upstream == upstream) {
+                    *slot = None;
+                }
+            }
+        }
+    }
+
+    pub(super) fn gap(&mut self, upstream: UpstreamKey) {
+        *self.gaps.entry(upstream).or_insert(0) += 1;
+    }
+
+    pub(super) fn clear(&mut self, upstream: UpstreamKey) {
+        *self.gaps.entry(upstream).or_insert(0) += GAPS_TO_IGNORE;
+    }
+
+    /// Returns the likely holders of the longest prefixes.
+    pub(super) fn likely_holders(&self, prefix_blocks: &[u64]) -> Vec<Holder> {
+        let mut holders: Vec<Holder> = Vec::with_capacity(LIKELY_HOLDERS);
+        for (index, block) in prefix_blocks.iter().enumerate().rev() {
+            let Some(entries) = self.blocks.get(block) else {
+                continue;
+            };
+            for entry in entries.iter().flatten() {
+                let likelihood = self.likelihood(entry);
+                let is_known = holders
+                    .iter()
+                    .any(|holder| holder.upstream == entry.upstream);
+                if is_known || likelihood == 0.0 {
+                    continue;
+                }
+                holders.push(Holder {
+                    upstream: entry.upstream,
+                    expected_blocks: (index + 1) as f64 * likelihood,
+                });
+                if holders.len() == LIKELY_HOLDERS {
+                    return holders;
+                }
+            }
+        }
+        holders
+    }
+
+    fn likelihood(&self, entry: &Entry) -> f64 {
+        let gaps = self.gaps.get(&entry.upstream).copied().unwrap_or(0) - entry.gaps;
+        if gaps >= GAPS_TO_IGNORE {
+            return 0.0;
+        }
+        let fresh = if entry.is_confirmed {
+            CONFIRMED
+        } else {
+            EXPECTED
+        };
+        fresh * GAP_FACTOR.powi(gaps as i32)
+    }
+
+    fn put(&mut self, upstream: UpstreamKey, block: u64, is_confirmed: bool) {
+        let gaps = self.gaps.get(&upstream).copied().unwrap_or(0);
+        let entry = Entry {
+            upstream,
+            gaps,
+            is_confirmed,
+        };
+        let entries = match self.blocks.get_mut(&block) {
+            Some(entries) => entries,
+            None => {
+                if self.order.len() == RETAINED_BLOCKS {
+                    if let Some(oldest) = self.order.pop_front() {
+                        self.blocks.remove(&oldest);
+                    }
+                }
+                self.order.push_back(block);
+                self.blocks.entry(block).or_insert([None; HOLDERS])
+            }
+        };
+        let same = entries
+            .iter()
+            .position(|slot| slot.is_some_and(|known| known.upstream == upstream));
+        match same {
+            Some(index) => {
+                let was_confirmed =
+                    entries[index].is_some_and(|known| known.gaps == gaps && known.is_confirmed);
+                entries[index] = Some(Entry {
+                    is_confirmed: is_confirmed || was_confirmed,
+                    ..entry
+                });
+            }
+            None => {
+                // The newest entry is first; the oldest one is dropped.
+                entries.rotate_right(1);
+                entries[0] = Some(entry);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/selection.rs
@@ -0,0 +1,135 @@
+//! Tests of the choice of an upstream.
+
+use monsoonfield::ids::{RouteKey, UpstreamKey, VersionKey};
+use monsoonfield::selection::{CacheChange, Description, Request, Role, Selector, BLOCK_TOKENS};
+use rand::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const ROUTE: RouteKey = RouteKey(1);
+const VERSION: VersionKey = VersionKey(1);
+const BLOCKS: [u64; 30] = [7; 30];
+
+fn description() -> Description {
+    Description {
+        route: ROUTE,
+        version: VERSION,
+        role: Role::General,
+        distance_us: 200,
+        capacity_requests: 16,
+        tokens_per_second: 500,
+    }
+}
+
+fn selector(upstreams: u32) -> Selector {
+    let mut selector = Selector::default();
+    for upstream in 0..upstreams {
+        selector.set(UpstreamKey(upstream), description());
+    }
+    selector
+}
+
+fn request(prefix_blocks: &[u64]) -> Request<'_> {
+    Request {
+        route: ROUTE,
+        version: VERSION,
+        prefix_blocks,
+        prompt_tokens: 30 * BLOCK_TOKENS,
+    }
+}
+
+/// Returns how often each upstream is chosen in 1,000 choices without any change in between.
+fn shares(selector: &Selector, upstreams: u32, prefix_blocks: &[u64]) -> Vec<u32> {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut counts = vec![0; upstreams as usize];
+    for _ in 0..1_000 {
+        let choice = selector.choose(&request(prefix_blocks), rng.next_u64(), |_| true);
+        counts[choice.expect("an upstream is usable").0 as usize] += 1;
+    }
+    counts
+}
+
+/// Guards against all routers sending to the same upstream while figures are old.
+#[test]
+fn equal_upstreams_share_the_requests() {
+    let counts = shares(&selector(10), 10, &[]);
+
+    assert!(counts.iter().all(|&count| count < 200), "{counts:?}");
+}
+
+/// Guards against requests to a loaded, distant or slow upstream while a better one is compared with it.
+#[test]
+fn the_cheaper_of_two_is_chosen() {
+    let cases: [fn(&mut Selector); 4] = [
+        |selector| selector.dispatched(UpstreamKey(0), 5_000),
+        |selector| selector.set_peer_load(UpstreamKey(0), 16, 4_000),
+        |selector| selector.set_slowness(UpstreamKey(0), 3.0),
+        |selector| {
+            let far = Description {
+                distance_us: 2_000,
+                ..description()
+            };
+            selector.set(UpstreamKey(0), far);
+        },
+    ];
+
+    for (number, make_worse) in cases.into_iter().enumerate() {
+        let mut selector = selector(2);
+        make_worse(&mut selector);
+        let counts = shares(&selector, 2, &[]);
+        // Both random candidates are the worse upstream in a quarter of the choices.
+        assert!((200..300).contains(&counts[0]), "case {number}: {counts:?}");
+    }
+}
+
+/// Guards against a prompt that is read again although an upstream has it, and against trust in old events.
+#[test]
+fn a_cached_prefix_attracts_until_events_are_lost_or_load_outweighs_it() {
+    let stored = CacheChange::Stored(BLOCKS[0]);
+    type Edit = fn(&mut Selector);
+    let cases: [(Edit, bool); 5] = [
+        (|_| (), true),
+        (|selector| selector.cache_gap(UpstreamKey(3)), true),
+        (
+            |selector| (0..3).for_each(|_| selector.cache_gap(UpstreamKey(3))),
+            false,
+        ),
+        (
+            |selector| selector.cache_change(UpstreamKey(3), &CacheChange::Cleared),
+            false,
+        ),
+        (
+            |selector| (0..16).for_each(|_| selector.dispatched(UpstreamKey(3), 500)),
+            false,
+        ),
+    ];
+
+    for (number, (change, is_attractive)) in cases.into_iter().enumerate() {
+        let mut selector = selector(10);
+        selector.cache_change(UpstreamKey(3), &stored);
+        change(&mut selector);
+        let counts = shares(&selector, 10, &BLOCKS);
+        assert_eq!(counts[3] > 900, is_attractive, "case {number}: {counts:?}");
+    }
+}
+
+/// Guards against a refusal while one upstream is left, and against a choice that may not be used.
+#[test]
+fn only_usable_upstreams_of_the_pool_are_chosen() {
+    let mut selector = selector(50);
+    let other_version = Description {
+        version: VersionKey(2),
+        ..description()
+    };
+    selector.set(UpstreamKey(50), other_version);
+    let reserved = Description {
+        role: Role::Reserved,
+        ..description()
+    };
+    selector.set(UpstreamKey(51), reserved);
+
+    for random in 0..100 {
+        let last = selector.choose(&request(&[]), random, |upstream| upstream.0 >= 49);
+        let none = selector.choose(&request(&[]), random, |upstream| upstream.0 >= 50);
+        assert_eq!((last, none), (Some(UpstreamKey(49)), None));
+    }
+}
