--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -188,7 +188,7 @@
     /// Returns whether something accepts connections at an address; a process that crashed does not.
     ///
     /// The kernel may close the connections of a process that exits before its listening socket. A connect in between
-    /// succeeds and is reset at once, so a connection that ends within [`EXIT_WAIT`] is followed by a second connect.
+    /// succeeds and is reset at once, so a connection that ends within `EXIT_WAIT` is followed by a second connect.
     pub async fn is_listening(&self, address: &str) -> bool {
         let Ok(target) = address.parse() else {
             return false;
