--- /dev/null
+++ b/src/settings/rules.rs
@@ -0,0 +1,252 @@
+//! Shape of the settings and the relations between their fields.
+
+use serde_json::Value;
+
+use super::{Limits, Settings, Timing};
+use crate::validation::{field, Document, Field, Findings, Kind, Shape};
+
+/// Longest timeout, in milliseconds: one hour.
+const TIMEOUT_MS_MAX: u64 = 3_600_000;
+
+/// Longest time until an ended incarnation is finalised, in milliseconds: one week.
+const FINALIZE_MS_MAX: u64 = 7 * 24 * 3_600_000;
+
+/// Largest body of a request, in bytes; a router holds a body in memory until it is dispatched.
+const BODY_BYTES_MAX: u64 = 64 << 20;
+
+/// Smallest and largest request head, in bytes.
+const HEAD_BYTES: (u64, u64) = (1 << 10, 1 << 20);
+
+/// Smallest and largest memory for responses, in bytes; less than the minimum does not hold one event of each class.
+const READER_BUFFER_BYTES: (u64, u64) = (64 << 10, 16 << 30);
+
+const SETTINGS: Shape = Shape(&[
+    field("vm", Kind::Name),
+    field("data_centre", Kind::Name),
+    field("listen", Kind::Object(&LISTEN)),
+    field("platform", Kind::Object(&PLATFORM)),
+    field("limits", Kind::Object(&LIMITS)).optional(),
+    field("timing", Kind::Object(&TIMING)).optional(),
+]);
+
+const LISTEN: Shape = Shape(&[
+    field("callers", Kind::ListenAddress),
+    field("admin", Kind::ListenAddress),
+    field("peers", Kind::ListenAddress),
+]);
+
+const PLATFORM: Shape = Shape(&[
+    field("log", Kind::Address),
+    field("vm_list", Kind::Address),
+    field("weight_store", Kind::Address),
+]);
+
+const LIMITS: Shape = Shape(&[
+    bytes("body_bytes", 1, BODY_BYTES_MAX),
+    bytes("head_bytes", HEAD_BYTES.0, HEAD_BYTES.1),
+    field(
+        "connections",
+        Kind::Integer {
+            min: 1,
+            max: 1_000_000,
+            unit: "connections",
+        },
+    )
+    .optional(),
+    timeout("request_read_timeout_ms"),
+    timeout("reader_idle_timeout_ms"),
+    bytes(
+        "reader_buffer_bytes",
+        READER_BUFFER_BYTES.0,
+        READER_BUFFER_BYTES.1,
+    ),
+    timeout("shutdown_timeout_ms"),
+]);
+
+const TIMING: Shape = Shape(&[
+    timeout("flush_interval_ms"),
+    timeout("empty_batch_interval_ms"),
+    timeout("append_timeout_ms"),
+    timeout("poll_wait_ms"),
+    timeout("poll_interval_ms"),
+    timeout("heartbeat_interval_ms"),
+    timeout("heartbeat_timeout_ms"),
+    timeout("close_after_ms"),
+    field(
+        "finalize_after_ms",
+        Kind::Integer {
+            min: 1,
+            max: FINALIZE_MS_MAX,
+            unit: "milliseconds",
+        },
+    )
+    .optional(),
+    timeout("vm_list_interval_ms"),
+    timeout("reconnect_limit_ms"),
+    field(
+        "snapshot_interval_records",
+        Kind::Integer {
+            min: 1,
+            max: 1_000_000,
+            unit: "records",
+        },
+    )
+    .optional(),
+]);
+
+const fn bytes(name: &'static str, min: u64, max: u64) -> Field {
+    let kind = Kind::Integer {
+        min,
+        max,
+        unit: "bytes",
+    };
+    field(name, kind).optional()
+}
+
+const fn timeout(name: &'static str) -> Field {
+    let kind = Kind::Integer {
+        min: 1,
+        max: TIMEOUT_MS_MAX,
+        unit: "milliseconds",
+    };
+    field(name, kind).optional()
+}
+
+impl Document for Settings {
+    const SHAPE: &'static Shape = &SETTINGS;
+
+    fn relate(value: &Value, findings: &mut Findings) {
+        relate_listen(value, findings);
+        relate_shutdown(value, findings);
+        relate_timing(value, findings);
+    }
+}
+
+/// Rejects two listeners on one port, of which only the first could be opened.
+fn relate_listen(value: &Value, findings: &mut Findings) {
+    let Some(listen) = value.get("listen") else {
+        return;
+    };
+    let mut seen: Vec<(&str, std::net::SocketAddr)> = Vec::new();
+    for name in ["callers", "admin", "peers"] {
+        let Some(entry) = listen.get(name) else {
+            continue;
+        };
+        let Some(address) = entry.as_str().and_then(|text| text.parse().ok()) else {
+            continue;
+        };
+        let clash = seen.iter().find(|(_, other)| clashes(&address, other));
+        match clash {
+            Some((other, _)) => findings.add(
+                format!("listen.{name}"),
+                entry,
+                format!("a port other than that of listen.{other}"),
+            ),
+            None => seen.push((name, address)),
+        }
+    }
+}
+
+/// Returns whether two listeners would share a port; an unspecified address covers all others.
+fn clashes(one: &std::net::SocketAddr, other: &std::net::SocketAddr) -> bool {
+    one.port() != 0
+        && one.port() == other.port()
+        && (one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified())
+}
+
+/// Rejects a planned stop that is shorter than the time for which a live connection may be silent.
+///
+/// Such a stop would cut off requests that are within their limits.
+fn relate_shutdown(value: &Value, findings: &mut Findings) {
+    let Some(limits) = value.get("limits") else {
+        return;
+    };
+    let limits = Section::new("limits", limits, serde_json::to_value(Limits::default()));
+    let reason = "so that a planned stop cuts no request off";
+    for shorter in ["request_read_timeout_ms", "reader_idle_timeout_ms"] {
+        if limits.relate("shutdown_timeout_ms", shorter, reason, findings) {
+            return;
+        }
+    }
+}
+
+/// Rejects intervals with which a healthy process would look dead, or an incarnation would end too early.
+fn relate_timing(value: &Value, findings: &mut Findings) {
+    let Some(timing) = value.get("timing") else {
+        return;
+    };
+    let timing = Section::new("timing", timing, serde_json::to_value(Timing::default()));
+    for (longer, shorter, reason) in [
+        (
+            "heartbeat_timeout_ms",
+            "heartbeat_interval_ms",
+            "so that a live peer is not taken for dead",
+        ),
+        (
+            "close_after_ms",
+            "heartbeat_timeout_ms",
+            "so that a live peer is not closed",
+        ),
+        (
+            "close_after_ms",
+            "empty_batch_interval_ms",
+            "so that a live peer is not closed",
+        ),
+        (
+            "finalize_after_ms",
+            "close_after_ms",
+            "so that bills of an ended process can still arrive",
+        ),
+    ] {
+        timing.relate(longer, shorter, reason, findings);
+    }
+}
+
+/// One object of the settings, whose missing fields have their defaults.
+struct Section<'a> {
+    name: &'static str,
+    given: &'a Value,
+    defaults: Value,
+}
+
+impl<'a> Section<'a> {
+    fn new(name: &'static str, given: &'a Value, defaults: serde_json::Result<Value>) -> Self {
+        Self {
+            name,
+            given,
+            defaults: defaults.unwrap_or_default(),
+        }
+    }
+
+    fn get(&self, field: &str) -> Option<u64> {
+        let value = self.given.get(field).or_else(|| self.defaults.get(field));
+        value?.as_u64()
+    }
+
+    /// Adds a problem if one field is less than another, and returns whether it did.
+    ///
+    /// The problem names the field that the file gives, because an operator did not write the default of the other.
+    fn relate(&self, longer: &str, shorter: &str, reason: &str, findings: &mut Findings) -> bool {
+        let (Some(long), Some(short)) = (self.get(longer), self.get(shorter)) else {
+            return false;
+        };
+        if long >= short {
+            return false;
+        }
+        let (field, value, allowed) = if self.given.get(longer).is_some() {
+            (
+                longer,
+                long,
+                format!("at least {shorter}, {short}, {reason}"),
+            )
+        } else {
+            (
+                shorter,
+                short,
+                format!("at most {longer}, {long}, {reason}"),
+            )
+        };
+        findings.add(format!("{}.{field}", self.name), &value.into(), allowed);
+        true
+    }
+}
