--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -15,7 +15,7 @@
 
 use super::call::{Call, Kind, Refused};
 use super::Shared;
-use crate::admission::{CapacityShare, Departure, Queue, Request, RetryBudget, Verdict};
+use crate::admission::{Departure, Queue, Request, RetryBudget, ShareLimit, Verdict};
 use crate::collections::FastMap;
 use crate::contract::Configuration;
 use crate::evidence::Arm;
@@ -47,7 +47,7 @@
     pool: PoolKey,
     version: CompactString,
     capacity_requests: u32,
-    share: Option<CapacityShare>,
+    share: Option<ShareLimit>,
     limit_requests: u32,
     own_requests: u32,
     own_tokens: u64,
--- a/src/router/pools/update.rs
+++ b/src/router/pools/update.rs
@@ -1,6 +1,6 @@
 //! Changes of the pools from the configuration, peers and upstreams' reports.
 
-use crate::admission::{share_requests, CapacityShare, PeerLoad};
+use crate::admission::{share_requests, PeerLoad, ShareLimit};
 use crate::collections::{FastMap, FastSet};
 use crate::contract::{Configuration, Upstream as Configured};
 use crate::ids::{IncarnationId, UpstreamKey};
@@ -240,7 +240,7 @@
     fn set_share(&mut self, share_requests: u32, peers: &[PeerLoad], now_ms: u64) {
         let share = self
             .share
-            .get_or_insert_with(|| CapacityShare::settled(share_requests));
+            .get_or_insert_with(|| ShareLimit::settled(share_requests));
         share.set(share_requests, now_ms);
         self.limit_requests = share.limit(peers, now_ms);
     }
