--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -1,5 +1,7 @@
 //! Attempts at upstreams, and whole responses.
 
+use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -268,7 +270,10 @@
     let (shared, call) = (attempts.shared, attempts.call);
     loop {
         let limit = time_limit(call, shared.now_ms());
-        let Ok(result) = monoio::time::timeout(limit, send_once(shared, call, slot)).await else {
+        let Ok(result) =
+            monoio::time::timeout(limit, watched(shared, slot, send_once(shared, call, slot)))
+                .await
+        else {
             return Err(timed_out(attempts, slot).await);
         };
         match result {
@@ -314,6 +319,20 @@
     })
 }
 
+/// Waits for an answer, and reports a silence that is long for the route while the request still runs.
+///
+/// Requests that come later go to other upstreams then; this one still gets its answer.
+pub(super) async fn watched<T>(shared: &Shared, slot: &Slot, answer: impl Future<Output = T>) -> T {
+    let mut answer = pin!(answer);
+    let limit = shared.pools.borrow().overdue_limit(slot);
+    if let Ok(answer) = monoio::time::timeout(limit, answer.as_mut()).await {
+        return answer;
+    }
+    let now_ms = shared.now_ms();
+    shared.pools.borrow_mut().note_overdue(slot, now_ms);
+    answer.await
+}
+
 async fn send_once(shared: &Shared, call: &Call, slot: &Slot) -> Result<Whole, Error> {
     let mut exchange = send(shared, call, slot).await?;
     let body = exchange.read_all(MAX_WHOLE_BYTES).await?;
--- a/src/router/pools/slot.rs
+++ b/src/router/pools/slot.rs
@@ -1,5 +1,7 @@
 //! A place at an upstream that one request holds.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 
 use super::{PoolKey, Pools};
@@ -66,6 +68,16 @@
         self.pump(slot.pool, now_ms);
     }
 
+    /// Returns the time without an answer that is long for the route of a place.
+    pub(in crate::router) fn overdue_limit(&self, slot: &Slot) -> Duration {
+        Duration::from_millis(self.health.overdue_ms(slot.route))
+    }
+
+    /// Reports that the request in a place has had no answer for that time.
+    pub(in crate::router) fn note_overdue(&mut self, slot: &Slot, now_ms: u64) {
+        self.health.overdue(slot.upstream, slot.route, now_ms);
+    }
+
     /// Frees the place without any report.
     pub(super) fn give_back(&mut self, slot: &Slot, now_ms: u64) {
         self.leave_queue(slot.pool, slot.dispatched_ms, now_ms);
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -196,11 +196,9 @@
         loop {
             self.is_resumable = false;
             let mut slot = self.attempts.next_place().await?;
-            let sent = timeout(
-                self.open_limit(),
-                attempt::send(self.shared, self.call, &slot),
-            )
-            .await;
+            let answer = attempt::send(self.shared, self.call, &slot);
+            let answer = attempt::watched(self.shared, &slot, answer);
+            let sent = timeout(self.open_limit(), answer).await;
             match sent {
                 Ok(Ok(exchange)) if exchange.status() == 200 => {
                     self.is_resumable = true;
