--- a/src/fleet/restore.rs
+++ b/src/fleet/restore.rs
@@ -18,6 +18,9 @@
 /// Pause between two requests for a snapshot; a large one takes some time to arrive.
 const REQUEST_INTERVAL_MS: u64 = 1_000;
 
+/// Time that a peer may take to make room for a chunk.
+const CHUNK_LIMIT_MS: u64 = 2_000;
+
 /// Time without a folded record after which a peer that is ahead is asked for records.
 const STALLED_MS: u64 = 300;
 
@@ -115,7 +118,8 @@
     let wants = if is_ahead {
         is_stalled || !inner.is_read_ok.get()
     } else {
-        peer_offset == from_offset && !inner.is_read_ok.get() && is_source(inner, peer)
+        // What is known of the peer's offset may be old, so it is asked in any case.
+        !inner.is_read_ok.get() && is_source(inner, peer)
     };
     if wants {
         inner.send(
@@ -125,6 +129,13 @@
     }
 }
 
+/// Asks peers for records as soon as the log can't be read, without waiting for their next heartbeats.
+pub(super) fn follow_peers(inner: &Inner) {
+    for peer in inner.live_peers() {
+        follow_peer(inner, peer.incarnation, peer.next_offset);
+    }
+}
+
 /// Returns whether the peer is the one that sends news; with several, each record would arrive several times.
 fn is_source(inner: &Inner, peer: IncarnationId) -> bool {
     let best = inner
@@ -167,7 +178,8 @@
 /// Folds relayed records that continue the own state.
 pub(super) fn take_records(inner: &Inner, from: IncarnationId, records: &Records) {
     let next_offset = inner.state.borrow().next_offset;
-    if !inner.has_state.get() || records.first_offset > next_offset {
+    // Records that arrive while a snapshot is serialised are asked for again after the next heartbeat.
+    if !inner.has_state.get() || inner.is_frozen.get() || records.first_offset > next_offset {
         return;
     }
     if records.payloads.is_empty() {
@@ -187,14 +199,27 @@
 }
 
 /// Answers a request for a snapshot.
-pub(super) fn send_snapshot(inner: &Inner, to: IncarnationId) {
-    if !inner.has_state.get() {
+///
+/// Requests for a snapshot that is already on its way are dropped: it may take longer than the requester waits.
+pub(super) fn send_snapshot(inner: &Rc<Inner>, to: IncarnationId) {
+    if !inner.has_state.get() || !inner.serving_snapshots.borrow_mut().insert(to) {
         return;
     }
-    let state = inner.state.borrow();
-    for chunk in snapshot::chunks(&state) {
-        inner.send(to, PeerMessage::SnapshotChunk(chunk));
-    }
+    let task_inner = inner.clone();
+    super::builder::spawn(inner, async move {
+        let (next_offset, bytes) = task_inner.encode_state().await;
+        'chunks: for chunk in snapshot::split(next_offset, &bytes) {
+            let started_ms = task_inner.now_ms();
+            // A full queue drains as fast as the peer reads.
+            while !task_inner.send(to, PeerMessage::SnapshotChunk(chunk.clone())) {
+                if task_inner.now_ms() > started_ms + CHUNK_LIMIT_MS {
+                    break 'chunks;
+                }
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        task_inner.serving_snapshots.borrow_mut().remove(&to);
+    });
 }
 
 /// Takes a part of a snapshot from a peer and restores the state when it is complete.
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -72,8 +72,16 @@
         place.map_err(|refused| self.with_ran(refused))
     }
 
-    /// Reports a response whose first byte came in time.
-    pub(super) fn succeeded(&mut self, slot: &mut Slot, latency_ms: u64) {
+    /// Reports a response, with the time from dispatch to its first byte if that came in this place.
+    pub(super) fn succeeded(&mut self, slot: &mut Slot, first_latency_ms: Option<u64>) {
+        if !slot.is_held {
+            // The result was reported when the place was freed.
+            return;
+        }
+        let Some(latency_ms) = first_latency_ms else {
+            self.end(slot, Ended::Neutral);
+            return;
+        };
         self.count_evidence(evidence::Outcome::Success {
             latency_ms: latency_ms as f64,
         });
@@ -106,7 +114,10 @@
     }
 
     /// Reports an upstream that answered with a server error.
-    pub(super) fn note_error_status(&mut self, slot: &mut Slot) {
+    pub(super) fn note_error_status(&mut self, slot: &mut Slot, reason: &str) {
+        log::info!(
+            step = "dispatch", peer = slot.name.as_str(), request_key:% = self.call.key; "{reason}"
+        );
         self.excluded.push(slot.upstream);
         self.may_have_run = true;
         self.count_evidence(evidence::Outcome::Failure);
@@ -263,11 +274,11 @@
         match result {
             Ok(whole) if whole.status < 500 || !call.is_repeatable() => {
                 let latency_ms = shared.now_ms() - slot.dispatched_ms;
-                attempts.succeeded(slot, latency_ms);
+                attempts.succeeded(slot, Some(latency_ms));
                 let charge_tokens = charge(call, &whole);
                 return Ok((whole, charge_tokens));
             }
-            Ok(_) => attempts.note_error_status(slot),
+            Ok(_) => attempts.note_error_status(slot, "server error"),
             Err(error) => {
                 attempts.note_failure(slot, &error).await?;
                 if attempts.may_have_run && !call.is_repeatable() {
@@ -281,7 +292,7 @@
 }
 
 async fn timed_out(attempts: &mut Attempts<'_>, slot: &mut Slot) -> Refused {
-    attempts.note_error_status(slot);
+    attempts.note_error_status(slot, "no response in time");
     if matches!(attempts.call.kind, Kind::Chat { .. }) {
         attempts
             .shared
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -72,6 +72,8 @@
     is_complete: bool,
     breaks: u32,
     charge_tokens: Option<u64>,
+    /// Time from dispatch to the first event.
+    first_latency_ms: Option<u64>,
     /// Events that are held back until the bill is safe.
     tail: Vec<Bytes>,
     last_received: Instant,
@@ -103,6 +105,7 @@
             is_complete: false,
             breaks: 0,
             charge_tokens: None,
+            first_latency_ms: None,
             tail: Vec::new(),
             last_received: Instant::now(),
             full_since: None,
@@ -143,7 +146,7 @@
     pub(super) async fn into_completed(mut self) -> Reader {
         let tail = std::mem::take(&mut self.tail);
         self.reader.push_chunk(&tail);
-        self.reader.push(b"0\r\n\r\n");
+        self.reader.push(Bytes::from_static(b"0\r\n\r\n"));
         self.reader.write_now();
         self.reuse_connection().await;
         self.reader
@@ -211,10 +214,11 @@
                     self.attempts.abandon(&mut slot);
                     return Err(rejected(exchange.status()));
                 }
-                Ok(Ok(_)) => self.attempts.note_error_status(&mut slot),
+                Ok(Ok(_)) => self.attempts.note_error_status(&mut slot, "server error"),
                 Ok(Err(error)) => self.attempts.note_failure(&mut slot, &error).await?,
                 Err(_) => {
-                    self.attempts.note_error_status(&mut slot);
+                    self.attempts
+                        .note_error_status(&mut slot, "no response in time");
                     self.check_deadline()?;
                 }
             }
@@ -236,13 +240,17 @@
                 self.source = Source::Open(exchange);
                 return Ok(true);
             }
-            Ok(Ok(_)) => self.attempts.note_error_status(slot),
+            Ok(Ok(_)) => self
+                .attempts
+                .note_error_status(slot, "the stream is not kept"),
             Ok(Err(error)) => {
                 // A refused connection here means that the engine went away with the stream.
                 let error = Error::Broken("resuming", slot.address.to_string(), error.to_string());
                 self.attempts.note_failure(slot, &error).await?;
             }
-            Err(_) => self.attempts.note_error_status(slot),
+            Err(_) => self
+                .attempts
+                .note_error_status(slot, "no answer to resuming in time"),
         }
         Ok(false)
     }
@@ -326,7 +334,7 @@
                 keep_alive: self.keep_alive,
                 retry_after_s: None,
             };
-            self.reader.push(&head.chunked());
+            self.reader.push(head.chunked());
             self.note_first_event();
         }
         self.reader.push_chunk(batch);
@@ -335,6 +343,7 @@
     fn note_first_event(&mut self) {
         let now_ms = self.shared.now_ms();
         let call = self.call;
+        self.first_latency_ms = self.slot.as_ref().map(|slot| now_ms - slot.dispatched_ms);
         self.shared.metrics.record_first_token(
             call.priority,
             &call.customer_name,
@@ -344,7 +353,12 @@
 
     fn note_full(&mut self, permit: Permit) {
         match permit {
-            Permit::Read(_) => self.full_since = None,
+            Permit::Read(_) => {
+                if self.full_since.take().is_some() {
+                    // The engine was not read meanwhile, so its silence starts now.
+                    self.last_received = Instant::now();
+                }
+            }
             Permit::Pause => {
                 self.full_since.get_or_insert_with(Instant::now);
             }
@@ -381,10 +395,8 @@
         self.source = Source::Paused;
         self.was_paused = true;
         self.splitter = EventSplitter::default();
-        let now_ms = self.shared.now_ms();
         if let Some(slot) = &mut self.slot {
-            let latency_ms = now_ms - slot.dispatched_ms;
-            self.attempts.succeeded(slot, latency_ms);
+            self.attempts.succeeded(slot, self.first_latency_ms);
         }
     }
 
@@ -409,8 +421,7 @@
         let Some(mut slot) = self.slot.take() else {
             return;
         };
-        let latency_ms = self.shared.now_ms() - slot.dispatched_ms;
-        self.attempts.succeeded(&mut slot, latency_ms);
+        self.attempts.succeeded(&mut slot, self.first_latency_ms);
         if let Source::Open(mut exchange) = std::mem::replace(&mut self.source, Source::Closed) {
             if !exchange.is_ended() {
                 // Without the last chunk the connection is closed, which costs only a new one.
@@ -425,8 +436,8 @@
 fn usage_of(event: &Event) -> Option<u64> {
     let data = event.data();
     // Parsing every event would cost more than the rest of the relay.
-    let needle = b"\"usage\"";
-    if !data.windows(needle.len()).any(|window| window == needle) {
+    let text = std::str::from_utf8(data).ok()?;
+    if !text.contains("\"usage\"") {
         return None;
     }
     let body: WithUsage = serde_json::from_slice(data).ok()?;
