--- a/examples/stub_upstream.rs
+++ b/examples/stub_upstream.rs
@@ -11,7 +11,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use clap::{Arg, Command};
-use monsoonfield::server::{listen, Request, RequestLimits, ResponseHead, Socket};
+use monsoonfield::server::{listen, ChatRequest, Request, RequestLimits, ResponseHead, Socket};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
@@ -327,7 +327,11 @@
                 marked: !crash_on.is_empty() && body.contains(&crash_on),
             };
             self.streams.borrow_mut().insert(key.clone(), stream);
-            self.cache.borrow_mut().push((text as u64, true));
+            let blocks = ChatRequest::from_json(&request.body).map(|chat| chat.prefix_blocks());
+            let stored = blocks.unwrap_or_default().into_iter();
+            self.cache
+                .borrow_mut()
+                .extend(stored.map(|block| (block, true)));
             self.execute(&key)?;
         }
         if chat.stream {
--- a/tests/http_path.rs
+++ b/tests/http_path.rs
@@ -128,3 +128,37 @@
     );
     assert_eq!(site.upstreams[0].executions(key("f")), 0);
 }
+
+/// Guards against cache events that are not read, so that a conversation moves between engines at random.
+#[test]
+fn a_conversation_stays_at_the_engine_that_has_its_prefix() {
+    let site = Site::start(&[ENGINE, ENGINE, ENGINE, ENGINE]);
+    let router = site.router("vm-1");
+    let prompt = "the price of two soles and one heel ".repeat(200);
+    assert_eq!(
+        chat("g0", &prompt, 2, false).send(&router.callers).status,
+        200
+    );
+    let first = (0..4)
+        .position(|number| site.upstreams[number].executions(key("g0")) == 1)
+        .expect("one engine served");
+    // The events are read every second.
+    let started = std::time::Instant::now();
+    let mut in_a_row = 0;
+    let mut number = 1;
+
+    while in_a_row < 10 {
+        let name = format!("g{number}");
+        assert_eq!(
+            chat(&name, &prompt, 2, false).send(&router.callers).status,
+            200
+        );
+        let is_same = site.upstreams[first].executions(key(&name)) == 1;
+        in_a_row = if is_same { in_a_row + 1 } else { 0 };
+        number += 1;
+        assert!(
+            started.elapsed() < http_common::LIMIT,
+            "the requests stay at one engine"
+        );
+    }
+}
