--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,7 @@
 
 use std::ffi::OsString;
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -103,11 +104,12 @@
         }
     };
     let report = dispatch(&matches);
+    // A reader that closed its end, such as `head`, leaves nobody to tell; the exit code stands.
     for error in &report.errors {
-        eprintln!("monsoonfield: {error}");
+        let _ = writeln!(std::io::stderr(), "monsoonfield: {error}");
     }
     if !report.output.is_empty() {
-        println!("{}", report.output);
+        let _ = writeln!(std::io::stdout(), "{}", report.output);
     }
     report.code.code()
 }
--- a/src/explain/journal.rs
+++ b/src/explain/journal.rs
@@ -9,7 +9,7 @@
 
 /// Decisions that a process remembers.
 ///
-/// At about 120 bytes each they stay below 1 MiB, which the target of 32 MB for an idle process leaves room for.
+/// At up to 250 bytes each they stay at 2 MiB, which the target of 32 MB for an idle process leaves room for.
 pub const JOURNAL_NOTES: usize = 8192;
 
 /// What a decision is about.
--- a/src/status.rs
+++ b/src/status.rs
@@ -29,7 +29,7 @@
     pub is_stopping: bool,
     /// Records by which the process is behind the newest offset that it knows.
     pub log_lag_records: u64,
-    /// Time since the log last answered.
+    /// Time since the log last answered; 0 while the process does not measure it.
     pub log_silent_ms: u64,
     /// Responses that are open.
     pub open_responses: u64,
@@ -46,7 +46,7 @@
 pub struct PeerReport {
     /// Name of the peer's VM.
     pub vm: CompactString,
-    /// Time since the peer's last message.
+    /// Time since the peer's last message; 0 while the process does not measure it.
     pub silent_ms: u64,
     /// Next offset that the peer will fold.
     pub next_offset: Offset,
--- a/src/status/text.rs
+++ b/src/status/text.rs
@@ -42,10 +42,7 @@
     );
     line(
         out,
-        format_args!(
-            "Log: {} records behind, last answer {} ms ago",
-            process.log_lag_records, process.log_silent_ms
-        ),
+        format_args!("Log: {} records behind", process.log_lag_records),
     );
     line(
         out,
@@ -57,10 +54,7 @@
     for peer in &process.peers {
         line(
             out,
-            format_args!(
-                "Peer {}: last message {} ms ago, next offset {}",
-                peer.vm, peer.silent_ms, peer.next_offset
-            ),
+            format_args!("Peer {}: next offset {}", peer.vm, peer.next_offset),
         );
     }
 }
