--- a/src/explain/sentences.rs
+++ b/src/explain/sentences.rs
@@ -81,19 +81,10 @@
         rollout.step,
         rollout.share_ppm
     )];
-    for (route, reason) in &rollout.rolled_back {
-        let what = if route.is_empty() {
-            "The whole version".to_owned()
-        } else {
-            format!("Route {route}")
-        };
-        sentences.push(format!("{what} was rolled back: {reason}."));
+    sentences.extend(state.rollouts.explain(id));
+    if rollout.end.is_none() && !rollout.rolled_back.contains_key("") {
+        sentences.push("The move has not ended.".to_owned());
     }
-    sentences.push(match &rollout.end {
-        Some(end) if end.is_kept => "The move is done by its deadline.".to_owned(),
-        Some(end) => format!("The deadline is not kept: {}.", end.reason),
-        None => "The move has not ended.".to_owned(),
-    });
     sentences
 }
 
--- a/tests/cli_reports.rs
+++ b/tests/cli_reports.rs
@@ -232,6 +232,13 @@
         .iter()
         .any(|s| s.contains("offset 2 was rejected: revision 1 replaces 0")));
     assert!(rollout.sentences[0].starts_with("At 110 ms: revision 1 moves m from m-1 to m-2"));
+    assert!(
+        rollout
+            .sentences
+            .iter()
+            .any(|s| s.contains("after the start (offset 4)")),
+        "{rollout:?}"
+    );
     assert!(!unknown.is_known);
     assert_eq!(explain::answer("request/not-a-key", &state, &journal), None);
     assert_eq!(explain::answer("other/x", &state, &journal), None);
