Compare prompts and cached prefixes on one scale

Cause: the choice of an upstream took the reservation's bound as the length of the prompt, so a wholly cached prompt looked a quarter cheaper at best and the slowness of a single response outweighed it. Dispatches were also not entered as expected prefixes.

--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -48,7 +48,7 @@
         is_stream: bool,
         /// Hashes of the prompt's prefixes.
         prefix_blocks: Vec<u64>,
-        /// Bound on the prompt's tokens.
+        /// Estimate of the prompt's tokens, for the choice of an upstream.
         prompt_tokens: u64,
     },
     /// A call of a plain service.
@@ -252,7 +252,7 @@
         kind: Kind::Chat {
             is_stream: chat.stream,
             prefix_blocks: chat.prefix_blocks(),
-            prompt_tokens,
+            prompt_tokens: chat.prompt_tokens_estimate(),
         },
     })
 }
--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -277,6 +277,8 @@
             self.health.probe_sent(upstream, waiting.route, now_ms);
         }
         self.selector.dispatched(upstream, waiting.tokens);
+        self.selector
+            .expect_cached(upstream, &waiting.prefix_blocks);
         let (address, version) = match self.upstreams.get_mut(&upstream) {
             Some(known) => {
                 known.own_requests += 1;
--- a/src/server/chat.rs
+++ b/src/server/chat.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::selection::BLOCK_TOKENS;
+
 /// Bytes of prompt text that the reservation counts as one token.
 ///
 /// Engines report about four bytes for each token of ordinary text; the lower value keeps the reservation an upper bound
@@ -74,6 +76,18 @@
         (bytes as u64).div_ceil(PROMPT_BYTES_PER_TOKEN) + PROMPT_OVERHEAD_TOKENS
     }
 
+    /// Returns the number of tokens that the prompt probably has, on the scale of [`Self::prefix_blocks`].
+    ///
+    /// The bound above counts each byte and would make a cached prefix look a quarter of its worth.
+    pub fn prompt_tokens_estimate(&self) -> u64 {
+        let bytes: usize = self
+            .messages
+            .iter()
+            .map(|message| message.content.len())
+            .sum();
+        (bytes * BLOCK_TOKENS as usize / PREFIX_BLOCK_BYTES) as u64
+    }
+
     /// Returns the hashes of the prompt's prefixes, one for each full block, the shortest first.
     ///
     /// Engines report their prefix caches by the same hashes: the XXH3 of all message contents up to the block's end.
