--- a/tests/ledger_holder.rs
+++ b/tests/ledger_holder.rs
@@ -307,3 +307,24 @@
     let budget = fleet.state.ledger.budget(acme).expect("budget");
     assert_eq!(budget.unallocated_tokens(), 100_000);
 }
+
+/// Guards against leaving while a request for rights is pending, whose grant nobody would return.
+#[test]
+fn a_pending_request_delays_the_planned_stop() {
+    let mut fleet = fleet();
+    let mut holder = Holder::new(A);
+    holder
+        .reserve(fleet.acme(), 500)
+        .expect_err("no rights yet");
+    let pending = holder.entries_to_write(&fleet.state, 1);
+
+    assert!(holder.hand_back(&fleet.state).is_empty());
+    assert!(!holder.is_drained(&fleet.state));
+    for change in fleet.append(A, pending) {
+        holder.on_change(&change, &fleet.state);
+    }
+    let returns = holder.hand_back(&fleet.state);
+    fleet.append(A, returns);
+
+    assert!(holder.is_drained(&fleet.state));
+}
