Ignore transfers of senders that were finalised

Cause: when an incarnation is finalised, the holder forgets the numbers of its transfers. A late copy of one of its transfers then counted as new. If its rights were on the grant of a third, live incarnation, they existed twice.

The new test failed before the change.

--- a/src/holder/transfer.rs
+++ b/src/holder/transfer.rs
@@ -138,8 +138,12 @@
         if transfer.rights.is_empty() {
             return false;
         }
+        // The numbers of a finalised sender were forgotten, so a copy of an old transfer could not be told from a new one.
+        if self.is_closed || state.members.is_ended(from) {
+            return false;
+        }
         let highest = self.received.entry(from).or_insert(0);
-        if self.is_closed || transfer.id <= *highest {
+        if transfer.id <= *highest {
             return false;
         }
         *highest = transfer.id;
--- a/tests/ledger_holder.rs
+++ b/tests/ledger_holder.rs
@@ -6,6 +6,7 @@
 use monsoonfield::fold::Change;
 use monsoonfield::holder::{Holder, Shortage};
 use monsoonfield::ids::IncarnationId;
+use monsoonfield::message::Transfer;
 use monsoonfield::record::Entry;
 
 const A: IncarnationId = IncarnationId(1);
@@ -244,6 +245,35 @@
     assert!(!member.on_transfer(B, &answer, &fleet.state) || member.unspent_tokens(acme) == 0);
 }
 
+/// Guards against a late copy of a transfer that is credited again after its sender was finalised: the rights may be on
+/// the grant of another incarnation, which goes on.
+#[test]
+fn a_late_copy_from_a_finalised_sender_is_ignored() {
+    let mut fleet = fleet();
+    let acme = fleet.acme();
+    let mut home = stocked(&mut fleet, A);
+    let mut member = stocked(&mut fleet, B);
+    let request = home.transfer_request(&fleet.state, acme, 200);
+    let lent = member.on_transfer_request(A, &request, &fleet.state);
+    home.on_transfer(B, &lent, &fleet.state);
+    let returned = Transfer {
+        id: 1,
+        request_id: 0,
+        ..lent
+    };
+    assert!(member.on_transfer(A, &returned, &fleet.state));
+    let before_tokens = member.unspent_tokens(acme);
+
+    fleet.close(B, A);
+    for change in fleet.finalize(B, A) {
+        member.on_change(&change, &fleet.state);
+    }
+    let is_new = member.on_transfer(A, &returned, &fleet.state);
+
+    assert!(!is_new);
+    assert_eq!(member.unspent_tokens(acme), before_tokens);
+}
+
 /// Guards against a request that is served but never charged because the grant is finalised while it runs.
 #[test]
 fn rights_on_the_grant_of_an_ended_incarnation_are_returned() {
