--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::call::{Call, Refused};
-use super::notify::Notify;
+use super::notify::{KeyedNotify, Notify};
 use crate::billing::Billing;
 use crate::fleet::Fleet;
 use crate::fold::{Change, FleetState};
@@ -39,7 +39,7 @@
     copies: RefCell<Copies>,
     changed: Notify,
     wanted: Notify,
-    safe: Notify,
+    safe: KeyedNotify,
 }
 
 impl Budget {
@@ -52,7 +52,7 @@
             fleet,
             changed: Notify::default(),
             wanted: Notify::default(),
-            safe: Notify::default(),
+            safe: KeyedNotify::default(),
         }
     }
 
@@ -157,7 +157,12 @@
         self.write_bills();
         self.send_copies();
         let is_safe = || self.billing.borrow().is_safe(call.key).then_some(());
-        if self.safe.wait_for(SAFE_WAIT, is_safe).await.is_none() {
+        if self
+            .safe
+            .wait_for(call.key, SAFE_WAIT, is_safe)
+            .await
+            .is_none()
+        {
             log::warn!(step = "bill", request_key:% = call.key; "neither the log nor a peer took the bill in time");
         }
         charged_tokens
@@ -175,8 +180,8 @@
             }
             settled
         };
-        if settled.key.is_some() {
-            self.safe.notify();
+        if let Some(key) = settled.key {
+            self.safe.notify(key);
         }
         if settled.recredit.is_some() || matches!(change, Change::Grant { .. }) {
             self.changed.notify();
@@ -190,7 +195,7 @@
         self.billing.borrow_mut().on_state(&state);
         drop(state);
         self.changed.notify();
-        self.safe.notify();
+        self.safe.notify_all();
     }
 
     /// Starts again without rights, after a peer closed the own incarnation.
--- a/src/router/budget/bills.rs
+++ b/src/router/budget/bills.rs
@@ -88,8 +88,8 @@
                 copies.outstanding = None;
             }
         }
-        if !safe.is_empty() {
-            self.safe.notify();
+        for key in safe {
+            self.safe.notify(key);
         }
         self.send_copies();
     }
--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::call::{Call, Refused};
-use super::notify::Notify;
+use super::notify::KeyedNotify;
 use crate::collections::FastMap;
 use crate::fleet::Fleet;
 use crate::fold::Change;
@@ -34,7 +34,7 @@
     steps: RefCell<FastMap<RequestKey, Step>>,
     /// Entries that the log's queue did not take; their order counts.
     unwritten: RefCell<Vec<Entry>>,
-    changed: Notify,
+    changed: KeyedNotify,
 }
 
 impl Claims {
@@ -44,7 +44,7 @@
             fleet,
             steps: RefCell::default(),
             unwritten: RefCell::default(),
-            changed: Notify::default(),
+            changed: KeyedNotify::default(),
         }
     }
 
@@ -68,7 +68,9 @@
         }
         let step = self
             .changed
-            .wait_for(CLAIM_WAIT, || self.steps.borrow_mut().remove(&call.key))
+            .wait_for(call.key, CLAIM_WAIT, || {
+                self.steps.borrow_mut().remove(&call.key)
+            })
             .await;
         match step {
             Some(Step::Dispatch(_)) => Ok(Claimed::Won),
@@ -110,7 +112,7 @@
         if let Some(step) = step {
             let (Step::Dispatch(key) | Step::Answer(key, _)) = step;
             self.steps.borrow_mut().insert(key, step);
-            self.changed.notify();
+            self.changed.notify(key);
         }
     }
 
@@ -125,7 +127,7 @@
                 .borrow_mut()
                 .insert(key, Step::Answer(key, answer));
         }
-        self.changed.notify();
+        self.changed.notify_all();
     }
 
     /// Tries again to write what the log's queue did not take.
