--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -14,12 +14,14 @@
 use crate::record;
 
 mod orders;
+mod route;
 mod schedule;
 mod state;
 
 pub use orders::{plan_order, OrderPlan, OrderState, Orders, StoreLimits};
+pub use route::{Check, RouteState};
 pub use schedule::Proposer;
-pub use state::{Check, Decision, RolloutResult, RolloutState, RouteState};
+pub use state::{Decision, RolloutResult, RolloutState};
 
 /// Share of the new version at the start, in parts per million.
 ///
--- a/src/rollout/schedule.rs
+++ b/src/rollout/schedule.rs
@@ -34,9 +34,14 @@
 /// Bounds of the time that is left before the deadline.
 const MARGIN_MS: (u64, u64) = (10_000, 600_000);
 
-/// Share in every second check, close to the full load, for a fault that shows only there.
+/// Share in the second check in a row, for a fault that shows only close to the full load.
 const LOADED_CHECK_SHARE_PPM: u32 = 900_000;
 
+/// Share in all further checks in a row.
+///
+/// A version that is bad only above 90% of the load was cleared at 90% and suspected at 100% again and again.
+const FULL_CHECK_SHARE_PPM: u32 = 980_000;
+
 /// Time that each process waits longer than the one before it.
 const RANK_DELAY_MS: u64 = 1_000;
 
@@ -108,12 +113,12 @@
     fn next_share(&self, route: &RouteState, share_ppm: u32) -> Option<u32> {
         match route.check {
             Check::Due { at_ms } if at_ms <= self.due_ms => {
-                let is_loaded = route.checks % 2 == 1;
-                return Some(if is_loaded {
-                    LOADED_CHECK_SHARE_PPM.min(share_ppm)
-                } else {
-                    CHECK_SHARE_PPM
-                });
+                let check_ppm = match route.checks {
+                    0 => CHECK_SHARE_PPM,
+                    1 => LOADED_CHECK_SHARE_PPM,
+                    _ => FULL_CHECK_SHARE_PPM,
+                };
+                return Some(check_ppm.min(share_ppm));
             }
             Check::Cleared { at_ms } if at_ms <= self.due_ms => return Some(route.resume_ppm),
             Check::None => {}
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -5,8 +5,9 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::route::{Check, RouteState};
 use super::{FIRST_SHARE_PPM, FULL_SHARE_PPM, WATCH_MS};
-use crate::evidence::{Comparison, Finding, Metric, VersionTest};
+use crate::evidence::{Finding, Metric, VersionTest};
 use crate::ids::Offset;
 use crate::record;
 
@@ -25,6 +26,9 @@
 /// Routes that turn out bad before the whole version is taken back, whatever the evidence on the others.
 const BAD_ROUTES_OF_BAD_VERSION: usize = 2;
 
+/// Time at full share after which the next check is not in a row with the last one.
+const CALM_MS: u64 = 600_000;
+
 /// How a rollout ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutResult {
@@ -45,48 +49,6 @@
     pub sentence: CompactString,
 }
 
-/// Check of a suspicion on a version that serves a whole route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Check {
-    /// Nothing is suspected.
-    None,
-    /// Results became worse; a part of the requests shall go back to the old version for a comparison.
-    Due {
-        /// Time of the evidence.
-        at_ms: u64,
-    },
-    /// The versions are being compared.
-    Running,
-    /// The comparison shows that the version is not bad; it shall serve all requests again.
-    Cleared {
-        /// Time of the evidence.
-        at_ms: u64,
-    },
-}
-
-/// State of one route of a rollout.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RouteState {
-    /// Newest step, if the route has steps of its own.
-    pub step: Option<u32>,
-    /// Share of requests that the new version gets; only in force if the route has steps of its own.
-    pub share_ppm: u32,
-    /// Time of the newest step.
-    pub step_ms: u64,
-    /// Time at which the evidence was complete.
-    pub passed_ms: Option<u64>,
-    /// Check of a suspicion.
-    pub check: Check,
-    /// Share to which the route returns after a check.
-    pub resume_ppm: u32,
-    /// Checks so far.
-    pub checks: u32,
-    /// Number of the route within the rollout.
-    pub number: u32,
-    /// Results of both versions.
-    pub comparison: Comparison,
-}
-
 /// State of one rollout.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutState {
@@ -345,6 +307,9 @@
         };
         let figures = route.comparison.since_step().figures();
         let name = &entry.route;
+        if entry.end_ms >= route.step_ms.saturating_add(CALM_MS) && route.check == Check::None {
+            route.checks = 0;
+        }
         match finding {
             Finding::Worse(metric) => {
                 let reason = format!("{} worse since the newest step: {figures}", noun(metric));
@@ -496,42 +461,6 @@
     }
 }
 
-impl RouteState {
-    fn new(number: u32, compared_ms: u64) -> Self {
-        Self {
-            step: None,
-            share_ppm: 0,
-            step_ms: 0,
-            passed_ms: None,
-            check: Check::None,
-            resume_ppm: FULL_SHARE_PPM,
-            checks: 0,
-            number,
-            comparison: Comparison::new(number, compared_ms),
-        }
-    }
-
-    fn take_step(&mut self, entry: &record::RolloutStep) {
-        let old_share_ppm = self.share_ppm;
-        self.step = Some(entry.step);
-        self.share_ppm = entry.share_ppm;
-        self.step_ms = entry.at_ms;
-        match self.check {
-            Check::Due { .. } if entry.share_ppm <= old_share_ppm => {
-                self.check = Check::Running;
-                self.resume_ppm = old_share_ppm;
-                self.checks += 1;
-                self.comparison.start_check();
-            }
-            Check::Cleared { .. } if entry.share_ppm >= old_share_ppm => {
-                self.check = Check::None;
-                self.comparison.end_check();
-            }
-            _ => {}
-        }
-    }
-}
-
 /// Returns the time over which versions are compared.
 fn compared_ms(start_ms: u64, deadline_ms: u64) -> u64 {
     deadline_ms
