Refuse a reused key at once and end abandoned streams at their deadline

A response is complete as soon as a peer keeps a copy of its bill. Until the bill was folded, the same key with another body was served (200 in place of 409); the pending bills are now compared too. A stream whose caller had gone skipped the checks of the deadline and of a silent engine, so it could stay open and delay a planned stop.

The default of reader_idle_timeout_ms is 120 s, because a reader of 1 KB/s first takes what its kernel has buffered, up to about 100 KiB, without any progress at this end.

--- a/src/billing.rs
+++ b/src/billing.rs
@@ -12,7 +12,7 @@
 
 use crate::collections::FastMap;
 use crate::fold::{Change, FleetState};
-use crate::ids::{CustomerKey, IncarnationId, RequestKey};
+use crate::ids::{CustomerKey, Fingerprint, IncarnationId, RequestKey};
 use crate::ledger::BillEffect;
 use crate::membership::Phase;
 use crate::message::{BillCopy, BillCopyAck, MAX_FRAME_BYTES};
@@ -106,6 +106,14 @@
         Ok(())
     }
 
+    /// Returns the fingerprint of a request whose bill waits for the log.
+    ///
+    /// The ledger shows the bill only once it is folded; until then a reused key is recognised here.
+    pub fn pending_fingerprint(&self, key: RequestKey) -> Option<Fingerprint> {
+        let pending = self.pending.get(&key)?;
+        Some(Fingerprint(pending.bill.fingerprint))
+    }
+
     /// Returns whether a request's bill can no longer be lost with this process.
     pub fn is_safe(&self, key: RequestKey) -> bool {
         self.pending
--- a/src/router.rs
+++ b/src/router.rs
@@ -23,6 +23,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use compact_str::CompactString;
 use quick_error::quick_error;
 use serde::Serialize;
 
@@ -117,6 +118,12 @@
             || self.fleet.state().quarantine.is_quarantined(fingerprint)
     }
 
+    /// Notes a decision on a request for operators.
+    fn note_request(&self, key: RequestKey, text: impl Into<CompactString>) {
+        let mut journal = self.journal.borrow_mut();
+        journal.note_request(wall_clock_ms(), key, text);
+    }
+
     /// Returns the time after which a reader that takes nothing is disconnected.
     fn reader_idle_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.limits.reader_idle_timeout_ms)
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::format_compact;
 use serde::Deserialize;
 
 use super::call::{Call, Kind, Refused};
@@ -70,8 +71,24 @@
             };
         }
         self.count += 1;
-        let place = pools::admit(self.shared, self.call, &self.version, &self.excluded).await;
-        place.map_err(|refused| self.with_ran(refused))
+        let (shared, call) = (self.shared, self.call);
+        let queued_ms = shared.now_ms();
+        let place = pools::admit(shared, call, &self.version, &self.excluded).await;
+        let slot = place.map_err(|refused| self.with_ran(refused))?;
+        let wait_ms = shared.now_ms() - queued_ms;
+        shared
+            .metrics
+            .record_queue_wait(call.priority, &call.customer_name, wait_ms);
+        shared.note_request(
+            call.key,
+            format_compact!(
+                "attempt {} was given to {} with version {} after {wait_ms} ms in the queue",
+                self.count,
+                slot.name,
+                slot.version
+            ),
+        );
+        Ok(slot)
     }
 
     /// Reports a response, with the time from dispatch to its first byte if that came in this place.
@@ -234,6 +251,10 @@
     if charged_tokens > 0 {
         shared.metrics.count_bill(charged_tokens);
     }
+    shared.note_request(
+        call.key,
+        format_compact!("complete after {elapsed_ms} ms; {charged_tokens} tokens charged"),
+    );
 }
 
 async fn dispatch(shared: &Shared, call: &Call) -> Result<(Whole, u64), Refused> {
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -11,7 +11,7 @@
 use crate::fleet::Fleet;
 use crate::fold::{Change, FleetState};
 use crate::holder::{Holder, Reservation};
-use crate::ids::{CustomerKey, IncarnationId};
+use crate::ids::{CustomerKey, Fingerprint, IncarnationId, RequestKey};
 use crate::record::{split_key, Bill};
 use crate::refusal::Refusal;
 
@@ -222,6 +222,11 @@
             .map_err(|_| ())
     }
 
+    /// Returns the fingerprint of a request whose bill waits for the log.
+    pub(super) fn pending_fingerprint(&self, key: RequestKey) -> Option<Fingerprint> {
+        self.billing.borrow().pending_fingerprint(key)
+    }
+
     fn is_billed(&self, call: &Call) -> bool {
         self.fleet.state().ledger.billed(call.key) == Some(call.fingerprint)
     }
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -33,6 +33,19 @@
         }
     }
 
+    /// Returns the refusal as a sentence for operators.
+    pub(super) fn explanation(&self) -> CompactString {
+        let ran = match self.ran {
+            Ran::NotRun => "not run",
+            Ran::MayHaveRun => "may have run",
+        };
+        format_compact!(
+            "refused as {} ({ran}): {}",
+            self.refusal.code(),
+            self.message
+        )
+    }
+
     pub(super) fn retry_after(mut self, ms: u64) -> Self {
         self.retry_after_ms = Some(ms);
         self
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -194,6 +194,9 @@
     keep_alive: bool,
 ) {
     shared.metrics.count_refusal(refused.refusal);
+    if let Some(key) = key {
+        shared.note_request(key, refused.explanation());
+    }
     let detail = ErrorDetail {
         message: &refused.message,
         retry_after_ms: refused.retry_after_ms,
@@ -275,7 +278,8 @@
 fn check_key(shared: &Shared, call: &Call) -> Result<(), Refused> {
     let state = shared.fleet.state();
     let claimed = state.intents.get(call.key).map(|claim| claim.fingerprint());
-    for known in [state.ledger.billed(call.key), claimed]
+    let pending = shared.budget.pending_fingerprint(call.key);
+    for known in [state.ledger.billed(call.key), pending, claimed]
         .into_iter()
         .flatten()
     {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -365,10 +365,7 @@
 
     async fn on_timer(&mut self, permit: Permit) -> Result<(), Refused> {
         self.reader.check_idle();
-        if self.reader.is_gone() {
-            return Ok(());
-        }
-        if permit == Permit::Pause {
+        if permit == Permit::Pause && !self.reader.is_gone() {
             self.detach();
             return Ok(());
         }
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -62,6 +62,7 @@
         return keep_alive.then_some(socket);
     }
     shared.metrics.count_refusal(refused.refusal);
+    shared.note_request(call.key, refused.explanation());
     let detail = ErrorDetail {
         message: &refused.message,
         retry_after_ms: refused.retry_after_ms,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -84,7 +84,7 @@
             head_bytes: 16 << 10,
             connections: 20_000,
             request_read_timeout_ms: 10_000,
-            reader_idle_timeout_ms: 30_000,
+            reader_idle_timeout_ms: 120_000,
             reader_buffer_bytes: 48 << 20,
             shutdown_timeout_ms: 120_000,
         }
