Heed the VM list and the reports of plain services for leaving upstreams

The event loop read only the reports of model engines: an upstream that the platform's list showed as leaving, and a leaving plain service, went on getting work until it refused connections. The list is read every 2 s now, so that with the round of reports (1 s) an entry takes effect within 3 s of its appearance.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -269,6 +269,11 @@
         rendezvous::owner(name.as_bytes(), members.map(|(id, _)| id))
     }
 
+    /// Returns whether the platform's list shows the VM at this address as leaving.
+    pub fn is_listed_leaving(&self, address: &str) -> bool {
+        self.inner.listed_leaving.borrow().contains(address)
+    }
+
     /// Returns whether the last read and the last append succeeded.
     pub fn is_log_available(&self) -> bool {
         self.inner.is_log_available()
--- a/src/fleet/inner.rs
+++ b/src/fleet/inner.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use local_sync::mpsc::unbounded;
 use prost::Message;
 use rand::SeedableRng;
@@ -14,6 +15,7 @@
 use super::peers::{PeerTable, Traffic};
 use super::tail::Tail;
 use super::{restore, Error, Event};
+use crate::collections::FastSet;
 use crate::fold::FleetState;
 use crate::ids::{IncarnationId, Offset};
 use crate::log_client::LogService;
@@ -62,6 +64,8 @@
     pub(super) chunks: RefCell<Assembler>,
     /// Peers to which a snapshot is being sent.
     pub(super) serving_snapshots: RefCell<BTreeSet<IncarnationId>>,
+    /// Addresses of VMs that the platform's list shows as leaving, upstreams among them.
+    pub(super) listed_leaving: RefCell<FastSet<CompactString>>,
     pub(super) is_read_ok: Cell<bool>,
     pub(super) is_append_ok: Cell<bool>,
     pub(super) is_leaving: Cell<bool>,
@@ -111,6 +115,7 @@
             outstanding: RefCell::default(),
             chunks: RefCell::default(),
             serving_snapshots: RefCell::default(),
+            listed_leaving: RefCell::default(),
             is_read_ok: Cell::new(false),
             is_append_ok: Cell::new(true),
             is_leaving: Cell::new(false),
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -53,6 +53,11 @@
     loop {
         match inner.vm_list.read().await {
             Ok(vms) => {
+                *inner.listed_leaving.borrow_mut() = vms
+                    .iter()
+                    .filter(|vm| vm.state == VmState::Leaving)
+                    .map(|vm| vm.address.clone())
+                    .collect();
                 inner.peers.borrow_mut().hints = vms
                     .into_iter()
                     .filter(|vm| vm.state == VmState::Live)
--- a/src/router/pools/update.rs
+++ b/src/router/pools/update.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::{share_requests, PeerLoad, ShareLimit};
 use crate::collections::{FastMap, FastSet};
-use crate::contract::{Configuration, Upstream as Configured};
+use crate::contract::{Configuration, Upstream as Configured, UpstreamKind};
 use crate::ids::{IncarnationId, UpstreamKey};
 use crate::message::Outstanding;
 use crate::selection::{CacheChange, Description, Role};
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug)]
 pub(in crate::router) struct Reporter {
     pub(in crate::router) upstream: UpstreamKey,
+    /// Whether the upstream is a model engine, which reports its prefix cache too.
+    pub(in crate::router) is_engine: bool,
     pub(in crate::router) address: String,
 }
 
@@ -190,22 +192,31 @@
             .collect()
     }
 
-    /// Returns the engines whose reports are read.
+    /// Returns the upstreams whose reports are read.
     pub(in crate::router) fn reporters(&self, configuration: &Configuration) -> Vec<Reporter> {
         configuration
             .upstreams
             .iter()
-            .filter(|upstream| upstream.kind == crate::contract::UpstreamKind::Engine)
             .filter_map(|configured| {
                 Some(Reporter {
                     upstream: self.names.get(&configured.name)?,
+                    is_engine: configured.kind == UpstreamKind::Engine,
                     address: configured.address.to_string(),
                 })
             })
             .collect()
     }
 
-    /// Takes what an engine says of itself.
+    /// Takes what the platform's list says of an upstream.
+    pub(in crate::router) fn set_listed_leaving(
+        &mut self,
+        upstream: UpstreamKey,
+        is_leaving: bool,
+    ) {
+        self.health.set_leaving(upstream, is_leaving);
+    }
+
+    /// Takes what an upstream says of itself.
     pub(in crate::router) fn set_leaving(&mut self, upstream: UpstreamKey, is_leaving: bool) {
         self.health.set_reported_leaving(upstream, is_leaving);
     }
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -1,4 +1,4 @@
-//! Reading of engines' load reports and cache events.
+//! Reading of what upstreams and the platform report of upstreams.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 /// Time that one engine may take for both reports.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Reads the reports of all engines in turn until the process ends.
+/// Reads the reports of all upstreams in turn until the process ends.
 pub(super) async fn poll(shared: Rc<Shared>) {
     let mut positions: FastMap<UpstreamKey, u64> = FastMap::default();
     loop {
@@ -28,6 +28,11 @@
             let pools = shared.pools.borrow();
             pools.reporters(&state.configuration.configuration)
         };
+        for reporter in &reporters {
+            let is_leaving = shared.fleet.is_listed_leaving(&reporter.address);
+            let mut pools = shared.pools.borrow_mut();
+            pools.set_listed_leaving(reporter.upstream, is_leaving);
+        }
         let reads = reporters.iter().map(|reporter| {
             let position = positions.get(&reporter.upstream).copied().unwrap_or(0);
             read(&shared, reporter, position)
@@ -43,7 +48,7 @@
     }
 }
 
-/// Reads both reports of one engine; returns the next cache event to ask for.
+/// Reads the reports of one upstream; returns the next cache event to ask for.
 async fn read(shared: &Shared, reporter: &Reporter, position: u64) -> Option<u64> {
     let reports = async {
         let load = shared.client.load(&reporter.address).await;
@@ -51,16 +56,16 @@
             let mut pools = shared.pools.borrow_mut();
             pools.set_leaving(reporter.upstream, load.is_leaving);
         }
-        shared
-            .client
-            .cache_events(&reporter.address, position)
-            .await
+        if !reporter.is_engine {
+            return None;
+        }
+        let events = shared.client.cache_events(&reporter.address, position);
+        events.await.ok()
     };
-    // An engine without reports is judged by its results alone.
+    // An upstream without reports is judged by its results alone.
     let page = monoio::time::timeout(REPORT_TIMEOUT, reports)
         .await
-        .ok()?
-        .ok()?;
+        .ok()??;
     let mut pools = shared.pools.borrow_mut();
     let mut expected = position;
     if page.next < position {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -133,7 +133,7 @@
             heartbeat_timeout_ms: 5_000,
             close_after_ms: 60_000,
             finalize_after_ms: 2 * 60 * 60 * 1_000,
-            vm_list_interval_ms: 5_000,
+            vm_list_interval_ms: 2_000,
             reconnect_limit_ms: 5_000,
             snapshot_interval_records: 10_000,
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -64,6 +64,17 @@
         assert_eq!(status, 200, "the stub takes the faults");
     }
 
+    /// Replaces the VM list by entries as the platform sends them.
+    pub fn publish_vms(&self, list: &serde_json::Value) {
+        let (status, _) = call(
+            &self.address,
+            "POST",
+            "/v1/vms",
+            list.to_string().as_bytes(),
+        );
+        assert_eq!(status, 200);
+    }
+
     /// Sets the VM list.
     pub fn set_vms(&self, vms: &[(&str, &str)]) {
         let list: Vec<_> = vms
--- a/tests/http_failures.rs
+++ b/tests/http_failures.rs
@@ -10,6 +10,9 @@
 const FAST: &[&str] = &["--tokens-per-second", "2000"];
 const SLOW: &[&str] = &["--tokens-per-second", "200"];
 
+/// Time after which a leaving upstream must get no new work; the wait is the figure under test.
+const LEAVING_LIMIT: std::time::Duration = std::time::Duration::from_secs(3);
+
 /// Guards against a response that ends early, or has events twice, when an engine's connection breaks.
 #[test]
 fn a_broken_stream_resumes_at_the_same_engine() {
@@ -216,6 +219,28 @@
     }
 }
 
+/// Guards against new work for an upstream that the platform's list shows as leaving while the upstream itself does not
+/// know of it.
+#[test]
+fn an_upstream_listed_as_leaving_gets_no_new_work() {
+    let site = Site::start(&[FAST, FAST]);
+    let router = site.router_with("vm-1", Default::default(), Default::default());
+    let entry = json!([{ "vm": "old", "address": site.upstreams[0].address, "state": "leaving" }]);
+    site.platform.publish_vms(&entry);
+    std::thread::sleep(LEAVING_LIMIT);
+
+    for number in 0..20 {
+        let name = format!("l{number}");
+        let response = chat(&name, "text", 2, false).send(&router.callers);
+        let call = Exchange::new("POST", "/services/prices/soles").caller(&format!("s{number}"));
+        let service = call.body("{}").send(&router.callers);
+
+        assert_eq!((response.status, service.status), (200, 200));
+        assert_eq!(site.upstreams[0].executions(key(&name)), 0);
+        assert_eq!(site.upstreams[0].executions(key(&format!("s{number}"))), 0);
+    }
+}
+
 /// Guards against a budget that is overspent, and against a refusal that hides why.
 #[test]
 fn an_exhausted_budget_refuses_as_not_run() {
