Keep requests of a crashed upstream apart and outside the retry budget

Cause: when a request crashed its upstream, all requests of that upstream ran again side by side. The second crash then counted for each of them, and the quarantine stopped innocent requests in the whole fleet.

Change: a request that was at a crashed upstream runs at an upstream without another such request, on a part of the pool that no other router uses for them, and its rerun takes nothing from the retry budget. A second crash still ends it.

The price is waiting: with one engine left, the requests run one after the other.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns whether an upstream crashed while it ran the request.
+    pub fn has_crashed(&self, fingerprint: Fingerprint) -> bool {
+        self.crashes.contains_key(&fingerprint)
+    }
+
     /// Returns whether the request is stopped.
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.crashes
--- a/src/router.rs
+++ b/src/router.rs
@@ -111,6 +111,12 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Returns whether an upstream of the fleet crashed while it ran a request.
+    fn has_crashed(&self, fingerprint: Fingerprint) -> bool {
+        self.early_crashes.borrow().has_crashed(fingerprint)
+            || self.fleet.state().quarantine.has_crashed(fingerprint)
+    }
+
     /// Returns whether a request is stopped because it crashes upstreams.
     fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         let early = self.early_crashes.borrow();
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 
 use super::call::{Call, Kind, Refused};
 use super::claim::Claimed;
-use super::pools::{self, ChosenVersion, Ended, Slot};
+use super::pools::{self, ChosenVersion, Ended, Isolation, Slot};
 use super::Shared;
 use crate::engine::{Error, Exchange, Outgoing};
 use crate::evidence;
@@ -23,6 +24,9 @@
 /// Most places that one request may use.
 const MAX_ATTEMPTS: u32 = 4;
 
+/// Time between two looks for an upstream that a request may have for itself.
+const ISOLATION_POLL: Duration = Duration::from_millis(5);
+
 /// Largest response that is held whole.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
 
@@ -35,23 +39,32 @@
 
 /// Attempts of one request so far.
 pub(super) struct Attempts<'a> {
-    shared: &'a Shared,
+    shared: &'a Rc<Shared>,
     call: &'a Call,
     version: ChosenVersion,
     excluded: Vec<UpstreamKey>,
     count: u32,
+    /// Whether an upstream crashed while it ran the request.
+    was_at_crash: bool,
+    /// Whether the last attempt ended with a crash of its upstream.
+    is_after_crash: bool,
+    /// Keeps this request apart from others that were at a crashed upstream.
+    isolation: Option<Isolation>,
     /// Whether any upstream may have run the request.
     pub(super) may_have_run: bool,
 }
 
 impl<'a> Attempts<'a> {
-    pub(super) fn new(shared: &'a Shared, call: &'a Call) -> Result<Self, Refused> {
+    pub(super) fn new(shared: &'a Rc<Shared>, call: &'a Call) -> Result<Self, Refused> {
         Ok(Self {
             shared,
             call,
             version: pools::choose_version(shared, call)?,
             excluded: Vec::new(),
             count: 0,
+            was_at_crash: shared.has_crashed(call.fingerprint),
+            is_after_crash: false,
+            isolation: None,
             may_have_run: false,
         })
     }
@@ -59,8 +72,11 @@
     /// Waits for a place at an upstream that has not failed this request.
     pub(super) async fn next_place(&mut self) -> Result<Slot, Refused> {
         if self.count > 0 {
-            let may_retry = self.count < MAX_ATTEMPTS && self.shared.pools.borrow_mut().try_retry();
-            if !may_retry {
+            // A crash takes all requests of an upstream with it, more than the retry budget holds. Running them again
+            // adds no load, because the upstream no longer runs them, and a second crash ends the request.
+            let is_free = std::mem::take(&mut self.is_after_crash);
+            let has_budget = || self.shared.pools.borrow_mut().try_retry();
+            if self.count >= MAX_ATTEMPTS || !(is_free || has_budget()) {
                 return Err(self.failed("the upstreams failed"));
             }
             // The evidence against a version may have come in meanwhile, so the version is chosen again.
@@ -73,7 +89,8 @@
         self.count += 1;
         let (shared, call) = (self.shared, self.call);
         let queued_ms = shared.now_ms();
-        let place = pools::admit(shared, call, &self.version, &self.excluded).await;
+        let excluded = self.isolate().await?;
+        let place = pools::admit(shared, call, &self.version, &excluded).await;
         let slot = place.map_err(|refused| self.with_ran(refused))?;
         let wait_ms = shared.now_ms() - queued_ms;
         shared
@@ -91,6 +108,30 @@
         Ok(slot)
     }
 
+    /// Returns the upstreams that must not get the request, after a crash all but one that it has for itself.
+    async fn isolate(&mut self) -> Result<Vec<UpstreamKey>, Refused> {
+        if !self.was_at_crash {
+            return Ok(self.excluded.clone());
+        }
+        let (shared, call, pool) = (self.shared, self.call, self.version.pool);
+        let route = shared
+            .pools
+            .borrow_mut()
+            .route_key(&call.route, &call.serves);
+        self.isolation = None;
+        loop {
+            if let Some(isolation) = Isolation::take(shared, pool, route, &self.excluded) {
+                let others = shared.pools.borrow().all_but(pool, isolation.upstream());
+                self.isolation = Some(isolation);
+                return Ok(others);
+            }
+            if shared.now_ms() >= call.deadline_ms {
+                return Err(self.failed("no upstream was free for a request that may crash it"));
+            }
+            monoio::time::sleep(ISOLATION_POLL).await;
+        }
+    }
+
     /// Reports a response, with the time from dispatch to its first byte if that came in this place.
     pub(super) fn succeeded(&mut self, slot: &mut Slot, first_latency_ms: Option<u64>) {
         if !slot.is_held {
@@ -167,6 +208,8 @@
     }
 
     fn note_crash(&mut self, slot: &mut Slot) -> Result<(), Refused> {
+        self.was_at_crash = true;
+        self.is_after_crash = true;
         let fingerprint = self.call.fingerprint;
         let crash = Crash {
             fingerprint: fingerprint.0,
@@ -214,7 +257,7 @@
 }
 
 /// Runs a call whose response is sent whole.
-pub(super) async fn run(shared: &Shared, call: &Call) -> Result<Whole, Refused> {
+pub(super) async fn run(shared: &Rc<Shared>, call: &Call) -> Result<Whole, Refused> {
     if let Some(status) = earlier_status(shared, call) {
         return Ok(repeated(status));
     }
@@ -257,7 +300,7 @@
     );
 }
 
-async fn dispatch(shared: &Shared, call: &Call) -> Result<(Whole, u64), Refused> {
+async fn dispatch(shared: &Rc<Shared>, call: &Call) -> Result<(Whole, u64), Refused> {
     let mut attempts = Attempts::new(shared, call)?;
     let mut slot = attempts.next_place().await?;
     if !call.is_repeatable() {
--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -3,6 +3,7 @@
 //! All upstreams that serve one version of one model or service form a pool. A request waits in its pool's queue until an
 //! upstream has a free place, and leaves the queue with that place.
 
+mod isolation;
 mod slot;
 mod update;
 
@@ -16,7 +17,7 @@
 use super::call::{Call, Kind, Refused};
 use super::Shared;
 use crate::admission::{Departure, Queue, Request, RetryBudget, ShareLimit, Verdict};
-use crate::collections::FastMap;
+use crate::collections::{FastMap, FastSet};
 use crate::contract::Configuration;
 use crate::evidence::Arm;
 use crate::health::{Health, Permit};
@@ -26,6 +27,7 @@
 use crate::rollout::VersionChoice;
 use crate::selection::{self, Selector};
 
+pub(super) use isolation::Isolation;
 pub(super) use slot::{Ended, Slot};
 pub(super) use update::Reporter;
 
@@ -89,6 +91,8 @@
     own: IncarnationId,
     /// Work of other routers at the upstreams, with the time of the heartbeat.
     peer_work: FastMap<IncarnationId, (u64, Vec<Outstanding>)>,
+    /// Upstreams that run a request which was at an upstream when it crashed.
+    suspects: FastSet<UpstreamKey>,
     random: Pcg64Mcg,
 }
 
@@ -115,6 +119,7 @@
             routers: vec![own],
             own,
             peer_work: FastMap::default(),
+            suspects: FastSet::default(),
             random: Pcg64Mcg::seed_from_u64(OsRng.try_next_u64().unwrap_or_default()),
         }
     }
@@ -142,7 +147,7 @@
         }
     }
 
-    fn route_key(&mut self, route: &str, serves: &str) -> RouteKey {
+    pub(super) fn route_key(&mut self, route: &str, serves: &str) -> RouteKey {
         if self.routes.get(route).is_none() && self.routes.names().len() >= MAX_ROUTES {
             return self.routes.intern(serves);
         }
--- /dev/null
+++ b/src/router/pools/isolation.rs
@@ -0,0 +1,95 @@
+//! Separate places for requests that were at an upstream when it crashed.
+//!
+//! All requests of a crashed upstream run again, and one of them may be the cause. If two of them met at the next
+//! upstream, its crash would count for both, and the innocent one would be stopped everywhere. So each upstream runs at
+//! most one such request at a time. Every router uses a part of a pool's upstreams for them that no other router uses,
+//! as far as there are enough upstreams.
+
+use std::rc::Rc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{PoolKey, Pools};
+use crate::ids::{RouteKey, UpstreamKey};
+use crate::router::Shared;
+
+/// The right to run one such request at an upstream; dropping it frees the upstream for the next one.
+pub(in crate::router) struct Isolation {
+    shared: Rc<Shared>,
+    upstream: UpstreamKey,
+}
+
+impl Isolation {
+    /// Takes an upstream for one request; `None` while all of them are taken.
+    pub(in crate::router) fn take(
+        shared: &Rc<Shared>,
+        pool: PoolKey,
+        route: RouteKey,
+        excluded: &[UpstreamKey],
+    ) -> Option<Self> {
+        let mut pools = shared.pools.borrow_mut();
+        let upstream = pools.free_of_suspects(pool, route, excluded, shared.now_ms())?;
+        pools.suspects.insert(upstream);
+        Some(Self {
+            shared: Rc::clone(shared),
+            upstream,
+        })
+    }
+
+    /// Returns the upstream that was taken.
+    pub(in crate::router) fn upstream(&self) -> UpstreamKey {
+        self.upstream
+    }
+}
+
+impl Drop for Isolation {
+    fn drop(&mut self) {
+        self.shared
+            .pools
+            .borrow_mut()
+            .suspects
+            .remove(&self.upstream);
+    }
+}
+
+impl Pools {
+    /// Returns the other upstreams of a pool.
+    pub(in crate::router) fn all_but(
+        &self,
+        pool: PoolKey,
+        upstream: UpstreamKey,
+    ) -> Vec<UpstreamKey> {
+        let members = self.pools.get(&pool).map(|pool| pool.members.as_slice());
+        let others = members.unwrap_or_default().iter().copied();
+        others.filter(|&member| member != upstream).collect()
+    }
+
+    fn free_of_suspects(
+        &self,
+        pool: PoolKey,
+        route: RouteKey,
+        excluded: &[UpstreamKey],
+        now_ms: u64,
+    ) -> Option<UpstreamKey> {
+        let members = &self.pools.get(&pool)?.members;
+        let own: Vec<UpstreamKey> = members
+            .iter()
+            .copied()
+            .filter(|&member| self.is_own_part(member))
+            .collect();
+        let candidates = if own.is_empty() { members } else { &own };
+        candidates.iter().copied().find(|&member| {
+            !excluded.contains(&member)
+                && !self.suspects.contains(&member)
+                && self.is_usable(member, route, now_ms)
+        })
+    }
+
+    /// Returns whether no other router runs such requests at this upstream.
+    fn is_own_part(&self, upstream: UpstreamKey) -> bool {
+        let rank = self.routers.iter().position(|&router| router == self.own);
+        let hash = xxh3_64(self.names.name(upstream).as_bytes());
+        let part = (hash % self.routers.len().max(1) as u64) as usize;
+        rank.is_none_or(|rank| rank == part)
+    }
+}
--- a/tests/http_failures.rs
+++ b/tests/http_failures.rs
@@ -94,6 +94,44 @@
     assert_eq!(running, 2, "two engines crashed and no more");
 }
 
+/// Guards against stopping requests that only ran beside one that crashes engines.
+///
+/// After the first crash all requests of the engine run again, the harmful one among them. If they ran side by side
+/// again, the second crash would count for each of them.
+#[test]
+fn requests_beside_one_that_crashes_engines_are_served() {
+    const SLOW: &[&str] = &["--tokens-per-second", "500"];
+    let mut site = Site::start(&[SLOW, SLOW, SLOW]);
+    let router = site.router("vm-1");
+    for upstream in &site.upstreams {
+        upstream.fault(json!({ "crash_on": "poison", "crash_after_events": 20 }));
+    }
+    let send = |name: String, text: String| {
+        let callers = router.callers.clone();
+        std::thread::spawn(move || chat(&name, &text, 100, true).send(&callers))
+    };
+
+    let others: Vec<_> = (0..24)
+        .map(|number| send(format!("o{number}"), format!("text {number}")))
+        .collect();
+    let poison = send("p".into(), "poison".into());
+    let responses: Vec<_> = others
+        .into_iter()
+        .map(|thread| thread.join().expect("the caller ends"))
+        .collect();
+
+    let end = poison.join().expect("the caller ends");
+    let crashed = site
+        .upstreams
+        .iter_mut()
+        .filter_map(|upstream| (!upstream.process.is_running()).then_some(()))
+        .count();
+    assert_eq!(crashed, 2, "the harmful request is stopped: {end:?}");
+    for response in responses {
+        response.assert_whole_stream(100);
+    }
+}
+
 /// Guards against a caller that is refused because one of several engines fails.
 #[test]
 fn a_failing_engine_is_avoided() {
