Refuse a request after a crash at once if no other upstream can serve it

The wait for an upstream without another such request went on to the deadline when the only upstream had crashed: a_crash_on_a_reused_connection_may_have_run got no answer within 30 s in the whole test run. The part of a pool that a router uses for such requests counts only upstreams that are able to serve.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -125,7 +125,13 @@
                 self.isolation = Some(isolation);
                 return Ok(others);
             }
-            if shared.now_ms() >= call.deadline_ms {
+            let now_ms = shared.now_ms();
+            let is_possible = {
+                let pools = shared.pools.borrow();
+                let candidates = pools.candidates(pool, route, &self.excluded, now_ms);
+                !candidates.is_empty()
+            };
+            if !is_possible || now_ms >= call.deadline_ms {
                 return Err(self.failed("no upstream was free for a request that may crash it"));
             }
             monoio::time::sleep(ISOLATION_POLL).await;
--- a/src/router/pools/isolation.rs
+++ b/src/router/pools/isolation.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{PoolKey, Pools};
+use crate::health::Permit;
 use crate::ids::{RouteKey, UpstreamKey};
 use crate::router::Shared;
 
@@ -64,24 +65,44 @@
         others.filter(|&member| member != upstream).collect()
     }
 
-    fn free_of_suspects(
+    /// Returns the upstreams of a pool that may get a request after a crash, busy ones among them.
+    pub(in crate::router) fn candidates(
         &self,
         pool: PoolKey,
         route: RouteKey,
         excluded: &[UpstreamKey],
         now_ms: u64,
-    ) -> Option<UpstreamKey> {
-        let members = &self.pools.get(&pool)?.members;
-        let own: Vec<UpstreamKey> = members
+    ) -> Vec<UpstreamKey> {
+        let members = self.pools.get(&pool).map(|pool| pool.members.as_slice());
+        let able: Vec<UpstreamKey> = members
+            .unwrap_or_default()
             .iter()
             .copied()
-            .filter(|&member| self.is_own_part(member))
+            .filter(|member| !excluded.contains(member))
+            .filter(|&member| self.health.permit(member, route, now_ms) != Permit::Closed)
             .collect();
-        let candidates = if own.is_empty() { members } else { &own };
-        candidates.iter().copied().find(|&member| {
-            !excluded.contains(&member)
-                && !self.suspects.contains(&member)
-                && self.is_usable(member, route, now_ms)
+        let own_part = able
+            .iter()
+            .copied()
+            .filter(|&member| self.is_own_part(member));
+        let own_part: Vec<UpstreamKey> = own_part.collect();
+        if own_part.is_empty() {
+            able
+        } else {
+            own_part
+        }
+    }
+
+    fn free_of_suspects(
+        &self,
+        pool: PoolKey,
+        route: RouteKey,
+        excluded: &[UpstreamKey],
+        now_ms: u64,
+    ) -> Option<UpstreamKey> {
+        let candidates = self.candidates(pool, route, excluded, now_ms);
+        candidates.into_iter().find(|member| {
+            !self.suspects.contains(member) && self.is_usable(*member, route, now_ms)
         })
     }
 
