Tolerate a connection that closes while descriptors are listed

Cause: no_io_uring_descriptor_is_open lists /proc/PID/fd of a live router and then reads each link; a connection that closed in between ended the test with NotFound (seen once in a run from a clean checkout). Only that error of a single descriptor is passed over now. The check is as strict as before: the descriptor of a driver stays open as long as the process, and the epoll descriptor must still be found.

--- a/tests/http_shutdown.rs
+++ b/tests/http_shutdown.rs
@@ -127,8 +127,12 @@
     for entry in
         std::fs::read_dir(format!("/proc/{}/fd", router.process.id())).expect("a live process")
     {
-        let target = std::fs::read_link(entry.expect("an entry").path());
-        kinds.push(target.expect("a link").to_string_lossy().into_owned());
+        match std::fs::read_link(entry.expect("an entry").path()) {
+            Ok(target) => kinds.push(target.to_string_lossy().into_owned()),
+            // A connection was closed meanwhile; the descriptor of a driver stays open as long as the process.
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => {}
+            Err(error) => panic!("a link: {error}"),
+        }
     }
 
     assert!(
