Look the contract up once for each request

Call::check borrowed the folded state and looked the contract up a second time after the checks, on the path of every request. Nothing is awaited in between, so the first borrow serves; behaviour is the same. All checks pass.

--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -145,12 +145,6 @@
             check_service(&state, contract, &request)
         };
         let target = checked.map_err(|refused| (refused, Some(key)))?;
-        drop(state);
-        let in_force = shared.fleet.state();
-        let Some(in_force) = in_force.contracts.get(&customer) else {
-            return Err((unauthorized(), None));
-        };
-        let contract = &in_force.contract;
         Ok(Self {
             customer,
             customer_name: contract.customer.clone(),
