--- a/examples/stub_upstream.rs
+++ b/examples/stub_upstream.rs
@@ -24,6 +24,7 @@
 const LIMITS: RequestLimits = RequestLimits {
     head_bytes: 16 << 10,
     body_bytes: 4 << 20,
+    head_timeout: Duration::from_secs(10),
     read_timeout: Duration::from_secs(30),
     idle_timeout: Duration::from_secs(600),
 };
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -20,7 +20,7 @@
 
 use crate::log_client::http_client::HttpClient;
 use crate::settings::Settings;
-use crate::{explain, logging, publish, router, status};
+use crate::{explain, gateway, logging, publish, router, status};
 
 pub use arguments::command;
 
@@ -117,6 +117,7 @@
 fn dispatch(matches: &ArgMatches) -> Report {
     match matches.subcommand() {
         Some(("router", arguments)) => run_router(arguments),
+        Some(("gateway", arguments)) => run_gateway(arguments),
         Some(("check", arguments)) => check::run(arguments),
         Some(("publish", arguments)) => publish::run(arguments),
         Some(("status", arguments)) => status::run(arguments),
@@ -144,6 +145,22 @@
     }
 }
 
+fn run_gateway(arguments: &ArgMatches) -> Report {
+    let path = path(arguments, "settings");
+    let settings = match gateway::Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            let messages = error.messages(&path.display().to_string());
+            return Report::error(ExitCode::InvalidInput, messages);
+        }
+    };
+    logging::init_stdout(log_level(arguments));
+    match gateway::run(settings) {
+        Ok(()) => Report::done(""),
+        Err(error) => Report::error(ExitCode::Failed, vec![error.to_string()]),
+    }
+}
+
 fn log_level(arguments: &ArgMatches) -> log::LevelFilter {
     let level = arguments.get_one::<String>("log-level");
     level
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -24,6 +24,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(router())
+        .subcommand(gateway())
         .subcommand(check())
         .subcommand(publish())
         .subcommand(status())
@@ -40,14 +41,33 @@
         )
         .after_help(EXIT_CODES)
         .arg(file("settings", "Settings of this process, YAML").required(true))
+        .arg(log_level("Least severe level that is logged to standard error"))
+}
+
+fn gateway() -> Command {
+    Command::new("gateway")
+        .about("Runs one gateway on the platform until it is told to stop by SIGTERM")
+        .long_about(
+            "Runs one process between callers and upstreams, which keeps all lasting state in the platform's store. The \
+             settings are validated whole before anything is opened. SIGTERM starts a graceful shutdown: the gateway \
+             reports that it is not ready, finishes its open requests and returns its unspent budget rights.",
+        )
+        .after_help(EXIT_CODES)
         .arg(
-            Arg::new("log-level")
-                .long("log-level")
-                .value_name("LEVEL")
-                .value_parser(["error", "warn", "info", "debug", "trace"])
-                .default_value("info")
-                .help("Least severe level that is logged to standard error"),
+            file("settings", "Settings of this process, YAML")
+                .required(true)
+                .env("MONSOONFIELD_SETTINGS"),
         )
+        .arg(log_level("Least severe level that is logged to standard output"))
+}
+
+fn log_level(help: &'static str) -> Arg {
+    Arg::new("log-level")
+        .long("log-level")
+        .value_name("LEVEL")
+        .value_parser(["error", "warn", "info", "debug", "trace"])
+        .default_value("info")
+        .help(help)
 }
 
 fn check() -> Command {
--- a/src/engine/events.rs
+++ b/src/engine/events.rs
@@ -61,6 +61,11 @@
         Ok(Some(Event { index, raw }))
     }
 
+    /// Takes the bytes behind the last complete event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+
     /// Returns the bytes that wait for the end of their event.
     pub fn pending_bytes(&self) -> usize {
         self.buffer.len()
--- a/src/engine/exchange.rs
+++ b/src/engine/exchange.rs
@@ -1,7 +1,7 @@
 //! One response of an upstream while it is read.
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{HeaderMap, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::common::response::ResponseHead;
 use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, ResponseHeadDecoder};
@@ -31,14 +31,14 @@
     upstream: String,
     framing: Framing,
     status: u16,
-    content_type: String,
+    headers: Box<HeaderMap>,
     keep_alive: bool,
     is_eof: bool,
 }
 
 impl Exchange {
     /// Reads the head of the response.
-    pub(super) async fn start(mut socket: Socket, upstream: &str) -> Result<Self, (Error, bool)> {
+    pub(crate) async fn start(mut socket: Socket, upstream: &str) -> Result<Self, (Error, bool)> {
         let mut received = false;
         let mut decoder = ResponseHeadDecoder;
         let head = loop {
@@ -57,10 +57,10 @@
                 Err(error) => return Err((broken(upstream, error), received)),
             }
         };
-        Self::with_head(socket, upstream, &head).map_err(|error| (error, true))
+        Self::with_head(socket, upstream, head).map_err(|error| (error, true))
     }
 
-    fn with_head(socket: Socket, upstream: &str, head: &ResponseHead) -> Result<Self, Error> {
+    fn with_head(socket: Socket, upstream: &str, head: ResponseHead) -> Result<Self, Error> {
         let length = head.headers.get(CONTENT_LENGTH).map(|value| {
             value
                 .to_str()
@@ -88,12 +88,7 @@
             upstream: upstream.into(),
             framing,
             status: head.status.as_u16(),
-            content_type: head
-                .headers
-                .get(CONTENT_TYPE)
-                .and_then(|value| value.to_str().ok())
-                .unwrap_or("application/octet-stream")
-                .into(),
+            headers: Box::new(head.headers),
             is_eof: false,
         })
     }
@@ -105,7 +100,24 @@
 
     /// Returns the media type of the body.
     pub fn content_type(&self) -> &str {
-        &self.content_type
+        let value = self.headers.get(CONTENT_TYPE);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("application/octet-stream")
+    }
+
+    /// Returns the header fields.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// Returns the length of the body that is left, if the head gave one.
+    pub fn content_length(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Ended => Some(0),
+            Framing::Chunked(_) | Framing::UntilClose => None,
+        }
     }
 
     /// Returns whether the whole body was taken.
@@ -195,8 +207,22 @@
         }
     }
 
+    /// Discards this response and reads the head of the next one on the same connection.
+    ///
+    /// An upstream may repeat an earlier response where the next one is due.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this response is not whole or no other follows.
+    pub(crate) async fn skip(mut self, limit_bytes: usize) -> Result<Self, Error> {
+        self.read_all(limit_bytes).await?;
+        let upstream = std::mem::take(&mut self.upstream);
+        let next = Self::start(self.socket, &upstream).await;
+        next.map_err(|(error, _)| error)
+    }
+
     /// Returns the connection if another request can use it.
-    pub(super) fn into_reusable(mut self) -> Option<Socket> {
+    pub(crate) fn into_reusable(mut self) -> Option<Socket> {
         let is_clean = self.is_ended() && self.keep_alive && !self.is_eof;
         (is_clean && self.socket.input().is_empty()).then(|| {
             self.socket.shrink();
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -22,7 +22,7 @@
 
 mod builder;
 mod inner;
-mod notify;
+
 mod peers;
 mod reader;
 mod restore;
--- a/src/fleet/builder.rs
+++ b/src/fleet/builder.rs
@@ -9,8 +9,8 @@
 
 use super::{peers, reader, restore, tick, writer, Error, Fleet, Inner};
 use crate::log_client::{LogClient, LogService};
-use crate::platform::{VmList, VmListClient};
 use crate::settings::Settings;
+use crate::vm_list::{VmList, VmListClient};
 
 /// Builds a [`Fleet`] with other services than the ones that the settings name.
 pub struct FleetBuilder {
--- a/src/fleet/inner.rs
+++ b/src/fleet/inner.rs
@@ -11,7 +11,6 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::notify::Notify;
 use super::peers::{PeerTable, Traffic};
 use super::tail::Tail;
 use super::{restore, Error, Event};
@@ -23,10 +22,11 @@
 use crate::membership::detector::FailureDetector;
 use crate::membership::Phase;
 use crate::message::Outstanding;
-use crate::platform::VmList;
+use crate::notify::Notify;
 use crate::record::{Batch, Entry};
 use crate::settings::Settings;
 use crate::snapshot::{Assembler, Encoder};
+use crate::vm_list::VmList;
 
 /// Pause between two steps of serialising a state, which leaves the loop to requests.
 const SNAPSHOT_STEP_PAUSE: Duration = Duration::from_millis(1);
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -12,12 +12,12 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::builder::spawn;
-use super::notify::Notify;
 use super::{restore, Event, Inner};
 use crate::collections::FastSet;
 use crate::ids::{IncarnationId, Offset};
 use crate::membership::Phase;
 use crate::message::{Heartbeat, Hello, PeerMessage, PROTOCOL_VERSION};
+use crate::notify::Notify;
 use crate::peer::{self, Backoff, Error, FrameReader, FrameWriter};
 
 /// Time after which the member with the higher incarnation dials as well.
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -10,8 +10,8 @@
 use crate::ids::Offset;
 use crate::log_client::SNAPSHOT_STREAM;
 use crate::membership::rendezvous;
-use crate::platform::VmState;
 use crate::snapshot;
+use crate::vm_list::VmState;
 
 /// Pause before a chunk is appended again.
 const SNAPSHOT_RETRY: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,224 @@
+//! The process between callers and upstreams on a platform that keeps all lasting state in a store.
+//!
+//! One event loop on one thread. A request passes through these steps, each in a module of its own:
+//!
+//! | step | module |
+//! | --- | --- |
+//! | accept, parse | `callers` |
+//! | find the route, authenticate, reserve budget | `request` |
+//! | choose upstreams, send, retry | `attempt` |
+//! | connections to upstreams | `pool` |
+//! | relay the response, count what is delivered | `relay` |
+//!
+//! Beside the requests, `watch` follows configuration and upstreams, `funds` keeps spending rights at hand, `presence`
+//! splits the limits that hold over all gateways, and `stop` ends the process without cutting requests. Decisions are
+//! pure functions in [`crate::routing`], [`crate::directory`], [`crate::placement`], [`crate::allowance`] and
+//! [`crate::fleet_share`]. The design is in `docs/design.md`, section 10.
+
+mod attempt;
+mod callers;
+mod funds;
+mod pool;
+mod presence;
+mod probes;
+mod relay;
+mod request;
+mod settings;
+mod stop;
+mod watch;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use quick_error::quick_error;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::collections::FastMap;
+use crate::directory::Directory;
+use crate::fleet_share::{RetryLimit, Routers};
+use crate::metrics::Metrics;
+use crate::placement::Placement;
+use crate::platform::StoreClient;
+use crate::routing::Table;
+use crate::server;
+use crate::store::Store;
+
+pub use settings::{FleetLimits, Listen, Resources, Settings, StoreSettings};
+
+quick_error! {
+    /// Why a gateway did not start or did not stop as planned.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The process could not take a resource that it needs.
+        Start(step: &'static str, error: io::Error) {
+            display("{}: {}", step, error)
+        }
+    }
+}
+
+/// What a caller's request says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestMeta {
+    /// Identity of this attempt of the caller.
+    pub id: CompactString,
+    /// Time for which the caller waits.
+    pub deadline_ms: Option<u64>,
+    /// Tokens of the prompt.
+    pub input_tokens: u64,
+    /// Largest number of tokens of the response.
+    pub max_output_tokens: u64,
+    /// Hash of the shared part of the prompt.
+    pub session: Option<u64>,
+    /// Event after which the stream continues.
+    pub last_event_id: Option<u64>,
+}
+
+/// Whether the process takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Serves as soon as configuration and upstreams are known.
+    Running,
+    /// A planned stop is under way.
+    Stopping,
+}
+
+/// State that all tasks of one process share.
+struct Shared {
+    settings: Settings,
+    /// Random id of this process, by which its entries in the store are told from those of its predecessors.
+    router: u64,
+    started: Instant,
+    phase: Cell<Phase>,
+    stopping_since: Cell<Option<Instant>>,
+    store: Rc<dyn Store>,
+    /// `None` until the first configuration was read.
+    table: RefCell<Option<Rc<Table>>>,
+    /// Time at which the configuration was last known to be the newest one.
+    table_read_ms: Cell<u64>,
+    directory: RefCell<Directory>,
+    /// Whether a snapshot of the upstreams was read.
+    has_directory: Cell<bool>,
+    directory_read_ms: Cell<u64>,
+    placement: RefCell<Placement>,
+    pool: pool::Pool,
+    funds: funds::Funds,
+    routers: RefCell<Routers>,
+    retries: RefCell<FastMap<CompactString, RetryLimit>>,
+    metrics: Metrics,
+    random: RefCell<Pcg64Mcg>,
+    open_requests: Cell<usize>,
+    connections: Cell<usize>,
+}
+
+impl Shared {
+    /// Returns the time since the start; a monotonic clock, because wall clocks jump.
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn random(&self) -> u32 {
+        self.random.borrow_mut().random()
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.phase.get() == Phase::Stopping
+    }
+
+    /// Returns whether new connections should be sent here.
+    fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.table.borrow().is_some() && self.has_directory.get()
+    }
+}
+
+/// Runs a gateway until it has stopped as planned.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be opened.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .map_err(|error| Error::Start("starting the event loop", error))?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let listen = |step, address: &str| {
+        server::listen(address, None).map_err(|error| Error::Start(step, error))
+    };
+    let callers = listen("listening for callers", &settings.listen.callers)?;
+    let readiness = listen("listening for the balancer", &settings.listen.readiness)?;
+    let metrics = listen("listening for scrapers", &settings.listen.metrics)?;
+    let mut signals = stop::Signals::register()
+        .map_err(|error| Error::Start("registering the signal handler", error))?;
+    let shared = Rc::new(new_shared(settings));
+    log::info!(
+        step = "start", vm = shared.settings.vm.as_str(), router = shared.router,
+        callers = shared.settings.listen.callers.as_str(); "started"
+    );
+    monoio::spawn(callers::accept(Rc::clone(&shared), callers));
+    monoio::spawn(probes::accept(Rc::clone(&shared), readiness));
+    monoio::spawn(probes::accept(Rc::clone(&shared), metrics));
+    monoio::spawn(watch::follow_configuration(Rc::clone(&shared)));
+    monoio::spawn(watch::follow_upstreams(Rc::clone(&shared)));
+    monoio::spawn(presence::follow(Rc::clone(&shared)));
+    monoio::spawn(presence::report(Rc::clone(&shared)));
+    monoio::spawn(funds::run(Rc::clone(&shared)));
+    monoio::spawn(tick(Rc::clone(&shared)));
+    stop::wait_and_finish(&shared, &mut signals).await;
+    Ok(())
+}
+
+fn new_shared(settings: Settings) -> Shared {
+    let store = &settings.store;
+    let store = StoreClient::new(&store.address, &settings.vm, store.partitions);
+    let mut random = Pcg64Mcg::from_os_rng();
+    Shared {
+        router: random.random(),
+        started: Instant::now(),
+        phase: Cell::new(Phase::Running),
+        stopping_since: Cell::new(None),
+        store: Rc::new(store),
+        table: RefCell::default(),
+        table_read_ms: Cell::new(0),
+        directory: RefCell::default(),
+        has_directory: Cell::new(false),
+        directory_read_ms: Cell::new(0),
+        placement: RefCell::default(),
+        pool: pool::Pool::default(),
+        funds: funds::Funds::default(),
+        routers: RefCell::default(),
+        retries: RefCell::default(),
+        metrics: Metrics::new(),
+        random: RefCell::new(random),
+        open_requests: Cell::new(0),
+        connections: Cell::new(0),
+        settings,
+    }
+}
+
+/// Does what is due at intervals: old connections and old failures are forgotten.
+async fn tick(shared: Rc<Shared>) {
+    /// Interval of the housekeeping.
+    const INTERVAL: Duration = Duration::from_millis(500);
+    /// Part of a failure share that is left after one interval; half of it is left after 3 s.
+    const FORGIVENESS: f64 = 0.89;
+    loop {
+        monoio::time::sleep(INTERVAL).await;
+        let now_ms = shared.now_ms();
+        shared.pool.close_expired(now_ms);
+        shared.placement.borrow_mut().forgive(FORGIVENESS);
+        shared.routers.borrow_mut().expire(now_ms);
+        shared
+            .metrics
+            .set("open_requests", shared.open_requests.get() as u64);
+        shared
+            .metrics
+            .set("connections", shared.connections.get() as u64);
+    }
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,563 @@
+//! Attempts of one request at upstreams: choice, connection, sending, the head of the response, retries.
+
+use std::future::{poll_fn, Future};
+use std::pin::pin;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use compact_str::{format_compact, CompactString};
+use http::HeaderMap;
+
+use super::request::Call;
+use super::{pool, Shared};
+use crate::directory::Entry;
+use crate::engine::Exchange;
+use crate::placement::{Candidate, Outcome, Unplaced};
+use crate::platform::headers::{self, Added};
+use crate::refusal::Refusal;
+use crate::routing::Repeat;
+use crate::server::Socket;
+
+/// Idle time up to which a connection carries a request that may run only once; a connection that the upstream closed
+/// unseen would leave it unknown whether such a request ran.
+const ONCE_IDLE_MS: u64 = 1_000;
+
+/// Time after which a stream without a byte is tried elsewhere if its upstream sends nothing to anybody.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Part of the time left after which an idempotent request is tried elsewhere, in percent.
+const FIRST_TRY_PERCENT: u32 = 50;
+
+/// Time left below which no further attempt is made.
+const MIN_LEFT_MS: u64 = 30;
+
+/// Attempts that did not run, for example refused connections, after which a request is given up.
+const MAX_MISSES: u32 = 4;
+
+/// Largest response that is discarded to reach the one that belongs to a request.
+const SKIPPED_BYTES: usize = 256 << 10;
+
+/// Responses that are discarded before a connection is given up.
+const SKIPPED_RESPONSES: u32 = 2;
+
+/// Why a wait ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Interrupt {
+    /// The caller closed its connection.
+    CallerGone,
+    /// The time of the request is over.
+    Deadline,
+    /// The time of this attempt is over.
+    AttemptTimeout,
+}
+
+/// A response whose head has arrived.
+pub(super) struct Response {
+    /// Id of the upstream.
+    pub(super) upstream: CompactString,
+    /// The response.
+    pub(super) exchange: Exchange,
+    /// Whether the whole request was written.
+    pub(super) is_reusable: bool,
+}
+
+/// Why a request got no response.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// The caller is gone.
+    CallerGone,
+    /// The request is answered with a refusal and the time after which a retry may help.
+    Refused(Refusal, CompactString, Option<u64>),
+}
+
+/// Attempts of one request so far.
+#[derive(Default)]
+pub(super) struct Attempts {
+    /// Attempts that ran or may have run.
+    pub(super) runs: u32,
+    /// Attempts that certainly did not run.
+    pub(super) misses: u32,
+    /// Upstreams that were tried.
+    pub(super) tried: Vec<CompactString>,
+    /// What the last attempt came to, for the log.
+    pub(super) last: CompactString,
+}
+
+/// Result of one attempt.
+enum Tried {
+    /// A response to relay.
+    Response(Response),
+    /// The request did not run; another upstream may take it.
+    NotRun(CompactString),
+    /// The request may have run and brought no usable response.
+    MayHaveRun(CompactString),
+    /// The attempt was interrupted.
+    Interrupted(Interrupt),
+}
+
+/// Counts a request at an upstream from its sending to its end, also if its future is dropped.
+pub(super) struct Sent<'a> {
+    shared: &'a Shared,
+    id: CompactString,
+    outcome: Outcome,
+    is_unanswered: bool,
+}
+
+impl<'a> Sent<'a> {
+    fn new(shared: &'a Shared, id: &str) -> Self {
+        shared.placement.borrow_mut().sent(id, shared.now_ms());
+        Self {
+            shared,
+            id: id.into(),
+            outcome: Outcome::Neutral,
+            is_unanswered: true,
+        }
+    }
+
+    /// Notes that the first byte arrived.
+    fn answered(&mut self) {
+        if std::mem::take(&mut self.is_unanswered) {
+            self.shared.placement.borrow_mut().answered(&self.id);
+        }
+    }
+
+    /// Sets what the end of the request says of the upstream.
+    pub(super) fn set_outcome(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Sent<'_> {
+    fn drop(&mut self) {
+        self.answered();
+        let now_ms = self.shared.now_ms();
+        let mut placement = self.shared.placement.borrow_mut();
+        placement.finished(&self.id, self.outcome, now_ms);
+    }
+}
+
+/// Sends a request until an upstream responds with a head that is worth relaying.
+///
+/// # Errors
+///
+/// Returns what the caller is told.
+pub(super) async fn run<'a>(
+    shared: &'a Shared,
+    call: &Call<'_>,
+    caller: &mut Socket,
+    attempts: &mut Attempts,
+    last_event_id: Option<u64>,
+) -> Result<(Response, Sent<'a>), Failure> {
+    loop {
+        if call.left_ms(shared) < MIN_LEFT_MS {
+            return Err(give_up(
+                call,
+                attempts,
+                Refusal::TimedOut,
+                "no time is left",
+            ));
+        }
+        let upstream = match choose(shared, call, &attempts.tried) {
+            Ok(upstream) => upstream,
+            Err(unplaced) => return Err(unplaced_failure(call, attempts, unplaced)),
+        };
+        if !attempts.tried.is_empty() && !take_retry(shared, call) {
+            return Err(give_up(
+                call,
+                attempts,
+                Refusal::NoUpstream,
+                "no retry is left",
+            ));
+        }
+        let (id, entry) = upstream;
+        attempts.tried.push(id.clone());
+        let mut sent = Sent::new(shared, &id);
+        let tried = attempt(shared, call, caller, &id, &entry, &mut sent, last_event_id).await;
+        match tried {
+            Tried::Response(response) => {
+                attempts.runs += 1;
+                if !is_retried(call, attempts, &response) {
+                    return Ok((response, sent));
+                }
+                sent.set_outcome(Outcome::Failed);
+                let status = response.exchange.status();
+                attempts.last = format_compact!("{id}: status {status}");
+                if !may_retry(shared, call, attempts) {
+                    return Ok((response, sent));
+                }
+            }
+            Tried::NotRun(reason) => {
+                attempts.misses += 1;
+                attempts.last = format_compact!("{id}: {reason}");
+                log::info!(step = "attempt", request_id = call.meta.id.as_str(), upstream = id.as_str(); "not run: {reason}");
+                if attempts.misses >= MAX_MISSES {
+                    return Err(give_up(
+                        call,
+                        attempts,
+                        Refusal::NoUpstream,
+                        "upstreams refused",
+                    ));
+                }
+            }
+            Tried::MayHaveRun(reason) => {
+                attempts.runs += 1;
+                sent.set_outcome(Outcome::Failed);
+                attempts.last = format_compact!("{id}: {reason}");
+                log::info!(step = "attempt", request_id = call.meta.id.as_str(), upstream = id.as_str(); "may have run: {reason}");
+                if call.route().repeat == Repeat::Once || attempts.runs >= call.route().max_attempts
+                {
+                    return Err(give_up(
+                        call,
+                        attempts,
+                        Refusal::UpstreamFailed,
+                        "the upstream failed",
+                    ));
+                }
+            }
+            Tried::Interrupted(Interrupt::CallerGone) => return Err(Failure::CallerGone),
+            Tried::Interrupted(Interrupt::Deadline) => {
+                attempts.runs += 1;
+                attempts.last = format_compact!("{id}: no response in time");
+                return Err(give_up(
+                    call,
+                    attempts,
+                    Refusal::TimedOut,
+                    "no response in time",
+                ));
+            }
+            Tried::Interrupted(Interrupt::AttemptTimeout) => {
+                attempts.runs += 1;
+                sent.set_outcome(Outcome::Failed);
+                attempts.last = format_compact!("{id}: no response in the time of the attempt");
+                log::info!(step = "attempt", request_id = call.meta.id.as_str(), upstream = id.as_str(); "timed out, trying another upstream");
+            }
+        }
+    }
+}
+
+/// Returns whether a response is a failure that another upstream may turn into a success.
+fn is_retried(call: &Call<'_>, attempts: &Attempts, response: &Response) -> bool {
+    let is_failure = response.exchange.status() >= 500;
+    is_failure
+        && call.route().repeat == Repeat::Idempotent
+        && attempts.runs < call.route().max_attempts
+}
+
+/// Returns whether a retry is worth its price: time is left and the limit of the fleet is not used up.
+fn may_retry(shared: &Shared, call: &Call<'_>, attempts: &Attempts) -> bool {
+    call.left_ms(shared) > MIN_LEFT_MS
+        && choose(shared, call, &attempts.tried).is_ok()
+        && has_retry(shared, call)
+}
+
+fn give_up(call: &Call<'_>, attempts: &Attempts, refusal: Refusal, reason: &str) -> Failure {
+    let reason = format_compact!("{reason}; last attempt: {}", attempts.last);
+    // After a run only statuses that promise nothing are true.
+    let refusal = match refusal {
+        Refusal::NoUpstream | Refusal::Overloaded if attempts.runs > 0 => Refusal::UpstreamFailed,
+        Refusal::TimedOut if attempts.runs == 0 => Refusal::Overloaded,
+        other => other,
+    };
+    Failure::Refused(refusal, reason, call.retry_after_ms())
+}
+
+fn unplaced_failure(call: &Call<'_>, attempts: &Attempts, unplaced: Unplaced) -> Failure {
+    match unplaced {
+        Unplaced::NoUpstream => give_up(call, attempts, Refusal::NoUpstream, "no upstream"),
+        Unplaced::Full => give_up(
+            call,
+            attempts,
+            Refusal::Overloaded,
+            "all upstreams are full",
+        ),
+    }
+}
+
+/// Returns this gateway's part of the retries that are allowed besides the share of requests.
+fn retry_slack(shared: &Shared) -> u64 {
+    let slack = shared.settings.fleet.retry_slack;
+    shared.routers.borrow().part(&shared.settings.vm, slack)
+}
+
+fn take_retry(shared: &Shared, call: &Call<'_>) -> bool {
+    let rule = shared.settings.fleet.retry_rule();
+    let slack = retry_slack(shared);
+    let mut retries = shared.retries.borrow_mut();
+    let limit = retries.entry(call.service.clone()).or_default();
+    limit.try_retry(rule, slack, shared.now_ms())
+}
+
+fn has_retry(shared: &Shared, call: &Call<'_>) -> bool {
+    let rule = shared.settings.fleet.retry_rule();
+    let slack = retry_slack(shared);
+    let mut retries = shared.retries.borrow_mut();
+    let limit = retries.entry(call.service.clone()).or_default();
+    limit.has_retry(rule, slack, shared.now_ms())
+}
+
+/// Chooses an upstream that has a connection left for this gateway.
+fn choose(
+    shared: &Shared,
+    call: &Call<'_>,
+    tried: &[CompactString],
+) -> Result<(CompactString, Entry), Unplaced> {
+    let directory = shared.directory.borrow();
+    let placement = shared.placement.borrow();
+    let limit = connection_limit(shared, call);
+    let serving: Vec<_> = directory.serving(&call.service).collect();
+    let candidates: Vec<_> = serving
+        .iter()
+        .filter(|(id, _)| placement.own_requests(id) < limit)
+        .map(|(id, entry)| Candidate {
+            id: id.as_str(),
+            slots: entry.slots,
+            is_local: entry.data_centre == shared.settings.data_centre,
+        })
+        .collect();
+    if candidates.is_empty() && !serving.is_empty() {
+        return Err(Unplaced::Full);
+    }
+    let id = placement.choose(&candidates, call.meta.session, tried, shared.now_ms())?;
+    let entry = directory.get(id).ok_or(Unplaced::NoUpstream)?;
+    Ok((id.into(), entry.clone()))
+}
+
+/// Returns how many connections this gateway may open to one upstream.
+fn connection_limit(shared: &Shared, call: &Call<'_>) -> u32 {
+    /// Smallest part, so that a gateway in a large fleet can serve at all.
+    const MIN_CONNECTIONS: u64 = 2;
+    let total = call
+        .table
+        .service(&call.service)
+        .map_or(u32::MAX, |service| service.max_connections);
+    let part = shared
+        .routers
+        .borrow()
+        .part(&shared.settings.vm, u64::from(total));
+    part.max(MIN_CONNECTIONS) as u32
+}
+
+async fn attempt(
+    shared: &Shared,
+    call: &Call<'_>,
+    caller: &mut Socket,
+    id: &CompactString,
+    entry: &Entry,
+    sent: &mut Sent<'_>,
+    last_event_id: Option<u64>,
+) -> Tried {
+    let is_once = call.route().repeat == Repeat::Once;
+    let max_idle_ms = if is_once { ONCE_IDLE_MS } else { u64::MAX };
+    let kept = shared.pool.take(id, max_idle_ms, shared.now_ms());
+    let socket = match kept {
+        Some(socket) => socket,
+        None => {
+            shared.metrics.add("upstream_connects", 1);
+            match guard(shared, call, caller, None, pool::connect(entry.address)).await {
+                Err(interrupt) => return Tried::Interrupted(interrupt),
+                Ok(Err(reason)) => {
+                    sent.set_outcome(Outcome::Unreachable);
+                    return Tried::NotRun(reason);
+                }
+                Ok(Ok(socket)) => socket,
+            }
+        }
+    };
+    let output = encode(shared, call, id, entry, last_event_id);
+    let mut exchange = pin!(exchange(shared, call, id, socket, output));
+    let limit = attempt_limit(shared, call);
+    let started_ms = shared.now_ms();
+    let result = loop {
+        match guard(shared, call, caller, limit, exchange.as_mut()).await {
+            Ok(result) => break result,
+            Err(Interrupt::AttemptTimeout) if is_only_slow(shared, call, id) => {}
+            Err(interrupt) => return Tried::Interrupted(interrupt),
+        }
+    };
+    sent.answered();
+    let now_ms = shared.now_ms();
+    match result {
+        Err(reason) => Tried::MayHaveRun(reason),
+        Ok(response) => {
+            let elapsed_ms = now_ms.saturating_sub(started_ms);
+            judge(shared, call, response, sent, elapsed_ms)
+        }
+    }
+}
+
+/// Returns the time at which an attempt without a response is given up for another one.
+fn attempt_limit(shared: &Shared, call: &Call<'_>) -> Option<Duration> {
+    match call.route().repeat {
+        Repeat::Idempotent if call.route().max_attempts > 1 => {
+            let left = Duration::from_millis(call.left_ms(shared));
+            Some(left * FIRST_TRY_PERCENT / 100)
+        }
+        Repeat::Resumable if call.route().max_attempts > 1 => Some(FIRST_BYTE_TIMEOUT),
+        _ => None,
+    }
+}
+
+/// Returns whether a stream waits at an upstream that still sends to others; trying elsewhere would only add load.
+fn is_only_slow(shared: &Shared, call: &Call<'_>, id: &str) -> bool {
+    call.route().is_stream && !shared.placement.borrow().is_silent(id, shared.now_ms())
+}
+
+/// Writes a request and reads the head of its response.
+async fn exchange(
+    shared: &Shared,
+    call: &Call<'_>,
+    id: &CompactString,
+    mut socket: Socket,
+    output: Bytes,
+) -> Result<Response, CompactString> {
+    let written = pool::write_request(&mut socket, output).await;
+    let is_reusable = written.map_err(|error| format_compact!("sending: {error}"))?;
+    let started = Exchange::start(socket, id).await;
+    let mut exchange = started.map_err(|(error, _)| format_compact!("{error}"))?;
+    for _ in 0..SKIPPED_RESPONSES {
+        if headers::belongs_to(exchange.headers(), &call.meta.id) {
+            break;
+        }
+        log::warn!(step = "response", request_id = call.meta.id.as_str(), upstream = id.as_str(); "skipped a response to another request");
+        let next = exchange.skip(SKIPPED_BYTES).await;
+        exchange = next.map_err(|error| format_compact!("{error}"))?;
+    }
+    shared.placement.borrow_mut().heard(id, shared.now_ms());
+    Ok(Response {
+        upstream: id.clone(),
+        exchange,
+        is_reusable,
+    })
+}
+
+/// Decides what the head of a response means.
+fn judge(
+    shared: &Shared,
+    call: &Call<'_>,
+    response: Response,
+    sent: &mut Sent<'_>,
+    elapsed_ms: u64,
+) -> Tried {
+    let now_ms = shared.now_ms();
+    let status = response.exchange.status();
+    let fields = response.exchange.headers();
+    if let Some(report) = headers::load(fields) {
+        let mut placement = shared.placement.borrow_mut();
+        placement.report(&response.upstream, report, now_ms);
+    }
+    if headers::is_not_executed(status, fields) {
+        sent.set_outcome(Outcome::Full);
+        return Tried::NotRun(format_compact!("status {status}"));
+    }
+    if !headers::belongs_to(fields, &call.meta.id) {
+        return Tried::MayHaveRun("the response belongs to another request".into());
+    }
+    if (200..300).contains(&status) {
+        if !headers::is_signed(fields) || !headers::names_request(fields) {
+            return Tried::MayHaveRun("the response is not signed by the upstream".into());
+        }
+        let mut placement = shared.placement.borrow_mut();
+        placement.first_byte(&response.upstream, elapsed_ms);
+    }
+    Tried::Response(response)
+}
+
+/// Encodes a request for an upstream.
+fn encode(
+    shared: &Shared,
+    call: &Call<'_>,
+    id: &str,
+    entry: &Entry,
+    last_event_id: Option<u64>,
+) -> Bytes {
+    let request = call.request;
+    let added = Added {
+        upstream: id,
+        team: call.team_name(),
+        left_ms: call.left_ms(shared),
+        priority: call.upstream_priority(),
+        last_event_id,
+    };
+    let fields = headers::to_upstream(&request.headers, &added);
+    let mut output = BytesMut::with_capacity(request.body.len() + 1_024);
+    output.put_slice(request.method.as_str().as_bytes());
+    output.put_u8(b' ');
+    output.put_slice(call.target().as_bytes());
+    output.put_slice(b" HTTP/1.1\r\n");
+    put_fields(&mut output, &fields);
+    if !fields.contains_key(http::header::HOST) {
+        output.put_slice(format!("host: {}\r\n", entry.address).as_bytes());
+    }
+    if !request.body.is_empty() || request.method != http::Method::GET {
+        output.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
+    }
+    output.put_slice(b"\r\n");
+    output.put_slice(&request.body);
+    output.freeze()
+}
+
+/// Appends header fields.
+pub(super) fn put_fields(output: &mut BytesMut, fields: &HeaderMap) {
+    for (name, value) in fields {
+        output.put_slice(name.as_str().as_bytes());
+        output.put_slice(b": ");
+        output.put_slice(value.as_bytes());
+        output.put_slice(b"\r\n");
+    }
+}
+
+/// Waits for a future while the caller stays and time is left.
+///
+/// Bytes that the caller sends meanwhile belong to its next request; the watch on its connection then ends.
+///
+/// # Errors
+///
+/// Returns what ended the wait.
+pub(super) async fn guard<F: Future>(
+    shared: &Shared,
+    call: &Call<'_>,
+    caller: &mut Socket,
+    limit: Option<Duration>,
+    future: F,
+) -> Result<F::Output, Interrupt> {
+    let end = Instant::now() + Duration::from_millis(call.left_ms(shared));
+    let attempt_end = limit.map_or(end, |limit| Instant::now() + limit);
+    let mut future = pin!(future);
+    let mut deadline = pin!(monoio::time::sleep_until(end.min(attempt_end).into()));
+    let mut is_watching = caller.input_len() == 0;
+    loop {
+        let event = {
+            let mut readable = pin!(caller.readable());
+            poll_fn(|context| {
+                if let Poll::Ready(output) = future.as_mut().poll(context) {
+                    return Poll::Ready(Event::Done(output));
+                }
+                if is_watching && readable.as_mut().poll(context).is_ready() {
+                    return Poll::Ready(Event::CallerReadable);
+                }
+                if deadline.as_mut().poll(context).is_ready() {
+                    return Poll::Ready(Event::Timer);
+                }
+                Poll::Pending
+            })
+            .await
+        };
+        match event {
+            Event::Done(output) => return Ok(output),
+            Event::Timer if attempt_end < end => return Err(Interrupt::AttemptTimeout),
+            Event::Timer => return Err(Interrupt::Deadline),
+            Event::CallerReadable => match caller.try_fill() {
+                Some(Ok(0) | Err(_)) => return Err(Interrupt::CallerGone),
+                Some(Ok(_)) => is_watching = false,
+                None => {}
+            },
+        }
+    }
+}
+
+enum Event<T> {
+    Done(T),
+    CallerReadable,
+    Timer,
+}
--- /dev/null
+++ b/src/gateway/callers.rs
@@ -0,0 +1,109 @@
+//! Connections of callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::net::{TcpListener, TcpStream};
+
+use super::request::{self, own_answer};
+use super::Shared;
+use crate::routing::CallerLimits;
+use crate::server::{Error, Request, RequestLimits, Socket};
+
+/// Pause after an accept that failed, for example because the process has no file descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Descriptors that are kept for connections to upstreams and the store, in percent of all.
+const OUTGOING_PERCENT: u64 = 40;
+
+/// Interval at which a waiting connection looks whether the process stops.
+const STOP_POLL: Duration = Duration::from_millis(250);
+
+/// Accepts callers until the process ends.
+pub(super) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    let descriptors = shared.settings.resources.descriptors;
+    let limit = (descriptors * (100 - OUTGOING_PERCENT) / 100) as usize;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if shared.connections.get() < limit => {
+                monoio::spawn(serve(Rc::clone(&shared), stream));
+            }
+            Ok(_) => shared.metrics.add("connections_rejected", 1),
+            Err(error) => {
+                log::warn!(step = "accept"; "{error}");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Rc<Shared>, stream: TcpStream) {
+    shared.connections.set(shared.connections.get() + 1);
+    let mut socket = Socket::new(stream);
+    requests(&shared, &mut socket).await;
+    shared.connections.set(shared.connections.get() - 1);
+}
+
+/// Serves the requests of one connection in turn.
+async fn requests(shared: &Shared, socket: &mut Socket) {
+    let limits = limits(shared);
+    loop {
+        if !wait_for_input(shared, socket, limits.idle_timeout).await {
+            return;
+        }
+        match Request::read(socket, limits).await {
+            Ok(request) => {
+                // The future of a request is large; a connection that waits for its next request does not hold it.
+                if !Box::pin(request::serve(shared, socket, &request)).await {
+                    socket.linger_if_unread().await;
+                    return;
+                }
+            }
+            Err(Error::Refused(refusal, message)) => {
+                log::info!(step = "refuse", status = refusal.status(), code = refusal.code(), at_ms = shared.now_ms(); "{message}");
+                shared.metrics.count_refusal(refusal);
+                let answer = own_answer(refusal, "", None, false);
+                if socket.write_all(answer).await.is_ok() {
+                    socket.linger().await;
+                }
+                return;
+            }
+            Err(Error::Closed | Error::Io(_)) => return,
+        }
+    }
+}
+
+/// Waits for the first byte of the next request; returns whether there is one.
+///
+/// During a planned stop the connection is closed once it has been idle for a while, because a request that crosses
+/// the end of an idle connection is lost to its caller.
+async fn wait_for_input(shared: &Shared, socket: &mut Socket, idle_timeout: Duration) -> bool {
+    socket.shrink();
+    let idle_ms = idle_timeout.as_millis() as u64;
+    let since_ms = shared.now_ms();
+    while socket.input_len() == 0 {
+        if shared.closes_idle() || shared.now_ms().saturating_sub(since_ms) >= idle_ms {
+            return false;
+        }
+        match monoio::time::timeout(STOP_POLL, socket.fill()).await {
+            Ok(Ok(1..)) => return true,
+            Ok(_) => return false,
+            Err(_) => {}
+        }
+    }
+    true
+}
+
+fn limits(shared: &Shared) -> RequestLimits {
+    let table = shared.table.borrow();
+    let limits = table
+        .as_ref()
+        .map_or_else(CallerLimits::default, |table| table.limits());
+    RequestLimits {
+        head_bytes: limits.head_bytes as usize,
+        body_bytes: limits.body_bytes as usize,
+        head_timeout: Duration::from_millis(limits.head_timeout_ms),
+        read_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+    }
+}
--- /dev/null
+++ b/src/gateway/funds.rs
@@ -0,0 +1,369 @@
+//! Keeps spending rights of every team at hand.
+//!
+//! One task for each team reads the team's record, plans the next one with [`crate::allowance`] and writes it under the
+//! condition that nothing was written in between. If an answer is lost the task reads until it knows whether the write
+//! took effect, and repeats the same write while that is open: only one of the copies can meet the condition.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use prost::Message;
+
+use super::Shared;
+use crate::allowance::{Account, Shortage, TeamRecord};
+use crate::collections::FastMap;
+use crate::notify::Notify;
+use crate::routing::Table;
+use crate::store::{Appended, Error, Feed, Record};
+
+/// Slots over which teams are spread.
+const SLOTS: u64 = 48;
+
+/// Interval between two looks at a team's record, with few routers and teams.
+const INTERVAL_MS: u64 = 1_000;
+
+/// Looks at records in one second over all routers and teams; beyond, the interval grows.
+const LOOKS_PER_S: u64 = 200;
+
+/// Shortest time between two looks, so that a team in need does not flood the store.
+const MIN_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest time for which a request waits for rights; an answer of the store takes some milliseconds.
+const WAIT: Duration = Duration::from_millis(200);
+
+/// Time without an answer of the store after which no request waits for rights.
+const OUTAGE_MS: u64 = 400;
+
+/// Rights of one team.
+struct TeamFunds {
+    name: CompactString,
+    prepaid_tokens: Cell<u64>,
+    account: RefCell<Account>,
+    /// A request needs more rights than are held.
+    needed: Notify,
+    is_needed: Cell<bool>,
+    /// Rights may have come.
+    changed: Notify,
+    /// Since when the store has not answered; `None` while it does.
+    failing_since_ms: Cell<Option<u64>>,
+    read_ms: Cell<u64>,
+}
+
+/// Rights of all teams that have a budget.
+#[derive(Default)]
+pub(super) struct Funds {
+    teams: RefCell<FastMap<CompactString, Rc<TeamFunds>>>,
+    added: Notify,
+    unstarted: RefCell<Vec<Rc<TeamFunds>>>,
+}
+
+/// Rights that one request holds until it is settled; what is not charged becomes available at the end.
+pub(super) struct Reservation {
+    team: Rc<TeamFunds>,
+    tokens: u64,
+    charge_tokens: Cell<u64>,
+}
+
+impl Reservation {
+    /// Sets the charge; it counts when the reservation ends.
+    pub(super) fn charge(&self, tokens: u64) {
+        self.charge_tokens.set(tokens);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut account = self.team.account.borrow_mut();
+        account.settle(self.tokens, self.charge_tokens.get());
+        drop(account);
+        self.team.changed.notify();
+    }
+}
+
+impl Funds {
+    /// Takes over the budgets of a configuration.
+    pub(super) fn configure(&self, table: &Table) {
+        let mut teams = self.teams.borrow_mut();
+        for team in table.teams() {
+            let Some(prepaid_tokens) = team.prepaid_tokens else {
+                continue;
+            };
+            if let Some(known) = teams.get(&team.name) {
+                let before = known.prepaid_tokens.replace(prepaid_tokens);
+                if before != prepaid_tokens {
+                    known.wake();
+                }
+                continue;
+            }
+            let funds = Rc::new(TeamFunds {
+                name: team.name.clone(),
+                prepaid_tokens: Cell::new(prepaid_tokens),
+                account: RefCell::default(),
+                needed: Notify::default(),
+                is_needed: Cell::new(false),
+                changed: Notify::default(),
+                failing_since_ms: Cell::new(None),
+                read_ms: Cell::new(0),
+            });
+            teams.insert(team.name.clone(), Rc::clone(&funds));
+            self.unstarted.borrow_mut().push(funds);
+        }
+        self.added.notify();
+    }
+
+    /// Reserves the largest possible charge of a request; waits a moment if the store has to be asked.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether more rights can exist.
+    pub(super) async fn reserve(
+        &self,
+        shared: &Shared,
+        team: &str,
+        tokens: u64,
+    ) -> Result<Option<Reservation>, Shortage> {
+        let Some(team) = self.teams.borrow().get(team).cloned() else {
+            return Ok(None);
+        };
+        let first = team.try_reserve(tokens, shared.now_ms());
+        match first {
+            Ok(reservation) => Ok(Some(reservation)),
+            Err(Shortage::NotHeld) if team.can_ask(shared.now_ms()) => {
+                team.wait_for_rights(shared, tokens).await.map(Some)
+            }
+            Err(shortage) => Err(shortage),
+        }
+    }
+
+    /// Returns the figures of a team for the log: rights handed out, charged and available, age of the record.
+    pub(super) fn figures(&self, team: &str, now_ms: u64) -> Option<(u64, u64, u64, u64)> {
+        let teams = self.teams.borrow();
+        let team = teams.get(team)?;
+        let account = team.account.borrow();
+        Some((
+            account.granted_tokens(),
+            account.spent_tokens(),
+            account.available_tokens(),
+            now_ms.saturating_sub(team.read_ms.get()),
+        ))
+    }
+
+    /// Returns all rights that are not in use, for a planned stop.
+    pub(super) async fn return_all(&self, shared: &Shared) {
+        let teams: Vec<_> = self.teams.borrow().values().cloned().collect();
+        let returns = teams.iter().map(|team| team.cycle(shared, Goal::Return));
+        futures_util::future::join_all(returns).await;
+    }
+}
+
+/// What a cycle aims at.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Goal {
+    /// Hold as many rights as will be needed.
+    Hold,
+    /// Hold only what open requests reserve.
+    Return,
+}
+
+/// Starts a task for each team as the configuration names it.
+pub(super) async fn run(shared: Rc<Shared>) {
+    loop {
+        let funds = &shared.funds;
+        let unstarted = funds.added.wait_for(|| {
+            let teams = std::mem::take(&mut *funds.unstarted.borrow_mut());
+            (!teams.is_empty()).then_some(teams)
+        });
+        for team in unstarted.await {
+            monoio::spawn(keep(Rc::clone(&shared), team));
+        }
+    }
+}
+
+async fn keep(shared: Rc<Shared>, team: Rc<TeamFunds>) {
+    while !shared.is_stopping() {
+        team.is_needed.set(false);
+        team.cycle(&shared, Goal::Hold).await;
+        monoio::time::sleep(MIN_INTERVAL).await;
+        let interval = Duration::from_millis(interval_ms(&shared));
+        let needed = team.needed.wait_for(|| team.is_needed.get().then_some(()));
+        // Both ends of the wait lead to the next look.
+        let _ = monoio::time::timeout(interval, needed).await;
+    }
+}
+
+/// Returns the time between two looks, so that all routers together stay within what the store takes.
+fn interval_ms(shared: &Shared) -> u64 {
+    let teams = shared.funds.teams.borrow().len() as u64;
+    let routers = shared.routers.borrow().count();
+    INTERVAL_MS.max(teams * routers * 1_000 / LOOKS_PER_S)
+}
+
+impl TeamFunds {
+    fn wake(&self) {
+        self.is_needed.set(true);
+        self.needed.notify();
+    }
+
+    /// Returns whether the store may answer soon.
+    fn can_ask(&self, now_ms: u64) -> bool {
+        let failing_since = self.failing_since_ms.get();
+        failing_since.is_none_or(|since_ms| now_ms.saturating_sub(since_ms) < OUTAGE_MS)
+    }
+
+    fn try_reserve(self: &Rc<Self>, tokens: u64, now_ms: u64) -> Result<Reservation, Shortage> {
+        let mut account = self.account.borrow_mut();
+        account.reserve(tokens, now_ms)?;
+        if account.available_tokens() < tokens {
+            self.wake();
+        }
+        Ok(Reservation {
+            team: Rc::clone(self),
+            tokens,
+            charge_tokens: Cell::new(0),
+        })
+    }
+
+    async fn wait_for_rights(
+        self: &Rc<Self>,
+        shared: &Shared,
+        tokens: u64,
+    ) -> Result<Reservation, Shortage> {
+        self.account.borrow_mut().want(tokens);
+        self.wake();
+        let mut last = Shortage::NotHeld;
+        let wait = self
+            .changed
+            .wait_for(|| match self.try_reserve(tokens, shared.now_ms()) {
+                Ok(reservation) => Some(Ok(reservation)),
+                Err(Shortage::Exhausted) => Some(Err(Shortage::Exhausted)),
+                Err(shortage) => {
+                    last = shortage;
+                    None
+                }
+            });
+        let result = monoio::time::timeout(WAIT, wait).await;
+        self.account.borrow_mut().unwant(tokens);
+        result.unwrap_or(Err(last))
+    }
+
+    /// Looks at the record and changes it if needed.
+    async fn cycle(&self, shared: &Shared, goal: Goal) {
+        let Some((record, end)) = self.read(shared).await else {
+            return;
+        };
+        let routers = shared.routers.borrow().count();
+        let planned = {
+            let mut account = self.account.borrow_mut();
+            account.decay_rate(shared.now_ms());
+            let planned = match goal {
+                Goal::Hold => {
+                    account.plan(&record, shared.router, self.prepaid_tokens.get(), routers)
+                }
+                Goal::Return => account.plan_return(&record, shared.router),
+            };
+            if let Some(planned) = &planned {
+                account.begin(planned, shared.router);
+            }
+            planned
+        };
+        if let Some(planned) = planned {
+            self.write(shared, &planned, end).await;
+        }
+        self.changed.notify();
+    }
+
+    async fn read(&self, shared: &Shared) -> Option<(TeamRecord, u64)> {
+        let result = shared.store.snapshot(self.feed()).await;
+        let snapshot = match result {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                self.note_failure(shared, &error);
+                return None;
+            }
+        };
+        let newest = snapshot
+            .records
+            .into_iter()
+            .find(|record| record.key == self.name);
+        let record = match newest.and_then(|record| record.value) {
+            None => TeamRecord::default(),
+            Some(value) => match TeamRecord::decode(value) {
+                Ok(record) => record,
+                Err(error) => {
+                    log::error!(step = "read budget", team = self.name.as_str(); "{error}");
+                    return None;
+                }
+            },
+        };
+        self.note_success(shared);
+        let mut account = self.account.borrow_mut();
+        account.observe(&record, shared.router, self.prepaid_tokens.get());
+        Some((record, snapshot.end))
+    }
+
+    /// Writes a planned record and waits until it is known whether it took effect.
+    async fn write(&self, shared: &Shared, planned: &TeamRecord, end: u64) {
+        let value = bytes::Bytes::from(planned.encode_to_vec());
+        loop {
+            let record = Record {
+                key: self.name.clone(),
+                value: Some(value.clone()),
+            };
+            let result = shared.store.append(self.feed(), Some(end), record).await;
+            if matches!(result, Ok(Appended::Written)) {
+                self.finish(shared, true);
+                return;
+            }
+            if let Err(error) = &result {
+                self.note_failure(shared, error);
+                monoio::time::sleep(RETRY_PAUSE).await;
+            }
+            let Some((current, current_end)) = self.read(shared).await else {
+                monoio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            let was_written = self.account.borrow().is_written(&current, shared.router);
+            // Once something else follows the expected end, no copy of the write can take effect any more.
+            if was_written || current_end > end {
+                self.finish(shared, was_written);
+                return;
+            }
+        }
+    }
+
+    fn finish(&self, shared: &Shared, was_written: bool) {
+        let mut account = self.account.borrow_mut();
+        account.finish(was_written);
+        log::info!(
+            step = "budget", team = self.name.as_str(), written = was_written,
+            granted_tokens = account.granted_tokens(), spent_tokens = account.spent_tokens(),
+            available_tokens = account.available_tokens(), prepaid_tokens = self.prepaid_tokens.get(),
+            at_ms = shared.now_ms(); "rights changed"
+        );
+    }
+
+    fn feed(&self) -> Feed {
+        let hash = xxhash_rust::xxh3::xxh3_64(self.name.as_bytes());
+        Feed::Budgets((hash % SLOTS) as u16)
+    }
+
+    fn note_failure(&self, shared: &Shared, error: &Error) {
+        if self.failing_since_ms.get().is_none() {
+            self.failing_since_ms.set(Some(shared.now_ms()));
+            log::warn!(step = "budget", team = self.name.as_str(); "store lost: {error}");
+        }
+    }
+
+    fn note_success(&self, shared: &Shared) {
+        self.read_ms.set(shared.now_ms());
+        if let Some(since_ms) = self.failing_since_ms.take() {
+            let away_ms = shared.now_ms().saturating_sub(since_ms);
+            log::info!(step = "budget", team = self.name.as_str(), away_ms = away_ms; "store is back");
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,163 @@
+//! Connections to upstreams and their reuse.
+//!
+//! Connections are kept for each upstream, not for each address, because the address of an upstream that is gone can
+//! be given to another one.
+
+use std::cell::RefCell;
+use std::future::{poll_fn, Future};
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, BorrowedFd};
+use std::pin::pin;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use monoio::net::TcpStream;
+
+use crate::collections::FastMap;
+use crate::server::Socket;
+
+/// Time in which an upstream must accept a connection; data centres are a few milliseconds apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time after which the kernel ends a connection on which sent bytes are not acknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Idle time for which a connection is kept if the upstream does not state its own.
+const IDLE_MS: u64 = 4_000;
+
+/// Time before the stated idle timeout at which a connection is no longer used, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 1_000;
+
+/// Idle connections that are kept for one upstream.
+const IDLE_CONNECTIONS: usize = 64;
+
+struct Idle {
+    socket: Socket,
+    since_ms: u64,
+    until_ms: u64,
+}
+
+/// Idle connections and the number of used ones, by upstream.
+#[derive(Default)]
+pub(super) struct Pool {
+    idle: RefCell<FastMap<CompactString, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes an idle connection that has been idle for at most `max_idle_ms` and shows no sign of its end.
+    pub(super) fn take(&self, id: &str, max_idle_ms: u64, now_ms: u64) -> Option<Socket> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(id)?;
+        while let Some(mut connection) = connections.pop() {
+            let is_young = now_ms.saturating_sub(connection.since_ms) <= max_idle_ms;
+            // Bytes or the end of the stream on an idle connection mean that it cannot carry another request.
+            if is_young && now_ms < connection.until_ms && connection.socket.try_fill().is_none() {
+                return Some(connection.socket);
+            }
+            if !is_young {
+                connections.push(connection);
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request; `keep_alive_s` is the idle timeout that the upstream stated.
+    pub(super) fn keep(&self, id: &str, socket: Socket, keep_alive_s: Option<u64>, now_ms: u64) {
+        let idle_ms = match keep_alive_s {
+            Some(seconds) => (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS),
+            None => IDLE_MS,
+        };
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(id.into()).or_default();
+        if idle_ms > 0 && connections.len() < IDLE_CONNECTIONS {
+            connections.push(Idle {
+                socket,
+                since_ms: now_ms,
+                until_ms: now_ms + idle_ms,
+            });
+        }
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub(super) fn clear(&self, id: &str) {
+        self.idle.borrow_mut().remove(id);
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub(super) fn close_expired(&self, now_ms: u64) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, connections| {
+            connections.retain(|connection| now_ms < connection.until_ms);
+            !connections.is_empty()
+        });
+    }
+}
+
+/// Opens a connection to an upstream.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub(super) async fn connect(address: SocketAddr) -> Result<Socket, CompactString> {
+    match monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(address)).await {
+        Ok(Ok(stream)) => {
+            set_user_timeout(&stream);
+            Ok(Socket::new(stream))
+        }
+        Ok(Err(error)) => Err(compact_str::format_compact!("connecting: {error}")),
+        Err(_) => Err("connecting: no answer in time".into()),
+    }
+}
+
+fn set_user_timeout(stream: &TcpStream) {
+    // SAFETY: The descriptor is owned by `stream`, which outlives the borrow.
+    let descriptor = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let result =
+        socket2::SockRef::from(&descriptor).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    if let Err(error) = result {
+        log::debug!(step = "connect"; "no limit on unacknowledged bytes: {error}");
+    }
+}
+
+/// Writes a request; returns whether all of it was written.
+///
+/// An upstream may answer before it has read a long body. Writing ends at the first byte of such an answer, and the
+/// connection cannot be used again, because the upstream would take the next request for the rest of the body.
+///
+/// # Errors
+///
+/// Returns the error of the connection, unless there may be an answer to read.
+pub(super) async fn write_request(socket: &mut Socket, mut output: Bytes) -> std::io::Result<bool> {
+    while !output.is_empty() {
+        match socket.try_write(&mut output) {
+            Some(Ok(0)) => return Err(std::io::ErrorKind::WriteZero.into()),
+            Some(Ok(_)) => {}
+            Some(Err(error)) => {
+                return match socket.try_fill() {
+                    Some(Ok(1..)) => Ok(false),
+                    _ => Err(error),
+                };
+            }
+            None => {
+                let is_readable = {
+                    let mut readable = pin!(socket.readable());
+                    let mut writable = pin!(socket.writable());
+                    poll_fn(|context| {
+                        if readable.as_mut().poll(context).is_ready() {
+                            return Poll::Ready(true);
+                        }
+                        writable.as_mut().poll(context).map(|_| false)
+                    })
+                    .await
+                };
+                if is_readable && matches!(socket.try_fill(), Some(Ok(1..))) {
+                    return Ok(false);
+                }
+            }
+        }
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/src/gateway/presence.rs
@@ -0,0 +1,91 @@
+//! Presence of the gateways and how much each one serves, from which shared limits are split.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Shared;
+use crate::fleet_share::Presence;
+use crate::store::{Changes, Feed, Record};
+
+/// Interval between two reports; every report is a priced call.
+const REPORT_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// Interval between two reads of the reports of others.
+const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Reports that this process is present until it stops.
+pub(super) async fn report(shared: Rc<Shared>) {
+    while !shared.is_stopping() {
+        write(&shared, false).await;
+        monoio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
+/// Writes one report; a failed one is not repeated, because the next one follows soon.
+pub(super) async fn write(shared: &Shared, is_leaving: bool) {
+    let rule = shared.settings.fleet.retry_rule();
+    let now_ms = shared.now_ms();
+    let requests = shared
+        .retries
+        .borrow_mut()
+        .values_mut()
+        .map(|limit| limit.requests(rule, now_ms))
+        .sum();
+    let presence = Presence {
+        data_centre: shared.settings.data_centre.clone(),
+        router: shared.router,
+        requests,
+        is_leaving,
+    };
+    // Two texts and numbers always serialise.
+    let value = serde_json::to_vec(&presence).unwrap_or_default();
+    let record = Record {
+        key: shared.settings.vm.clone(),
+        value: Some(value.into()),
+    };
+    if let Err(error) = shared.store.append(Feed::Routers, None, record).await {
+        log::debug!(step = "report presence"; "{error}");
+    }
+}
+
+/// Reads the reports of all gateways.
+///
+/// Only changes count: a report that was written before this process began says nothing of the present.
+pub(super) async fn follow(shared: Rc<Shared>) {
+    let mut position = None;
+    loop {
+        monoio::time::sleep(READ_INTERVAL).await;
+        let Some(from) = position else {
+            match shared.store.snapshot(Feed::Routers).await {
+                Ok(snapshot) => position = Some(snapshot.end),
+                Err(error) => log::debug!(step = "read presence"; "{error}"),
+            }
+            continue;
+        };
+        match shared.store.changes(Feed::Routers, from, 0).await {
+            Ok(Changes::Records { records, end }) => {
+                position = Some(end);
+                for record in records {
+                    apply(&shared, record);
+                }
+            }
+            Ok(Changes::Lost) => position = None,
+            Err(error) => log::debug!(step = "read presence"; "{error}"),
+        }
+    }
+}
+
+fn apply(shared: &Shared, record: Record) {
+    let presence = record.value.as_deref().map(serde_json::from_slice);
+    match presence {
+        Some(Ok(presence)) => {
+            let now_ms = shared.now_ms();
+            let mut routers = shared.routers.borrow_mut();
+            routers.apply(record.key, Some(presence), now_ms);
+        }
+        Some(Err(error)) => {
+            log::warn!(step = "read presence", peer = record.key.as_str(); "skipped: {error}");
+        }
+        None => {}
+    }
+}
--- /dev/null
+++ b/src/gateway/probes.rs
@@ -0,0 +1,53 @@
+//! Answers to the balancer and to scrapers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::net::TcpListener;
+
+use super::Shared;
+use crate::server::{Request, RequestLimits, ResponseHead, Socket};
+
+/// Limits on these requests, which have no body.
+const LIMITS: RequestLimits = RequestLimits {
+    head_bytes: 8 << 10,
+    body_bytes: 0,
+    head_timeout: Duration::from_secs(2),
+    read_timeout: Duration::from_secs(2),
+    idle_timeout: Duration::from_secs(10),
+};
+
+/// Accepts until the process ends.
+pub(super) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve(Rc::clone(&shared), Socket::new(stream)));
+            }
+            Err(error) => {
+                log::warn!(step = "accept probe"; "{error}");
+                monoio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Rc<Shared>, mut socket: Socket) {
+    while let Ok(request) = Request::read(&mut socket, LIMITS).await {
+        let (status, body) = match request.uri.path() {
+            "/metrics" => (200, shared.metrics.render_text()),
+            _ if shared.is_ready() => (200, String::new()),
+            _ => (503, String::new()),
+        };
+        let head = ResponseHead {
+            status,
+            content_type: "text/plain; version=0.0.4",
+            keep_alive: request.keep_alive,
+            retry_after_s: None,
+        };
+        let written = socket.write_all(head.with_body(body.as_bytes())).await;
+        if written.is_err() || !request.keep_alive {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,368 @@
+//! One request from its head to its end: route, team, budget, attempts, response.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::{BufMut, BytesMut};
+use compact_str::{format_compact, CompactString};
+
+use super::attempt::{self, Attempts, Failure};
+use super::relay::{self, Delivery};
+use super::Shared;
+use crate::allowance::Shortage;
+use crate::contract::Priority;
+use crate::platform::headers;
+use crate::refusal::Refusal;
+use crate::routing::{Route, RouteIndex, Table, TeamIndex};
+use crate::server::{Request, Socket};
+
+/// Time that a caller waits if it does not say, the time of its route apart.
+const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
+/// Time after which a refused caller may come back, with as much again at random so that callers spread.
+const RETRY_AFTER_MS: u64 = 250;
+
+/// Time after which rights that other routers hold or a store that was away may be back.
+const RIGHTS_RETRY_AFTER_MS: u64 = 700;
+
+/// One request of a caller with everything that was decided about it.
+pub(super) struct Call<'a> {
+    pub(super) request: &'a Request,
+    pub(super) meta: super::RequestMeta,
+    pub(super) table: Rc<Table>,
+    route: RouteIndex,
+    team: Option<TeamIndex>,
+    /// Service that the route leads to.
+    pub(super) service: CompactString,
+    started_ms: u64,
+    end_ms: u64,
+    retry_spread_ms: u64,
+}
+
+impl Call<'_> {
+    /// Returns the route.
+    pub(super) fn route(&self) -> &Route {
+        self.table.route(self.route)
+    }
+
+    /// Returns the name of the team, if the request has one.
+    pub(super) fn team_name(&self) -> Option<&str> {
+        self.team.map(|team| self.table.team(team).name.as_str())
+    }
+
+    /// Returns the time that is left for the request.
+    pub(super) fn left_ms(&self, shared: &Shared) -> u64 {
+        self.end_ms.saturating_sub(shared.now_ms())
+    }
+
+    /// Returns the target of the request line, unchanged.
+    pub(super) fn target(&self) -> &str {
+        let uri = &self.request.uri;
+        uri.path_and_query()
+            .map_or(uri.path(), |target| target.as_str())
+    }
+
+    /// Returns the rank of the request; that of the team takes precedence over that of the route.
+    fn priority(&self) -> u8 {
+        let team = self.team.and_then(|team| self.table.team(team).priority);
+        team.unwrap_or(self.route().priority)
+    }
+
+    /// Returns the rank that model engines are told.
+    pub(super) fn upstream_priority(&self) -> Option<u8> {
+        let is_model = self.table.service(&self.service)?.event_tokens.is_some();
+        is_model.then(|| self.priority().min(9))
+    }
+
+    /// Returns the time after which a caller may come back, spread at random.
+    pub(super) fn retry_after_ms(&self) -> Option<u64> {
+        Some(RETRY_AFTER_MS + self.retry_spread_ms)
+    }
+
+    /// Returns the tokens in one event of the stream.
+    pub(super) fn event_tokens(&self) -> u64 {
+        let service = self.table.service(&self.service);
+        service
+            .and_then(|service| service.event_tokens)
+            .unwrap_or(0)
+    }
+
+    fn class(&self) -> Priority {
+        match self.route().priority {
+            0 => Priority::High,
+            1 => Priority::Normal,
+            _ => Priority::Low,
+        }
+    }
+}
+
+/// A refusal with the reason for the log and the time after which a retry may help.
+struct Refused {
+    refusal: Refusal,
+    reason: CompactString,
+    retry_after_ms: Option<u64>,
+}
+
+impl Refused {
+    fn new(refusal: Refusal, reason: impl Into<CompactString>) -> Self {
+        Self {
+            refusal,
+            reason: reason.into(),
+            retry_after_ms: None,
+        }
+    }
+}
+
+/// Counts a request as open until it is dropped.
+struct Open<'a>(&'a Cell<usize>);
+
+impl<'a> Open<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves one request; returns whether the connection can carry another one.
+pub(super) async fn serve(shared: &Shared, caller: &mut Socket, request: &Request) -> bool {
+    let _open = Open::new(&shared.open_requests);
+    let started_ms = shared.now_ms();
+    let mut meta = headers::request_meta(&request.headers);
+    let id = std::mem::take(&mut meta.id);
+    meta.id.clone_from(&id);
+    match prepare(shared, request, meta, started_ms) {
+        Ok(call) => run(shared, &call, caller).await,
+        Err(refused) => {
+            log_refusal(shared, &id, &refused, started_ms);
+            refuse(shared, caller, request, &id, &refused).await
+        }
+    }
+}
+
+/// Finds route, team and service of a request.
+fn prepare<'a>(
+    shared: &Shared,
+    request: &'a Request,
+    meta: super::RequestMeta,
+    started_ms: u64,
+) -> Result<Call<'a>, Refused> {
+    let retry_spread_ms = u64::from(shared.random()) % RETRY_AFTER_MS;
+    let Some(table) = shared.table.borrow().clone() else {
+        return Err(Refused {
+            retry_after_ms: Some(RETRY_AFTER_MS + retry_spread_ms),
+            ..Refused::new(Refusal::NoUpstream, "no configuration is known yet")
+        });
+    };
+    let host = request.header("host").unwrap_or_default();
+    let host = request.uri.host().unwrap_or(host);
+    let Some(route_index) = table.find(host, request.uri.path()) else {
+        let reason = format_compact!("no route in version {}", table.version());
+        return Err(Refused::new(Refusal::NotFound, reason));
+    };
+    let route = table.route(route_index);
+    let key = headers::bearer_key(&request.headers);
+    let Ok(team) = table.authenticate(route, key) else {
+        let reason = format_compact!("no team has the key in version {}", table.version());
+        return Err(Refused::new(Refusal::Unauthorized, reason));
+    };
+    let Some(service) = route.service(shared.random()).cloned() else {
+        return Err(Refused::new(
+            Refusal::NoUpstream,
+            "the route leads to no service",
+        ));
+    };
+    let wait_ms = meta.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let end_ms = started_ms + wait_ms.min(route.timeout_ms);
+    Ok(Call {
+        request,
+        meta,
+        route: route_index,
+        team,
+        service,
+        started_ms,
+        end_ms,
+        retry_spread_ms,
+        table,
+    })
+}
+
+/// Reserves budget, sends the request and relays the response.
+async fn run(shared: &Shared, call: &Call<'_>, caller: &mut Socket) -> bool {
+    shared.metrics.count_request(call.class());
+    {
+        let mut retries = shared.retries.borrow_mut();
+        let limit = retries.entry(call.service.clone()).or_default();
+        limit.request(shared.now_ms());
+    }
+    let need = call.meta.input_tokens + call.meta.max_output_tokens;
+    let reservation = match call.team_name() {
+        Some(team) if need > 0 => shared.funds.reserve(shared, team, need).await,
+        _ => Ok(None),
+    };
+    let reservation = match reservation {
+        Ok(reservation) => reservation,
+        Err(shortage) => {
+            let refused = shortage_refusal(shared, call, shortage, need);
+            log_refusal(shared, &call.meta.id, &refused, call.started_ms);
+            return refuse(shared, caller, call.request, &call.meta.id, &refused).await;
+        }
+    };
+    let mut attempts = Attempts::default();
+    let last_event_id = call.meta.last_event_id;
+    let result = attempt::run(shared, call, caller, &mut attempts, last_event_id).await;
+    let charge_input = |attempts: &Attempts| {
+        if attempts.runs > 0 {
+            call.meta.input_tokens
+        } else {
+            0
+        }
+    };
+    match result {
+        Ok((response, sent)) => {
+            shared.metrics.record_first_token(
+                call.class(),
+                call.team_name().unwrap_or("none"),
+                shared.now_ms().saturating_sub(call.started_ms),
+            );
+            let delivery = relay::run(shared, call, caller, response, sent, &mut attempts).await;
+            let output_tokens = delivery.events * call.event_tokens();
+            let charge = charge_input(&attempts) + output_tokens.min(call.meta.max_output_tokens);
+            if let Some(reservation) = reservation {
+                reservation.charge(charge);
+            }
+            log_end(shared, call, &attempts, &delivery, charge);
+            delivery.keeps_connection
+        }
+        Err(failure) => {
+            if let Some(reservation) = reservation {
+                reservation.charge(charge_input(&attempts));
+            }
+            fail(shared, call, caller, &attempts, failure).await
+        }
+    }
+}
+
+async fn fail(
+    shared: &Shared,
+    call: &Call<'_>,
+    caller: &mut Socket,
+    attempts: &Attempts,
+    failure: Failure,
+) -> bool {
+    match failure {
+        Failure::CallerGone => {
+            let delivery = Delivery::failed("the caller left before the response");
+            log_end(shared, call, attempts, &delivery, 0);
+            false
+        }
+        Failure::Refused(refusal, reason, retry_after_ms) => {
+            let refused = Refused {
+                refusal,
+                reason,
+                retry_after_ms,
+            };
+            log_refusal(shared, &call.meta.id, &refused, call.started_ms);
+            refuse(shared, caller, call.request, &call.meta.id, &refused).await
+        }
+    }
+}
+
+fn shortage_refusal(shared: &Shared, call: &Call<'_>, shortage: Shortage, need: u64) -> Refused {
+    let team = call.team_name().unwrap_or_default();
+    let figures = shared.funds.figures(team, shared.now_ms());
+    let (granted, spent, available, age_ms) = figures.unwrap_or_default();
+    let reason = format_compact!(
+        "team {team} needs {need} tokens: granted {granted}, spent {spent}, available {available}, record {age_ms} ms old"
+    );
+    match shortage {
+        Shortage::Exhausted => Refused::new(Refusal::BudgetExhausted, reason),
+        Shortage::NotHeld => Refused {
+            retry_after_ms: Some(RIGHTS_RETRY_AFTER_MS + 2 * call.retry_spread_ms),
+            ..Refused::new(Refusal::BudgetUnavailable, reason)
+        },
+    }
+}
+
+/// Answers with a status of the gateway's own; returns whether the connection stays open.
+async fn refuse(
+    shared: &Shared,
+    caller: &mut Socket,
+    request: &Request,
+    id: &str,
+    refused: &Refused,
+) -> bool {
+    shared.metrics.count_refusal(refused.refusal);
+    let keeps = request.keep_alive && !shared.is_stopping();
+    let output = own_answer(refused.refusal, id, refused.retry_after_ms, keeps);
+    caller.write_all(output).await.is_ok() && keeps
+}
+
+/// Encodes an answer without a body.
+pub(super) fn own_answer(
+    refusal: Refusal,
+    id: &str,
+    retry_after_ms: Option<u64>,
+    keeps: bool,
+) -> BytesMut {
+    let status = refusal.status();
+    let phrase = http::StatusCode::from_u16(status).ok();
+    let phrase = phrase.and_then(|status| status.canonical_reason());
+    let mut output = BytesMut::with_capacity(256);
+    let head = format!(
+        "HTTP/1.1 {status} {}\r\ncontent-length: 0\r\n",
+        phrase.unwrap_or("Unknown")
+    );
+    output.put_slice(head.as_bytes());
+    if !id.is_empty() {
+        output.put_slice(format!("x-request-id: {id}\r\n").as_bytes());
+    }
+    if let (Some(ms), 429 | 503) = (retry_after_ms, status) {
+        let seconds = ms as f64 / 1_000.0;
+        output.put_slice(format!("retry-after: {seconds:.3}\r\n").as_bytes());
+    }
+    if !keeps {
+        output.put_slice(b"connection: close\r\n");
+    }
+    output.put_slice(b"\r\n");
+    output
+}
+
+fn log_refusal(shared: &Shared, id: &str, refused: &Refused, started_ms: u64) {
+    log::info!(
+        step = "refuse", request_id = id, status = refused.refusal.status(),
+        code = refused.refusal.code(), at_ms = shared.now_ms(),
+        elapsed_ms = shared.now_ms().saturating_sub(started_ms),
+        retry_after_ms = refused.retry_after_ms.unwrap_or(0); "{}", refused.reason
+    );
+}
+
+fn log_end(
+    shared: &Shared,
+    call: &Call<'_>,
+    attempts: &Attempts,
+    delivery: &Delivery,
+    charge: u64,
+) {
+    let now_ms = shared.now_ms();
+    let elapsed_ms = now_ms.saturating_sub(call.started_ms);
+    let team = call.team_name().unwrap_or("none");
+    shared
+        .metrics
+        .record_whole_response(call.class(), team, elapsed_ms);
+    shared.metrics.count_bill(charge);
+    log::info!(
+        step = "request", request_id = call.meta.id.as_str(), route = call.route().name.as_str(),
+        team = team, service = call.service.as_str(), version = call.table.version(),
+        upstreams = attempts.tried.join(",").as_str(), runs = attempts.runs, misses = attempts.misses,
+        last_attempt = attempts.last.as_str(), status = delivery.status, events = delivery.events,
+        charge_tokens = charge, at_ms = now_ms, elapsed_ms = elapsed_ms,
+        first_byte_ms = delivery.first_byte_ms.saturating_sub(call.started_ms),
+        directory_age_ms = now_ms.saturating_sub(shared.directory_read_ms.get()); "{}", delivery.end
+    );
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,155 @@
+//! Settings of one gateway process.
+//!
+//! The file is validated whole before anything is opened. The deployment renders it from `deploy/settings.yaml`.
+
+use std::path::Path;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::fleet_share::RetryRule;
+use crate::validation::Error;
+use crate::validation::{self, field, Document, Field, Findings, Kind, Shape};
+
+/// Settings of one gateway process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: CompactString,
+    /// Data centre of the VM.
+    pub data_centre: CompactString,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Resources of the VM.
+    pub resources: Resources,
+    /// Limits that operators set for the whole fleet.
+    pub fleet: FleetLimits,
+}
+
+/// Addresses to listen on, as `ip:port`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: CompactString,
+    /// For the balancer's question whether the process takes new connections.
+    pub readiness: CompactString,
+    /// For scrapers.
+    pub metrics: CompactString,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Address, as `ip:port`.
+    pub address: CompactString,
+    /// Partitions of a topic.
+    pub partitions: u16,
+}
+
+/// Resources of the VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Memory that the process may use.
+    pub memory_mb: u64,
+    /// File descriptors that the process may open.
+    pub descriptors: u64,
+}
+
+/// Limits that operators set for the whole fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetLimits {
+    /// Retries for each request of a service, over all routers.
+    pub retry_ratio: f64,
+    /// Retries of a service that are allowed besides, over all routers.
+    pub retry_slack: u64,
+    /// Window in which retries are counted.
+    pub retry_window_s: f64,
+    /// Time between the signal to stop and the end of the process by force.
+    pub stop_grace_s: f64,
+}
+
+impl FleetLimits {
+    /// Returns the limit on retries.
+    pub fn retry_rule(&self) -> RetryRule {
+        RetryRule {
+            ratio_millis: (self.retry_ratio * 1_000.0) as u64,
+            slack: self.retry_slack,
+            window_ms: (self.retry_window_s * 1_000.0) as u64,
+        }
+    }
+}
+
+const SETTINGS: Shape = Shape(&[
+    field("vm", Kind::Name),
+    field("data_centre", Kind::Name),
+    field("listen", Kind::Object(&LISTEN)),
+    field("store", Kind::Object(&STORE)),
+    field("resources", Kind::Object(&RESOURCES)),
+    field("fleet", Kind::Object(&FLEET)),
+]);
+
+const LISTEN: Shape = Shape(&[
+    field("callers", Kind::ListenAddress),
+    field("readiness", Kind::ListenAddress),
+    field("metrics", Kind::ListenAddress),
+]);
+
+const STORE: Shape = Shape(&[
+    field("address", Kind::Address),
+    whole("partitions", 1, 10_000, "partitions"),
+]);
+
+const RESOURCES: Shape = Shape(&[
+    whole("memory_mb", 16, 1 << 20, "megabytes"),
+    whole("descriptors", 256, 1 << 20, "descriptors"),
+]);
+
+const FLEET: Shape = Shape(&[
+    number("retry_ratio", 0.0, 10.0),
+    whole("retry_slack", 0, 1_000_000, "retries"),
+    number("retry_window_s", 0.1, 3_600.0),
+    number("stop_grace_s", 0.1, 3_600.0),
+]);
+
+const fn whole(name: &'static str, min: u64, max: u64, unit: &'static str) -> Field {
+    field(name, Kind::Integer { min, max, unit })
+}
+
+const fn number(name: &'static str, min: f64, max: f64) -> Field {
+    field(name, Kind::Number { min, max })
+}
+
+impl Document for Settings {
+    const SHAPE: &'static Shape = &SETTINGS;
+
+    fn relate(_value: &Value, _findings: &mut Findings) {}
+}
+
+impl Settings {
+    /// Reads, parses and validates a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the file cannot be read, or all fields that are not allowed.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).map_err(|e| Error::Read(e.to_string()))?;
+        Self::from_yaml(&text)
+    }
+
+    /// Parses and validates YAML settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all fields that are not allowed.
+    pub fn from_yaml(text: &str) -> Result<Self, Error> {
+        validation::from_yaml(text)
+    }
+}
--- /dev/null
+++ b/src/gateway/watch.rs
@@ -0,0 +1,221 @@
+//! Follows the configuration and the upstreams in the store.
+//!
+//! The configuration changes rarely and must be in force soon, so its feed is read with a call that the store holds
+//! until there is a change. Upstreams write all the time; their feed is read at intervals.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Shared;
+use crate::directory::Change;
+use crate::platform::documents::{self, CONFIGURATION_KEY};
+use crate::routing::Table;
+use crate::store::{Changes, Feed, Record, Snapshot};
+
+/// Time for which the store may hold a read of the configuration; a connection that went silent is noticed after it.
+const CONFIGURATION_WAIT_MS: u64 = 500;
+
+/// Interval between two reads of the upstreams; a leaving upstream must get no more work 2 s after its report.
+const UPSTREAM_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time without a successful read after which the store counts as away.
+const OUTAGE_MS: u64 = 1_000;
+
+/// One feed as it is followed: a snapshot first, then the changes.
+struct Follower {
+    feed: Feed,
+    position: Option<u64>,
+    is_lost: bool,
+    /// Failed reads since the last successful one.
+    failures: u32,
+    read_ms: u64,
+}
+
+/// Records that were read, and whether they are a whole snapshot.
+struct Batch {
+    records: Vec<Record>,
+    is_snapshot: bool,
+    /// Whether the store was away before this read.
+    was_away: bool,
+}
+
+impl Follower {
+    fn new(feed: Feed) -> Self {
+        Self {
+            feed,
+            position: None,
+            is_lost: false,
+            failures: 0,
+            read_ms: 0,
+        }
+    }
+
+    /// Reads once; `None` after a failure.
+    async fn read(&mut self, shared: &Shared, wait_ms: u64) -> Option<Batch> {
+        let result = match self.position {
+            Some(position) if !self.is_lost => {
+                shared.store.changes(self.feed, position, wait_ms).await
+            }
+            _ => shared.store.snapshot(self.feed).await.map(|snapshot| {
+                let Snapshot { records, end } = snapshot;
+                self.position = None;
+                Changes::Records { records, end }
+            }),
+        };
+        match result {
+            Ok(Changes::Records { records, end }) => {
+                let is_snapshot = self.position.is_none();
+                self.position = Some(end);
+                self.is_lost = false;
+                let was_away = self.note_success(shared);
+                Some(Batch {
+                    records,
+                    is_snapshot,
+                    was_away,
+                })
+            }
+            Ok(Changes::Lost) => {
+                log::info!(step = "follow", feed = format!("{:?}", self.feed); "history lost, reading a snapshot");
+                self.is_lost = true;
+                None
+            }
+            Err(error) => {
+                self.note_failure(&error);
+                monoio::time::sleep(RETRY_PAUSE).await;
+                None
+            }
+        }
+    }
+
+    fn note_success(&mut self, shared: &Shared) -> bool {
+        let now_ms = shared.now_ms();
+        let age_ms = now_ms.saturating_sub(self.read_ms);
+        self.read_ms = now_ms;
+        let failures = std::mem::take(&mut self.failures);
+        if failures > 0 {
+            log::info!(step = "follow", feed = format!("{:?}", self.feed), age_ms = age_ms, failures = failures; "store is back");
+        }
+        failures > 0 && age_ms > OUTAGE_MS
+    }
+
+    fn note_failure(&mut self, error: &crate::store::Error) {
+        if self.failures == 0 {
+            log::warn!(step = "follow", feed = format!("{:?}", self.feed); "store lost: {error}");
+        }
+        self.failures += 1;
+    }
+}
+
+/// Keeps the newest configuration in force.
+pub(super) async fn follow_configuration(shared: Rc<Shared>) {
+    let mut follower = Follower::new(Feed::Operator);
+    loop {
+        let Some(batch) = follower.read(&shared, CONFIGURATION_WAIT_MS).await else {
+            continue;
+        };
+        shared.table_read_ms.set(shared.now_ms());
+        for record in &batch.records {
+            if record.key == CONFIGURATION_KEY {
+                apply_configuration(&shared, record);
+            }
+        }
+    }
+}
+
+fn apply_configuration(shared: &Shared, record: &Record) {
+    let Some(value) = &record.value else {
+        log::warn!(step = "configuration"; "the record is empty, the configuration in force stays");
+        return;
+    };
+    let definition = match documents::configuration(value) {
+        Ok(definition) => definition,
+        Err(error) => {
+            log::warn!(step = "configuration"; "the configuration in force stays: {error}");
+            return;
+        }
+    };
+    let in_force = shared.table.borrow().as_ref().map(|table| table.version());
+    if in_force.is_some_and(|version| version >= definition.version) {
+        return;
+    }
+    log::info!(
+        step = "configuration", version = definition.version, replaces = in_force.unwrap_or(0),
+        routes = definition.routes.len(), teams = definition.teams.len(); "in force"
+    );
+    let table = Rc::new(Table::new(definition));
+    shared.table.borrow_mut().replace(Rc::clone(&table));
+    shared.funds.configure(&table);
+}
+
+/// Keeps the directory of upstreams up to date.
+pub(super) async fn follow_upstreams(shared: Rc<Shared>) {
+    let mut follower = Follower::new(Feed::Upstreams);
+    loop {
+        if let Some(batch) = follower.read(&shared, 0).await {
+            apply_upstreams(&shared, batch);
+            shared.directory_read_ms.set(shared.now_ms());
+            shared.has_directory.set(true);
+            expire(&shared);
+            monoio::time::sleep(UPSTREAM_INTERVAL).await;
+        }
+    }
+}
+
+fn apply_upstreams(shared: &Shared, batch: Batch) {
+    let now_ms = shared.now_ms();
+    if batch.was_away {
+        shared.directory.borrow_mut().store_returned(now_ms);
+    }
+    let decode = |record: &Record| {
+        let value = record.value.as_ref()?;
+        match documents::entry(value) {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                log::warn!(step = "upstream entry", upstream = record.key.as_str(); "not used: {error}");
+                None
+            }
+        }
+    };
+    let entries: Vec<_> = batch
+        .records
+        .iter()
+        .map(|record| (record.key.clone(), decode(record)))
+        .collect();
+    if batch.is_snapshot {
+        shared.directory.borrow_mut().reset(entries, now_ms);
+        return;
+    }
+    for (id, entry) in entries {
+        let change = shared
+            .directory
+            .borrow_mut()
+            .apply(id.clone(), entry, now_ms);
+        if change != Change::None {
+            note_change(shared, &id, change);
+        }
+    }
+}
+
+fn note_change(shared: &Shared, id: &str, change: Change) {
+    let state = match change {
+        Change::Added => "added",
+        Change::Leaving => "leaving",
+        Change::Removed => "removed",
+        Change::None => return,
+    };
+    log::info!(step = "upstream", upstream = id, state = state; "upstream {state}");
+    shared.pool.clear(id);
+    if change != Change::Leaving {
+        shared.placement.borrow_mut().remove_idle(id);
+    }
+}
+
+fn expire(shared: &Shared) {
+    let gone = shared.directory.borrow_mut().expire(shared.now_ms());
+    for id in gone {
+        note_change(shared, &id, Change::Removed);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,16 +4,20 @@
 //! trace replay and under model checking. The module layout follows `docs/design.md`.
 
 pub mod admission;
+pub mod allowance;
 pub mod backpressure;
 pub mod billing;
 pub mod cli;
 pub mod collections;
 pub mod contract;
+pub mod directory;
 pub mod engine;
 pub mod evidence;
 pub mod explain;
 pub mod fleet;
+pub mod fleet_share;
 pub mod fold;
+pub mod gateway;
 pub mod health;
 pub mod holder;
 pub mod ids;
@@ -25,7 +29,9 @@
 pub mod membership;
 pub mod message;
 pub mod metrics;
+mod notify;
 pub mod peer;
+pub mod placement;
 pub mod platform;
 pub mod publish;
 pub mod quarantine;
@@ -33,11 +39,14 @@
 pub mod refusal;
 pub mod rollout;
 pub mod router;
+pub mod routing;
 pub mod selection;
 pub mod server;
 pub mod settings;
 pub mod snapshot;
 pub mod status;
+pub mod store;
 pub mod validation;
+pub mod vm_list;
 
 pub use fold::FleetState;
--- a/src/log_client/http_client.rs
+++ b/src/log_client/http_client.rs
@@ -1,4 +1,4 @@
-//! A small HTTP/1.1 client for the platform's services: one kept connection, one call at a time, a time limit per call.
+//! A small HTTP/1.1 client for the platform's services: a few kept connections and a time limit for each call.
 
 use std::cell::RefCell;
 use std::time::Duration;
@@ -18,11 +18,14 @@
 /// Largest response body that the client accepts, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Idle connections that are kept; more calls at once are rare.
+const KEPT_CONNECTIONS: usize = 4;
+
 /// A client of one address.
 pub(crate) struct HttpClient {
     address: String,
     vm: String,
-    kept: RefCell<Option<ClientCodec<TcpStream>>>,
+    kept: RefCell<Vec<ClientCodec<TcpStream>>>,
 }
 
 impl std::fmt::Debug for HttpClient {
@@ -39,7 +42,7 @@
         Self {
             address: address.into(),
             vm: vm.into(),
-            kept: RefCell::new(None),
+            kept: RefCell::default(),
         }
     }
 
@@ -83,7 +86,7 @@
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), Error> {
         // The connection is only kept after a complete exchange; a cancelled call drops it.
-        let kept = self.kept.borrow_mut().take();
+        let kept = self.kept.borrow_mut().pop();
         if let Some(codec) = kept {
             // The server may have closed the idle connection, so a failure here is tried once on a new one.
             let result = self.exchange_on(codec, &method, path, body.clone()).await;
@@ -138,7 +141,10 @@
             }
             content.extend_from_slice(&part);
         }
-        *self.kept.borrow_mut() = Some(codec);
+        let mut kept = self.kept.borrow_mut();
+        if kept.len() < KEPT_CONNECTIONS {
+            kept.push(codec);
+        }
         Ok((head.status, content.freeze()))
     }
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,4 +1,8 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
+//!
+//! A router logs to standard error. A gateway logs to standard output through a bounded queue and a thread that writes,
+//! because a reader of the log that stops must not stop the event loop; lines that find the queue full are counted and
+//! dropped.
 //!
 //! Each line has the time, the level and the message, and the key-values of the record, by convention `step`, `peer` and
 //! `request_key`:
@@ -10,6 +14,9 @@
 //! Values of keys that may carry a secret are never written, see [`SECRET_KEYS`].
 
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error, Key, Value, VisitSource};
@@ -38,6 +45,69 @@
     let _ = builder.try_init();
 }
 
+/// Lines that wait to be written; at some hundred bytes a line they stay below half a megabyte.
+const QUEUE_LINES: usize = 1_024;
+
+/// Lines that are written with one call.
+const BATCH_LINES: usize = 64;
+
+/// Starts logging to standard output without ever blocking the caller; a second call has no effect.
+pub fn init_stdout(level: LevelFilter) {
+    let (sender, receiver) = sync_channel::<String>(QUEUE_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let logger = QueueLogger {
+        level,
+        sender,
+        dropped: Arc::clone(&dropped),
+    };
+    if log::set_boxed_logger(Box::new(logger)).is_ok() {
+        log::set_max_level(level);
+        std::thread::spawn(move || write_lines(&receiver, &dropped));
+    }
+}
+
+struct QueueLogger {
+    level: LevelFilter,
+    sender: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl log::Log for QueueLogger {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        if self.sender.try_send(render(record, now_ms())).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(receiver: &Receiver<String>, dropped: &AtomicU64) {
+    while let Ok(line) = receiver.recv() {
+        let mut batch = line;
+        batch.push('\n');
+        for line in receiver.try_iter().take(BATCH_LINES) {
+            batch.push_str(&line);
+            batch.push('\n');
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            batch.push_str(&format!(
+                "{{\"level\":\"warn\",\"message\":\"log queue full\",\"dropped_lines\":{lost}}}\n"
+            ));
+        }
+        // A closed standard output leaves nobody to tell.
+        let _ = std::io::stdout().write_all(batch.as_bytes());
+    }
+}
+
 /// Renders one record as a JSON object without line breaks.
 pub fn render(record: &Record<'_>, time_ms: u64) -> String {
     let mut line = Map::new();
--- a/src/fleet/notify.rs
+++ b/src/notify.rs
@@ -8,7 +8,7 @@
 
 /// The tasks that wait for a condition.
 #[derive(Default)]
-pub(super) struct Notify {
+pub(crate) struct Notify {
     next_id: Cell<u64>,
     wakers: RefCell<FastMap<u64, Waker>>,
 }
@@ -21,7 +21,7 @@
 
 impl Notify {
     /// Wakes all waiting tasks, so that they check their conditions again.
-    pub(super) fn notify(&self) {
+    pub(crate) fn notify(&self) {
         let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
         for waker in wakers.into_values() {
             waker.wake();
@@ -29,7 +29,7 @@
     }
 
     /// Waits until the condition yields a value.
-    pub(super) async fn wait_for<T>(&self, mut condition: impl FnMut() -> Option<T>) -> T {
+    pub(crate) async fn wait_for<T>(&self, mut condition: impl FnMut() -> Option<T>) -> T {
         let waiter = Waiter {
             notify: self,
             id: self.next_id.get(),
--- /dev/null
+++ b/src/platform/documents.rs
@@ -0,0 +1,215 @@
+//! Documents in the store: configuration, upstream entries, rollout orders.
+//!
+//! Unknown fields are ignored, because the platform may add some.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use quick_error::quick_error;
+use serde::Deserialize;
+
+use crate::directory::Entry;
+use crate::routing::{CallerLimits, Definition, Repeat, Route, Service, Team};
+
+/// Key of the configuration among the operator's records.
+pub const CONFIGURATION_KEY: &str = "config";
+
+quick_error! {
+    /// Why a document cannot be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// Not JSON, or a field is missing or has another type.
+        Syntax(step: &'static str, message: String) {
+            display("{}: {}", step, message)
+        }
+        /// A value that is not one of the known ones.
+        Value(step: &'static str, field: &'static str, value: String) {
+            display("{}: {} has the unknown value {}", step, field, value)
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ConfigurationDocument {
+    version: u64,
+    routes: Vec<RouteDocument>,
+    services: Vec<ServiceDocument>,
+    limits: LimitsDocument,
+    #[serde(default)]
+    tenants: Vec<TeamDocument>,
+}
+
+#[derive(Deserialize)]
+struct RouteDocument {
+    name: CompactString,
+    host: CompactString,
+    path_prefix: CompactString,
+    kind: CompactString,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    service: Option<CompactString>,
+    #[serde(default)]
+    weighted_split: Vec<SplitDocument>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[derive(Deserialize)]
+struct SplitDocument {
+    service: CompactString,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct ServiceDocument {
+    name: CompactString,
+    max_conns: Option<u32>,
+    engine: Option<EngineDocument>,
+}
+
+#[derive(Deserialize)]
+struct EngineDocument {
+    /// Tokens in one event of a stream.
+    #[serde(default = "one_token")]
+    stride: u64,
+}
+
+fn one_token() -> u64 {
+    1
+}
+
+#[derive(Deserialize)]
+struct LimitsDocument {
+    max_header_bytes: u64,
+    max_body_bytes: u64,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct TeamDocument {
+    name: CompactString,
+    #[serde(default)]
+    api_keys: Vec<CompactString>,
+    priority: Option<u8>,
+    prepaid: Option<f64>,
+}
+
+/// Decodes a configuration.
+///
+/// # Errors
+///
+/// Returns the first field that is missing, has another type or an unknown value.
+pub fn configuration(bytes: &[u8]) -> Result<Definition, Error> {
+    const STEP: &str = "configuration";
+    let document: ConfigurationDocument =
+        serde_json::from_slice(bytes).map_err(|error| Error::Syntax(STEP, error.to_string()))?;
+    let routes = document.routes.into_iter().map(route);
+    Ok(Definition {
+        version: document.version,
+        routes: routes.collect::<Result<_, _>>()?,
+        services: document.services.into_iter().map(service).collect(),
+        teams: document.tenants.into_iter().map(team).collect(),
+        limits: CallerLimits {
+            head_bytes: document.limits.max_header_bytes,
+            body_bytes: document.limits.max_body_bytes,
+            head_timeout_ms: document.limits.header_timeout_ms as u64,
+            idle_timeout_ms: document.limits.idle_timeout_ms as u64,
+        },
+    })
+}
+
+fn route(document: RouteDocument) -> Result<Route, Error> {
+    let (repeat, is_stream) = match document.kind.as_str() {
+        "idempotent" => (Repeat::Idempotent, false),
+        "non_idempotent" => (Repeat::Once, false),
+        "streaming" if document.resumable => (Repeat::Resumable, true),
+        "streaming" => (Repeat::Once, true),
+        other => return Err(Error::Value("configuration", "kind", other.into())),
+    };
+    let split = document.weighted_split.into_iter();
+    let mut targets: Vec<_> = split
+        .map(|part| (part.service, (part.weight * 100.0) as u32))
+        .collect();
+    if targets.is_empty() {
+        targets.extend(document.service.map(|service| (service, 1)));
+    }
+    Ok(Route {
+        name: document.name,
+        host: document.host,
+        path_prefix: document.path_prefix,
+        repeat,
+        is_stream,
+        timeout_ms: document.timeout_ms as u64,
+        target_latency_ms: document.target_latency_ms as u64,
+        priority: document.priority,
+        targets,
+        max_attempts: document.max_attempts.max(1),
+        is_public: document.public,
+    })
+}
+
+fn service(document: ServiceDocument) -> Service {
+    Service {
+        name: document.name,
+        max_connections: document.max_conns.unwrap_or(u32::MAX),
+        event_tokens: document.engine.map(|engine| engine.stride.max(1)),
+    }
+}
+
+fn team(document: TeamDocument) -> Team {
+    Team {
+        name: document.name,
+        api_keys: document.api_keys,
+        priority: document.priority,
+        prepaid_tokens: document.prepaid.map(|tokens| tokens.max(0.0) as u64),
+    }
+}
+
+#[derive(Deserialize)]
+struct EntryDocument {
+    service: CompactString,
+    addr: SocketAddr,
+    zone: CompactString,
+    #[serde(default)]
+    version: CompactString,
+    slots: u32,
+    state: CompactString,
+    born: Option<u64>,
+}
+
+/// Decodes the entry of an upstream.
+///
+/// # Errors
+///
+/// Returns why the entry names no upstream.
+pub fn entry(bytes: &[u8]) -> Result<Entry, Error> {
+    const STEP: &str = "upstream entry";
+    let document: EntryDocument =
+        serde_json::from_slice(bytes).map_err(|error| Error::Syntax(STEP, error.to_string()))?;
+    let is_leaving = match document.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        other => return Err(Error::Value(STEP, "state", other.into())),
+    };
+    Ok(Entry {
+        service: document.service,
+        address: document.addr,
+        data_centre: document.zone,
+        version: document.version,
+        slots: document.slots,
+        is_leaving,
+        born_ms: document.born,
+    })
+}
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,209 @@
+//! Header fields between callers, routers and upstreams.
+
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+
+use crate::gateway::RequestMeta;
+use crate::placement::LoadReport;
+
+/// Identity of one attempt of a caller; responses repeat it.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Milliseconds that the sender waits.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// Proof that a body comes from an upstream.
+pub const SIGNATURE: HeaderName = HeaderName::from_static("x-server-signature");
+/// Event after which a stream continues.
+pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Time for which a caller should wait, in seconds with fractions.
+pub const RETRY_AFTER: HeaderName = HeaderName::from_static("retry-after");
+
+const TARGET_INSTANCE: HeaderName = HeaderName::from_static("x-target-instance");
+const TEAM: HeaderName = HeaderName::from_static("x-tenant");
+const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
+const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
+const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
+
+/// Fields that only the system sets; what callers send in them is dropped.
+const RESERVED: [&str; 10] = [
+    "authorization",
+    "x-tenant",
+    "x-target-instance",
+    "x-request-priority",
+    "x-expected-version",
+    "x-hold",
+    "x-pin-ms",
+    "x-kv-backup",
+    "kv-from",
+    "kv-fetch",
+];
+
+/// Fields that concern one connection only.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+
+/// Fields that a `Connection` field cannot remove, because the upstream must see what the caller sent in them.
+const END_TO_END: [&str; 12] = [
+    "host",
+    "x-request-id",
+    "x-model",
+    "x-token-count",
+    "x-prompt-prefix",
+    "x-length-hint",
+    "last-event-id",
+    "x-deadline-ms",
+    "content-type",
+    "content-length",
+    "x-server-signature",
+    "x-weight-versions",
+];
+
+/// Reads the fields of a caller's request.
+pub fn request_meta(headers: &HeaderMap) -> RequestMeta {
+    let (input_tokens, max_output_tokens) = token_count(headers).unwrap_or((0, 0));
+    RequestMeta {
+        id: text(headers, &REQUEST_ID).unwrap_or_default().into(),
+        deadline_ms: text(headers, &DEADLINE_MS).and_then(|value| value.trim().parse().ok()),
+        input_tokens,
+        max_output_tokens,
+        session: session(headers),
+        last_event_id: text(headers, &LAST_EVENT_ID).and_then(|value| value.trim().parse().ok()),
+    }
+}
+
+/// Returns the bearer key of a request.
+pub fn bearer_key(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(http::header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
+/// Fields that the router sets on a request to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Added<'a> {
+    /// Upstream that is meant; any other process at its address refuses the request.
+    pub upstream: &'a str,
+    /// Team of the caller.
+    pub team: Option<&'a str>,
+    /// Milliseconds that are left.
+    pub left_ms: u64,
+    /// Rank, 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Event after which the stream continues.
+    pub last_event_id: Option<u64>,
+}
+
+/// Makes the fields of a request to an upstream from those of the caller's request.
+pub fn to_upstream(headers: &HeaderMap, added: &Added<'_>) -> HeaderMap {
+    let mut output = end_to_end(headers);
+    for name in RESERVED {
+        output.remove(name);
+    }
+    output.remove(http::header::CONTENT_LENGTH);
+    set(&mut output, DEADLINE_MS, &added.left_ms.to_string());
+    set(&mut output, TARGET_INSTANCE, added.upstream);
+    if let Some(team) = added.team {
+        set(&mut output, TEAM, team);
+    }
+    if let Some(priority) = added.priority {
+        set(&mut output, PRIORITY, &priority.to_string());
+    }
+    if let Some(id) = added.last_event_id {
+        set(&mut output, LAST_EVENT_ID, &id.to_string());
+    }
+    output
+}
+
+/// Returns the fields of a message without those that concern one connection only.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut output = headers.clone();
+    for nominated in headers.get_all(http::header::CONNECTION) {
+        for name in nominated.to_str().unwrap_or_default().split(',') {
+            let name = name.trim().to_ascii_lowercase();
+            if !END_TO_END.contains(&name.as_str()) {
+                output.remove(name.as_str());
+            }
+        }
+    }
+    for name in HOP_BY_HOP {
+        output.remove(name);
+    }
+    output
+}
+
+/// Returns whether a response proves that the request did not run.
+pub fn is_not_executed(status: u16, headers: &HeaderMap) -> bool {
+    status == 421 || headers.contains_key(NOT_EXECUTED)
+}
+
+/// Returns whether a response has the body of an upstream, unchanged.
+pub fn is_signed(headers: &HeaderMap) -> bool {
+    headers.contains_key(SIGNATURE) && !headers.contains_key(http::header::CONTENT_ENCODING)
+}
+
+/// Returns whether a response belongs to a request, or does not say to which one it belongs.
+pub fn belongs_to(headers: &HeaderMap, request_id: &str) -> bool {
+    text(headers, &REQUEST_ID).is_none_or(|id| id == request_id)
+}
+
+/// Returns whether a response says to which request it belongs.
+pub fn names_request(headers: &HeaderMap) -> bool {
+    headers.contains_key(REQUEST_ID)
+}
+
+/// Returns the load that an upstream reported with a response: running, waiting, slots.
+pub fn load(headers: &HeaderMap) -> Option<LoadReport> {
+    let mut parts = text(headers, &LOAD)?
+        .split(',')
+        .map(|part| part.trim().parse().ok());
+    Some(LoadReport {
+        running: parts.next()??,
+        waiting: parts.next()??,
+        slots: parts.next()??,
+    })
+}
+
+/// Returns the idle time after which the sender closes the connection, in whole seconds.
+pub fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parts = value.split(',');
+    parts.find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())
+}
+
+fn token_count(headers: &HeaderMap) -> Option<(u64, u64)> {
+    let (input, output) = text(headers, &TOKEN_COUNT)?.split_once(',')?;
+    Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
+}
+
+/// Hashes the prompt up to its last shared part; the last part of a prompt belongs to the request itself.
+fn session(headers: &HeaderMap) -> Option<u64> {
+    let parts = text(headers, &PROMPT_PARTS)?;
+    let shared = parts.rsplit_once(',').map_or(parts, |(shared, _)| shared);
+    let last = shared.rsplit_once(',').map_or(shared, |(_, last)| last);
+    let id = last.split_once(':').map_or(last, |(id, _)| id);
+    Some(xxhash_rust::xxh3::xxh3_64(id.trim().as_bytes()))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    // Names of teams and upstreams come from the store and may hold bytes that no header can carry.
+    match HeaderValue::from_str(value) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(error) => log::warn!(step = "set header", header = name.as_str(); "{error}"),
+    }
+}
--- /dev/null
+++ b/src/platform/store_client.rs
@@ -0,0 +1,268 @@
+//! Client of the platform's store.
+
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use compact_str::CompactString;
+use futures_util::future::LocalBoxFuture;
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use serde_with::{base64::Base64, serde_as};
+
+use crate::log_client::http_client::HttpClient;
+use crate::log_client::Error as CallError;
+use crate::store::{Appended, Changes, Error, Feed, Record, Snapshot, Store};
+
+/// Time after which a call counts as failed, besides the time for which the store may hold it.
+///
+/// An answer takes 4 ms, and up to 60 times as long while the store is slow.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Topics over which budgets are spread, each with one partition for every slot.
+const BUDGET_TOPICS: u16 = 4;
+
+/// Largest content of one read, in kilobytes.
+const READ_KB: u32 = 512;
+
+/// Bytes before the records of a read: the end and the first retained position.
+const READ_HEAD_BYTES: usize = 16;
+
+/// The store over HTTP.
+pub struct StoreClient {
+    address: String,
+    client: HttpClient,
+    partitions: u16,
+}
+
+/// One page of the newest records.
+#[derive(Deserialize)]
+struct NewestDocument {
+    items: Vec<ItemDocument>,
+    #[serde(default)]
+    has_more: bool,
+    #[serde(default)]
+    end: u64,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+struct ItemDocument {
+    key: CompactString,
+    /// Base64 of the content; missing or empty if the key was removed.
+    #[serde_as(as = "Option<Base64>")]
+    #[serde(default)]
+    value: Option<Vec<u8>>,
+}
+
+impl StoreClient {
+    /// Makes a client; `partitions` is the number of partitions of a topic.
+    pub fn new(address: &str, vm: &str, partitions: u16) -> Self {
+        Self {
+            address: address.into(),
+            client: HttpClient::new(address, vm),
+            partitions: partitions.max(1),
+        }
+    }
+
+    /// Returns topic and partition of a feed.
+    fn place(&self, feed: Feed) -> (CompactString, u16) {
+        match feed {
+            Feed::Operator => ("keyed.op".into(), 0),
+            Feed::Upstreams => ("keyed.servers".into(), 0),
+            Feed::RolloutStatus => ("keyed.status".into(), 0),
+            Feed::Routers => ("keyed.routers".into(), 0),
+            Feed::Budgets(slot) => {
+                let topic = slot / self.partitions % BUDGET_TOPICS;
+                (
+                    compact_str::format_compact!("keyed.budgets{topic}"),
+                    slot % self.partitions,
+                )
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait_ms: u64,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let timeout = CALL_TIMEOUT + Duration::from_millis(wait_ms);
+        let result = self.client.call(step, method, path, body, timeout).await;
+        result.map_err(|error: CallError| self.unknown(step, error))
+    }
+
+    fn unknown(&self, step: &'static str, reason: impl ToString) -> Error {
+        Error::Unknown(step, self.address.clone(), reason.to_string())
+    }
+
+    fn refused(&self, step: &'static str, status: StatusCode) -> Error {
+        Error::Refused(step, self.address.clone(), status.as_u16())
+    }
+
+    async fn read_snapshot(&self, feed: Feed) -> Result<Snapshot, Error> {
+        const STEP: &str = "read newest records";
+        let (topic, part) = self.place(feed);
+        let mut snapshot = Snapshot::default();
+        let mut after: Option<CompactString> = None;
+        loop {
+            let mut path = format!("/api/log-newest?topic={topic}&part={part}");
+            if let Some(after) = &after {
+                path.push_str("&after=");
+                path.push_str(after);
+            }
+            let (status, body) = self.call(STEP, Method::GET, &path, Bytes::new(), 0).await?;
+            match status {
+                StatusCode::OK => {}
+                // A topic exists from its first record.
+                StatusCode::NOT_FOUND => return Ok(snapshot),
+                other => return Err(self.refused(STEP, other)),
+            }
+            let page: NewestDocument =
+                serde_json::from_slice(&body).map_err(|error| self.unknown(STEP, error))?;
+            // Pages are read one after the other; changes since the first one are read again from its end.
+            if after.is_none() {
+                snapshot.end = page.end;
+            }
+            after = page.items.last().map(|item| item.key.clone());
+            snapshot.records.extend(page.items.into_iter().map(|item| {
+                Record {
+                    key: item.key,
+                    value: item
+                        .value
+                        .filter(|value| !value.is_empty())
+                        .map(Bytes::from),
+                }
+            }));
+            if !page.has_more || after.is_none() {
+                return Ok(snapshot);
+            }
+        }
+    }
+
+    async fn read_changes(&self, feed: Feed, from: u64, wait_ms: u64) -> Result<Changes, Error> {
+        const STEP: &str = "read changes";
+        let (topic, part) = self.place(feed);
+        let mut path =
+            format!("/api/log-read?topic={topic}&part={part}&from={from}&max_kb={READ_KB}");
+        if wait_ms > 0 {
+            path.push_str(&format!("&wait_ms={wait_ms}"));
+        }
+        let call = self.call(STEP, Method::GET, &path, Bytes::new(), wait_ms);
+        let (status, body) = call.await?;
+        match status {
+            StatusCode::OK => {
+                let (records, count) = decode_records(body)
+                    .ok_or_else(|| self.unknown(STEP, "a record is truncated"))?;
+                Ok(Changes::Records {
+                    records,
+                    end: from + count,
+                })
+            }
+            StatusCode::GONE => Ok(Changes::Lost),
+            StatusCode::NOT_FOUND => Ok(Changes::Records {
+                records: Vec::new(),
+                end: from,
+            }),
+            other => Err(self.refused(STEP, other)),
+        }
+    }
+
+    async fn write(
+        &self,
+        feed: Feed,
+        expected_end: Option<u64>,
+        record: Record,
+    ) -> Result<Appended, Error> {
+        const STEP: &str = "append";
+        let (topic, part) = self.place(feed);
+        let mut path = format!("/api/log-append?topic={topic}&part={part}");
+        if let Some(end) = expected_end {
+            path.push_str(&format!("&at={end}"));
+        }
+        let body = encode_record(&record);
+        let (status, _) = self.call(STEP, Method::POST, &path, body, 0).await?;
+        match status {
+            StatusCode::OK => Ok(Appended::Written),
+            StatusCode::PRECONDITION_FAILED => Ok(Appended::Moved),
+            other => Err(self.refused(STEP, other)),
+        }
+    }
+}
+
+impl Store for StoreClient {
+    fn snapshot(&self, feed: Feed) -> LocalBoxFuture<'_, Result<Snapshot, Error>> {
+        Box::pin(self.read_snapshot(feed))
+    }
+
+    fn changes(
+        &self,
+        feed: Feed,
+        from: u64,
+        wait_ms: u64,
+    ) -> LocalBoxFuture<'_, Result<Changes, Error>> {
+        Box::pin(self.read_changes(feed, from, wait_ms))
+    }
+
+    fn append(
+        &self,
+        feed: Feed,
+        expected_end: Option<u64>,
+        record: Record,
+    ) -> LocalBoxFuture<'_, Result<Appended, Error>> {
+        Box::pin(self.write(feed, expected_end, record))
+    }
+}
+
+/// Encodes a keyed record: length of the rest, length of the key, key, content.
+fn encode_record(record: &Record) -> Bytes {
+    let value = record.value.as_deref().unwrap_or_default();
+    let key = record.key.as_bytes();
+    let mut output = BytesMut::with_capacity(5 + key.len() + value.len());
+    output.put_u32((1 + key.len() + value.len()) as u32);
+    output.put_u8(key.len() as u8);
+    output.put_slice(key);
+    output.put_slice(value);
+    output.freeze()
+}
+
+/// Decodes a read; returns the records that have a readable key and the number of all records.
+fn decode_records(mut body: Bytes) -> Option<(Vec<Record>, u64)> {
+    if body.len() < READ_HEAD_BYTES {
+        return None;
+    }
+    body.advance(READ_HEAD_BYTES);
+    let mut records = Vec::new();
+    let mut count = 0;
+    while !body.is_empty() {
+        if body.len() < 4 {
+            return None;
+        }
+        let length = body.get_u32() as usize;
+        if body.len() < length {
+            return None;
+        }
+        let mut content = body.split_to(length);
+        count += 1;
+        if content.is_empty() {
+            continue;
+        }
+        let key_length = content.get_u8() as usize;
+        if content.len() < key_length {
+            log::warn!(step = "read changes"; "a record without a whole key is skipped");
+            continue;
+        }
+        let key = content.split_to(key_length);
+        let Ok(key) = std::str::from_utf8(&key) else {
+            log::warn!(step = "read changes"; "a record with an unreadable key is skipped");
+            continue;
+        };
+        records.push(Record {
+            key: key.into(),
+            value: (!content.is_empty()).then_some(content),
+        });
+    }
+    Some((records, count))
+}
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -1,7 +1,7 @@
 //! Connections of callers: from accept to the last byte of each response.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use monoio::net::{TcpListener, TcpStream};
 
@@ -18,12 +18,6 @@
 /// Pause after an accept that failed, for example because the process has no file descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Time and bytes for which input is discarded after an early refusal.
-///
-/// Closing a socket with unread input resets the connection, and the caller could lose the response.
-const LINGER: Duration = Duration::from_millis(500);
-const LINGER_BYTES: usize = 4 << 20;
-
 /// Connections above the limit that get a response; further ones are closed at once.
 const REFUSED_CONNECTIONS: u32 = 64;
 
@@ -75,7 +69,7 @@
             Err(Error::Refused(refusal, message)) => {
                 let refused = Refused::new(refusal, message);
                 refuse(shared, &mut socket, &refused, None, false).await;
-                linger(&mut socket).await;
+                socket.linger().await;
             }
             Err(Error::Closed) => {}
             Err(Error::Io(error)) => log::debug!(step = "read request"; "{error}"),
@@ -88,6 +82,7 @@
     RequestLimits {
         head_bytes: limits.head_bytes as usize,
         body_bytes: limits.body_bytes as usize,
+        head_timeout: Duration::from_millis(limits.request_read_timeout_ms),
         read_timeout: Duration::from_millis(limits.request_read_timeout_ms),
         idle_timeout: KEEP_ALIVE,
     }
@@ -215,22 +210,6 @@
 }
 
 /// Discards input for a short time, so that the response to an early refusal arrives.
-async fn linger(socket: &mut Socket) {
-    socket.shutdown().await;
-    let end = Instant::now() + LINGER;
-    let mut discarded_bytes = 0;
-    while discarded_bytes < LINGER_BYTES {
-        let Some(left) = end.checked_duration_since(Instant::now()) else {
-            return;
-        };
-        match monoio::time::timeout(left, socket.fill()).await {
-            Ok(Ok(count @ 1..)) => discarded_bytes += count,
-            _ => return,
-        }
-        socket.input().clear();
-    }
-}
-
 /// Entry of a request in the table of open requests; dropping it ends the request.
 struct Opened {
     shared: Rc<Shared>,
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -23,6 +23,8 @@
     pub head_bytes: usize,
     /// Largest body.
     pub body_bytes: usize,
+    /// Time that the head may take after its first byte.
+    pub head_timeout: Duration,
     /// Time that the whole request may take after its first byte.
     pub read_timeout: Duration,
     /// Time that a connection may wait for its next request.
@@ -81,10 +83,7 @@
         let request = read_whole(socket, limits);
         match monoio::time::timeout(limits.read_timeout, request).await {
             Ok(result) => result,
-            Err(_) => Err(Error::Refused(
-                Refusal::RequestTimeout,
-                "the request was not complete in time",
-            )),
+            Err(_) => Err(too_slow()),
         }
     }
 
@@ -95,7 +94,11 @@
 }
 
 async fn read_whole(socket: &mut Socket, limits: RequestLimits) -> Result<Request, Error> {
-    let head = read_head(socket, limits.head_bytes).await?;
+    let head = read_head(socket, limits.head_bytes);
+    let head = match monoio::time::timeout(limits.head_timeout, head).await {
+        Ok(result) => result?,
+        Err(_) => return Err(too_slow()),
+    };
     let framing = Framing::of(&head.headers)?;
     if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
         return Err(body_too_large());
@@ -221,6 +224,13 @@
     }
 }
 
+fn too_slow() -> Error {
+    Error::Refused(
+        Refusal::RequestTimeout,
+        "the request was not complete in time",
+    )
+}
+
 fn bad_request(message: &'static str) -> Error {
     Error::Refused(Refusal::BadRequest, message)
 }
--- a/src/server/socket.rs
+++ b/src/server/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with an input buffer and non-blocking attempts to read and write.
 
 use std::io;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -10,6 +11,12 @@
 /// Bytes taken from the kernel in one read.
 const READ_BYTES: usize = 16 << 10;
 
+/// Time and bytes for which input is discarded after an early refusal.
+///
+/// Closing a socket with unread input resets the connection, and the caller could lose the response.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 4 << 20;
+
 /// A TCP connection with the input that was read and not yet consumed.
 ///
 /// An idle connection owns no buffer: the memory for a read is allocated only once the kernel has data. All waits are
@@ -137,4 +144,28 @@
         // The peer may be gone already; there is nobody left to tell.
         let _ = self.stream.shutdown().await;
     }
+
+    /// Lingers if there is input that nobody will read.
+    pub async fn linger_if_unread(&mut self) {
+        if !self.input.is_empty() {
+            self.linger().await;
+        }
+    }
+
+    /// Ends the sending direction and discards input for a while, so that the peer can read the last response.
+    pub async fn linger(&mut self) {
+        self.shutdown().await;
+        let end = Instant::now() + LINGER;
+        let mut discarded_bytes = 0;
+        while discarded_bytes < LINGER_BYTES {
+            let Some(left) = end.checked_duration_since(Instant::now()) else {
+                return;
+            };
+            match monoio::time::timeout(left, self.fill()).await {
+                Ok(Ok(count @ 1..)) => discarded_bytes += count,
+                _ => return,
+            }
+            self.input.clear();
+        }
+    }
 }
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,116 @@
+//! Access to the platform's store, the only place where state outlives a process.
+//!
+//! The store keeps feeds of keyed records. A reader takes a snapshot of the newest record of each key and then follows
+//! the changes by position. A writer appends under the condition that the feed still ends at a given position, so two
+//! writers never overwrite each other. The trait is the boundary of the process; `docs/design.md`, section 10, says
+//! what each feed holds.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::future::LocalBoxFuture;
+use quick_error::quick_error;
+
+/// A sequence of keyed records in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Feed {
+    /// Configuration and orders of operators; read only.
+    Operator,
+    /// Entries of upstreams; read only.
+    Upstreams,
+    /// Progress of version rollouts.
+    RolloutStatus,
+    /// Presence of routers and what each one measures.
+    Routers,
+    /// Budgets of teams, spread over slots so that teams rarely share a condition.
+    Budgets(u16),
+}
+
+/// One keyed record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Key of the record.
+    pub key: CompactString,
+    /// Content; `None` if the key was removed.
+    pub value: Option<Bytes>,
+}
+
+/// The newest record of each key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Records in no particular order.
+    pub records: Vec<Record>,
+    /// Position from which changes are read.
+    pub end: u64,
+}
+
+/// Changes of a feed since a position.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changes {
+    /// Records in the order in which they were written.
+    Records {
+        /// The records.
+        records: Vec<Record>,
+        /// Position of the next read.
+        end: u64,
+    },
+    /// The store no longer holds the position; only a new snapshot is complete.
+    Lost,
+}
+
+/// Result of a conditional append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Appended {
+    /// The record was written.
+    Written,
+    /// The feed does not end at the expected position.
+    Moved,
+}
+
+quick_error! {
+    /// Why a call to the store failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The store said that it did nothing.
+        Refused(step: &'static str, address: String, status: u16) {
+            display("{} {}: status {}", step, address, status)
+        }
+        /// No usable answer; the call may have taken effect or may still do so.
+        Unknown(step: &'static str, address: String, message: String) {
+            display("{} {}: {}", step, address, message)
+        }
+    }
+}
+
+/// Calls to the store.
+pub trait Store {
+    /// Reads the newest record of each key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete snapshot arrived.
+    fn snapshot(&self, feed: Feed) -> LocalBoxFuture<'_, Result<Snapshot, Error>>;
+
+    /// Reads the records since a position; the store may hold the call for `wait_ms` while there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no usable answer arrived in time.
+    fn changes(
+        &self,
+        feed: Feed,
+        from: u64,
+        wait_ms: u64,
+    ) -> LocalBoxFuture<'_, Result<Changes, Error>>;
+
+    /// Writes a record if the feed ends at `expected_end`; without a condition it is always written.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the record may have been written.
+    fn append(
+        &self,
+        feed: Feed,
+        expected_end: Option<u64>,
+        record: Record,
+    ) -> LocalBoxFuture<'_, Result<Appended, Error>>;
+}
--- a/src/validation/shape.rs
+++ b/src/validation/shape.rs
@@ -37,6 +37,13 @@
         /// Unit in plain words.
         unit: &'static str,
     },
+    /// A number within bounds, with or without a fraction.
+    Number {
+        /// Smallest value.
+        min: f64,
+        /// Largest value.
+        max: f64,
+    },
     /// `true` or `false`.
     Boolean,
     /// One of several words.
@@ -146,6 +153,7 @@
             Self::Integer { min, max, unit } => {
                 format!("a whole number of {unit} from {min} to {max}, without quotes or unit")
             }
+            Self::Number { min, max } => format!("a number from {min} to {max}, without quotes"),
             Self::Boolean => "true or false".into(),
             Self::Choice(words) => format!("one of {}", words.join(", ")),
             Self::Object(shape) => format!("an object with {}", shape.names()),
@@ -197,6 +205,9 @@
             Self::Integer { min, max, .. } => value
                 .as_u64()
                 .is_some_and(|number| (*min..=*max).contains(&number)),
+            Self::Number { min, max } => value
+                .as_f64()
+                .is_some_and(|number| (*min..=*max).contains(&number)),
             Self::Boolean => value.is_boolean(),
             Self::Choice(words) => value.as_str().is_some_and(|text| words.contains(&text)),
             Self::Object(_) => value.is_object(),
--- /dev/null
+++ b/src/vm_list.rs
@@ -0,0 +1,133 @@
+//! Access to the platform's VM list and weight store.
+//!
+//! The VM list lags and can be wrong, so it is only a hint: it tells a starting process where to look for peers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::future::LocalBoxFuture;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::log_client::http_client::HttpClient;
+pub use crate::log_client::Error;
+
+/// State of a VM as the platform sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM runs.
+    Live,
+    /// The VM will be removed.
+    Leaving,
+}
+
+/// One entry of the VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Name of the VM.
+    pub vm: CompactString,
+    /// Address for peers, as `ip:port`.
+    pub address: CompactString,
+    /// State as the platform sees it.
+    pub state: VmState,
+}
+
+/// The platform's list of VMs.
+pub trait VmList {
+    /// Reads the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no valid response arrived.
+    fn read(&self) -> LocalBoxFuture<'_, Result<Vec<Vm>, Error>>;
+}
+
+/// Response of the weight store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Weights {
+    /// The weights of the version.
+    Found(Bytes),
+    /// The store asks to come back later.
+    RateLimited,
+    /// The store has no such version.
+    Missing,
+}
+
+/// The platform's store of model weights.
+pub trait WeightStore {
+    /// Reads the weights of a version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no valid response arrived.
+    fn read<'a>(&'a self, version: &'a str) -> LocalBoxFuture<'a, Result<Weights, Error>>;
+}
+
+/// The VM list over HTTP.
+#[derive(Debug)]
+pub struct VmListClient {
+    client: HttpClient,
+    timeout: Duration,
+}
+
+impl VmListClient {
+    /// Makes a client for the list at `address`; `vm` names this VM in the `x-vm` header.
+    pub fn new(address: &str, vm: &str, timeout: Duration) -> Self {
+        Self {
+            client: HttpClient::new(address, vm),
+            timeout,
+        }
+    }
+}
+
+impl VmList for VmListClient {
+    fn read(&self) -> LocalBoxFuture<'_, Result<Vec<Vm>, Error>> {
+        Box::pin(self.client.call_json(
+            "read VM list",
+            Method::GET,
+            "/v1/vms",
+            Bytes::new(),
+            self.timeout,
+        ))
+    }
+}
+
+/// The weight store over HTTP.
+#[derive(Debug)]
+pub struct WeightStoreClient {
+    address: String,
+    client: HttpClient,
+    timeout: Duration,
+}
+
+impl WeightStoreClient {
+    /// Makes a client for the store at `address`; `vm` names this VM in the `x-vm` header.
+    pub fn new(address: &str, vm: &str, timeout: Duration) -> Self {
+        Self {
+            address: address.into(),
+            client: HttpClient::new(address, vm),
+            timeout,
+        }
+    }
+}
+
+impl WeightStore for WeightStoreClient {
+    fn read<'a>(&'a self, version: &'a str) -> LocalBoxFuture<'a, Result<Weights, Error>> {
+        Box::pin(async move {
+            const STEP: &str = "read weights";
+            let path = format!("/v1/weights/{version}");
+            let (status, body) = self
+                .client
+                .call(STEP, Method::GET, &path, Bytes::new(), self.timeout)
+                .await?;
+            match status {
+                StatusCode::OK => Ok(Weights::Found(body)),
+                StatusCode::TOO_MANY_REQUESTS => Ok(Weights::RateLimited),
+                StatusCode::NOT_FOUND => Ok(Weights::Missing),
+                other => Err(Error::Status(STEP, self.address.clone(), other.as_u16())),
+            }
+        })
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,9 +9,9 @@
 
 use monoio::net::TcpListener;
 use monsoonfield::fleet::{Event, Fleet, FleetBuilder, Subscription};
-use monsoonfield::platform::{Vm, VmState};
 use monsoonfield::record::{ConfigurationEntry, ContractEntry, Entry};
 use monsoonfield::settings::{Limits, Listen, PlatformAddresses, Settings, Timing};
+use monsoonfield::vm_list::{Vm, VmState};
 
 pub mod forwarder;
 pub mod platform_stub;
--- a/tests/common/platform_stub.rs
+++ b/tests/common/platform_stub.rs
@@ -20,7 +20,7 @@
 use monoio_http::h1::codec::ServerCodec;
 use monoio_http::h1::payload::{FixedPayload, Payload};
 use monsoonfield::log_client::{Page, Record};
-use monsoonfield::platform::Vm;
+use monsoonfield::vm_list::Vm;
 use serde::{Deserialize, Serialize};
 
 /// Size of the stub's log and rate of its weight store.
--- /dev/null
+++ b/tests/gateway_decisions.rs
@@ -0,0 +1,351 @@
+//! Decisions of the gateway that need no network: routes, upstream entries, spending rights, shared limits, placement.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use monsoonfield::directory::{Change, Directory, Entry, LAPSE_GRACE_MS};
+use monsoonfield::fleet_share::{Presence, RetryLimit, RetryRule, Routers, PRESENCE_TIMEOUT_MS};
+use monsoonfield::placement::{Candidate, LoadReport, Outcome, Placement, Unplaced};
+use monsoonfield::routing::{CallerLimits, Definition, KeyError, Repeat, Route, Table, Team};
+
+fn route(host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: path_prefix.into(),
+        host: host.into(),
+        path_prefix: path_prefix.into(),
+        repeat: Repeat::Idempotent,
+        is_stream: false,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        priority: 0,
+        targets: vec![("desk".into(), 90), ("desk-next".into(), 10)],
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+fn table() -> Table {
+    let mut open = route("a.example", "/open/");
+    open.is_public = true;
+    Table::new(Definition {
+        version: 7,
+        routes: vec![
+            route("a.example", "/x/"),
+            route("a.example", "/x/y/"),
+            route("b.example", "/"),
+            open,
+        ],
+        services: Vec::new(),
+        teams: vec![Team {
+            name: "soles".into(),
+            api_keys: vec!["key-1".into(), "key-2".into()],
+            priority: None,
+            prepaid_tokens: Some(1_000),
+        }],
+        limits: CallerLimits::default(),
+    })
+}
+
+/// Guards against a request on a shorter prefix, another host or a path that only begins like a prefix.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let cases = [
+        ("a.example", "/x/1", Some("/x/")),
+        ("a.example", "/x/y/1", Some("/x/y/")),
+        ("a.example", "/x/y", Some("/x/")),
+        ("A.Example:8080", "/x/", Some("/x/")),
+        ("a.example", "/x", None),
+        ("a.example", "/xy/1", None),
+        ("b.example", "/anything", Some("/")),
+        ("c.example", "/x/1", None),
+    ];
+    let table = table();
+    for (host, path, expected) in cases {
+        let found = table.find(host, path).map(|index| table.route(index));
+        let prefix = found.map(|route| route.path_prefix.as_str());
+        assert_eq!(prefix, expected, "{host}{path}");
+    }
+}
+
+/// Guards against requests that run without a key or for another team.
+#[test]
+fn a_key_names_its_team_and_public_routes_need_none() {
+    let table = table();
+    let closed = table.route(table.find("a.example", "/x/").unwrap());
+    let open = table.route(table.find("a.example", "/open/").unwrap());
+    assert!(matches!(
+        table.authenticate(closed, Some("key-2")),
+        Ok(Some(_))
+    ));
+    assert_eq!(
+        table.authenticate(closed, Some("key-3")),
+        Err(KeyError::Unknown)
+    );
+    assert_eq!(table.authenticate(closed, None), Err(KeyError::Unknown));
+    assert_eq!(table.authenticate(open, None), Ok(None));
+}
+
+/// Guards against a split that leaves a service out or exceeds its weight.
+#[test]
+fn a_split_follows_its_weights() {
+    let route = route("a.example", "/x/");
+    let next = (0..1_000)
+        .filter(|draw| route.service(*draw).unwrap() == "desk-next")
+        .count();
+    assert_eq!(next, 100);
+}
+
+fn entry(port: u16) -> Entry {
+    Entry {
+        service: "desk".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        data_centre: "kv-a".into(),
+        version: "v1".into(),
+        slots: 6,
+        is_leaving: false,
+        born_ms: Some(1),
+    }
+}
+
+fn serving(directory: &Directory) -> Vec<CompactString> {
+    let mut ids: Vec<_> = directory
+        .serving("desk")
+        .map(|(id, _)| id.clone())
+        .collect();
+    ids.sort();
+    ids
+}
+
+/// Guards against new work for an upstream that leaves, is gone, or whose entry cannot be read.
+#[test]
+fn only_ready_and_readable_upstreams_get_work() {
+    let mut directory = Directory::default();
+    assert_eq!(
+        directory.apply("a".into(), Some(entry(1)), 0),
+        Change::Added
+    );
+    assert_eq!(
+        directory.apply("b".into(), Some(entry(2)), 0),
+        Change::Added
+    );
+    assert_eq!(
+        directory.apply("c".into(), Some(entry(3)), 0),
+        Change::Added
+    );
+    let leaving = Entry {
+        is_leaving: true,
+        ..entry(1)
+    };
+    assert_eq!(
+        directory.apply("a".into(), Some(leaving), 10),
+        Change::Leaving
+    );
+    assert_eq!(directory.apply("b".into(), None, 10), Change::Removed);
+    assert_eq!(serving(&directory), ["c"]);
+}
+
+/// Guards against dropping every upstream whose entry lapsed while the store was away although it lives, and against
+/// keeping one that does not return.
+#[test]
+fn entries_that_lapsed_in_an_outage_have_time_to_return() {
+    let mut directory = Directory::default();
+    for id in ["a", "b"] {
+        directory.apply(id.into(), Some(entry(1)), 0);
+    }
+    directory.store_returned(5_000);
+    directory.reset(Vec::new(), 5_000);
+    assert_eq!(serving(&directory), ["a", "b"]);
+    directory.apply("a".into(), Some(entry(1)), 5_500);
+    assert!(directory.expire(5_000 + LAPSE_GRACE_MS - 1).is_empty());
+    assert_eq!(directory.expire(5_000 + LAPSE_GRACE_MS), ["b"]);
+    assert_eq!(serving(&directory), ["a"]);
+    assert_eq!(directory.apply("a".into(), None, 9_000), Change::Removed);
+}
+
+/// Guards against loads that outlive a restart under the same id.
+#[test]
+fn another_start_under_the_same_id_is_a_new_upstream() {
+    let mut directory = Directory::default();
+    directory.apply("a".into(), Some(entry(1)), 0);
+    let again = Entry {
+        born_ms: Some(2),
+        ..entry(1)
+    };
+    assert_eq!(directory.apply("a".into(), Some(again), 10), Change::Added);
+}
+
+fn presence(requests: u64) -> Option<Presence> {
+    Some(Presence {
+        requests,
+        ..Presence::default()
+    })
+}
+
+/// Guards against routers that together use more than an amount that holds over all of them, also when callers reach
+/// them unevenly.
+#[test]
+fn the_parts_of_a_shared_amount_add_up_to_at_most_the_amount() {
+    let mut routers = Routers::default();
+    for (vm, requests) in [("a", 500), ("b", 10), ("c", 0), ("d", 90)] {
+        routers.apply(vm.into(), presence(requests), 0);
+    }
+    let parts: Vec<u64> = ["a", "b", "c", "d"].map(|vm| routers.part(vm, 100)).into();
+    assert!(parts.iter().sum::<u64>() <= 100, "{parts:?}");
+    assert!(parts[0] > 3 * parts[1] && parts[2] > 0, "{parts:?}");
+    routers.expire(PRESENCE_TIMEOUT_MS);
+    assert!(
+        routers.part("a", 100) < 10,
+        "unknown routers are assumed to be many"
+    );
+}
+
+/// Guards against retries beyond the share of requests in any window.
+#[test]
+fn retries_stay_within_their_share_of_requests() {
+    let rule = RetryRule {
+        ratio_millis: 200,
+        slack: 58,
+        window_ms: 10_000,
+    };
+    let mut limit = RetryLimit::default();
+    let mut retries = 0;
+    for now_ms in (0..10_000).step_by(10) {
+        limit.request(now_ms);
+        retries += u64::from(limit.try_retry(rule, 6, now_ms));
+    }
+    assert!((100..=206).contains(&retries), "{retries}");
+    assert!(
+        limit.try_retry(rule, 6, 30_000),
+        "the window has passed, the slack is free"
+    );
+}
+
+fn candidates<'a>(ids: &'a [&'a str], slots: u32) -> Vec<Candidate<'a>> {
+    ids.iter()
+        .map(|id| Candidate {
+            id,
+            slots,
+            is_local: false,
+        })
+        .collect()
+}
+
+/// Pattern: many sessions with long shared prompts. Guards against sessions that wander between upstreams, which would
+/// read their prompts again, and against routers that place the same session differently.
+#[test]
+fn a_session_stays_at_one_upstream_and_routers_agree() {
+    let ids = ["a", "b", "c", "d", "e"];
+    let (first, second) = (Placement::default(), Placement::default());
+    let mut used = std::collections::BTreeSet::new();
+    for session in 0..200 {
+        let candidates = candidates(&ids, 64);
+        let one = first.choose(&candidates, Some(session), &[], 0).unwrap();
+        let reversed: Vec<_> = candidates.iter().rev().copied().collect();
+        let other = second.choose(&reversed, Some(session), &[], 9).unwrap();
+        assert_eq!(one, other);
+        used.insert(one);
+    }
+    assert_eq!(used.len(), ids.len());
+}
+
+/// Pattern: one key gets much of the traffic. Guards against its upstream taking all of it while others idle.
+#[test]
+fn a_hot_session_spreads_before_its_upstream_is_overloaded() {
+    let ids = ["a", "b", "c", "d"];
+    let mut placement = Placement::default();
+    for _ in 0..80 {
+        let id = placement
+            .choose(&candidates(&ids, 64), Some(1), &[], 0)
+            .unwrap();
+        placement.sent(id, 0);
+    }
+    let loads = ids.map(|id| placement.own_requests(id));
+    // The mean is 20; an upstream takes the session up to 140% of it and 3 more.
+    assert!(loads.iter().all(|load| *load <= 31), "{loads:?}");
+}
+
+/// Pattern: upstreams go dark while requests are open. Guards against sending more work to a silent upstream, and
+/// against never trying it again.
+#[test]
+fn a_silent_upstream_gets_one_request_at_a_time_until_it_is_heard() {
+    let ids = ["a"];
+    let mut placement = Placement::default();
+    placement.sent("a", 0);
+    assert!(placement
+        .choose(&candidates(&ids, 64), None, &[], 1_000)
+        .is_ok());
+    assert!(placement
+        .choose(&candidates(&ids, 64), None, &[], 2_000)
+        .is_ok());
+    placement.sent("a", 2_000);
+    let choice = placement.choose(&candidates(&ids, 64), None, &[], 2_010);
+    assert_eq!(choice, Err(Unplaced::NoUpstream));
+    placement.heard("a", 2_020);
+    assert!(placement
+        .choose(&candidates(&ids, 64), None, &[], 2_030)
+        .is_ok());
+}
+
+/// Pattern: an upstream fails part of its requests while its entry is good. Guards against keeping its full share.
+#[test]
+fn a_failing_upstream_is_avoided_while_others_are_sound() {
+    let ids = ["a", "b"];
+    let mut placement = Placement::default();
+    for _ in 0..8 {
+        placement.sent("a", 0);
+        placement.finished("a", Outcome::Failed, 0);
+        placement.sent("b", 0);
+        placement.finished("b", Outcome::Served, 0);
+    }
+    assert_eq!(
+        placement.choose(&candidates(&ids, 6), None, &[], 10),
+        Ok("b")
+    );
+    for _ in 0..20 {
+        placement.forgive(0.89);
+    }
+    placement.sent("b", 0);
+    placement.sent("b", 0);
+    assert_eq!(
+        placement.choose(&candidates(&ids, 6), None, &[], 10),
+        Ok("a")
+    );
+}
+
+/// Pattern: other routers load an upstream. Guards against ignoring reports, and against trusting old ones.
+#[test]
+fn load_of_other_routers_counts_while_it_is_fresh() {
+    let ids = ["a", "b"];
+    let mut placement = Placement::default();
+    let busy = LoadReport {
+        running: 6,
+        waiting: 7,
+        slots: 6,
+    };
+    placement.report("a", busy, 0);
+    placement.sent("b", 0);
+    assert_eq!(
+        placement.choose(&candidates(&ids, 6), None, &[], 100),
+        Ok("b")
+    );
+    assert_eq!(
+        placement.choose(&candidates(&ids, 6), None, &[], 5_000),
+        Ok("a")
+    );
+}
+
+/// Pattern: all upstreams are full. Guards against requests that wait where they cannot be served.
+#[test]
+fn full_upstreams_are_told_from_missing_ones() {
+    let ids = ["a"];
+    let mut placement = Placement::default();
+    for _ in 0..12 {
+        placement.sent("a", 0);
+    }
+    let choice = placement.choose(&candidates(&ids, 6), None, &[], 10);
+    assert_eq!(choice, Err(Unplaced::Full));
+    assert_eq!(
+        placement.choose(&[], None, &[], 10),
+        Err(Unplaced::NoUpstream)
+    );
+}
--- a/tests/platform_clients.rs
+++ b/tests/platform_clients.rs
@@ -10,7 +10,7 @@
 use common::{run, short_timing, Platform, LIMIT};
 use monsoonfield::fleet::FleetBuilder;
 use monsoonfield::log_client::{Error, LogClient, LogService};
-use monsoonfield::platform::{
+use monsoonfield::vm_list::{
     VmList, VmListClient, VmState, WeightStore, WeightStoreClient, Weights,
 };
 use serde_json::json;
