Place prompts by reading time, with notices between gateways

Ruled out: budget waits (80 ms at most), processor time (0.014 cores).

Change: each gateway estimates until when an engine reads prompts, from its own requests and datagram notices of others; cost includes attention and cached shared parts. Reports of gateways do not expire while they cannot be read. Conflicting budget writes are repeated at once; a request waits 80 ms for rights, not 200.

--- a/src/fleet_share.rs
+++ b/src/fleet_share.rs
@@ -5,6 +5,7 @@
 //! Half of each fixed allowance is split evenly, so that a router whose traffic has just begun has a part, too.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,8 @@
     pub router: u64,
     /// Requests in the last window, over all services.
     pub requests: u64,
+    /// Address for notices of other routers.
+    pub peer_address: Option<SocketAddr>,
     /// Whether the router stops.
     pub is_leaving: bool,
 }
@@ -58,6 +61,13 @@
             .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < PRESENCE_TIMEOUT_MS);
     }
 
+    /// Lets all reports count as so much younger, after a time in which none could be read.
+    pub fn extend(&mut self, unread_ms: u64) {
+        for (_, at_ms) in self.present.values_mut() {
+            *at_ms += unread_ms;
+        }
+    }
+
     /// Returns the number of routers.
     pub fn count(&self) -> u64 {
         match self.present.len() as u64 {
@@ -66,6 +76,14 @@
         }
     }
 
+    /// Returns the addresses of all routers but this one.
+    pub fn peers<'a>(&'a self, vm: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
+        self.present
+            .iter()
+            .filter(move |(name, _)| *name != vm)
+            .filter_map(|(_, (presence, _))| presence.peer_address)
+    }
+
     /// Returns this router's part of an amount, half of it even and half by requests.
     pub fn part(&self, vm: &str, amount: u64) -> u64 {
         let even = amount / 2 / self.count();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,13 +11,14 @@
 //! | relay the response, count what is delivered | `relay` |
 //!
 //! Beside the requests, `watch` follows configuration and upstreams, `funds` keeps spending rights at hand, `presence`
-//! splits the limits that hold over all gateways, and `stop` ends the process without cutting requests. Decisions are
+//! splits the limits that hold over all gateways, `notices` tells them of long prompts, and `stop` ends the process without cutting requests. Decisions are
 //! pure functions in [`crate::routing`], [`crate::directory`], [`crate::placement`], [`crate::allowance`] and
 //! [`crate::fleet_share`]. The design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod callers;
 mod funds;
+mod notices;
 mod pool;
 mod presence;
 mod probes;
@@ -41,7 +42,7 @@
 use crate::directory::Directory;
 use crate::fleet_share::{RetryLimit, Routers};
 use crate::metrics::Metrics;
-use crate::placement::Placement;
+use crate::placement::{Placement, Prompt};
 use crate::platform::StoreClient;
 use crate::routing::Table;
 use crate::server;
@@ -71,8 +72,8 @@
     pub input_tokens: u64,
     /// Largest number of tokens of the response.
     pub max_output_tokens: u64,
-    /// Hash of the shared part of the prompt.
-    pub session: Option<u64>,
+    /// Prompt, for requests to model engines.
+    pub prompt: Option<Prompt>,
     /// Event after which the stream continues.
     pub last_event_id: Option<u64>,
 }
@@ -106,6 +107,7 @@
     placement: RefCell<Placement>,
     pool: pool::Pool,
     funds: funds::Funds,
+    notices: notices::Notices,
     routers: RefCell<Routers>,
     retries: RefCell<FastMap<CompactString, RetryLimit>>,
     metrics: Metrics,
@@ -153,10 +155,12 @@
     };
     let callers = listen("listening for callers", &settings.listen.callers)?;
     let readiness = listen("listening for the balancer", &settings.listen.readiness)?;
+    let notices = notices::Notices::open(&settings.listen.peers)
+        .map_err(|error| Error::Start("listening for other gateways", error))?;
     let metrics = listen("listening for scrapers", &settings.listen.metrics)?;
     let mut signals = stop::Signals::register()
         .map_err(|error| Error::Start("registering the signal handler", error))?;
-    let shared = Rc::new(new_shared(settings));
+    let shared = Rc::new(new_shared(settings, notices));
     log::info!(
         step = "start", vm = shared.settings.vm.as_str(), router = shared.router,
         callers = shared.settings.listen.callers.as_str(); "started"
@@ -168,13 +172,14 @@
     monoio::spawn(watch::follow_upstreams(Rc::clone(&shared)));
     monoio::spawn(presence::follow(Rc::clone(&shared)));
     monoio::spawn(presence::report(Rc::clone(&shared)));
+    monoio::spawn(notices::receive(Rc::clone(&shared)));
     monoio::spawn(funds::run(Rc::clone(&shared)));
     monoio::spawn(tick(Rc::clone(&shared)));
     stop::wait_and_finish(&shared, &mut signals).await;
     Ok(())
 }
 
-fn new_shared(settings: Settings) -> Shared {
+fn new_shared(settings: Settings, notices: notices::Notices) -> Shared {
     let store = &settings.store;
     let store = StoreClient::new(&store.address, &settings.vm, store.partitions);
     let mut random = Pcg64Mcg::from_os_rng();
@@ -192,6 +197,7 @@
         placement: RefCell::default(),
         pool: pool::Pool::default(),
         funds: funds::Funds::default(),
+        notices,
         routers: RefCell::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
@@ -213,7 +219,6 @@
         let now_ms = shared.now_ms();
         shared.pool.close_expired(now_ms);
         shared.placement.borrow_mut().forgive(FORGIVENESS);
-        shared.routers.borrow_mut().expire(now_ms);
         shared
             .metrics
             .set("open_requests", shared.open_requests.get() as u64);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use super::{pool, Shared};
 use crate::directory::Entry;
 use crate::engine::Exchange;
-use crate::placement::{Candidate, Outcome, Unplaced};
+use crate::placement::{Candidate, Outcome, Prompt, Unplaced};
 use crate::platform::headers::{self, Added};
 use crate::refusal::Refusal;
 use crate::routing::Repeat;
@@ -102,16 +102,27 @@
     id: CompactString,
     outcome: Outcome,
     is_unanswered: bool,
+    /// Length of what the engine had to read, if it was idle.
+    idle_linear_tokens: Option<f64>,
 }
 
 impl<'a> Sent<'a> {
-    fn new(shared: &'a Shared, id: &str) -> Self {
-        shared.placement.borrow_mut().sent(id, shared.now_ms());
+    fn new(shared: &'a Shared, id: &str, prompt: Option<&Prompt>) -> Self {
+        let now_ms = shared.now_ms();
+        let idle_linear_tokens = prompt.and_then(|prompt| {
+            let placement = shared.placement.borrow();
+            placement.idle_linear_tokens(id, prompt, now_ms)
+        });
+        let reading_ms = shared.placement.borrow_mut().sent(id, prompt, now_ms);
+        if let Some(prompt) = prompt {
+            shared.notices.send(shared, id, prompt.session, reading_ms);
+        }
         Self {
             shared,
             id: id.into(),
             outcome: Outcome::Neutral,
             is_unanswered: true,
+            idle_linear_tokens,
         }
     }
 
@@ -172,7 +183,7 @@
         }
         let (id, entry) = upstream;
         attempts.tried.push(id.clone());
-        let mut sent = Sent::new(shared, &id);
+        let mut sent = Sent::new(shared, &id, call.meta.prompt.as_ref());
         let tried = attempt(shared, call, caller, &id, &entry, &mut sent, last_event_id).await;
         match tried {
             Tried::Response(response) => {
@@ -318,7 +329,7 @@
     if candidates.is_empty() && !serving.is_empty() {
         return Err(Unplaced::Full);
     }
-    let id = placement.choose(&candidates, call.meta.session, tried, shared.now_ms())?;
+    let id = placement.choose(&candidates, call.meta.prompt.as_ref(), tried, shared.now_ms())?;
     let entry = directory.get(id).ok_or(Unplaced::NoUpstream)?;
     Ok((id.into(), entry.clone()))
 }
@@ -459,6 +470,9 @@
         }
         let mut placement = shared.placement.borrow_mut();
         placement.first_byte(&response.upstream, elapsed_ms);
+        if let Some(tokens) = sent.idle_linear_tokens {
+            placement.measure_reading(&response.upstream, tokens, elapsed_ms);
+        }
     }
     Tried::Response(response)
 }
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -33,8 +33,15 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest time for which a request waits for rights; an answer of the store takes some milliseconds.
-const WAIT: Duration = Duration::from_millis(200);
+/// Longest time for which a request waits for rights; a look at the record and its change take some 15 ms, and several
+/// routers may have to take turns.
+const WAIT: Duration = Duration::from_millis(80);
+
+/// Looks in a row after another router's change came first.
+const MAX_CONFLICTS: u32 = 6;
+
+/// Pause after a conflict, spread at random so that the routers do not meet again.
+const CONFLICT_PAUSE_MS: u32 = 12;
 
 /// Time without an answer of the store after which no request waits for rights.
 const OUTAGE_MS: u64 = 400;
@@ -170,6 +177,15 @@
     Return,
 }
 
+/// Result of one look at a record.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Cycle {
+    /// The rights are as planned, or the store did not answer.
+    Done,
+    /// Another router's change came first.
+    Conflict,
+}
+
 /// Starts a task for each team as the configuration names it.
 pub(super) async fn run(shared: Rc<Shared>) {
     loop {
@@ -187,7 +203,13 @@
 async fn keep(shared: Rc<Shared>, team: Rc<TeamFunds>) {
     while !shared.is_stopping() {
         team.is_needed.set(false);
-        team.cycle(&shared, Goal::Hold).await;
+        for _ in 0..MAX_CONFLICTS {
+            if team.cycle(&shared, Goal::Hold).await != Cycle::Conflict {
+                break;
+            }
+            let pause_ms = shared.random() % CONFLICT_PAUSE_MS;
+            monoio::time::sleep(Duration::from_millis(u64::from(pause_ms))).await;
+        }
         monoio::time::sleep(MIN_INTERVAL).await;
         let interval = Duration::from_millis(interval_ms(&shared));
         let needed = team.needed.wait_for(|| team.is_needed.get().then_some(()));
@@ -252,9 +274,9 @@
     }
 
     /// Looks at the record and changes it if needed.
-    async fn cycle(&self, shared: &Shared, goal: Goal) {
+    async fn cycle(&self, shared: &Shared, goal: Goal) -> Cycle {
         let Some((record, end)) = self.read(shared).await else {
-            return;
+            return Cycle::Done;
         };
         let routers = shared.routers.borrow().count();
         let planned = {
@@ -271,10 +293,16 @@
             }
             planned
         };
-        if let Some(planned) = planned {
-            self.write(shared, &planned, end).await;
-        }
+        let was_written = match planned {
+            Some(planned) => self.write(shared, &planned, end).await,
+            None => true,
+        };
         self.changed.notify();
+        if was_written {
+            Cycle::Done
+        } else {
+            Cycle::Conflict
+        }
     }
 
     async fn read(&self, shared: &Shared) -> Option<(TeamRecord, u64)> {
@@ -307,7 +335,7 @@
     }
 
     /// Writes a planned record and waits until it is known whether it took effect.
-    async fn write(&self, shared: &Shared, planned: &TeamRecord, end: u64) {
+    async fn write(&self, shared: &Shared, planned: &TeamRecord, end: u64) -> bool {
         let value = bytes::Bytes::from(planned.encode_to_vec());
         loop {
             let record = Record {
@@ -317,7 +345,7 @@
             let result = shared.store.append(self.feed(), Some(end), record).await;
             if matches!(result, Ok(Appended::Written)) {
                 self.finish(shared, true);
-                return;
+                return true;
             }
             if let Err(error) = &result {
                 self.note_failure(shared, error);
@@ -331,7 +359,7 @@
             // Once something else follows the expected end, no copy of the write can take effect any more.
             if was_written || current_end > end {
                 self.finish(shared, was_written);
-                return;
+                return was_written;
             }
         }
     }
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -13,6 +13,9 @@
 /// Interval between two reads of the reports of others.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Time between two reads above which reports of others may have been missed.
+const LATE_READ_MS: u64 = 1_500;
+
 /// Reports that this process is present until it stops.
 pub(super) async fn report(shared: Rc<Shared>) {
     while !shared.is_stopping() {
@@ -35,6 +38,7 @@
         data_centre: shared.settings.data_centre.clone(),
         router: shared.router,
         requests,
+        peer_address: shared.notices.address(),
         is_leaving,
     };
     // Two texts and numbers always serialise.
@@ -51,8 +55,11 @@
 /// Reads the reports of all gateways.
 ///
 /// Only changes count: a report that was written before this process began says nothing of the present.
+///
+/// While the reports cannot be read nobody is taken as gone.
 pub(super) async fn follow(shared: Rc<Shared>) {
     let mut position = None;
+    let mut read_ms = shared.now_ms();
     loop {
         monoio::time::sleep(READ_INTERVAL).await;
         let Some(from) = position else {
@@ -65,6 +72,14 @@
         match shared.store.changes(Feed::Routers, from, 0).await {
             Ok(Changes::Records { records, end }) => {
                 position = Some(end);
+                let now_ms = shared.now_ms();
+                let unread_ms = now_ms.saturating_sub(std::mem::replace(&mut read_ms, now_ms));
+                let mut routers = shared.routers.borrow_mut();
+                if unread_ms > LATE_READ_MS {
+                    routers.extend(unread_ms);
+                }
+                routers.expire(now_ms);
+                drop(routers);
                 for record in records {
                     apply(&shared, record);
                 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -361,7 +361,7 @@
         team = team, service = call.service.as_str(), version = call.table.version(),
         upstreams = attempts.tried.join(",").as_str(), runs = attempts.runs, misses = attempts.misses,
         last_attempt = attempts.last.as_str(), status = delivery.status, events = delivery.events,
-        charge_tokens = charge, at_ms = now_ms, elapsed_ms = elapsed_ms,
+        input_tokens = call.meta.input_tokens, charge_tokens = charge, at_ms = now_ms, elapsed_ms = elapsed_ms,
         first_byte_ms = delivery.first_byte_ms.saturating_sub(call.started_ms),
         directory_age_ms = now_ms.saturating_sub(shared.directory_read_ms.get()); "{}", delivery.end
     );
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -40,6 +40,8 @@
     pub readiness: CompactString,
     /// For scrapers.
     pub metrics: CompactString,
+    /// For datagrams of other gateways.
+    pub peers: CompactString,
 }
 
 /// The platform's store.
@@ -100,6 +102,7 @@
     field("callers", Kind::ListenAddress),
     field("readiness", Kind::ListenAddress),
     field("metrics", Kind::ListenAddress),
+    field("peers", Kind::ListenAddress),
 ]);
 
 const STORE: Shape = Shape(&[
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,12 +1,14 @@
 //! Choice of an upstream for one request.
 //!
-//! Requests of one session share a long prompt prefix, so they go to the upstream that ranks first for the session by
-//! rendezvous hashing; all routers agree on it without talking to each other. A session whose upstream carries clearly
-//! more than the mean moves to the next one in its ranking (consistent hashing with bounded loads), so that one popular
-//! prefix cannot overload an upstream. Requests without a prefix go to the upstream with the least expected wait.
+//! A model engine reads prompts one after the other, so what delays a request is the prompts that are still to be read
+//! before it. Each router estimates for every engine until when it reads, from its own requests and from the notices
+//! of other routers, and adds what the engine would have to read for the new request: the whole prompt, or without its
+//! shared part where the session was before. The request goes where the sum is smallest. Equal engines are ranked by
+//! rendezvous hashing, so that routers without notices place a session alike.
 //!
-//! The load of an upstream is what this router has open there plus what others had open according to the newest
-//! response that carried a report. The part of others fades out, because a report that is two seconds old says nothing.
+//! Requests to plain services go to the upstream with the least expected wait. The load of an upstream is what this
+//! router has open there plus what others had open according to the newest response that carried a report. The part of
+//! others fades out, because a report that is two seconds old says nothing.
 
 use std::cmp::Ordering;
 
@@ -17,11 +19,36 @@
 /// Age at which a load report no longer counts.
 const REPORT_FADE_MS: u64 = 2_000;
 
-/// Load relative to the mean above which a session moves to its next upstream, in percent.
-const BOUND_PERCENT: u32 = 140;
+/// Difference in expected delay below which two engines count as equal, in milliseconds.
+const EQUAL_MS: f64 = 4.0;
 
-/// Requests above the mean that are always allowed, so that small numbers do not scatter sessions.
-const BOUND_EXTRA: u32 = 3;
+/// Delay that one more running request causes by its share of each step, in milliseconds.
+const RUNNING_MS: f64 = 0.7;
+
+/// Time to read one token of a prompt that is assumed before the first measurement, in milliseconds.
+const TOKEN_MS_PRIOR: f64 = 0.012;
+
+/// Bounds of the measured time to read one token, in milliseconds.
+const TOKEN_MS_BOUNDS: (f64, f64) = (0.001, 0.2);
+
+/// Weight of one measurement of the time to read a token.
+const TOKEN_MS_WEIGHT: f64 = 0.05;
+
+/// Length of a prompt at which attention takes as long as everything else, in tokens; the engines in use, of 70 billion
+/// parameters, state 90,000 to 110,000.
+const ATTENTION_TOKENS: f64 = 100_000.0;
+
+/// Weight of one measurement of an engine's own speed.
+const ENGINE_WEIGHT: f64 = 0.2;
+
+/// Shortest prompt from which the time to read a token is measured; shorter ones measure the first step.
+const MEASURED_TOKENS: f64 = 2_000.0;
+
+/// Time for which an engine is expected to keep a session's prompt in its cache.
+const CACHED_MS: u64 = 15_000;
+
+/// Sessions that are remembered for one engine.
+const MAX_SESSIONS: usize = 2_048;
 
 /// Pause after a refused or timed out connection, in milliseconds; doubled for each further one up to the limit.
 const CONNECT_PAUSE_MS: u64 = 500;
@@ -79,6 +106,17 @@
     pub slots: u32,
 }
 
+/// The prompt of a request to a model engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// Hash of the shared part.
+    pub session: u64,
+    /// Tokens that requests of the session share.
+    pub shared_tokens: u64,
+    /// Tokens of this request alone.
+    pub own_tokens: u64,
+}
+
 /// An upstream that may be chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -112,6 +150,12 @@
     unanswered: u32,
     silent_since_ms: u64,
     probed_at_ms: u64,
+    /// Time until which the engine reads the prompts that were sent to it.
+    reads_until_ms: f64,
+    /// Time to read one token relative to the mean of all engines.
+    slowness: f64,
+    /// Sessions whose prompts it read, with the time.
+    sessions: FastMap<u64, u64>,
 }
 
 impl Load {
@@ -127,6 +171,9 @@
             unanswered: 0,
             silent_since_ms: 0,
             probed_at_ms: 0,
+            reads_until_ms: 0.0,
+            slowness: 1.0,
+            sessions: FastMap::default(),
         }
     }
 
@@ -148,6 +195,38 @@
             && (!self.is_silent(now_ms) || now_ms >= self.probed_at_ms + SILENT_PROBE_MS)
     }
 
+    fn has_cached(&self, session: u64, now_ms: u64) -> bool {
+        let at_ms = self.sessions.get(&session);
+        at_ms.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < CACHED_MS)
+    }
+
+    /// Returns the tokens that the engine would have to read.
+    fn unread_tokens(&self, prompt: &Prompt, now_ms: u64) -> u64 {
+        if self.has_cached(prompt.session, now_ms) {
+            prompt.own_tokens
+        } else {
+            prompt.own_tokens + prompt.shared_tokens
+        }
+    }
+
+    /// Returns the time in which the engine reads a prompt.
+    fn prompt_ms(&self, prompt: &Prompt, token_ms: f64, now_ms: u64) -> f64 {
+        linear_tokens(prompt, self.unread_tokens(prompt, now_ms)) * token_ms * self.slowness
+    }
+
+    fn reading_ms(&self, now_ms: u64) -> f64 {
+        (self.reads_until_ms - now_ms as f64).max(0.0)
+    }
+
+    fn add_reading(&mut self, session: u64, reading_ms: f64, now_ms: u64) {
+        self.reads_until_ms = now_ms as f64 + self.reading_ms(now_ms) + reading_ms;
+        if self.sessions.len() >= MAX_SESSIONS {
+            self.sessions
+                .retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < CACHED_MS / 2);
+        }
+        self.sessions.insert(session, now_ms);
+    }
+
     fn pause(&mut self, base_ms: u64, now_ms: u64) {
         let doubled = base_ms << self.failures_in_row.min(3);
         self.failures_in_row += 1;
@@ -156,13 +235,24 @@
 }
 
 /// Loads of all upstreams as one router sees them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Placement {
     loads: FastMap<CompactString, Load>,
+    /// Measured time in which an engine reads one token of a prompt.
+    token_ms: f64,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Self {
+            loads: FastMap::default(),
+            token_ms: TOKEN_MS_PRIOR,
+        }
+    }
 }
 
 impl Placement {
-    /// Chooses an upstream; `session` is a hash of the prompt prefix, `excluded` are upstreams that were tried.
+    /// Chooses an upstream; `excluded` are upstreams that were tried.
     ///
     /// # Errors
     ///
@@ -170,7 +260,7 @@
     pub fn choose<'a>(
         &self,
         candidates: &[Candidate<'a>],
-        session: Option<u64>,
+        prompt: Option<&Prompt>,
         excluded: &[CompactString],
         now_ms: u64,
     ) -> Result<&'a str, Unplaced> {
@@ -197,10 +287,10 @@
         if usable.is_empty() {
             return Err(Unplaced::Full);
         }
-        let chosen = match session {
-            Some(session) => {
-                by_session(&usable, session, |candidate| load(candidate).total(now_ms))
-            }
+        let chosen = match prompt {
+            Some(prompt) => by_reading(&usable, prompt.session, |candidate| {
+                self.delay_ms(load(candidate), prompt, now_ms)
+            }),
             None => usable.iter().min_by(|a, b| {
                 wait_ms(load(a), a, now_ms)
                     .partial_cmp(&wait_ms(load(b), b, now_ms))
@@ -212,9 +302,15 @@
             .ok_or(Unplaced::NoUpstream)
     }
 
-    /// Notes that a request is sent.
-    pub fn sent(&mut self, id: &str, now_ms: u64) {
+    /// Notes that a request is sent; returns how long the engine will read its prompt, in milliseconds.
+    pub fn sent(&mut self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
+        let token_ms = self.token_ms;
         let load = self.load(id);
+        let reading_ms = prompt.map_or(0.0, |prompt| {
+            let reading_ms = load.prompt_ms(prompt, token_ms, now_ms);
+            load.add_reading(prompt.session, reading_ms, now_ms);
+            reading_ms
+        });
         if load.is_silent(now_ms) {
             load.probed_at_ms = now_ms;
         }
@@ -223,6 +319,36 @@
             load.silent_since_ms = now_ms;
         }
         load.unanswered += 1;
+        reading_ms
+    }
+
+    /// Notes that another router sent a prompt to an engine.
+    pub fn peer_sent(&mut self, id: &str, session: u64, reading_ms: f64, now_ms: u64) {
+        self.load(id).add_reading(session, reading_ms, now_ms);
+    }
+
+    /// Measures the time to read a token from a request that found its engine idle; `linear_tokens` is the length that
+    /// [`Placement::idle_linear_tokens`] returned when it was sent.
+    pub fn measure_reading(&mut self, id: &str, linear_tokens: f64, elapsed_ms: u64) {
+        if linear_tokens < MEASURED_TOKENS {
+            return;
+        }
+        let (min, max) = TOKEN_MS_BOUNDS;
+        let token_ms = (elapsed_ms as f64 / linear_tokens).clamp(min, max);
+        self.token_ms += TOKEN_MS_WEIGHT * (token_ms - self.token_ms);
+        let slowness = token_ms / self.token_ms;
+        let load = self.load(id);
+        load.slowness += ENGINE_WEIGHT * (slowness - load.slowness);
+    }
+
+    /// Returns the length of what an engine would have to read if it is idle now, for a later measurement.
+    pub fn idle_linear_tokens(&self, id: &str, prompt: &Prompt, now_ms: u64) -> Option<f64> {
+        let unread_tokens = match self.loads.get(id) {
+            None => prompt.own_tokens + prompt.shared_tokens,
+            Some(load) if load.reading_ms(now_ms) == 0.0 => load.unread_tokens(prompt, now_ms),
+            Some(_) => return None,
+        };
+        Some(linear_tokens(prompt, unread_tokens))
     }
 
     /// Notes that an upstream sent something.
@@ -296,26 +422,39 @@
         }
     }
 
+    /// Expected time until an engine has read the prompt.
+    fn delay_ms(&self, load: &Load, prompt: &Prompt, now_ms: u64) -> f64 {
+        let own_ms = load.prompt_ms(prompt, self.token_ms, now_ms);
+        let running_ms = f64::from(load.total(now_ms)) * RUNNING_MS;
+        load.reading_ms(now_ms) + own_ms + running_ms
+    }
+
     fn load(&mut self, id: &str) -> &mut Load {
         self.loads.entry(id.into()).or_insert_with(Load::new)
     }
 }
 
-/// Returns the first candidate in the ranking of a session whose load is within the bound.
-fn by_session<'c, 'a>(
+/// Returns the candidate with the smallest delay; among equal ones, the first in the ranking of the session.
+fn by_reading<'c, 'a>(
     candidates: &'c [Candidate<'a>],
     session: u64,
-    load: impl Fn(&Candidate<'_>) -> u32,
+    delay_ms: impl Fn(&Candidate<'_>) -> f64,
 ) -> Option<&'c Candidate<'a>> {
-    let total: u32 = candidates.iter().map(&load).sum();
-    let mean = total / candidates.len().max(1) as u32;
-    let bound = mean * BOUND_PERCENT / 100 + BOUND_EXTRA;
-    let ranked = |candidate: &&Candidate<'_>| rank(session, candidate.id);
+    let delays: Vec<f64> = candidates.iter().map(delay_ms).collect();
+    let least = delays.iter().copied().fold(f64::INFINITY, f64::min);
     candidates
         .iter()
-        .filter(|candidate| load(candidate) <= bound)
-        .max_by_key(ranked)
-        .or_else(|| candidates.iter().min_by_key(|candidate| load(candidate)))
+        .zip(&delays)
+        .filter(|(_, delay)| **delay <= least + EQUAL_MS)
+        .map(|(candidate, _)| candidate)
+        .max_by_key(|candidate| rank(session, candidate.id))
+}
+
+/// Returns the number of tokens that would take as long to read without attention to the ones before.
+fn linear_tokens(prompt: &Prompt, unread_tokens: u64) -> f64 {
+    let all = (prompt.own_tokens + prompt.shared_tokens) as f64;
+    let read = all - unread_tokens as f64;
+    unread_tokens as f64 + (all * all - read * read) / ATTENTION_TOKENS
 }
 
 fn rank(session: u64, id: &str) -> u64 {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,7 +3,7 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::gateway::RequestMeta;
-use crate::placement::LoadReport;
+use crate::placement::{LoadReport, Prompt};
 
 /// Identity of one attempt of a caller; responses repeat it.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -76,7 +76,7 @@
         deadline_ms: text(headers, &DEADLINE_MS).and_then(|value| value.trim().parse().ok()),
         input_tokens,
         max_output_tokens,
-        session: session(headers),
+        prompt: prompt(headers, input_tokens),
         last_event_id: text(headers, &LAST_EVENT_ID).and_then(|value| value.trim().parse().ok()),
     }
 }
@@ -185,13 +185,23 @@
     Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
 }
 
-/// Hashes the prompt up to its last shared part; the last part of a prompt belongs to the request itself.
-fn session(headers: &HeaderMap) -> Option<u64> {
-    let parts = text(headers, &PROMPT_PARTS)?;
-    let shared = parts.rsplit_once(',').map_or(parts, |(shared, _)| shared);
-    let last = shared.rsplit_once(',').map_or(shared, |(_, last)| last);
-    let id = last.split_once(':').map_or(last, |(id, _)| id);
-    Some(xxhash_rust::xxh3::xxh3_64(id.trim().as_bytes()))
+/// Reads the parts of a prompt; its last part belongs to the request itself, the one before names the session.
+fn prompt(headers: &HeaderMap, input_tokens: u64) -> Option<Prompt> {
+    let parts: Vec<(&str, u64)> = text(headers, &PROMPT_PARTS)?
+        .split(',')
+        .filter_map(|part| {
+            let (id, tokens) = part.trim().split_once(':')?;
+            Some((id, tokens.trim().parse().ok()?))
+        })
+        .collect();
+    let (own, shared) = parts.split_last()?;
+    let (session, _) = shared.last().unwrap_or(own);
+    let shared_tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+    Some(Prompt {
+        session: xxhash_rust::xxh3::xxh3_64(session.as_bytes()),
+        shared_tokens,
+        own_tokens: input_tokens.saturating_sub(shared_tokens),
+    })
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
