--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -17,7 +17,7 @@
 pub const HORIZON_MS: u64 = 10_000;
 
 /// Largest part of the unspent budget, in thousandths, that all routers together aim to hold.
-const HELD_MILLIS: u64 = 600;
+const HELD_MILLIS: u64 = 150;
 
 /// Router entries that a record keeps; entries of ended routers only serve the estimate of what is left.
 const MAX_HOLDERS: usize = 96;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -214,9 +214,16 @@
     const INTERVAL: Duration = Duration::from_millis(500);
     /// Part of a failure share that is left after one interval; half of it is left after 3 s.
     const FORGIVENESS: f64 = 0.89;
+    /// Intervals between two lines in the log.
+    const LOG_INTERVALS: u64 = 4;
+    let mut count: u64 = 0;
     loop {
         monoio::time::sleep(INTERVAL).await;
         let now_ms = shared.now_ms();
+        count += 1;
+        if count % LOG_INTERVALS == 0 {
+            log_state(&shared);
+        }
         shared.pool.close_expired(now_ms);
         shared.placement.borrow_mut().forgive(FORGIVENESS);
         shared
@@ -227,3 +234,19 @@
             .set("connections", shared.connections.get() as u64);
     }
 }
+
+/// Writes what the process believes at the moment, with the age of each belief.
+fn log_state(shared: &Shared) {
+    let now_ms = shared.now_ms();
+    let version = shared.table.borrow().as_ref().map_or(0, |table| table.version());
+    log::info!(
+        step = "state", at_ms = now_ms, version = version,
+        configuration_age_ms = now_ms.saturating_sub(shared.table_read_ms.get()),
+        upstreams = shared.directory.borrow().len(),
+        upstreams_age_ms = now_ms.saturating_sub(shared.directory_read_ms.get()),
+        gateways = shared.routers.borrow().count(),
+        notices = shared.metrics.value("notices_received"),
+        open_requests = shared.open_requests.get(),
+        connections = shared.connections.get(); "state"
+    );
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -82,6 +82,8 @@
     pub(super) tried: Vec<CompactString>,
     /// What the last attempt came to, for the log.
     pub(super) last: CompactString,
+    /// Expected time until the upstream of the last attempt has read the prompt, for the log.
+    pub(super) expected_ms: u64,
 }
 
 /// Result of one attempt.
@@ -183,6 +185,10 @@
         }
         let (id, entry) = upstream;
         attempts.tried.push(id.clone());
+        attempts.expected_ms = {
+            let placement = shared.placement.borrow();
+            placement.expected_ms(&id, call.meta.prompt.as_ref(), shared.now_ms()) as u64
+        };
         let mut sent = Sent::new(shared, &id, call.meta.prompt.as_ref());
         let tried = attempt(shared, call, caller, &id, &entry, &mut sent, last_event_id).await;
         match tried {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -19,7 +19,11 @@
 /// Prompts that take at least this long to read are worth a notice, in milliseconds.
 const MIN_READING_MS: f64 = 3.0;
 
-/// Notices that all gateways together send to one gateway in a second; receiving one takes some 10 µs.
+/// Prompts that take at least this long are always worth a notice; engines can read only a few of them in a second.
+const LONG_READING_MS: f64 = 25.0;
+
+/// Notices of shorter prompts that all gateways together send to one gateway in a second; receiving one takes some
+/// 10 µs.
 const RECEIVED_PER_S: u64 = 400;
 
 /// Largest datagram.
@@ -75,7 +79,8 @@
 
     /// Tells the other gateways of a prompt.
     pub(super) fn send(&self, shared: &Shared, upstream: &str, session: u64, reading_ms: f64) {
-        if reading_ms < MIN_READING_MS || !self.take_credit(shared) {
+        let is_long = reading_ms >= LONG_READING_MS;
+        if reading_ms < MIN_READING_MS || (!self.take_credit(shared) && !is_long) {
             return;
         }
         let notice = Notice {
@@ -114,6 +119,7 @@
                 Ok(notice) => {
                     let reading_ms = notice.reading_us as f64 / 1_000.0;
                     let now_ms = shared.now_ms();
+                    shared.metrics.add("notices_received", 1);
                     let mut placement = shared.placement.borrow_mut();
                     placement.peer_sent(&notice.upstream, notice.session, reading_ms, now_ms);
                 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -362,6 +362,7 @@
         upstreams = attempts.tried.join(",").as_str(), runs = attempts.runs, misses = attempts.misses,
         last_attempt = attempts.last.as_str(), status = delivery.status, events = delivery.events,
         input_tokens = call.meta.input_tokens, charge_tokens = charge, at_ms = now_ms, elapsed_ms = elapsed_ms,
+        expected_ms = attempts.expected_ms,
         first_byte_ms = delivery.first_byte_ms.saturating_sub(call.started_ms),
         directory_age_ms = now_ms.saturating_sub(shared.directory_read_ms.get()); "{}", delivery.end
     );
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -302,6 +302,14 @@
             .ok_or(Unplaced::NoUpstream)
     }
 
+    /// Returns the expected time until an upstream has read the prompt of a request.
+    pub fn expected_ms(&self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
+        match (self.loads.get(id), prompt) {
+            (Some(load), Some(prompt)) => self.delay_ms(load, prompt, now_ms),
+            _ => 0.0,
+        }
+    }
+
     /// Notes that a request is sent; returns how long the engine will read its prompt, in milliseconds.
     pub fn sent(&mut self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
         let token_ms = self.token_ms;
