Take back the rights of a killed gateway beyond a journalled mark

The next process on the VM takes back what lies beyond, if steady clock, wall clock and boot agree that this time had not passed. Prompts of callers that left before the response are charged.

Ruled out: reclaim after a loss of power; the clocks cannot prove the time.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -2,12 +2,18 @@
 //!
 //! A team has one [`TeamRecord`]. It states how many tokens have been handed out to routers in total, and that sum never
 //! exceeds what the team prepaid. A router spends only rights that the record already shows, so neither a partition nor
-//! a restart nor a loss of all VMs can overspend; a router that ends without returning its rights strands them. Each
+//! a restart nor a loss of all VMs can overspend; a router that loses power without returning its rights strands them. Each
 //! record replaces the previous one under the condition that nothing else was written in between.
 //!
 //! A write without an answer may take effect later. Until its fate is known the rights it asks for are not spent and
 //! the rights it returns are not used, see [`Account::begin`] and [`Account::finish`].
 //!
+//! Most of the rights that a router holds are only for the time when it cannot reach the store. So that a router that is
+//! killed does not strand them, it spends only up to a mark that its journal in the store already shows, see
+//! [`Account::open`]; beyond the mark it spends only after [`CUT_OFF_MS`] without a new entry in its journal. The next
+//! process on the same VM takes back what lies beyond the mark if the clocks show that this time had not passed, see
+//! [`JournalEntry::is_reclaimable`].
+//!
 //! How many rights a router holds is a trade-off: they are lost when it is killed, and they are all it can spend while
 //! it cannot reach the store. It holds what it spends in [`HORIZON_MS`], and less as the budget runs out.
 
@@ -91,6 +97,81 @@
     }
 }
 
+/// Time without a new journal entry after which a router spends all the rights that it holds.
+///
+/// A process that is killed is back within a second, and its newest entry is at most half a second old.
+pub const CUT_OFF_MS: u64 = 1_500;
+
+/// Difference between what the wall clock and the steady clock show above which neither is believed.
+const CLOCK_SLACK_MS: u64 = 300;
+
+/// Time for which the rights up to the mark should last; the store can take 240 ms for an answer, and after
+/// [`CUT_OFF_MS`] the mark no longer binds.
+const OPEN_AHEAD_MS: u64 = 2_500;
+
+/// Newest entry in the journal of one VM.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct JournalEntry {
+    /// Random id of the process.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+    /// Number of the entry, counted by the process.
+    #[prost(uint64, tag = "2")]
+    pub write: u64,
+    /// Steady clock of the VM when the entry was made.
+    #[prost(uint64, tag = "3")]
+    pub steady_ms: u64,
+    /// Wall clock of the VM when the entry was made.
+    #[prost(uint64, tag = "4")]
+    pub wall_ms: u64,
+    /// Identity of the VM's boot, as far as its kernel tells.
+    #[prost(string, tag = "5")]
+    pub boot: String,
+    /// Marks of all teams.
+    #[prost(message, repeated, tag = "6")]
+    pub marks: Vec<Mark>,
+}
+
+/// Rights of one team that a router may use.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Mark {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Tokens that the process may have charged, reserved or given away since its start.
+    #[prost(uint64, tag = "2")]
+    pub open_tokens: u64,
+}
+
+/// What the clocks of a VM show.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// Steady clock, which other processes of the same boot share.
+    pub steady_ms: u64,
+    /// Wall clock.
+    pub wall_ms: u64,
+    /// Identity of the boot.
+    pub boot: String,
+}
+
+impl JournalEntry {
+    /// Returns whether the process that wrote the entry ended before it could spend beyond its marks.
+    ///
+    /// The steady clock tells, because it does not jump; the wall clock must agree, because a steady clock starts anew
+    /// with the VM and stands still while the VM is suspended.
+    pub fn is_reclaimable(&self, now: &ClockReading) -> bool {
+        let (Some(steady_ms), Some(wall_ms)) = (
+            now.steady_ms.checked_sub(self.steady_ms),
+            now.wall_ms.checked_sub(self.wall_ms),
+        ) else {
+            return false;
+        };
+        now.boot == self.boot
+            && steady_ms + CLOCK_SLACK_MS < CUT_OFF_MS
+            && steady_ms.abs_diff(wall_ms) <= CLOCK_SLACK_MS
+    }
+}
+
 /// A change of a record that was sent and whose fate is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Pending {
@@ -98,6 +179,23 @@
     granted_tokens: u64,
 }
 
+impl TeamRecord {
+    /// Plans a record without the rights of an ended process beyond its mark; `None` if it has none.
+    pub fn reclaim(&self, router: u64, open_tokens: u64) -> Option<Self> {
+        let mut next = self.clone();
+        let holder = next.holders.iter_mut().find(|holder| holder.router == router)?;
+        let unused = holder.granted_tokens.saturating_sub(open_tokens);
+        if unused == 0 {
+            return None;
+        }
+        holder.granted_tokens -= unused;
+        holder.spent_tokens = holder.granted_tokens;
+        next.granted_tokens = next.granted_tokens.saturating_sub(unused);
+        next.revision += 1;
+        Some(next)
+    }
+}
+
 /// Why rights cannot be reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shortage {
@@ -120,6 +218,12 @@
     given_tokens: u64,
     /// Need of requests that wait for rights.
     wanted_tokens: u64,
+    /// What other routers asked for and could not get because of the mark.
+    asked_tokens: u64,
+    /// Use up to which the journal shows, counted like [`Account::used_tokens`].
+    open_tokens: u64,
+    /// Whether the store has been away for so long that the mark no longer binds.
+    is_cut_off: bool,
     pending: Option<Pending>,
     writes: u64,
     rate_tokens_per_s: f64,
@@ -137,6 +241,51 @@
         )
     }
 
+    /// Returns the rights that were charged, reserved or given away.
+    pub fn used_tokens(&self) -> u64 {
+        self.spent_tokens + self.reserved_tokens + self.given_tokens
+    }
+
+    /// Returns the rights that a request can reserve now.
+    pub fn spendable_tokens(&self) -> u64 {
+        if self.is_cut_off {
+            return self.available_tokens();
+        }
+        let open = self.open_tokens.saturating_sub(self.used_tokens());
+        self.available_tokens().min(open)
+    }
+
+    /// Returns the mark that the next journal entry should show.
+    pub fn next_mark(&self) -> u64 {
+        let ahead = self.rate_tokens_per_s as u64 * OPEN_AHEAD_MS / 1_000;
+        let ahead = (ahead + self.largest_need_tokens).max(self.wanted_tokens) + self.asked_tokens;
+        self.used_tokens() + ahead.min(self.available_tokens())
+    }
+
+    /// Lowers the mark before an entry is sent that shows a lower one; such an entry may take effect at any time.
+    pub fn lower_mark(&mut self, mark_tokens: u64) {
+        self.open_tokens = self.open_tokens.min(mark_tokens);
+    }
+
+    /// Sets the mark that an entry shows which has taken effect.
+    pub fn open(&mut self, mark_tokens: u64) {
+        self.open_tokens = mark_tokens;
+        self.asked_tokens = 0;
+    }
+
+    /// Sets whether the mark binds.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
+    /// Returns whether requests need a higher mark than the journal shows.
+    pub fn needs_mark(&self) -> bool {
+        let spendable = self.spendable_tokens();
+        let low = self.rate_tokens_per_s as u64 * OPEN_AHEAD_MS / 2_000;
+        let need = self.wanted_tokens.max(low) + self.asked_tokens;
+        spendable < need.min(self.available_tokens())
+    }
+
     /// Reserves the largest possible charge of a request.
     ///
     /// # Errors
@@ -144,7 +293,7 @@
     /// Returns whether more rights can exist.
     pub fn reserve(&mut self, need_tokens: u64, now_ms: u64) -> Result<(), Shortage> {
         self.largest_need_tokens = self.largest_need_tokens.max(need_tokens);
-        if need_tokens > self.available_tokens() {
+        if need_tokens > self.spendable_tokens() {
             let is_exhausted = self.pending.is_none()
                 && self.unspent_tokens.is_some_and(|left| left < need_tokens);
             return Err(if is_exhausted {
@@ -299,8 +448,9 @@
     /// Gives rights to another router: at most what it asks for, and at most `part_millis` thousandths of what is
     /// available. The record keeps them in this router's entry; an answer that is lost strands them.
     pub fn give(&mut self, asked_tokens: u64, part_millis: u64) -> u64 {
-        let given = asked_tokens.min(self.available_tokens() * part_millis / 1_000);
+        let given = asked_tokens.min(self.spendable_tokens() * part_millis / 1_000);
         self.given_tokens += given;
+        self.asked_tokens = self.asked_tokens.max(asked_tokens - given);
         given
     }
 
@@ -315,7 +465,7 @@
         const AHEAD_MS: u64 = 1_500;
         let ahead = self.rate_tokens_per_s as u64 * AHEAD_MS / 1_000;
         let need = (ahead + self.largest_need_tokens).max(self.wanted_tokens);
-        need.saturating_sub(self.available_tokens())
+        need.saturating_sub(self.spendable_tokens())
     }
 
     /// Returns the largest need of one request so far.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,7 +10,8 @@
 //! | connections to upstreams | `pool` |
 //! | relay the response, count what is delivered | `relay` |
 //!
-//! Beside the requests, `watch` follows configuration and upstreams, `funds` keeps spending rights at hand, `presence`
+//! Beside the requests, `watch` follows configuration and upstreams, `funds` keeps spending rights at hand and
+//! `journal` shows how far they may be used, `presence`
 //! splits the limits that hold over all gateways, `notices` tells them of long prompts, and `stop` ends the process without cutting requests. Decisions are
 //! pure functions in [`crate::routing`], [`crate::directory`], [`crate::placement`], [`crate::allowance`] and
 //! [`crate::fleet_share`]. The design is in `docs/design.md`, section 10.
@@ -18,6 +19,7 @@
 mod attempt;
 mod callers;
 mod funds;
+mod journal;
 mod notices;
 mod pool;
 mod presence;
@@ -108,6 +110,7 @@
     pool: pool::Pool,
     funds: funds::Funds,
     notices: notices::Notices,
+    journal: journal::Journal,
     routers: RefCell<Routers>,
     retries: RefCell<FastMap<CompactString, RetryLimit>>,
     metrics: Metrics,
@@ -179,6 +182,7 @@
     monoio::spawn(presence::follow(Rc::clone(&shared)));
     monoio::spawn(presence::report(Rc::clone(&shared)));
     monoio::spawn(notices::receive(Rc::clone(&shared)));
+    monoio::spawn(journal::run(Rc::clone(&shared)));
     monoio::spawn(funds::run(Rc::clone(&shared)));
     monoio::spawn(tick(Rc::clone(&shared)));
     stop::wait_and_finish(&shared, &mut signals).await;
@@ -204,6 +208,7 @@
         pool: pool::Pool::default(),
         funds: funds::Funds::default(),
         notices,
+        journal: journal::Journal::default(),
         routers: RefCell::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -235,7 +235,11 @@
                     ));
                 }
             }
-            Tried::Interrupted(Interrupt::CallerGone) => return Err(Failure::CallerGone),
+            Tried::Interrupted(Interrupt::CallerGone) => {
+                // The upstream may have read the prompt, so the team is charged for it.
+                attempts.runs += 1;
+                return Err(Failure::CallerGone);
+            }
             Tried::Interrupted(Interrupt::Deadline) => {
                 attempts.runs += 1;
                 attempts.last = format_compact!("{id}: no response in time");
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -12,7 +12,7 @@
 use prost::Message;
 
 use super::Shared;
-use crate::allowance::{Account, Shortage, TeamRecord};
+use crate::allowance::{Account, Mark, Shortage, TeamRecord};
 use crate::collections::FastMap;
 use crate::notify::Notify;
 use crate::routing::Table;
@@ -68,6 +68,8 @@
     free_tokens: Cell<u64>,
     /// Time of the last question to other gateways.
     asked_ms: Cell<u64>,
+    /// Process that ran on this VM before and its mark, while its rights can be taken back.
+    predecessor: Cell<Option<(u64, u64)>>,
 }
 
 /// Rights of all teams that have a budget.
@@ -76,6 +78,8 @@
     teams: RefCell<FastMap<CompactString, Rc<TeamFunds>>>,
     added: Notify,
     unstarted: RefCell<Vec<Rc<TeamFunds>>>,
+    /// Process that ran on this VM before, with its marks.
+    predecessor: RefCell<Option<(u64, Vec<Mark>)>>,
 }
 
 /// Rights that one request holds until it is settled; what is not charged becomes available at the end.
@@ -128,6 +132,7 @@
                 read_ms: Cell::new(0),
                 free_tokens: Cell::new(prepaid_tokens),
                 asked_ms: Cell::new(0),
+                predecessor: Cell::new(self.predecessor_of(&team.name)),
             });
             teams.insert(team.name.clone(), Rc::clone(&funds));
             self.unstarted.borrow_mut().push(funds);
@@ -168,6 +173,7 @@
         let given = team.account.borrow_mut().give(asked_tokens, part_millis);
         if given < asked_tokens || has_store {
             team.wake();
+            shared.journal.wake();
         }
         log::info!(
             step = "give", team = team.name.as_str(), asked_tokens = asked_tokens,
@@ -182,6 +188,7 @@
             return;
         };
         team.account.borrow_mut().receive(tokens);
+        shared.journal.wake();
         team.changed.notify();
         log::info!(
             step = "receive", team = team.name.as_str(), tokens = tokens,
@@ -189,6 +196,63 @@
         );
     }
 
+    /// Returns the marks that the next journal entry should show.
+    pub(super) fn next_marks(&self) -> Vec<Mark> {
+        let teams = self.teams.borrow();
+        let marks = teams.values().map(|team| {
+            let mut account = team.account.borrow_mut();
+            let open_tokens = account.next_mark();
+            account.lower_mark(open_tokens);
+            Mark {
+                team: team.name.to_string(),
+                open_tokens,
+            }
+        });
+        marks.filter(|mark| mark.open_tokens > 0).collect()
+    }
+
+    /// Applies the marks of a journal entry that has taken effect.
+    pub(super) fn open_marks(&self, marks: &[Mark]) {
+        let teams = self.teams.borrow();
+        for mark in marks {
+            if let Some(team) = teams.get(mark.team.as_str()) {
+                team.account.borrow_mut().open(mark.open_tokens);
+                team.changed.notify();
+            }
+        }
+    }
+
+    /// Sets whether the store has been away for so long that marks no longer bind.
+    pub(super) fn set_cut_off(&self, is_cut_off: bool) {
+        for team in self.teams.borrow().values() {
+            team.account.borrow_mut().set_cut_off(is_cut_off);
+            team.changed.notify();
+        }
+    }
+
+    /// Returns whether a request needs a higher mark.
+    pub(super) fn needs_marks(&self) -> bool {
+        let teams = self.teams.borrow();
+        let mut teams = teams.values();
+        teams.any(|team| team.account.borrow().needs_mark())
+    }
+
+    /// Takes back the rights of the process that ran on this VM before, beyond its marks.
+    pub(super) fn reclaim(&self, router: u64, marks: &[Mark]) {
+        *self.predecessor.borrow_mut() = Some((router, marks.to_vec()));
+        for team in self.teams.borrow().values() {
+            team.predecessor.set(self.predecessor_of(&team.name));
+            team.wake();
+        }
+    }
+
+    fn predecessor_of(&self, team: &str) -> Option<(u64, u64)> {
+        let predecessor = self.predecessor.borrow();
+        let (router, marks) = predecessor.as_ref()?;
+        let mark = marks.iter().find(|mark| mark.team == team);
+        Some((*router, mark.map_or(0, |mark| mark.open_tokens)))
+    }
+
     /// Returns the figures of a team for the log: rights handed out, charged and available, age of the record.
     pub(super) fn figures(&self, team: &str, now_ms: u64) -> Option<(u64, u64, u64, u64)> {
         let teams = self.teams.borrow();
@@ -299,6 +363,7 @@
         if account.available_tokens() < tokens {
             self.wake();
         }
+        drop(account);
         Ok(Reservation {
             team: Rc::clone(self),
             tokens,
@@ -312,7 +377,10 @@
         tokens: u64,
     ) -> Result<Reservation, Shortage> {
         self.account.borrow_mut().want(tokens);
-        self.wake();
+        if self.account.borrow().available_tokens() < tokens {
+            self.wake();
+        }
+        shared.journal.wake();
         if !self.can_ask(shared.now_ms()) || self.free_tokens.get() < tokens {
             self.ask_peers(shared);
         }
@@ -337,6 +405,9 @@
         let Some((record, end)) = self.read(shared).await else {
             return Cycle::Done;
         };
+        if let Some((router, open_tokens)) = self.predecessor.get() {
+            return self.reclaim(shared, &record, end, router, open_tokens).await;
+        }
         let routers = shared.routers.borrow().count();
         let planned = {
             let mut account = self.account.borrow_mut();
@@ -356,6 +427,7 @@
             Some(planned) => self.write(shared, &planned, end).await,
             None => true,
         };
+        shared.journal.wake();
         self.changed.notify();
         if was_written {
             Cycle::Done
@@ -364,6 +436,35 @@
         }
     }
 
+    /// Takes back the rights of the process that ran here before.
+    ///
+    /// A write whose answer is lost is planned again from the next record: once the rights are gone from it, there is
+    /// nothing left to plan.
+    async fn reclaim(
+        &self,
+        shared: &Shared,
+        record: &TeamRecord,
+        end: u64,
+        router: u64,
+        open_tokens: u64,
+    ) -> Cycle {
+        let Some(planned) = record.reclaim(router, open_tokens) else {
+            self.predecessor.set(None);
+            return Cycle::Conflict;
+        };
+        let append = Record {
+            key: self.name.clone(),
+            value: Some(planned.encode_to_vec().into()),
+        };
+        let result = shared.store.append(self.feed(), Some(end), append).await;
+        log::info!(
+            step = "reclaim", team = self.name.as_str(), predecessor = router,
+            reclaimed_tokens = record.granted_tokens.saturating_sub(planned.granted_tokens),
+            at_ms = shared.now_ms(); "{result:?}"
+        );
+        Cycle::Conflict
+    }
+
     async fn read(&self, shared: &Shared) -> Option<(TeamRecord, u64)> {
         self.note_call(shared);
         let result = shared.store.snapshot(self.feed()).await;
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -21,6 +21,9 @@
 /// Topics over which budgets are spread, each with one partition for every slot.
 const BUDGET_TOPICS: u16 = 4;
 
+/// Topics over which journals are spread; the platform allows a hundred topics.
+const JOURNAL_TOPICS: u16 = 40;
+
 /// Largest content of one read, in kilobytes.
 const READ_KB: u32 = 512;
 
@@ -71,16 +74,18 @@
             Feed::Upstreams => ("keyed.servers".into(), 0),
             Feed::RolloutStatus => ("keyed.status".into(), 0),
             Feed::Routers => ("keyed.routers".into(), 0),
-            Feed::Budgets(slot) => {
-                let topic = slot / self.partitions % BUDGET_TOPICS;
-                (
-                    compact_str::format_compact!("keyed.budgets{topic}"),
-                    slot % self.partitions,
-                )
-            }
+            Feed::Budgets(slot) => self.spread("keyed.budgets", slot, BUDGET_TOPICS),
+            Feed::Journals(slot) => self.spread("keyed.journals", slot, JOURNAL_TOPICS),
         }
     }
 
+    /// Returns topic and partition of a slot.
+    fn spread(&self, name: &str, slot: u16, topics: u16) -> (CompactString, u16) {
+        let topic = slot / self.partitions % topics;
+        let name = compact_str::format_compact!("{name}{topic}");
+        (name, slot % self.partitions)
+    }
+
     async fn call(
         &self,
         step: &'static str,
--- a/src/store.rs
+++ b/src/store.rs
@@ -21,6 +21,8 @@
     RolloutStatus,
     /// Presence of routers and what each one measures.
     Routers,
+    /// Journals of routers, spread over slots by the VM.
+    Journals(u16),
     /// Budgets of teams, spread over slots so that teams rarely share a condition.
     Budgets(u16),
 }
