--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -183,7 +183,10 @@
     /// Plans a record without the rights of an ended process beyond its mark; `None` if it has none.
     pub fn reclaim(&self, router: u64, open_tokens: u64) -> Option<Self> {
         let mut next = self.clone();
-        let holder = next.holders.iter_mut().find(|holder| holder.router == router)?;
+        let holder = next
+            .holders
+            .iter_mut()
+            .find(|holder| holder.router == router)?;
         let unused = holder.granted_tokens.saturating_sub(open_tokens);
         if unused == 0 {
             return None;
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -406,7 +406,9 @@
             return Cycle::Done;
         };
         if let Some((router, open_tokens)) = self.predecessor.get() {
-            return self.reclaim(shared, &record, end, router, open_tokens).await;
+            return self
+                .reclaim(shared, &record, end, router, open_tokens)
+                .await;
         }
         let routers = shared.routers.borrow().count();
         let planned = {
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -1,41 +1,164 @@
 //! Spending rights against a store that loses answers, runs writes late and serves several routers at once.
 
-use std::collections::BTreeMap;
-
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
-use monsoonfield::allowance::{Account, Shortage, TeamRecord};
+use monsoonfield::allowance::{
+    Account, ClockReading, JournalEntry, Mark, Shortage, TeamRecord, CUT_OFF_MS,
+};
 
 const PREPAID: u64 = 100_000;
 const ROUTERS: u64 = 3;
 
-/// A store with one record, conditional writes, and writes that are still under way.
+/// A store with a team's record and a journal for each VM. Writes are conditional, and some are still under way.
 #[derive(Default)]
 struct World {
+    now_ms: u64,
     record: TeamRecord,
     end: u64,
-    /// Writes without an answer: condition and content.
+    /// Writes of records without an answer: condition and content.
     late: Vec<(u64, TeamRecord)>,
-    routers: BTreeMap<u64, Router>,
+    vms: Vec<Vm>,
+    next_router: u64,
     charged: u64,
 }
 
+#[derive(Default)]
+struct Vm {
+    journal: Option<JournalEntry>,
+    journal_end: u64,
+    /// Journal entries without an answer: condition and content.
+    late: Vec<(u64, JournalEntry)>,
+    /// Offset of the steady clock; another one after a loss of power.
+    steady_offset_ms: u64,
+    router: Router,
+}
+
 #[derive(Default)]
 struct Router {
+    id: u64,
     account: Account,
     /// Reservations of open requests.
     open: Vec<u64>,
     /// A write whose fate is not known: condition and content.
     unknown: Option<(u64, TeamRecord)>,
+    /// A journal entry whose fate is not known: condition and content.
+    unknown_entry: Option<(u64, JournalEntry)>,
+    made_ms: u64,
+    entries: u64,
+    /// Process that ran on the VM before and its mark.
+    predecessor: Option<(u64, u64)>,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// Neither the call nor its answer arrives.
+    Nothing,
+    /// Done, the answer is lost.
+    AnswerLost,
+    /// Done later, if its condition still holds then.
+    Late,
+    Answered,
+}
+
+impl Fate {
+    fn draw(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Self> {
+        let fates = [
+            Self::Nothing,
+            Self::AnswerLost,
+            Self::Late,
+            Self::Answered,
+            Self::Answered,
+        ];
+        u.choose(&fates).copied()
+    }
+}
+
+impl Vm {
+    fn clocks(&self, now_ms: u64) -> ClockReading {
+        ClockReading {
+            steady_ms: now_ms + self.steady_offset_ms,
+            wall_ms: 1_000_000 + now_ms,
+            boot: String::new(),
+        }
+    }
+
+    fn apply(&mut self, condition: u64, entry: &JournalEntry) -> bool {
+        if condition != self.journal_end {
+            return false;
+        }
+        self.journal = Some(entry.clone());
+        self.journal_end += 1;
+        true
+    }
+
+    /// Makes or repeats a journal entry, like `gateway::journal`.
+    fn write_journal(&mut self, now_ms: u64, fate: Fate) {
+        let (condition, entry) = match self.router.unknown_entry.clone() {
+            Some((condition, entry)) => {
+                let is_written = self.journal.as_ref() == Some(&entry);
+                if is_written {
+                    self.opened(&entry);
+                    return;
+                }
+                // Nothing else writes here, so the condition still holds.
+                (condition, entry)
+            }
+            None => {
+                let account = &mut self.router.account;
+                account.set_cut_off(false);
+                let open_tokens = account.next_mark();
+                account.lower_mark(open_tokens);
+                self.router.entries += 1;
+                self.router.made_ms = now_ms;
+                let clocks = self.clocks(now_ms);
+                let entry = JournalEntry {
+                    router: self.router.id,
+                    write: self.router.entries,
+                    steady_ms: clocks.steady_ms,
+                    wall_ms: clocks.wall_ms,
+                    boot: clocks.boot,
+                    marks: vec![Mark {
+                        team: "team".into(),
+                        open_tokens,
+                    }],
+                };
+                self.router.unknown_entry = Some((self.journal_end, entry.clone()));
+                (self.journal_end, entry)
+            }
+        };
+        match fate {
+            Fate::Nothing => {}
+            Fate::AnswerLost => {
+                self.apply(condition, &entry);
+            }
+            Fate::Late => self.late.push((condition, entry)),
+            Fate::Answered => {
+                if self.apply(condition, &entry) {
+                    self.opened(&entry);
+                }
+            }
+        }
+    }
+
+    fn opened(&mut self, entry: &JournalEntry) {
+        self.router.account.open(entry.marks[0].open_tokens);
+        self.router.unknown_entry = None;
+    }
 }
 
 impl World {
     fn new() -> Self {
-        let routers = (0..ROUTERS).map(|id| (id, Router::default())).collect();
-        Self {
-            routers,
+        let mut world = Self {
+            next_router: ROUTERS,
             ..Self::default()
+        };
+        for id in 0..ROUTERS {
+            let mut vm = Vm::default();
+            vm.router.id = id;
+            world.vms.push(vm);
         }
+        world
     }
 
     fn apply(&mut self, condition: u64, content: &TeamRecord) -> bool {
@@ -47,19 +170,27 @@
         true
     }
 
-    /// One look of a router at the record, with a write that may be lost or late.
-    fn cycle(&mut self, id: u64, fault: u8, returns: bool) {
+    /// One look of a router at the record, with a write that may be lost or late, like `gateway::funds`.
+    fn cycle(&mut self, vm: usize, fate: Fate, returns: bool) {
         let (record, end) = (self.record.clone(), self.end);
-        let Some(router) = self.routers.get_mut(&id) else {
+        let router = &mut self.vms[vm].router;
+        let id = router.id;
+        if let Some((predecessor, open_tokens)) = router.predecessor {
+            match record.reclaim(predecessor, open_tokens) {
+                Some(planned) => {
+                    self.send(vm, end, planned, fate, false);
+                }
+                None => router.predecessor = None,
+            }
             return;
-        };
+        }
         if let Some((condition, content)) = router.unknown.clone() {
             let was_written = router.account.is_written(&record, id);
             if was_written || end > condition {
                 router.account.finish(was_written);
                 router.unknown = None;
             } else {
-                self.send(id, condition, content, fault);
+                self.send(vm, condition, content, fate, true);
             }
             return;
         }
@@ -72,45 +203,70 @@
         if let Some(planned) = planned {
             router.account.begin(&planned, id);
             router.unknown = Some((end, planned.clone()));
-            self.send(id, end, planned, fault);
+            self.send(vm, end, planned, fate, true);
         }
     }
 
-    fn send(&mut self, id: u64, condition: u64, content: TeamRecord, fault: u8) {
-        match fault % 4 {
-            // Neither the call nor its answer arrives.
-            0 => {}
-            // Done, the answer is lost.
-            1 => {
+    fn send(&mut self, vm: usize, condition: u64, content: TeamRecord, fate: Fate, is_own: bool) {
+        match fate {
+            Fate::Nothing => {}
+            Fate::AnswerLost => {
                 self.apply(condition, &content);
             }
-            // Done later, if its condition still holds then.
-            2 => self.late.push((condition, content)),
-            _ => {
-                if self.apply(condition, &content) {
-                    if let Some(router) = self.routers.get_mut(&id) {
-                        router.account.finish(true);
-                        router.unknown = None;
-                    }
+            Fate::Late => self.late.push((condition, content)),
+            Fate::Answered => {
+                if self.apply(condition, &content) && is_own {
+                    let router = &mut self.vms[vm].router;
+                    router.account.finish(true);
+                    router.unknown = None;
                 }
             }
         }
     }
 
-    fn step(&mut self, u: &mut Unstructured<'_>, now_ms: u64) -> arbtest::arbitrary::Result<()> {
-        let id = u.int_in_range(0..=self.routers.len() as u64 - 1)?;
-        let id = *self.routers.keys().nth(id as usize).unwrap();
-        match u.int_in_range(0..=9)? {
+    /// Ends a process; the one after it starts after `down_ms`.
+    fn kill(&mut self, vm: usize, down_ms: u64, loses_power: bool) {
+        // What is open may still be charged in full by what it delivers.
+        self.charged += self.vms[vm].router.open.iter().sum::<u64>();
+        self.now_ms += down_ms;
+        let id = self.next_router;
+        self.next_router += 1;
+        let vm = &mut self.vms[vm];
+        if loses_power {
+            vm.steady_offset_ms += 77_777;
+        }
+        let start = vm.clocks(self.now_ms);
+        let newest = vm
+            .journal
+            .clone()
+            .filter(|entry| entry.is_reclaimable(&start));
+        vm.router = Router {
+            id,
+            made_ms: self.now_ms,
+            predecessor: newest.map(|entry| (entry.router, entry.marks[0].open_tokens)),
+            ..Router::default()
+        };
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+        self.now_ms += u.int_in_range(0..=400)?;
+        for vm in &mut self.vms {
+            let age_ms = self.now_ms - vm.router.made_ms;
+            vm.router.account.set_cut_off(age_ms >= CUT_OFF_MS);
+        }
+        let vm = u.choose_index(self.vms.len())?;
+        match u.int_in_range(0..=11)? {
             0..=3 => {
                 let need = u.int_in_range(1..=9_000)?;
-                let router = self.routers.get_mut(&id).unwrap();
+                let now_ms = self.now_ms;
+                let router = &mut self.vms[vm].router;
                 match router.account.reserve(need, now_ms) {
                     Ok(()) => router.open.push(need),
                     Err(_) => router.account.want(need),
                 }
             }
             4..=5 => {
-                let router = self.routers.get_mut(&id).unwrap();
+                let router = &mut self.vms[vm].router;
                 if let Some(need) = router.open.pop() {
                     let charge = u.int_in_range(0..=need)?;
                     router.account.settle(need, charge);
@@ -120,53 +276,142 @@
             6 => {
                 // A transfer between routers, which may be lost on the way.
                 let asked = u.int_in_range(0..=20_000)?;
-                let given = self.routers.get_mut(&id).unwrap().account.give(asked, 500);
-                let taker = *self.routers.keys().next().unwrap();
-                if taker != id && u.ratio(4, 5)? {
-                    self.routers.get_mut(&taker).unwrap().account.receive(given);
+                let given = self.vms[vm].router.account.give(asked, 500);
+                let taker = u.choose_index(self.vms.len())?;
+                if taker != vm && u.ratio(4, 5)? {
+                    self.vms[taker].router.account.receive(given);
                 }
             }
             7 => {
-                let (fault, returns) = (u.arbitrary()?, u.ratio(1, 5)?);
-                self.cycle(id, fault, returns);
+                let (fate, returns) = (Fate::draw(u)?, u.ratio(1, 5)?);
+                self.cycle(vm, fate, returns);
             }
-            8 => {
+            8 | 9 => {
+                let (now_ms, fate) = (self.now_ms, Fate::draw(u)?);
+                self.vms[vm].write_journal(now_ms, fate);
+            }
+            10 => {
                 if !self.late.is_empty() {
                     let index = u.choose_index(self.late.len())?;
                     let (condition, content) = self.late.remove(index);
                     self.apply(condition, &content);
                 }
+                let vm = &mut self.vms[vm];
+                if !vm.late.is_empty() {
+                    let index = u.choose_index(vm.late.len())?;
+                    let (condition, entry) = vm.late.remove(index);
+                    vm.apply(condition, &entry);
+                }
             }
             _ => {
-                // A router is killed; its open requests may still be charged in full by what they deliver.
-                let router = self.routers.remove(&id).unwrap();
-                self.charged += router.open.iter().sum::<u64>();
-                let next = self.routers.keys().max().copied().unwrap_or(0).max(id) + 1;
-                self.routers.insert(next, Router::default());
+                let (down_ms, loses_power) = (u.int_in_range(0..=2_000)?, u.ratio(1, 3)?);
+                self.kill(vm, down_ms, loses_power);
             }
         }
         Ok(())
     }
 }
 
-/// Guards against spending more than was prepaid when answers are lost, writes run late and routers are killed.
+/// Guards against spending more than was prepaid when answers are lost, writes run late, rights pass between routers,
+/// and routers are killed or lose power and their successors take rights back.
 #[test]
 fn no_interleaving_overspends() {
     arbtest(|u| {
         let mut world = World::new();
-        let steps = u.int_in_range(10..=300)?;
-        for step in 0..steps {
-            world.step(u, step * 20)?;
-            let open: u64 = world.routers.values().flat_map(|router| &router.open).sum();
-            assert!(
-                world.charged + open <= PREPAID,
-                "charged {} open {open}",
-                world.charged
-            );
+        let steps = u.int_in_range(10..=400)?;
+        for _ in 0..steps {
+            world.step(u)?;
+            let open: u64 = world.vms.iter().flat_map(|vm| &vm.router.open).sum();
+            let charged = world.charged;
+            assert!(charged + open <= PREPAID, "charged {charged} open {open}");
             assert!(world.record.granted_tokens <= PREPAID);
         }
         Ok(())
-    });
+    })
+    .size_min(400)
+    .size_max(6_000)
+    .budget_ms(4_000);
+}
+
+/// Guards against rights that are taken back although their process may have used them, and against rights that stay
+/// lost after an ordinary kill.
+#[test]
+fn rights_are_taken_back_only_if_the_clocks_prove_that_they_are_unused() {
+    let entry = JournalEntry {
+        router: 1,
+        write: 1,
+        steady_ms: 50_000,
+        wall_ms: 900_000,
+        boot: "b".into(),
+        marks: Vec::new(),
+    };
+    let cases = [
+        ("a kill and a quick start", 50_800, 900_800, "b", true),
+        (
+            "a start after the mark had stopped binding",
+            51_500,
+            901_500,
+            "b",
+            false,
+        ),
+        (
+            "a start just before, within the slack",
+            51_300,
+            901_300,
+            "b",
+            false,
+        ),
+        ("another boot", 50_800, 900_800, "c", false),
+        ("a steady clock that began anew", 300, 900_800, "b", false),
+        (
+            "a steady clock that began anew at a later time",
+            70_000,
+            900_800,
+            "b",
+            false,
+        ),
+        ("a wall clock that jumped back", 50_800, 898_000, "b", false),
+        (
+            "a suspended VM, whose steady clock stood still",
+            50_800,
+            905_000,
+            "b",
+            false,
+        ),
+    ];
+    for (case, steady_ms, wall_ms, boot, expected) in cases {
+        let now = ClockReading {
+            steady_ms,
+            wall_ms,
+            boot: boot.into(),
+        };
+        assert_eq!(entry.is_reclaimable(&now), expected, "{case}");
+    }
+}
+
+/// Guards against a kill that strands the rights a router holds for outages.
+#[test]
+fn a_successor_takes_back_what_lies_beyond_the_mark() {
+    let mut record = TeamRecord::default();
+    let mut account = Account::default();
+    account.want(30_000);
+    cycle(&mut account, &mut record, 1);
+    account.unwant(30_000);
+    account.open(2_000);
+    assert!(account.reserve(2_000, 0).is_ok());
+    assert_eq!(
+        account.reserve(1, 0),
+        Err(Shortage::NotHeld),
+        "beyond the mark"
+    );
+    let reclaimed = record.reclaim(1, 2_000).expect("unused rights");
+    assert_eq!(reclaimed.granted_tokens, 2_000);
+    assert_eq!(reclaimed.reclaim(1, 2_000), None, "only once");
+    account.set_cut_off(true);
+    assert!(
+        account.reserve(1, 0).is_ok(),
+        "without the store all rights count"
+    );
 }
 
 fn cycle(account: &mut Account, record: &mut TeamRecord, router: u64) {
@@ -176,6 +421,7 @@
         account.finish(true);
         *record = planned;
     }
+    account.open(u64::MAX);
 }
 
 /// Guards against refusing a request that the balance covers while no other router holds rights.
