--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -232,7 +232,7 @@
         monoio::time::sleep(INTERVAL).await;
         let now_ms = shared.now_ms();
         count += 1;
-        if count % LOG_INTERVALS == 0 {
+        if count.is_multiple_of(LOG_INTERVALS) {
             log_state(&shared);
         }
         shared.pool.close_expired(now_ms);
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -16,13 +16,18 @@
 /// Descriptors that are kept for connections to upstreams and the store, in percent of all.
 const OUTGOING_PERCENT: u64 = 40;
 
+/// Memory that is allowed for each connection: its request, and a response that waits for a slow reader.
+const CONNECTION_BYTES: u64 = 24 << 10;
+
 /// Interval at which a waiting connection looks whether the process stops.
 const STOP_POLL: Duration = Duration::from_millis(250);
 
 /// Accepts callers until the process ends.
 pub(super) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
-    let descriptors = shared.settings.resources.descriptors;
-    let limit = (descriptors * (100 - OUTGOING_PERCENT) / 100) as usize;
+    let resources = &shared.settings.resources;
+    let by_descriptors = resources.descriptors * (100 - OUTGOING_PERCENT) / 100;
+    let by_memory = (resources.memory_mb << 20) / CONNECTION_BYTES;
+    let limit = by_descriptors.min(by_memory) as usize;
     loop {
         match listener.accept().await {
             Ok((stream, _)) if shared.connections.get() < limit => {
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -462,7 +462,8 @@
         log::info!(
             step = "reclaim", team = self.name.as_str(), predecessor = router,
             reclaimed_tokens = record.granted_tokens.saturating_sub(planned.granted_tokens),
-            at_ms = shared.now_ms(); "{result:?}"
+            outcome = format!("{result:?}").as_str(), at_ms = shared.now_ms();
+            "taking back the rights of the process before"
         );
         Cycle::Conflict
     }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -10,7 +10,6 @@
 use serde_with::{base64::Base64, serde_as};
 
 use crate::log_client::http_client::HttpClient;
-use crate::log_client::Error as CallError;
 use crate::store::{Appended, Changes, Error, Feed, Record, Snapshot, Store};
 
 /// Time after which a call counts as failed, besides the time for which the store may hold it.
@@ -95,8 +94,8 @@
         wait_ms: u64,
     ) -> Result<(StatusCode, Bytes), Error> {
         let timeout = CALL_TIMEOUT + Duration::from_millis(wait_ms);
-        let result = self.client.call(step, method, path, body, timeout).await;
-        result.map_err(|error: CallError| self.unknown(step, error))
+        let answer = self.client.call(step, method, path, body, timeout).await?;
+        Ok(answer)
     }
 
     fn unknown(&self, step: &'static str, reason: impl ToString) -> Error {
--- a/src/store.rs
+++ b/src/store.rs
@@ -76,7 +76,12 @@
         Refused(step: &'static str, address: String, status: u16) {
             display("{} {}: status {}", step, address, status)
         }
-        /// No usable answer; the call may have taken effect or may still do so.
+        /// The call failed; it may have taken effect or may still do so.
+        Call(error: crate::log_client::Error) {
+            display("{}", error)
+            from()
+        }
+        /// The answer is not usable; the call may have taken effect.
         Unknown(step: &'static str, address: String, message: String) {
             display("{} {}: {}", step, address, message)
         }
