--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -453,7 +453,9 @@
     pub fn give(&mut self, asked_tokens: u64, part_millis: u64) -> u64 {
         let given = asked_tokens.min(self.spendable_tokens() * part_millis / 1_000);
         self.given_tokens += given;
-        self.asked_tokens = self.asked_tokens.max(asked_tokens - given);
+        self.asked_tokens = self
+            .asked_tokens
+            .max(asked_tokens.min(self.granted_tokens) - given.min(self.granted_tokens));
         given
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -89,6 +89,16 @@
     pub(super) expected_ms: u64,
 }
 
+/// Where one attempt goes, and how.
+struct Target<'t> {
+    id: &'t CompactString,
+    entry: &'t Entry,
+    /// Time after which another upstream is tried; none for the last attempt.
+    limit: Option<Duration>,
+    /// Event after which a stream continues.
+    last_event_id: Option<u64>,
+}
+
 /// Result of one attempt.
 enum Tried {
     /// A response to relay.
@@ -193,7 +203,19 @@
             placement.expected_ms(&id, call.meta.prompt.as_ref(), shared.now_ms()) as u64
         };
         let mut sent = Sent::new(shared, &id, call.meta.prompt.as_ref());
-        let tried = attempt(shared, call, caller, &id, &entry, &mut sent, last_event_id).await;
+        let is_last = attempts.runs + 1 >= call.route().max_attempts;
+        let limit = if is_last {
+            None
+        } else {
+            attempt_limit(shared, call)
+        };
+        let target = Target {
+            id: &id,
+            entry: &entry,
+            limit,
+            last_event_id,
+        };
+        let tried = attempt(shared, call, caller, &target, &mut sent).await;
         match tried {
             Tried::Response(response) => {
                 attempts.runs += 1;
@@ -254,6 +276,14 @@
                 attempts.runs += 1;
                 sent.set_outcome(Outcome::Failed);
                 attempts.last = format_compact!("{id}: no response in the time of the attempt");
+                if attempts.runs >= call.route().max_attempts {
+                    return Err(give_up(
+                        call,
+                        attempts,
+                        Refusal::UpstreamFailed,
+                        "no response",
+                    ));
+                }
                 log::info!(step = "attempt", request_id = call.meta.id.as_str(), upstream = id.as_str(); "timed out, trying another upstream");
             }
         }
@@ -371,11 +401,10 @@
     shared: &Shared,
     call: &Call<'_>,
     caller: &mut Socket,
-    id: &CompactString,
-    entry: &Entry,
+    target: &Target<'_>,
     sent: &mut Sent<'_>,
-    last_event_id: Option<u64>,
 ) -> Tried {
+    let Target { id, entry, .. } = *target;
     let is_once = call.route().repeat == Repeat::Once;
     let max_idle_ms = if is_once { ONCE_IDLE_MS } else { u64::MAX };
     let kept = shared.pool.take(id, max_idle_ms, shared.now_ms());
@@ -393,9 +422,9 @@
             }
         }
     };
-    let output = encode(shared, call, id, entry, last_event_id);
+    let output = encode(shared, call, target);
     let mut exchange = pin!(exchange(shared, call, id, socket, output));
-    let limit = attempt_limit(shared, call);
+    let limit = target.limit;
     let started_ms = shared.now_ms();
     let result = loop {
         match guard(shared, call, caller, limit, exchange.as_mut()).await {
@@ -418,12 +447,12 @@
 /// Returns the time at which an attempt without a response is given up for another one.
 fn attempt_limit(shared: &Shared, call: &Call<'_>) -> Option<Duration> {
     match call.route().repeat {
-        Repeat::Idempotent if call.route().max_attempts > 1 => {
+        Repeat::Idempotent => {
             let left = Duration::from_millis(call.left_ms(shared));
             Some(left * FIRST_TRY_PERCENT / 100)
         }
-        Repeat::Resumable if call.route().max_attempts > 1 => Some(FIRST_BYTE_TIMEOUT),
-        _ => None,
+        Repeat::Resumable => Some(FIRST_BYTE_TIMEOUT),
+        Repeat::Once => None,
     }
 }
 
@@ -500,20 +529,14 @@
 }
 
 /// Encodes a request for an upstream.
-fn encode(
-    shared: &Shared,
-    call: &Call<'_>,
-    id: &str,
-    entry: &Entry,
-    last_event_id: Option<u64>,
-) -> Bytes {
+fn encode(shared: &Shared, call: &Call<'_>, target: &Target<'_>) -> Bytes {
     let request = call.request;
     let added = Added {
-        upstream: id,
+        upstream: target.id,
         team: call.team_name(),
         left_ms: call.left_ms(shared),
         priority: call.upstream_priority(),
-        last_event_id,
+        last_event_id: target.last_event_id,
     };
     let fields = headers::to_upstream(&request.headers, &added);
     let mut output = BytesMut::with_capacity(request.body.len() + 1_024);
@@ -523,7 +546,7 @@
     output.put_slice(b" HTTP/1.1\r\n");
     put_fields(&mut output, &fields);
     if !fields.contains_key(http::header::HOST) {
-        output.put_slice(format!("host: {}\r\n", entry.address).as_bytes());
+        output.put_slice(format!("host: {}\r\n", target.entry.address).as_bytes());
     }
     if !request.body.is_empty() || request.method != http::Method::GET {
         output.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -33,9 +33,12 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest time for which a request waits for rights; a look at the record and its change take some 15 ms, and several
-/// routers may have to take turns.
-const WAIT: Duration = Duration::from_millis(80);
+/// Longest time for which a request waits for rights that the store has; a look at the record, its change and an entry of
+/// the journal take some 20 ms, and several gateways may have to take turns.
+const STORE_WAIT: Duration = Duration::from_millis(250);
+
+/// Longest time for which a request waits for rights that only other gateways have; they answer within some milliseconds.
+const PEER_WAIT: Duration = Duration::from_millis(80);
 
 /// Looks in a row after another router's change came first.
 const MAX_CONFLICTS: u32 = 6;
@@ -43,6 +46,15 @@
 /// Pause after a conflict, spread at random so that the routers do not meet again.
 const CONFLICT_PAUSE_MS: u32 = 12;
 
+/// Time after which rights that other gateways hold may be back.
+const HELD_RETRY_AFTER_MS: u64 = 700;
+
+/// Time after which a store that does not answer may be back; its outages last some seconds.
+const OUTAGE_RETRY_AFTER_MS: u64 = 4_000;
+
+/// Time after which a budget that is handed out whole may have been topped up.
+const HANDED_OUT_RETRY_AFTER_MS: u64 = 30_000;
+
 /// Time without an answer of the store after which other gateways are asked for rights.
 const OUTAGE_MS: u64 = 300;
 
@@ -155,7 +167,10 @@
             return Ok(None);
         };
         match team.try_reserve(tokens, shared.now_ms()) {
-            Ok(reservation) => Ok(Some(reservation)),
+            Ok(reservation) => {
+                team.wake_journal(shared);
+                Ok(Some(reservation))
+            }
             Err(Shortage::NotHeld) => team.wait_for_rights(shared, tokens).await.map(Some),
             Err(Shortage::Exhausted) => Err(Shortage::Exhausted),
         }
@@ -173,8 +188,8 @@
         let given = team.account.borrow_mut().give(asked_tokens, part_millis);
         if given < asked_tokens || has_store {
             team.wake();
-            shared.journal.wake();
         }
+        team.wake_journal(shared);
         log::info!(
             step = "give", team = team.name.as_str(), asked_tokens = asked_tokens,
             given_tokens = given, at_ms = shared.now_ms(); "rights given to another gateway"
@@ -188,7 +203,7 @@
             return;
         };
         team.account.borrow_mut().receive(tokens);
-        shared.journal.wake();
+        team.wake_journal(shared);
         team.changed.notify();
         log::info!(
             step = "receive", team = team.name.as_str(), tokens = tokens,
@@ -230,13 +245,6 @@
         }
     }
 
-    /// Returns whether a request needs a higher mark.
-    pub(super) fn needs_marks(&self) -> bool {
-        let teams = self.teams.borrow();
-        let mut teams = teams.values();
-        teams.any(|team| team.account.borrow().needs_mark())
-    }
-
     /// Takes back the rights of the process that ran on this VM before, beyond its marks.
     pub(super) fn reclaim(&self, router: u64, marks: &[Mark]) {
         *self.predecessor.borrow_mut() = Some((router, marks.to_vec()));
@@ -253,6 +261,15 @@
         Some((*router, mark.map_or(0, |mark| mark.open_tokens)))
     }
 
+    /// Returns when a request that found too few rights may find them.
+    pub(super) fn retry_after_ms(&self, team: &str, now_ms: u64) -> u64 {
+        match self.teams.borrow().get(team) {
+            Some(team) if !team.can_ask(now_ms) => OUTAGE_RETRY_AFTER_MS,
+            Some(team) if team.free_tokens.get() == 0 => HANDED_OUT_RETRY_AFTER_MS,
+            _ => HELD_RETRY_AFTER_MS,
+        }
+    }
+
     /// Returns the figures of a team for the log: rights handed out, charged and available, age of the record.
     pub(super) fn figures(&self, team: &str, now_ms: u64) -> Option<(u64, u64, u64, u64)> {
         let teams = self.teams.borrow();
@@ -274,6 +291,18 @@
     }
 }
 
+impl Funds {
+    /// Leaves rights that could not be returned to other gateways, for a planned stop without the store.
+    pub(super) fn leave_all(&self, shared: &Shared) {
+        for team in self.teams.borrow().values() {
+            let tokens = team.account.borrow_mut().give(u64::MAX, 1_000);
+            if tokens > 0 {
+                shared.notices.leave(shared, &team.name, tokens);
+            }
+        }
+    }
+}
+
 /// What a cycle aims at.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Goal {
@@ -346,6 +375,13 @@
         shared.notices.ask(shared, &self.name, shortfall);
     }
 
+    /// Asks for a journal entry if requests need a higher mark.
+    fn wake_journal(&self, shared: &Shared) {
+        if self.account.borrow().needs_mark() {
+            shared.journal.wake();
+        }
+    }
+
     fn wake(&self) {
         self.is_needed.set(true);
         self.needed.notify();
@@ -380,10 +416,14 @@
         if self.account.borrow().available_tokens() < tokens {
             self.wake();
         }
-        shared.journal.wake();
-        if !self.can_ask(shared.now_ms()) || self.free_tokens.get() < tokens {
+        self.wake_journal(shared);
+        let has_store = self.can_ask(shared.now_ms()) && self.free_tokens.get() >= tokens;
+        let limit = if has_store {
+            STORE_WAIT
+        } else {
             self.ask_peers(shared);
-        }
+            PEER_WAIT
+        };
         let mut last = Shortage::NotHeld;
         let wait = self
             .changed
@@ -395,7 +435,7 @@
                     None
                 }
             });
-        let result = monoio::time::timeout(WAIT, wait).await;
+        let result = monoio::time::timeout(limit, wait).await;
         self.account.borrow_mut().unwant(tokens);
         result.unwrap_or(Err(last))
     }
@@ -429,7 +469,7 @@
             Some(planned) => self.write(shared, &planned, end).await,
             None => true,
         };
-        shared.journal.wake();
+        self.wake_journal(shared);
         self.changed.notify();
         if was_written {
             Cycle::Done
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -58,11 +58,9 @@
         end = write_entry(&shared, write, end).await;
         monoio::time::sleep(MIN_INTERVAL).await;
         let journal = &shared.journal;
-        journal.is_needed.set(false);
-        let needed = journal.needed.wait_for(|| {
-            let is_due = journal.is_needed.replace(false) && shared.funds.needs_marks();
-            is_due.then_some(())
-        });
+        let needed = journal
+            .needed
+            .wait_for(|| journal.is_needed.get().then_some(()));
         // Both ends of the wait lead to the next entry.
         let _ = monoio::time::timeout(INTERVAL, needed).await;
     }
@@ -109,6 +107,8 @@
 
 /// Writes one entry and waits until it is known that it took effect; returns the new end of the feed.
 async fn write_entry(shared: &Shared, write: u64, mut end: u64) -> u64 {
+    // What is needed from here on is not part of this entry.
+    shared.journal.is_needed.set(false);
     // From here on the entry can take effect, so nothing may be used beyond its marks until it is old.
     shared.funds.set_cut_off(false);
     let made_ms = shared.now_ms();
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -38,6 +38,9 @@
 /// Time for which an answer to a question is accepted; a later one strands its rights.
 const ANSWER_MS: u64 = 10_000;
 
+/// Time for which the number of a datagram is remembered; the network does not hold one for longer.
+const REMEMBERED_MS: u64 = 600_000;
+
 /// Largest datagram.
 const MAX_BYTES: usize = 512;
 
@@ -45,7 +48,7 @@
 #[derive(Clone, PartialEq, Message)]
 struct Datagram {
     /// Content.
-    #[prost(oneof = "Content", tags = "1, 2, 3")]
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4")]
     content: Option<Content>,
 }
 
@@ -57,6 +60,9 @@
     Ask(Ask),
     #[prost(message, tag = "3")]
     Give(Give),
+    /// Rights that a gateway which stops leaves to another one.
+    #[prost(message, tag = "4")]
+    Leave(Give),
 }
 
 /// A question for spending rights.
@@ -110,6 +116,8 @@
     credited_ms: Cell<u64>,
     /// Questions without an answer yet, with their time.
     asked: RefCell<FastMap<u64, u64>>,
+    /// Numbers of the rights that others left, with their time; a repeated datagram does not count again.
+    left: RefCell<FastMap<u64, u64>>,
 }
 
 impl Notices {
@@ -130,6 +138,7 @@
             credit_millis: Cell::new(0),
             credited_ms: Cell::new(0),
             asked: RefCell::default(),
+            left: RefCell::default(),
         })
     }
 
@@ -178,6 +187,30 @@
         }
     }
 
+    /// Leaves rights to another gateway.
+    pub(super) fn leave(&self, shared: &Shared, team: &str, tokens: u64) {
+        let routers = shared.routers.borrow();
+        let mut random = shared.random.borrow_mut();
+        let peers = routers.peers(&shared.settings.vm);
+        if let Some(peer) = peers.choose(&mut *random) {
+            let leave = Give {
+                team: team.into(),
+                tokens,
+                id: random.random(),
+            };
+            self.send_datagram(encode(Content::Leave(leave)), peer);
+        }
+    }
+
+    fn accept_left(&self, shared: &Shared, leave: &Give) {
+        let now_ms = shared.now_ms();
+        let mut left = self.left.borrow_mut();
+        left.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < REMEMBERED_MS);
+        if left.insert(leave.id, now_ms).is_none() {
+            shared.funds.receive(shared, &leave.team, leave.tokens);
+        }
+    }
+
     fn answer(&self, shared: &Shared, ask: &Ask, peer: SocketAddr) {
         let tokens = shared.funds.give(shared, &ask.team, ask.tokens);
         if tokens > 0 {
@@ -246,6 +279,7 @@
         }
         Some(Content::Ask(ask)) => shared.notices.answer(shared, &ask, peer),
         Some(Content::Give(give)) => shared.notices.accept(shared, &give),
+        Some(Content::Leave(leave)) => shared.notices.accept_left(shared, &leave),
         None => {}
     }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -22,9 +22,6 @@
 /// Time after which a refused caller may come back, with as much again at random so that callers spread.
 const RETRY_AFTER_MS: u64 = 250;
 
-/// Time after which rights that other routers hold or a store that was away may be back.
-const RIGHTS_RETRY_AFTER_MS: u64 = 700;
-
 /// One request of a caller with everything that was decided about it.
 pub(super) struct Call<'a> {
     pub(super) request: &'a Request,
@@ -283,7 +280,9 @@
     match shortage {
         Shortage::Exhausted => Refused::new(Refusal::BudgetExhausted, reason),
         Shortage::NotHeld => Refused {
-            retry_after_ms: Some(RIGHTS_RETRY_AFTER_MS + 2 * call.retry_spread_ms),
+            retry_after_ms: Some(
+                shared.funds.retry_after_ms(team, shared.now_ms()) + 2 * call.retry_spread_ms,
+            ),
             ..Refused::new(Refusal::BudgetUnavailable, reason)
         },
     }
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -7,6 +7,9 @@
 };
 
 const PREPAID: u64 = 100_000;
+
+/// Budget of the random test; small, so that most runs use it up.
+const SMALL_PREPAID: u64 = 20_000;
 const ROUTERS: u64 = 3;
 
 /// A store with a team's record and a journal for each VM. Writes are conditional, and some are still under way.
@@ -47,6 +50,8 @@
     entries: u64,
     /// Process that ran on the VM before and its mark.
     predecessor: Option<(u64, u64)>,
+    /// Need of the request that waits for rights.
+    wanted: u64,
 }
 
 /// What becomes of a call.
@@ -194,11 +199,11 @@
             }
             return;
         }
-        router.account.observe(&record, id, PREPAID);
+        router.account.observe(&record, id, SMALL_PREPAID);
         let planned = if returns {
             router.account.plan_return(&record, id)
         } else {
-            router.account.plan(&record, id, PREPAID, ROUTERS)
+            router.account.plan(&record, id, SMALL_PREPAID, ROUTERS)
         };
         if let Some(planned) = planned {
             router.account.begin(&planned, id);
@@ -255,25 +260,34 @@
             vm.router.account.set_cut_off(age_ms >= CUT_OFF_MS);
         }
         let vm = u.choose_index(self.vms.len())?;
-        match u.int_in_range(0..=11)? {
-            0..=3 => {
-                let need = u.int_in_range(1..=9_000)?;
+        match u.int_in_range(0..=39)? {
+            0..=8 => {
+                let need = u.int_in_range(1..=3_000)?;
                 let now_ms = self.now_ms;
                 let router = &mut self.vms[vm].router;
+                let waited = std::mem::take(&mut router.wanted);
+                router.account.unwant(waited);
                 match router.account.reserve(need, now_ms) {
                     Ok(()) => router.open.push(need),
-                    Err(_) => router.account.want(need),
+                    Err(_) => {
+                        router.account.want(need);
+                        router.wanted = need;
+                    }
                 }
             }
-            4..=5 => {
+            9..=14 => {
                 let router = &mut self.vms[vm].router;
                 if let Some(need) = router.open.pop() {
-                    let charge = u.int_in_range(0..=need)?;
+                    let charge = if u.ratio(4, 5)? {
+                        need
+                    } else {
+                        u.int_in_range(0..=need)?
+                    };
                     router.account.settle(need, charge);
                     self.charged += charge;
                 }
             }
-            6 => {
+            15..=16 => {
                 // A transfer between routers, which may be lost on the way.
                 let asked = u.int_in_range(0..=20_000)?;
                 let given = self.vms[vm].router.account.give(asked, 500);
@@ -282,15 +296,15 @@
                     self.vms[taker].router.account.receive(given);
                 }
             }
-            7 => {
+            17..=27 => {
                 let (fate, returns) = (Fate::draw(u)?, u.ratio(1, 5)?);
                 self.cycle(vm, fate, returns);
             }
-            8 | 9 => {
+            28..=35 => {
                 let (now_ms, fate) = (self.now_ms, Fate::draw(u)?);
                 self.vms[vm].write_journal(now_ms, fate);
             }
-            10 => {
+            36..=38 => {
                 if !self.late.is_empty() {
                     let index = u.choose_index(self.late.len())?;
                     let (condition, content) = self.late.remove(index);
@@ -323,8 +337,11 @@
             world.step(u)?;
             let open: u64 = world.vms.iter().flat_map(|vm| &vm.router.open).sum();
             let charged = world.charged;
-            assert!(charged + open <= PREPAID, "charged {charged} open {open}");
-            assert!(world.record.granted_tokens <= PREPAID);
+            assert!(
+                charged + open <= SMALL_PREPAID,
+                "charged {charged} open {open}"
+            );
+            assert!(world.record.granted_tokens <= SMALL_PREPAID);
         }
         Ok(())
     })
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -605,6 +605,22 @@
     assert!((2_300..2_900).contains(&elapsed.as_millis()), "{elapsed:?}");
 }
 
+/// Guards against a request that runs at more upstreams than its route allows, because each attempt times out.
+#[test]
+fn attempts_that_time_out_count_toward_the_limit_of_the_route() {
+    let upstreams: Vec<Upstream> = (0..4)
+        .map(|_| Upstream::start(|_, _| Action::Silent))
+        .collect();
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    let (_store, gateway) = fleet(AMPLE, &all);
+    assert_eq!(Caller::default().send(&gateway).status(), 504);
+    let sent: usize = upstreams
+        .iter()
+        .map(|upstream| upstream.requests().len())
+        .sum();
+    assert_eq!(sent, 2);
+}
+
 /// Guards against a decision that cannot be explained from the log, and against metrics that are not served.
 #[test]
 fn every_request_has_a_line_with_its_id_and_outcome() {
