--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -281,12 +281,10 @@
         self.is_cut_off = is_cut_off;
     }
 
-    /// Returns whether requests need a higher mark than the journal shows.
+    /// Returns whether somebody waits for a higher mark than the journal shows; otherwise the next regular entry serves.
     pub fn needs_mark(&self) -> bool {
-        let spendable = self.spendable_tokens();
-        let low = self.rate_tokens_per_s as u64 * OPEN_AHEAD_MS / 2_000;
-        let need = self.wanted_tokens.max(low) + self.asked_tokens;
-        spendable < need.min(self.available_tokens())
+        let need = self.wanted_tokens + self.asked_tokens;
+        self.spendable_tokens() < need.min(self.available_tokens())
     }
 
     /// Reserves the largest possible charge of a request.
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -167,10 +167,7 @@
             return Ok(None);
         };
         match team.try_reserve(tokens, shared.now_ms()) {
-            Ok(reservation) => {
-                team.wake_journal(shared);
-                Ok(Some(reservation))
-            }
+            Ok(reservation) => Ok(Some(reservation)),
             Err(Shortage::NotHeld) => team.wait_for_rights(shared, tokens).await.map(Some),
             Err(Shortage::Exhausted) => Err(Shortage::Exhausted),
         }
