--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,10 +11,10 @@
 //! | relay the response, count what is delivered | `relay` |
 //!
 //! Beside the requests, `watch` follows configuration and upstreams, `funds` keeps spending rights at hand and
-//! `journal` shows how far they may be used, `presence`
-//! splits the limits that hold over all gateways, `notices` tells them of long prompts, and `stop` ends the process without cutting requests. Decisions are
-//! pure functions in [`crate::routing`], [`crate::directory`], [`crate::placement`], [`crate::allowance`] and
-//! [`crate::fleet_share`]. The design is in `docs/design.md`, section 10.
+//! `journal` shows how far they may be used, `presence` splits the limits that hold over all gateways, `notices` tells
+//! the others of long prompts, and `stop` ends the process without cutting requests. Decisions are pure functions in
+//! [`crate::routing`], [`crate::directory`], [`crate::placement`], [`crate::allowance`] and [`crate::fleet_share`]. The
+//! design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod callers;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,24 +1,29 @@
 //! Attempts of one request at upstreams: choice, connection, sending, the head of the response, retries.
 
-use std::future::{poll_fn, Future};
+mod encode;
+mod guard;
+
 use std::pin::pin;
-use std::task::Poll;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::{format_compact, CompactString};
-use http::HeaderMap;
 
 use super::request::Call;
 use super::{pool, Shared};
 use crate::directory::Entry;
 use crate::engine::Exchange;
 use crate::placement::{Candidate, Outcome, Prompt, Unplaced};
-use crate::platform::headers::{self, Added};
+use crate::platform::headers;
 use crate::refusal::Refusal;
 use crate::routing::Repeat;
 use crate::server::Socket;
 
+use encode::encode;
+use guard::{guard, Interrupt};
+
+pub(super) use encode::put_fields;
+
 /// Idle time up to which a connection carries a request that may run only once; a connection that the upstream closed
 /// unseen would leave it unknown whether such a request ran.
 const ONCE_IDLE_MS: u64 = 1_000;
@@ -44,17 +49,6 @@
 /// Responses that are discarded before a connection is given up.
 const SKIPPED_RESPONSES: u32 = 2;
 
-/// Why a wait ended early.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Interrupt {
-    /// The caller closed its connection.
-    CallerGone,
-    /// The time of the request is over.
-    Deadline,
-    /// The time of this attempt is over.
-    AttemptTimeout,
-}
-
 /// A response whose head has arrived.
 pub(super) struct Response {
     /// Id of the upstream.
@@ -527,96 +521,3 @@
     }
     Tried::Response(response)
 }
-
-/// Encodes a request for an upstream.
-fn encode(shared: &Shared, call: &Call<'_>, target: &Target<'_>) -> Bytes {
-    let request = call.request;
-    let added = Added {
-        upstream: target.id,
-        team: call.team_name(),
-        left_ms: call.left_ms(shared),
-        priority: call.upstream_priority(),
-        last_event_id: target.last_event_id,
-    };
-    let fields = headers::to_upstream(&request.headers, &added);
-    let mut output = BytesMut::with_capacity(request.body.len() + 1_024);
-    output.put_slice(request.method.as_str().as_bytes());
-    output.put_u8(b' ');
-    output.put_slice(call.target().as_bytes());
-    output.put_slice(b" HTTP/1.1\r\n");
-    put_fields(&mut output, &fields);
-    if !fields.contains_key(http::header::HOST) {
-        output.put_slice(format!("host: {}\r\n", target.entry.address).as_bytes());
-    }
-    if !request.body.is_empty() || request.method != http::Method::GET {
-        output.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
-    }
-    output.put_slice(b"\r\n");
-    output.put_slice(&request.body);
-    output.freeze()
-}
-
-/// Appends header fields.
-pub(super) fn put_fields(output: &mut BytesMut, fields: &HeaderMap) {
-    for (name, value) in fields {
-        output.put_slice(name.as_str().as_bytes());
-        output.put_slice(b": ");
-        output.put_slice(value.as_bytes());
-        output.put_slice(b"\r\n");
-    }
-}
-
-/// Waits for a future while the caller stays and time is left.
-///
-/// Bytes that the caller sends meanwhile belong to its next request; the watch on its connection then ends.
-///
-/// # Errors
-///
-/// Returns what ended the wait.
-pub(super) async fn guard<F: Future>(
-    shared: &Shared,
-    call: &Call<'_>,
-    caller: &mut Socket,
-    limit: Option<Duration>,
-    future: F,
-) -> Result<F::Output, Interrupt> {
-    let end = Instant::now() + Duration::from_millis(call.left_ms(shared));
-    let attempt_end = limit.map_or(end, |limit| Instant::now() + limit);
-    let mut future = pin!(future);
-    let mut deadline = pin!(monoio::time::sleep_until(end.min(attempt_end).into()));
-    let mut is_watching = caller.input_len() == 0;
-    loop {
-        let event = {
-            let mut readable = pin!(caller.readable());
-            poll_fn(|context| {
-                if let Poll::Ready(output) = future.as_mut().poll(context) {
-                    return Poll::Ready(Event::Done(output));
-                }
-                if is_watching && readable.as_mut().poll(context).is_ready() {
-                    return Poll::Ready(Event::CallerReadable);
-                }
-                if deadline.as_mut().poll(context).is_ready() {
-                    return Poll::Ready(Event::Timer);
-                }
-                Poll::Pending
-            })
-            .await
-        };
-        match event {
-            Event::Done(output) => return Ok(output),
-            Event::Timer if attempt_end < end => return Err(Interrupt::AttemptTimeout),
-            Event::Timer => return Err(Interrupt::Deadline),
-            Event::CallerReadable => match caller.try_fill() {
-                Some(Ok(0) | Err(_)) => return Err(Interrupt::CallerGone),
-                Some(Ok(_)) => is_watching = false,
-                None => {}
-            },
-        }
-    }
-}
-
-enum Event<T> {
-    Done(T),
-    CallerReadable,
-    Timer,
-}
--- /dev/null
+++ b/src/gateway/attempt/encode.rs
@@ -0,0 +1,47 @@
+//! Encoding of requests to upstreams.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::HeaderMap;
+
+use super::Target;
+use crate::gateway::request::Call;
+use crate::gateway::Shared;
+use crate::platform::headers::{self, Added};
+
+/// Encodes a request for an upstream.
+pub(super) fn encode(shared: &Shared, call: &Call<'_>, target: &Target<'_>) -> Bytes {
+    let request = call.request;
+    let added = Added {
+        upstream: target.id,
+        team: call.team_name(),
+        left_ms: call.left_ms(shared),
+        priority: call.upstream_priority(),
+        last_event_id: target.last_event_id,
+    };
+    let fields = headers::to_upstream(&request.headers, &added);
+    let mut output = BytesMut::with_capacity(request.body.len() + 1_024);
+    output.put_slice(request.method.as_str().as_bytes());
+    output.put_u8(b' ');
+    output.put_slice(call.target().as_bytes());
+    output.put_slice(b" HTTP/1.1\r\n");
+    put_fields(&mut output, &fields);
+    if !fields.contains_key(http::header::HOST) {
+        output.put_slice(format!("host: {}\r\n", target.entry.address).as_bytes());
+    }
+    if !request.body.is_empty() || request.method != http::Method::GET {
+        output.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
+    }
+    output.put_slice(b"\r\n");
+    output.put_slice(&request.body);
+    output.freeze()
+}
+
+/// Appends header fields.
+pub(in crate::gateway) fn put_fields(output: &mut BytesMut, fields: &HeaderMap) {
+    for (name, value) in fields {
+        output.put_slice(name.as_str().as_bytes());
+        output.put_slice(b": ");
+        output.put_slice(value.as_bytes());
+        output.put_slice(b"\r\n");
+    }
+}
--- /dev/null
+++ b/src/gateway/attempt/guard.rs
@@ -0,0 +1,76 @@
+//! Waiting while the caller stays and time is left.
+
+use std::future::{poll_fn, Future};
+use std::pin::pin;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use crate::gateway::request::Call;
+use crate::gateway::Shared;
+use crate::server::Socket;
+
+/// Why a wait ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::gateway) enum Interrupt {
+    /// The caller closed its connection.
+    CallerGone,
+    /// The time of the request is over.
+    Deadline,
+    /// The time of this attempt is over.
+    AttemptTimeout,
+}
+
+/// Waits for a future while the caller stays and time is left.
+///
+/// Bytes that the caller sends meanwhile belong to its next request; the watch on its connection then ends.
+///
+/// # Errors
+///
+/// Returns what ended the wait.
+pub(in crate::gateway) async fn guard<F: Future>(
+    shared: &Shared,
+    call: &Call<'_>,
+    caller: &mut Socket,
+    limit: Option<Duration>,
+    future: F,
+) -> Result<F::Output, Interrupt> {
+    let end = Instant::now() + Duration::from_millis(call.left_ms(shared));
+    let attempt_end = limit.map_or(end, |limit| Instant::now() + limit);
+    let mut future = pin!(future);
+    let mut deadline = pin!(monoio::time::sleep_until(end.min(attempt_end).into()));
+    let mut is_watching = caller.input_len() == 0;
+    loop {
+        let event = {
+            let mut readable = pin!(caller.readable());
+            poll_fn(|context| {
+                if let Poll::Ready(output) = future.as_mut().poll(context) {
+                    return Poll::Ready(Event::Done(output));
+                }
+                if is_watching && readable.as_mut().poll(context).is_ready() {
+                    return Poll::Ready(Event::CallerReadable);
+                }
+                if deadline.as_mut().poll(context).is_ready() {
+                    return Poll::Ready(Event::Timer);
+                }
+                Poll::Pending
+            })
+            .await
+        };
+        match event {
+            Event::Done(output) => return Ok(output),
+            Event::Timer if attempt_end < end => return Err(Interrupt::AttemptTimeout),
+            Event::Timer => return Err(Interrupt::Deadline),
+            Event::CallerReadable => match caller.try_fill() {
+                Some(Ok(0) | Err(_)) => return Err(Interrupt::CallerGone),
+                Some(Ok(_)) => is_watching = false,
+                None => {}
+            },
+        }
+    }
+}
+
+enum Event<T> {
+    Done(T),
+    CallerReadable,
+    Timer,
+}
