--- a/src/cli.rs
+++ b/src/cli.rs
@@ -155,7 +155,9 @@
         }
     };
     logging::init_stdout(log_level(arguments));
-    match gateway::run(settings) {
+    let result = gateway::run(settings);
+    log::logger().flush();
+    match result {
         Ok(()) => Report::done(""),
         Err(error) => Report::error(ExitCode::Failed, vec![error.to_string()]),
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -182,7 +182,7 @@
             Ok(upstream) => upstream,
             Err(unplaced) => return Err(unplaced_failure(call, attempts, unplaced)),
         };
-        if !attempts.tried.is_empty() && !take_retry(shared, call) {
+        if !attempts.tried.is_empty() && !may_send_again(shared, call, true) {
             return Err(give_up(
                 call,
                 attempts,
@@ -296,7 +296,7 @@
 fn may_retry(shared: &Shared, call: &Call<'_>, attempts: &Attempts) -> bool {
     call.left_ms(shared) > MIN_LEFT_MS
         && choose(shared, call, &attempts.tried).is_ok()
-        && has_retry(shared, call)
+        && may_send_again(shared, call, false)
 }
 
 fn give_up(call: &Call<'_>, attempts: &Attempts, refusal: Refusal, reason: &str) -> Failure {
@@ -328,20 +328,18 @@
     shared.routers.borrow().part(&shared.settings.vm, slack)
 }
 
-fn take_retry(shared: &Shared, call: &Call<'_>) -> bool {
-    let rule = shared.settings.fleet.retry_rule();
-    let slack = retry_slack(shared);
-    let mut retries = shared.retries.borrow_mut();
-    let limit = retries.entry(call.service.clone()).or_default();
-    limit.try_retry(rule, slack, shared.now_ms())
-}
-
-fn has_retry(shared: &Shared, call: &Call<'_>) -> bool {
+/// Returns whether the fleet's limit allows a retry; `takes` counts it.
+fn may_send_again(shared: &Shared, call: &Call<'_>, takes: bool) -> bool {
     let rule = shared.settings.fleet.retry_rule();
     let slack = retry_slack(shared);
+    let now_ms = shared.now_ms();
     let mut retries = shared.retries.borrow_mut();
     let limit = retries.entry(call.service.clone()).or_default();
-    limit.has_retry(rule, slack, shared.now_ms())
+    if takes {
+        limit.try_retry(rule, slack, now_ms)
+    } else {
+        limit.has_retry(rule, slack, now_ms)
+    }
 }
 
 /// Chooses an upstream that has a connection left for this gateway.
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -77,6 +77,25 @@
     }
 }
 
+/// What a gateway knows of one team's budget.
+#[derive(Default)]
+pub(super) struct Figures {
+    granted_tokens: u64,
+    spent_tokens: u64,
+    available_tokens: u64,
+    record_age_ms: u64,
+}
+
+impl std::fmt::Display for Figures {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "granted {}, spent {}, available {}, record {} ms old",
+            self.granted_tokens, self.spent_tokens, self.available_tokens, self.record_age_ms
+        )
+    }
+}
+
 impl Funds {
     /// Takes over the budgets of a configuration.
     pub(super) fn configure(&self, table: &Table) {
@@ -227,17 +246,19 @@
         }
     }
 
-    /// Returns the figures of a team for the log: rights handed out, charged and available, age of the record.
-    pub(super) fn figures(&self, team: &str, now_ms: u64) -> Option<(u64, u64, u64, u64)> {
+    /// Returns the figures of a team for the log.
+    pub(super) fn figures(&self, team: &str, now_ms: u64) -> Figures {
         let teams = self.teams.borrow();
-        let team = teams.get(team)?;
+        let Some(team) = teams.get(team) else {
+            return Figures::default();
+        };
         let account = team.account.borrow();
-        Some((
-            account.granted_tokens(),
-            account.spent_tokens(),
-            account.available_tokens(),
-            now_ms.saturating_sub(team.read_ms.get()),
-        ))
+        Figures {
+            granted_tokens: account.granted_tokens(),
+            spent_tokens: account.spent_tokens(),
+            available_tokens: account.available_tokens(),
+            record_age_ms: now_ms.saturating_sub(team.read_ms.get()),
+        }
     }
 
     /// Returns all rights that are not in use, for a planned stop.
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -57,38 +57,24 @@
     #[prost(message, tag = "1")]
     Notice(Notice),
     #[prost(message, tag = "2")]
-    Ask(Ask),
+    Ask(Transfer),
     #[prost(message, tag = "3")]
-    Give(Give),
+    Give(Transfer),
     /// Rights that a gateway which stops leaves to another one.
     #[prost(message, tag = "4")]
-    Leave(Give),
+    Leave(Transfer),
 }
 
-/// A question for spending rights.
+/// Spending rights that are asked for, given or left.
 #[derive(Clone, PartialEq, Message)]
-struct Ask {
+struct Transfer {
     /// Team.
     #[prost(string, tag = "1")]
     team: String,
-    /// Tokens that are asked for.
+    /// Tokens.
     #[prost(uint64, tag = "2")]
     tokens: u64,
-    /// Random number of this question to this gateway.
-    #[prost(fixed64, tag = "3")]
-    id: u64,
-}
-
-/// Spending rights that answer a question.
-#[derive(Clone, PartialEq, Message)]
-struct Give {
-    /// Team.
-    #[prost(string, tag = "1")]
-    team: String,
-    /// Tokens that are given.
-    #[prost(uint64, tag = "2")]
-    tokens: u64,
-    /// Number of the question.
+    /// Random number of the question, which its answer repeats, or of what is left.
     #[prost(fixed64, tag = "3")]
     id: u64,
 }
@@ -178,7 +164,7 @@
         for peer in peers {
             let id = shared.random.borrow_mut().random();
             asked.insert(id, now_ms);
-            let ask = Ask {
+            let ask = Transfer {
                 team: team.into(),
                 tokens,
                 id,
@@ -193,7 +179,7 @@
         let mut random = shared.random.borrow_mut();
         let peers = routers.peers(&shared.settings.vm);
         if let Some(peer) = peers.choose(&mut *random) {
-            let leave = Give {
+            let leave = Transfer {
                 team: team.into(),
                 tokens,
                 id: random.random(),
@@ -202,7 +188,7 @@
         }
     }
 
-    fn accept_left(&self, shared: &Shared, leave: &Give) {
+    fn accept_left(&self, shared: &Shared, leave: &Transfer) {
         let now_ms = shared.now_ms();
         let mut left = self.left.borrow_mut();
         left.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < REMEMBERED_MS);
@@ -211,10 +197,10 @@
         }
     }
 
-    fn answer(&self, shared: &Shared, ask: &Ask, peer: SocketAddr) {
+    fn answer(&self, shared: &Shared, ask: &Transfer, peer: SocketAddr) {
         let tokens = shared.funds.give(shared, &ask.team, ask.tokens);
         if tokens > 0 {
-            let give = Give {
+            let give = Transfer {
                 team: ask.team.clone(),
                 tokens,
                 id: ask.id,
@@ -223,7 +209,7 @@
         }
     }
 
-    fn accept(&self, shared: &Shared, give: &Give) {
+    fn accept(&self, shared: &Shared, give: &Transfer) {
         // An answer counts once, and only to a question of this process.
         if self.asked.borrow_mut().remove(&give.id).is_some() {
             shared.funds.receive(shared, &give.team, give.tokens);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -130,9 +130,8 @@
 pub(super) async fn serve(shared: &Shared, caller: &mut Socket, request: &Request) -> bool {
     let _open = Open::new(&shared.open_requests);
     let started_ms = shared.now_ms();
-    let mut meta = headers::request_meta(&request.headers);
-    let id = std::mem::take(&mut meta.id);
-    meta.id.clone_from(&id);
+    let meta = headers::request_meta(&request.headers);
+    let id = meta.id.clone();
     match prepare(shared, request, meta, started_ms) {
         Ok(call) => run(shared, &call, caller).await,
         Err(refused) => {
@@ -273,10 +272,7 @@
 fn shortage_refusal(shared: &Shared, call: &Call<'_>, shortage: Shortage, need: u64) -> Refused {
     let team = call.team_name().unwrap_or_default();
     let figures = shared.funds.figures(team, shared.now_ms());
-    let (granted, spent, available, age_ms) = figures.unwrap_or_default();
-    let reason = format_compact!(
-        "team {team} needs {need} tokens: granted {granted}, spent {spent}, available {available}, record {age_ms} ms old"
-    );
+    let reason = format_compact!("team {team} needs {need} tokens: {figures}");
     match shortage {
         Shortage::Exhausted => Refused::new(Refusal::BudgetExhausted, reason),
         Shortage::NotHeld => Refused {
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -15,8 +15,9 @@
 /// Time in which the balancer stops sending connections: two questions, one each second, and a margin.
 const BALANCER_TIME: Duration = Duration::from_millis(2_600);
 
-/// Part of the grace time after which the process ends although requests are open, in percent.
-const GRACE_PERCENT: u32 = 94;
+/// Part of the grace time after which the process ends although requests are open, in percent. Requests that are open in the
+/// last sixth of the grace time may be cut, and a slow VM needs time to end.
+const GRACE_PERCENT: u32 = 88;
 
 /// Interval of looks at what is still open.
 const POLL: Duration = Duration::from_millis(25);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
@@ -48,12 +48,15 @@
 /// Lines that wait to be written; at some hundred bytes a line they stay below half a megabyte.
 const QUEUE_LINES: usize = 1_024;
 
+/// Time for which the end of a process waits for its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Lines that are written with one call.
 const BATCH_LINES: usize = 64;
 
 /// Starts logging to standard output without ever blocking the caller; a second call has no effect.
 pub fn init_stdout(level: LevelFilter) {
-    let (sender, receiver) = sync_channel::<String>(QUEUE_LINES);
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let logger = QueueLogger {
         level,
@@ -66,9 +69,16 @@
     }
 }
 
+/// What the writing thread is told.
+enum Item {
+    Line(String),
+    /// Everything before has to be written before this is answered.
+    Flush(SyncSender<()>),
+}
+
 struct QueueLogger {
     level: LevelFilter,
-    sender: SyncSender<String>,
+    sender: SyncSender<Item>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -81,21 +91,35 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        if self.sender.try_send(render(record, now_ms())).is_err() {
+        let line = Item::Line(render(record, now_ms()));
+        if self.sender.try_send(line).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until the lines so far are written, but not for a reader that has stopped.
+    fn flush(&self) {
+        let (done, written) = sync_channel(1);
+        if self.sender.try_send(Item::Flush(done)).is_ok() {
+            // Without an answer in time the last lines are lost, which the end of the process must not wait for.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
 
-fn write_lines(receiver: &Receiver<String>, dropped: &AtomicU64) {
-    while let Ok(line) = receiver.recv() {
-        let mut batch = line;
-        batch.push('\n');
-        for line in receiver.try_iter().take(BATCH_LINES) {
-            batch.push_str(&line);
-            batch.push('\n');
+fn write_lines(receiver: &Receiver<Item>, dropped: &AtomicU64) {
+    while let Ok(first) = receiver.recv() {
+        let mut batch = String::new();
+        let mut flushed = Vec::new();
+        let more = receiver.try_iter().take(BATCH_LINES);
+        for item in std::iter::once(first).chain(more) {
+            match item {
+                Item::Line(line) => {
+                    batch.push_str(&line);
+                    batch.push('\n');
+                }
+                Item::Flush(done) => flushed.push(done),
+            }
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
@@ -105,6 +129,10 @@
         }
         // A closed standard output leaves nobody to tell.
         let _ = std::io::stdout().write_all(batch.as_bytes());
+        for done in flushed {
+            // A process that no longer waits is about to end.
+            let _ = done.try_send(());
+        }
     }
 }
 
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -559,6 +559,12 @@
         "until the balancer knows"
     );
     assert_eq!(gateway.wait(), Some(0));
+    wait_for("last line", || {
+        let lines = gateway.lines.lock().unwrap();
+        lines
+            .last()
+            .is_some_and(|line| line["message"] == "stopped")
+    });
 }
 
 /// Guards against a caller that holds a connection with half a head, and against heads and bodies beyond the limits.
