--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -29,12 +29,12 @@
 /// Part of the unspent budget that all routers together aim to hold.
 ///
 /// Held rights are lost when all routers are killed, which costs a team that uses up its budget as much later as an
-/// outage of the store costs it now. In ten days of each kind, 8% and 25% served less than 15%.
+/// outage of the store costs it now; `docs/design.md`, section 10, compares the ways.
 const HELD_PART: f64 = 0.15;
 
 /// Increase of that part with the part of the budget that is left beyond one half; a team that has spent little is
 /// unlikely to miss what is lost.
-const HELD_PART_SLOPE: f64 = 0.6;
+const HELD_PART_SLOPE: f64 = 0.5;
 
 /// Router entries that a record keeps; entries of ended routers only serve the estimate of what is left.
 const MAX_HOLDERS: usize = 96;
@@ -101,9 +101,9 @@
     }
 }
 
-/// Time for which the rights up to the mark should last; the store can take 240 ms for an answer, and after
-/// [`CUT_OFF_MS`] the mark no longer binds.
-const OPEN_AHEAD_MS: u64 = 2_500;
+/// Time for which the rights up to the mark should last: until [`CUT_OFF_MS`], when the mark no longer binds, and a slow
+/// answer of the store more.
+const OPEN_AHEAD_MS: u64 = 1_800;
 
 /// A change of a record that was sent and whose fate is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -194,7 +194,7 @@
     /// Returns the mark that the next journal entry should show.
     pub fn next_mark(&self) -> u64 {
         let ahead = self.rate_tokens_per_s as u64 * OPEN_AHEAD_MS / 1_000;
-        let ahead = (ahead + self.largest_need_tokens).max(self.wanted_tokens) + self.asked_tokens;
+        let ahead = ahead.max(self.wanted_tokens) + self.asked_tokens;
         self.used_tokens() + ahead.min(self.available_tokens())
     }
 
