--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -406,6 +406,21 @@
     }
 }
 
+/// Guards against spending up to an old mark while an entry with a lower one may take effect, from which a successor would
+/// take back rights that were spent.
+#[test]
+fn a_lower_mark_binds_from_the_moment_it_is_sent() {
+    let mut record = TeamRecord::default();
+    let mut account = Account::default();
+    account.want(30_000);
+    cycle(&mut account, &mut record, 1);
+    account.unwant(30_000);
+    account.open(5_000);
+    account.lower_mark(1_000);
+    assert_eq!(account.reserve(1_001, 0), Err(Shortage::NotHeld));
+    assert!(account.reserve(1_000, 0).is_ok());
+}
+
 /// Guards against a kill that strands the rights a router holds for outages.
 #[test]
 fn a_successor_takes_back_what_lies_beyond_the_mark() {
