--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -9,32 +9,34 @@
 //! the rights it returns are not used, see [`Account::begin`] and [`Account::finish`].
 //!
 //! Most of the rights that a router holds are only for the time when it cannot reach the store. So that a router that is
-//! killed does not strand them, it spends only up to a mark that its journal in the store already shows, see
-//! [`Account::open`]; beyond the mark it spends only after [`CUT_OFF_MS`] without a new entry in its journal. The next
-//! process on the same VM takes back what lies beyond the mark if the clocks show that this time had not passed, see
-//! [`JournalEntry::is_reclaimable`].
+//! killed does not strand them, its journal in the store shows how far it may spend: up to a mark at once, and beyond it
+//! only as the entry grows old, see [`Mark::limit_at`]. The next process on the same VM takes back what lies beyond that
+//! limit if the clocks show how old the entry was at its start, see [`JournalEntry::age_at`].
 //!
-//! How many rights a router holds is a trade-off: they are lost when it is killed, and they are all it can spend while
-//! it cannot reach the store. It holds what it spends in [`HORIZON_MS`], and less as the budget runs out.
+//! Routers without the store pass rights to each other. The record learns of it afterwards: the receiver moves them from
+//! the entry of the giver to its own, see [`Account::plan`]; until then the entry of the giver covers them.
+//!
+//! How many rights a router holds is a trade-off: what lies below the limit is lost when it is killed, and all that it
+//! holds is what it can spend while it cannot reach the store. It holds what it spends in [`HORIZON_MS`], and less as the
+//! budget runs out.
 
 mod journal;
 
 use prost::Message;
 
-pub use journal::{ClockReading, JournalEntry, Mark, CUT_OFF_MS};
+pub use journal::{ClockReading, JournalEntry, Limit, Mark, LOCKED_MS};
 
 /// Time for which a router can spend without the store; outages of the store's path last up to nine seconds.
 pub const HORIZON_MS: u64 = 10_000;
 
 /// Part of the unspent budget that all routers together aim to hold.
 ///
-/// Held rights are lost when all routers are killed, which costs a team that uses up its budget as much later as an
-/// outage of the store costs it now; `docs/design.md`, section 10, compares the ways.
-const HELD_PART: f64 = 0.15;
+/// It covers an outage of nine seconds late in the day, when half of the budget is left; `docs/design.md`, section 10,
+/// compares the ways.
+const HELD_PART: f64 = 0.5;
 
-/// Increase of that part with the part of the budget that is left beyond one half; a team that has spent little is
-/// unlikely to miss what is lost.
-const HELD_PART_SLOPE: f64 = 0.5;
+/// Part of the unspent budget that all routers together hold for teams whose requests have not come yet, in thousandths.
+const IDLE_MILLIS: u64 = 30;
 
 /// Router entries that a record keeps; entries of ended routers only serve the estimate of what is left.
 const MAX_HOLDERS: usize = 96;
@@ -77,6 +79,9 @@
     /// Revision of the record at that write.
     #[prost(uint64, tag = "6")]
     pub revision: u64,
+    /// Tokens that this router gave to others and that their entries show by now, over its whole life.
+    #[prost(uint64, tag = "7")]
+    pub moved_tokens: u64,
 }
 
 impl TeamRecord {
@@ -101,9 +106,13 @@
     }
 }
 
-/// Time for which the rights up to the mark should last: until [`CUT_OFF_MS`], when the mark no longer binds, and a slow
-/// answer of the store more.
-const OPEN_AHEAD_MS: u64 = 1_800;
+/// Time for which the rights up to the mark should last while most of the budget is left: until the entry has grown so
+/// old that more can be spent.
+const OPEN_AHEAD_MS: f64 = LOCKED_MS as f64;
+
+/// Smallest part of that time. A loss of all routers costs a team what lies below the marks, which matters more the less
+/// is left, so the time shrinks with the unspent part of the budget.
+const MIN_AHEAD_PART: f64 = 0.2;
 
 /// A change of a record that was sent and whose fate is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,15 +121,29 @@
     granted_tokens: u64,
 }
 
+/// Rights that another router gave and that its entry still covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Received {
+    giver: u64,
+    tokens: u64,
+    /// Whether an entry of the journal that was made after the receipt has taken effect.
+    is_covered: bool,
+    /// Whether an entry that was made after the receipt is under way.
+    is_in_entry: bool,
+    /// Whether the pending write moves them.
+    is_booking: bool,
+}
+
 impl TeamRecord {
-    /// Plans a record without the rights of an ended process beyond its mark; `None` if it has none.
-    pub fn reclaim(&self, router: u64, open_tokens: u64) -> Option<Self> {
+    /// Plans a record without the rights of an ended process beyond its limit; `None` if it has none.
+    pub fn reclaim(&self, router: u64, limit_tokens: u64) -> Option<Self> {
         let mut next = self.clone();
         let holder = next
             .holders
             .iter_mut()
             .find(|holder| holder.router == router)?;
-        let unused = holder.granted_tokens.saturating_sub(open_tokens);
+        let held = holder.granted_tokens + holder.moved_tokens;
+        let unused = held.saturating_sub(limit_tokens).min(holder.granted_tokens);
         if unused == 0 {
             return None;
         }
@@ -130,6 +153,25 @@
         next.revision += 1;
         Some(next)
     }
+
+    /// Moves rights from the entry of the router that gave them to the entry of the one that received them.
+    ///
+    /// Returns whether the entry of the giver still has them; entries of routers that ended long ago are dropped.
+    fn move_given(&mut self, giver: u64, tokens: u64) -> bool {
+        let holder = self
+            .holders
+            .iter_mut()
+            .find(|holder| holder.router == giver);
+        match holder {
+            Some(holder) if holder.granted_tokens >= tokens => {
+                holder.granted_tokens -= tokens;
+                holder.spent_tokens = holder.spent_tokens.min(holder.granted_tokens);
+                holder.moved_tokens += tokens;
+                true
+            }
+            _ => false,
+        }
+    }
 }
 
 /// Why rights cannot be reserved.
@@ -144,22 +186,25 @@
 /// Rights of this router for one team.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
+    /// Rights that the record shows for this router.
     granted_tokens: u64,
     spent_tokens: u64,
     reserved_tokens: u64,
     /// Part of the granted rights that a pending write returns.
     returning_tokens: u64,
-    /// Rights that other routers gave to this one, and that it gave to others.
-    received_tokens: u64,
+    /// Rights that other routers gave to this one and that the record does not show for it yet.
+    received: Vec<Received>,
+    /// Rights that this router gave to others over its whole life, and the part that the record shows for them.
     given_tokens: u64,
+    moved_tokens: u64,
     /// Need of requests that wait for rights.
     wanted_tokens: u64,
     /// What other routers asked for and could not get because of the mark.
     asked_tokens: u64,
-    /// Use up to which the journal shows, counted like [`Account::used_tokens`].
-    open_tokens: u64,
-    /// Whether the store has been away for so long that the mark no longer binds.
-    is_cut_off: bool,
+    /// How far the newest entry of the journal lets this router spend, counted like [`Account::used_tokens`].
+    mark: Limit,
+    /// Age of that entry, or of the one that is under way.
+    entry_age_ms: u64,
     pending: Option<Pending>,
     writes: u64,
     rate_tokens_per_s: f64,
@@ -167,14 +212,25 @@
     largest_need_tokens: u64,
     /// Upper bound of the team's balance when the record was last read.
     unspent_tokens: Option<u64>,
+    /// Part of the budget that was unspent then.
+    unspent_part: f64,
 }
 
 impl Account {
     /// Returns the rights that a request can reserve.
     pub fn available_tokens(&self) -> u64 {
-        (self.granted_tokens + self.received_tokens).saturating_sub(
-            self.returning_tokens + self.spent_tokens + self.reserved_tokens + self.given_tokens,
-        )
+        (self.granted_tokens + self.moved_tokens + self.received_tokens())
+            .saturating_sub(self.returning_tokens + self.used_tokens())
+    }
+
+    fn received_tokens(&self) -> u64 {
+        self.received.iter().map(|received| received.tokens).sum()
+    }
+
+    /// Returns the received rights that no entry of the journal counts; the entry of their giver covers them.
+    fn uncovered_tokens(&self) -> u64 {
+        let uncovered = self.received.iter().filter(|received| !received.is_covered);
+        uncovered.map(|received| received.tokens).sum()
     }
 
     /// Returns the rights that were charged, reserved or given away.
@@ -184,34 +240,56 @@
 
     /// Returns the rights that a request can reserve now.
     pub fn spendable_tokens(&self) -> u64 {
-        if self.is_cut_off {
-            return self.available_tokens();
-        }
-        let open = self.open_tokens.saturating_sub(self.used_tokens());
+        let open = self.limit_tokens().saturating_sub(self.used_tokens());
         self.available_tokens().min(open)
     }
 
-    /// Returns the mark that the next journal entry should show.
-    pub fn next_mark(&self) -> u64 {
-        let ahead = self.rate_tokens_per_s as u64 * OPEN_AHEAD_MS / 1_000;
-        let ahead = ahead.max(self.wanted_tokens) + self.asked_tokens;
-        self.used_tokens() + ahead.min(self.available_tokens())
+    /// Returns how far this router may spend: by its journal, and on top by what it received since.
+    fn limit_tokens(&self) -> u64 {
+        self.mark.at(self.entry_age_ms) + self.uncovered_tokens()
     }
 
-    /// Lowers the mark before an entry is sent that shows a lower one; such an entry may take effect at any time.
-    pub fn lower_mark(&mut self, mark_tokens: u64) {
-        self.open_tokens = self.open_tokens.min(mark_tokens);
+    /// Returns the time until a request can be reserved from what is held without a newer journal entry, if it can.
+    pub fn unlock_wait_ms(&self, need_tokens: u64) -> Option<u64> {
+        if need_tokens > self.available_tokens() {
+            return None;
+        }
+        let used = (self.used_tokens() + need_tokens).saturating_sub(self.uncovered_tokens());
+        let age_ms = self.mark.age_for(used)?;
+        Some(age_ms.saturating_sub(self.entry_age_ms))
     }
 
-    /// Sets the mark that an entry shows which has taken effect.
-    pub fn open(&mut self, mark_tokens: u64) {
-        self.open_tokens = mark_tokens;
+    /// Returns what the next journal entry should show. From here on the entry may take effect at any time, so a lower
+    /// limit than that of the entry before binds at once.
+    pub fn begin_entry(&mut self) -> Limit {
+        let part = self.unspent_part.clamp(MIN_AHEAD_PART, 1.0);
+        let ahead = (self.rate_tokens_per_s * OPEN_AHEAD_MS * part / 1_000.0) as u64;
+        let ahead = ahead.max(self.wanted_tokens) + self.asked_tokens;
+        let available = self.available_tokens();
+        let next = Limit {
+            open_tokens: self.used_tokens() + ahead.min(available),
+            held_tokens: self.used_tokens() + available,
+        };
+        self.mark = self.mark.min(next);
+        self.entry_age_ms = 0;
+        for received in &mut self.received {
+            received.is_in_entry = true;
+        }
+        next
+    }
+
+    /// Notes that an entry has taken effect.
+    pub fn open(&mut self, mark: Limit) {
+        self.mark = mark;
         self.asked_tokens = 0;
+        for received in &mut self.received {
+            received.is_covered = received.is_in_entry;
+        }
     }
 
-    /// Sets whether the mark binds.
-    pub fn set_cut_off(&mut self, is_cut_off: bool) {
-        self.is_cut_off = is_cut_off;
+    /// Sets the age of the newest entry, or of the one that is under way.
+    pub fn set_entry_age(&mut self, age_ms: u64) {
+        self.entry_age_ms = age_ms;
     }
 
     /// Returns whether somebody waits for a higher mark than the journal shows; otherwise the next regular entry serves.
@@ -281,16 +359,15 @@
         // Every router counts a little, so that one without recent traffic keeps a share for its next request.
         let floor = unspent / 1_000;
         let share = (rate + floor) as f64 / (rate + others + floor * routers.max(1)).max(1) as f64;
-        let left = (unspent as f64 / prepaid.max(1) as f64).min(1.0);
-        let held_part = HELD_PART + HELD_PART_SLOPE * (left - 0.5).max(0.0);
-        let cap = unspent as f64 * held_part * share.min(1.0);
+        let cap = unspent as f64 * HELD_PART * share.min(1.0);
+        let idle = unspent * IDLE_MILLIS / 1_000 / routers.max(1);
         let desired = rate * HORIZON_MS / 1_000 + 2 * self.largest_need_tokens;
-        desired.min(cap as u64)
+        desired.max(idle).min(cap as u64)
     }
 
     /// Plans the next record, or `None` if the rights are about right.
     pub fn plan(
-        &self,
+        &mut self,
         record: &TeamRecord,
         router: u64,
         prepaid: u64,
@@ -300,17 +377,18 @@
             return None;
         }
         let target = self.target_tokens(record, router, prepaid, routers);
+        let mut next = record.clone();
+        let base = self.granted_tokens + self.book_received(&mut next);
         let available = self.available_tokens();
         let goal = target.max(self.wanted_tokens);
         let granted = if available < self.wanted_tokens || available < goal - goal / 4 {
             let missing = goal - available;
             let taken = missing.min(record.free_tokens(prepaid));
-            self.granted_tokens + taken
+            base + taken
         } else if available > goal + goal / 2 {
-            // Received rights are part of another router's entry and are not returned through this one's.
-            self.granted_tokens.saturating_sub(available - goal)
+            base.saturating_sub(available - goal)
         } else {
-            self.granted_tokens
+            base
         };
         let known = record.holder(router);
         let is_reported = known.is_some_and(|holder| {
@@ -322,20 +400,38 @@
         if granted == self.granted_tokens && (is_reported || self.spent_tokens == 0) {
             return None;
         }
-        Some(self.with_granted(record, router, granted))
+        Some(self.with_granted(next, router, base, granted))
     }
 
     /// Plans the return of everything that is not reserved, for a planned stop.
-    pub fn plan_return(&self, record: &TeamRecord, router: u64) -> Option<TeamRecord> {
+    pub fn plan_return(&mut self, record: &TeamRecord, router: u64) -> Option<TeamRecord> {
         let available = self.available_tokens();
         if self.pending.is_some() || available == 0 {
             return None;
         }
-        Some(self.with_granted(
-            record,
-            router,
-            self.granted_tokens.saturating_sub(available),
-        ))
+        let mut next = record.clone();
+        let base = self.granted_tokens + self.book_received(&mut next);
+        Some(self.with_granted(next, router, base, base.saturating_sub(available)))
+    }
+
+    /// Moves received rights from the entries of their givers to this router's; returns their sum.
+    ///
+    /// Only rights that an entry of the journal counts are moved, because a successor takes back whatever the record
+    /// shows beyond that entry. Nothing is moved while more is used than the entry shows, which happens if received
+    /// rights were spent while the entry was under way.
+    fn book_received(&mut self, next: &mut TeamRecord) -> u64 {
+        let is_within = self.used_tokens() <= self.limit_tokens();
+        for received in &mut self.received {
+            received.is_booking = is_within
+                && received.is_covered
+                && next.move_given(received.giver, received.tokens);
+        }
+        self.booking_tokens()
+    }
+
+    fn booking_tokens(&self) -> u64 {
+        let booking = self.received.iter().filter(|received| received.is_booking);
+        booking.map(|received| received.tokens).sum()
     }
 
     /// Notes that a planned record is sent.
@@ -344,7 +440,8 @@
             return;
         };
         self.writes = holder.write;
-        self.returning_tokens = self.granted_tokens.saturating_sub(holder.granted_tokens);
+        let before = self.granted_tokens + self.booking_tokens();
+        self.returning_tokens = before.saturating_sub(holder.granted_tokens);
         self.pending = Some(Pending {
             write: holder.write,
             granted_tokens: holder.granted_tokens,
@@ -356,6 +453,10 @@
         if let Some(pending) = self.pending.take() {
             if was_written {
                 self.granted_tokens = pending.granted_tokens;
+                self.received.retain(|received| !received.is_booking);
+            }
+            for received in &mut self.received {
+                received.is_booking = false;
             }
             self.returning_tokens = 0;
         }
@@ -372,15 +473,25 @@
 
     /// Notes what the newest record says.
     pub fn observe(&mut self, record: &TeamRecord, router: u64, prepaid: u64) {
-        let reported = record
-            .holder(router)
-            .map_or(0, |holder| holder.spent_tokens);
+        let holder = record.holder(router);
+        if let Some(holder) = holder {
+            let moved = holder.moved_tokens.saturating_sub(self.moved_tokens);
+            self.moved_tokens += moved;
+            self.granted_tokens = self.granted_tokens.saturating_sub(moved);
+            if let Some(pending) = &mut self.pending {
+                pending.granted_tokens = pending.granted_tokens.saturating_sub(moved);
+            }
+        }
+        let reported = holder.map_or(0, |holder| holder.spent_tokens);
         let unreported = (self.spent_tokens + self.reserved_tokens).saturating_sub(reported);
-        self.unspent_tokens = Some(record.unspent_tokens(prepaid).saturating_sub(unreported));
+        let unspent = record.unspent_tokens(prepaid).saturating_sub(unreported);
+        self.unspent_tokens = Some(unspent);
+        self.unspent_part = unspent as f64 / prepaid.max(1) as f64;
     }
 
     /// Gives rights to another router: at most what it asks for, and at most `part_millis` thousandths of what is
-    /// available. The record keeps them in this router's entry; an answer that is lost strands them.
+    /// available. The record keeps them in this router's entry until the receiver moves them; an answer that is lost
+    /// strands them.
     pub fn give(&mut self, asked_tokens: u64, part_millis: u64) -> u64 {
         let given = asked_tokens.min(self.spendable_tokens() * part_millis / 1_000);
         self.given_tokens += given;
@@ -391,8 +502,14 @@
     }
 
     /// Takes rights that another router gave.
-    pub fn receive(&mut self, tokens: u64) {
-        self.received_tokens += tokens;
+    pub fn receive(&mut self, giver: u64, tokens: u64) {
+        self.received.push(Received {
+            giver,
+            tokens,
+            is_covered: false,
+            is_in_entry: false,
+            is_booking: false,
+        });
     }
 
     /// Returns what to ask other routers for so that requests do not wait: the next seconds' need.
@@ -419,10 +536,16 @@
         self.granted_tokens
     }
 
-    fn with_granted(&self, record: &TeamRecord, router: u64, granted: u64) -> TeamRecord {
-        let mut next = record.clone();
+    /// Makes the next record; `base` is what this router's entry has with the received rights that it moves.
+    fn with_granted(
+        &self,
+        mut next: TeamRecord,
+        router: u64,
+        base: u64,
+        granted: u64,
+    ) -> TeamRecord {
         next.revision += 1;
-        next.granted_tokens = (next.granted_tokens + granted).saturating_sub(self.granted_tokens);
+        next.granted_tokens = (next.granted_tokens + granted).saturating_sub(base);
         let entry = Holder {
             router,
             granted_tokens: granted,
@@ -430,6 +553,7 @@
             rate_tokens_per_s: self.rate_tokens_per_s as u64,
             write: self.writes + 1,
             revision: next.revision,
+            moved_tokens: self.moved_tokens,
         };
         match next
             .holders
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,13 +11,14 @@
 //! | relay the response, count what is delivered | `relay` |
 //!
 //! Beside the requests, `watch` follows configuration and upstreams, `funds` keeps spending rights at hand and
-//! `journal` shows how far they may be used, `presence` splits the limits that hold over all gateways, `notices` tells
+//! `journal` shows how far they may be used, `clock` asks others for their time, `presence` splits the limits that hold over all gateways, `notices` tells
 //! the others of long prompts, and `stop` ends the process without cutting requests. Decisions are pure functions in
 //! [`crate::routing`], [`crate::directory`], [`crate::placement`], [`crate::allowance`] and [`crate::fleet_share`]. The
 //! design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod callers;
+mod clock;
 mod funds;
 mod journal;
 mod notices;
@@ -42,6 +43,7 @@
 
 use crate::collections::FastMap;
 use crate::directory::Directory;
+use crate::fleet_clock::FleetClock;
 use crate::fleet_share::{RetryLimit, Routers};
 use crate::metrics::Metrics;
 use crate::placement::{Placement, Prompt};
@@ -111,6 +113,7 @@
     funds: funds::Funds,
     notices: notices::Notices,
     journal: journal::Journal,
+    clock: RefCell<FleetClock>,
     routers: RefCell<Routers>,
     retries: RefCell<FastMap<CompactString, RetryLimit>>,
     metrics: Metrics,
@@ -182,6 +185,7 @@
     monoio::spawn(presence::follow(Rc::clone(&shared)));
     monoio::spawn(presence::report(Rc::clone(&shared)));
     monoio::spawn(notices::receive(Rc::clone(&shared)));
+    monoio::spawn(clock::run(Rc::clone(&shared)));
     monoio::spawn(journal::run(Rc::clone(&shared)));
     monoio::spawn(funds::run(Rc::clone(&shared)));
     monoio::spawn(tick(Rc::clone(&shared)));
@@ -209,6 +213,7 @@
         funds: funds::Funds::default(),
         notices,
         journal: journal::Journal::default(),
+        clock: RefCell::default(),
         routers: RefCell::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -68,6 +68,16 @@
     Refused(Refusal, CompactString, Option<u64>),
 }
 
+impl Failure {
+    /// Returns whether an upstream may still work on the request, because nobody waited for its response.
+    pub(super) fn may_still_run(&self) -> bool {
+        matches!(
+            self,
+            Self::CallerGone | Self::Refused(Refusal::TimedOut, ..)
+        )
+    }
+}
+
 /// Attempts of one request so far.
 #[derive(Default)]
 pub(super) struct Attempts {
--- /dev/null
+++ b/src/gateway/clock.rs
@@ -0,0 +1,124 @@
+//! Clocks of this VM, and questions to other gateways for theirs.
+//!
+//! An answer counts only if it comes quickly, so that a busy VM or a full link does not make the time of the fleet
+//! appear to be earlier than it is. See [`crate::fleet_clock`].
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::seq::IteratorRandom;
+
+use super::notices::ClockReport;
+use super::{presence, Shared};
+use crate::fleet_clock::MIN_CLOCKS;
+
+/// Interval between two rounds of questions.
+const INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// Gateways that are asked in one round.
+const ASKED_GATEWAYS: usize = 3;
+
+/// Longest time between question and answer.
+const ANSWER_MS: u64 = 100;
+
+/// Gateways that are asked at a start, so that a clock or two may be wrong.
+const ASKED_AT_START: usize = 9;
+
+/// Rounds of questions at a start, and the time between them; gateways that start together answer within it.
+const START_ROUNDS: u32 = 10;
+const START_INTERVAL: Duration = Duration::from_millis(120);
+
+/// Asks other gateways for their time until the process ends.
+pub(super) async fn run(shared: Rc<Shared>) {
+    loop {
+        let peers = {
+            let routers = shared.routers.borrow();
+            let mut random = shared.random.borrow_mut();
+            let peers = routers.peers(&shared.settings.vm);
+            peers.choose_multiple(&mut *random, ASKED_GATEWAYS)
+        };
+        ask(&shared, &peers);
+        monoio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Learns the time of the fleet at a start from gateways that reported their presence at any time.
+pub(super) async fn learn(shared: &Shared) {
+    let mut known: Vec<SocketAddr> = Vec::new();
+    for _ in 0..START_ROUNDS {
+        if known.is_empty() {
+            let addresses = presence::addresses(shared).await;
+            let mut random = shared.random.borrow_mut();
+            known = addresses
+                .into_iter()
+                .choose_multiple(&mut *random, ASKED_AT_START);
+        }
+        ask(shared, &known);
+        monoio::time::sleep(START_INTERVAL).await;
+        let (wall_ms, steady_ms) = (wall_ms(), steady_ms());
+        if shared.clock.borrow().now_ms(wall_ms, steady_ms).is_some() {
+            return;
+        }
+    }
+    log::warn!(step = "fleet time", asked = known.len(); "fewer than {MIN_CLOCKS} clocks are known");
+}
+
+fn ask(shared: &Shared, peers: &[SocketAddr]) {
+    let question = ClockReport {
+        wall_ms: 0,
+        asked_steady_ms: steady_ms(),
+        is_answer: false,
+    };
+    for peer in peers {
+        shared.notices.send_clock(&question, *peer);
+    }
+}
+
+/// Takes a question or an answer of another gateway.
+pub(super) fn take(shared: &Shared, report: &ClockReport, peer: SocketAddr) {
+    if !report.is_answer {
+        let answer = ClockReport {
+            wall_ms: wall_ms(),
+            asked_steady_ms: report.asked_steady_ms,
+            is_answer: true,
+        };
+        shared.notices.send_clock(&answer, peer);
+        return;
+    }
+    let now_ms = steady_ms();
+    let is_quick = now_ms
+        .checked_sub(report.asked_steady_ms)
+        .is_some_and(|elapsed_ms| elapsed_ms <= ANSWER_MS);
+    if is_quick {
+        let mut clock = shared.clock.borrow_mut();
+        clock.sample(peer, report.wall_ms, now_ms);
+    }
+}
+
+/// Reads the wall clock.
+pub(super) fn wall_ms() -> u64 {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    match wall {
+        Ok(wall) => wall.as_millis() as u64,
+        Err(error) => {
+            log::error!(step = "clock"; "the wall clock shows a time before 1970: {error}");
+            0
+        }
+    }
+}
+
+/// Reads the steady clock, which all processes of one boot share.
+pub(super) fn steady_ms() -> u64 {
+    let mut steady = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    // SAFETY: The pointer leads to a local value of the right type, and the call writes nothing else.
+    let result = unsafe { libc::clock_gettime(libc::CLOCK_MONOTONIC, &mut steady) };
+    if result != 0 {
+        log::error!(step = "clock"; "no steady clock: {}", std::io::Error::last_os_error());
+        return 0;
+    }
+    steady.tv_sec as u64 * 1_000 + steady.tv_nsec as u64 / 1_000_000
+}
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -13,7 +13,7 @@
 use compact_str::CompactString;
 
 use super::Shared;
-use crate::allowance::{Mark, Shortage};
+use crate::allowance::{Mark, Shortage, LOCKED_MS};
 use crate::collections::FastMap;
 use crate::notify::Notify;
 use crate::routing::Table;
@@ -50,8 +50,13 @@
     teams: RefCell<FastMap<CompactString, Rc<TeamFunds>>>,
     added: Notify,
     unstarted: RefCell<Vec<Rc<TeamFunds>>>,
-    /// Process that ran on this VM before, with its marks.
-    predecessor: RefCell<Option<(u64, Vec<Mark>)>>,
+    predecessor: RefCell<Option<Predecessor>>,
+}
+
+/// Process that ran on this VM before, with the most that it can have used of each team's rights.
+struct Predecessor {
+    router: u64,
+    limits_tokens: FastMap<CompactString, u64>,
 }
 
 /// Rights that one request holds until it is settled; what is not charged becomes available at the end.
@@ -141,13 +146,17 @@
         shared: &Shared,
         team: &str,
         tokens: u64,
+        left_ms: u64,
     ) -> Result<Option<Reservation>, Shortage> {
         let Some(team) = self.teams.borrow().get(team).cloned() else {
             return Ok(None);
         };
         match team.try_reserve(tokens, shared.now_ms()) {
             Ok(reservation) => Ok(Some(reservation)),
-            Err(Shortage::NotHeld) => team.wait_for_rights(shared, tokens).await.map(Some),
+            Err(Shortage::NotHeld) => team
+                .wait_for_rights(shared, tokens, left_ms)
+                .await
+                .map(Some),
             Err(Shortage::Exhausted) => Err(Shortage::Exhausted),
         }
     }
@@ -174,11 +183,11 @@
     }
 
     /// Takes rights that another gateway gave.
-    pub(super) fn receive(&self, shared: &Shared, team: &str, tokens: u64) {
+    pub(super) fn receive(&self, shared: &Shared, team: &str, giver: u64, tokens: u64) {
         let Some(team) = self.teams.borrow().get(team).cloned() else {
             return;
         };
-        team.account.borrow_mut().receive(tokens);
+        team.account.borrow_mut().receive(giver, tokens);
         team.wake_journal(shared);
         team.changed.notify();
         log::info!(
@@ -188,18 +197,12 @@
     }
 
     /// Returns the marks that the next journal entry should show.
-    pub(super) fn next_marks(&self) -> Vec<Mark> {
+    pub(super) fn begin_entry(&self) -> Vec<Mark> {
         let teams = self.teams.borrow();
-        let marks = teams.values().map(|team| {
-            let mut account = team.account.borrow_mut();
-            let open_tokens = account.next_mark();
-            account.lower_mark(open_tokens);
-            Mark {
-                team: team.name.to_string(),
-                open_tokens,
-            }
-        });
-        marks.filter(|mark| mark.open_tokens > 0).collect()
+        let marks = teams
+            .values()
+            .map(|team| Mark::new(&team.name, team.account.borrow_mut().begin_entry()));
+        marks.filter(|mark| mark.held_tokens > 0).collect()
     }
 
     /// Applies the marks of a journal entry that has taken effect.
@@ -207,34 +210,56 @@
         let teams = self.teams.borrow();
         for mark in marks {
             if let Some(team) = teams.get(mark.team.as_str()) {
-                team.account.borrow_mut().open(mark.open_tokens);
+                team.account.borrow_mut().open(mark.limit());
                 team.changed.notify();
             }
         }
     }
 
-    /// Sets whether the store has been away for so long that marks no longer bind.
-    pub(super) fn set_cut_off(&self, is_cut_off: bool) {
+    /// Sets the age of the newest entry of the journal, with which more can be spent.
+    pub(super) fn set_entry_age(&self, age_ms: u64) {
         for team in self.teams.borrow().values() {
-            team.account.borrow_mut().set_cut_off(is_cut_off);
-            team.changed.notify();
+            team.account.borrow_mut().set_entry_age(age_ms);
+            if age_ms > LOCKED_MS {
+                team.changed.notify();
+            }
         }
     }
 
-    /// Takes back the rights of the process that ran on this VM before, beyond its marks.
-    pub(super) fn reclaim(&self, router: u64, marks: &[Mark]) {
-        *self.predecessor.borrow_mut() = Some((router, marks.to_vec()));
+    /// Takes back the rights of the process that ran on this VM before, beyond what its last entry lets it spend at the
+    /// age that it had at most when this process started.
+    pub(super) fn reclaim(&self, router: u64, marks: &[Mark], age_ms: u64) {
+        let limits = marks
+            .iter()
+            .map(|mark| (mark.team.as_str().into(), mark.limit().at(age_ms)));
+        *self.predecessor.borrow_mut() = Some(Predecessor {
+            router,
+            limits_tokens: limits.collect(),
+        });
         for team in self.teams.borrow().values() {
             team.predecessor.set(self.predecessor_of(&team.name));
             team.wake();
         }
     }
 
+    /// Returns whether rights of the process before are still to be taken back.
+    pub(super) fn is_reclaiming(&self) -> bool {
+        let teams = self.teams.borrow();
+        teams.values().any(|team| team.predecessor.get().is_some())
+    }
+
+    /// Looks at all records soon.
+    pub(super) fn wake_all(&self) {
+        for team in self.teams.borrow().values() {
+            team.wake();
+        }
+    }
+
     fn predecessor_of(&self, team: &str) -> Option<(u64, u64)> {
         let predecessor = self.predecessor.borrow();
-        let (router, marks) = predecessor.as_ref()?;
-        let mark = marks.iter().find(|mark| mark.team == team);
-        Some((*router, mark.map_or(0, |mark| mark.open_tokens)))
+        let predecessor = predecessor.as_ref()?;
+        let limit_tokens = predecessor.limits_tokens.get(team).copied();
+        Some((predecessor.router, limit_tokens.unwrap_or(0)))
     }
 
     /// Returns when a request that found too few rights may find them.
--- a/src/gateway/funds/team.rs
+++ b/src/gateway/funds/team.rs
@@ -26,6 +26,14 @@
 /// Longest time for which a request waits for rights that only other gateways have; they answer within some milliseconds.
 const PEER_WAIT: Duration = Duration::from_millis(80);
 
+/// Longest time for which a request waits until held rights become spendable as the journal entry grows old, and the
+/// least part of its time that it may wait; afterwards its upstream needs the rest.
+const UNLOCK_WAIT_MS: u64 = 2_500;
+const UNLOCK_PART: u64 = 2;
+
+/// Margin for the intervals at which the age is applied.
+const UNLOCK_MARGIN_MS: u64 = 120;
+
 /// Time without an answer of the store after which other gateways are asked for rights.
 const OUTAGE_MS: u64 = 300;
 
@@ -51,7 +59,7 @@
     pub(super) free_tokens: Cell<u64>,
     /// Time of the last question to other gateways.
     pub(super) asked_ms: Cell<u64>,
-    /// Process that ran on this VM before and its mark, while its rights can be taken back.
+    /// Process that ran on this VM before and the most that it can have used, while its rights can be taken back.
     pub(super) predecessor: Cell<Option<(u64, u64)>>,
 }
 
@@ -125,6 +133,7 @@
         self: &Rc<Self>,
         shared: &Shared,
         tokens: u64,
+        left_ms: u64,
     ) -> Result<Reservation, Shortage> {
         self.account.borrow_mut().want(tokens);
         if self.account.borrow().available_tokens() < tokens {
@@ -138,6 +147,11 @@
             self.ask_peers(shared);
             PEER_WAIT
         };
+        let unlock = self.account.borrow().unlock_wait_ms(tokens);
+        let unlock = unlock
+            .map(|wait_ms| wait_ms + UNLOCK_MARGIN_MS)
+            .filter(|wait_ms| *wait_ms <= UNLOCK_WAIT_MS.min(left_ms / UNLOCK_PART));
+        let limit = limit.max(Duration::from_millis(unlock.unwrap_or(0)));
         let mut last = Shortage::NotHeld;
         let wait = self
             .changed
@@ -159,9 +173,9 @@
         let Some((record, end)) = self.read(shared).await else {
             return Cycle::Done;
         };
-        if let Some((router, open_tokens)) = self.predecessor.get() {
+        if let Some((router, limit_tokens)) = self.predecessor.get() {
             return self
-                .reclaim(shared, &record, end, router, open_tokens)
+                .reclaim(shared, &record, end, router, limit_tokens)
                 .await;
         }
         let routers = shared.routers.borrow().count();
@@ -169,6 +183,7 @@
             let mut account = self.account.borrow_mut();
             account.decay_rate(shared.now_ms());
             let planned = match goal {
+                Goal::Hold if !shared.journal.is_open() => None,
                 Goal::Hold => {
                     account.plan(&record, shared.router, self.prepaid_tokens.get(), routers)
                 }
@@ -202,9 +217,9 @@
         record: &TeamRecord,
         end: u64,
         router: u64,
-        open_tokens: u64,
+        limit_tokens: u64,
     ) -> Cycle {
-        let Some(planned) = record.reclaim(router, open_tokens) else {
+        let Some(planned) = record.reclaim(router, limit_tokens) else {
             self.predecessor.set(None);
             return Cycle::Conflict;
         };
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -1,17 +1,20 @@
-//! The journal of this VM: up to where the spending rights that this process holds may be used.
+//! The journal of this VM: how far the spending rights that this process holds may be used.
 //!
 //! One record for each VM, written under the condition that nothing was written in between. Its content is repeated
 //! unchanged until it is known whether it took effect, so the time that it states is never younger than the last moment
 //! at which the process could still learn of it. See [`crate::allowance`] for the rule that this serves.
+//!
+//! A process that finds an entry of the one before it takes back the rights that this one cannot have used, and only
+//! then writes its own first entry: a process that is killed at once leaves the old entry to the next one.
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use prost::Message;
 
-use super::Shared;
-use crate::allowance::{ClockReading, JournalEntry, CUT_OFF_MS};
+use super::{clock, Shared};
+use crate::allowance::{ClockReading, JournalEntry};
 use crate::notify::Notify;
 use crate::store::{Appended, Feed, Record};
 
@@ -19,15 +22,24 @@
 const SLOTS: u64 = 480;
 
 /// Longest time between two entries; the newest one must be young when the process is killed.
-const INTERVAL: Duration = Duration::from_millis(450);
+const INTERVAL: Duration = Duration::from_millis(200);
 
 /// Shortest time between two entries.
 const MIN_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Longest time for which the first entry waits until the rights of the process before are taken back.
+const RECLAIM_TIME: Duration = Duration::from_millis(2_000);
+
+/// Interval of looks at whether they are.
+const RECLAIM_POLL: Duration = Duration::from_millis(10);
+
+/// Age of an entry above which the store counts as out of reach, for the log.
+const OUT_OF_REACH_MS: u64 = 1_000;
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
-/// Interval of looks at whether the store has been away for too long.
+/// Interval at which the growing age of the newest entry is applied.
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 
 /// State of the journal.
@@ -37,9 +49,15 @@
     is_needed: Cell<bool>,
     /// Time at which the content of the newest entry was made.
     made_ms: Cell<u64>,
+    is_open: Cell<bool>,
 }
 
 impl Journal {
+    /// Returns whether an entry of this process has taken effect; before, it takes no rights.
+    pub(super) fn is_open(&self) -> bool {
+        self.is_open.get()
+    }
+
     /// Asks for an entry soon.
     pub(super) fn wake(&self) {
         self.is_needed.set(true);
@@ -50,12 +68,15 @@
 /// Writes the journal until the process ends.
 pub(super) async fn run(shared: Rc<Shared>) {
     let start = clocks();
-    let mut end = take_over(&shared, &start).await;
+    let mut end = take_over(&shared, start).await;
     let mut write = 0;
     monoio::spawn(watch(Rc::clone(&shared)));
     loop {
         write += 1;
         end = write_entry(&shared, write, end).await;
+        if !shared.journal.is_open.replace(true) {
+            shared.funds.wake_all();
+        }
         monoio::time::sleep(MIN_INTERVAL).await;
         let journal = &shared.journal;
         let needed = journal
@@ -66,51 +87,67 @@
     }
 }
 
-/// Lifts the marks while the store has been away for too long.
+/// Raises the limits as the newest entry grows old.
 async fn watch(shared: Rc<Shared>) {
-    let mut was_cut_off = false;
+    let mut was_out_of_reach = false;
     loop {
         monoio::time::sleep(WATCH_INTERVAL).await;
         let now_ms = shared.now_ms();
         let age_ms = now_ms.saturating_sub(shared.journal.made_ms.get());
-        let is_cut_off = age_ms >= CUT_OFF_MS;
-        if is_cut_off != was_cut_off {
-            log::info!(step = "journal", cut_off = is_cut_off, age_ms = age_ms, at_ms = now_ms; "journal is {}", if is_cut_off { "out of reach" } else { "back" });
-            was_cut_off = is_cut_off;
+        let is_out_of_reach = age_ms >= OUT_OF_REACH_MS;
+        if is_out_of_reach != was_out_of_reach {
+            log::info!(step = "journal", out_of_reach = is_out_of_reach, age_ms = age_ms, at_ms = now_ms; "journal is {}", if is_out_of_reach { "out of reach" } else { "back" });
+            was_out_of_reach = is_out_of_reach;
         }
-        shared.funds.set_cut_off(is_cut_off);
+        shared.funds.set_entry_age(age_ms);
     }
 }
 
-/// Reads the last entry of the process before this one and returns the end of the feed.
-async fn take_over(shared: &Shared, start: &ClockReading) -> u64 {
-    loop {
+/// Takes back the rights of the process before this one; returns the end of the feed.
+async fn take_over(shared: &Rc<Shared>, mut start: ClockReading) -> u64 {
+    let (entry, end) = loop {
         match read(shared).await {
-            Some((entry, end)) => {
-                if let Some(entry) = entry {
-                    let is_reclaimable = entry.is_reclaimable(start);
-                    log::info!(
-                        step = "predecessor", predecessor = entry.router, reclaim = is_reclaimable,
-                        steady_ms = start.steady_ms.wrapping_sub(entry.steady_ms),
-                        wall_ms = start.wall_ms.wrapping_sub(entry.wall_ms); "journal taken over"
-                    );
-                    if is_reclaimable {
-                        shared.funds.reclaim(entry.router, &entry.marks);
-                    }
-                }
-                return end;
-            }
+            Some(newest) => break newest,
             None => monoio::time::sleep(RETRY_PAUSE).await,
         }
+    };
+    let Some(entry) = entry else {
+        return end;
+    };
+    let mut age_ms = entry.age_at(&start);
+    if age_ms.is_none() && entry.fleet_ms.is_some() {
+        clock::learn(shared).await;
+        let clock = shared.clock.borrow();
+        start.fleet_ms = clock.now_ms(start.wall_ms, start.steady_ms);
+        age_ms = entry.age_at(&start);
+    }
+    log::info!(
+        step = "predecessor", predecessor = entry.router, reclaim = age_ms.is_some(),
+        age_ms = age_ms.unwrap_or(0), knows_fleet_time = start.fleet_ms.is_some(),
+        steady_ms = start.steady_ms.wrapping_sub(entry.steady_ms),
+        wall_ms = start.wall_ms.wrapping_sub(entry.wall_ms); "journal taken over"
+    );
+    if let Some(age_ms) = age_ms {
+        shared.funds.reclaim(entry.router, &entry.marks, age_ms);
+        let reclaimed = async {
+            while shared.table.borrow().is_none() || shared.funds.is_reclaiming() {
+                monoio::time::sleep(RECLAIM_POLL).await;
+            }
+        };
+        if monoio::time::timeout(RECLAIM_TIME, reclaimed)
+            .await
+            .is_err()
+        {
+            log::warn!(step = "predecessor", predecessor = entry.router; "not all rights were taken back in time");
+        }
     }
+    end
 }
 
 /// Writes one entry and waits until it is known that it took effect; returns the new end of the feed.
 async fn write_entry(shared: &Shared, write: u64, mut end: u64) -> u64 {
     // What is needed from here on is not part of this entry.
     shared.journal.is_needed.set(false);
-    // From here on the entry can take effect, so nothing may be used beyond its marks until it is old.
-    shared.funds.set_cut_off(false);
     let made_ms = shared.now_ms();
     let now = clocks();
     let entry = JournalEntry {
@@ -119,7 +156,8 @@
         steady_ms: now.steady_ms,
         wall_ms: now.wall_ms,
         boot: now.boot,
-        marks: shared.funds.next_marks(),
+        marks: shared.funds.begin_entry(),
+        fleet_ms: shared.clock.borrow().now_ms(now.wall_ms, now.steady_ms),
     };
     shared.journal.made_ms.set(made_ms);
     let value = bytes::Bytes::from(entry.encode_to_vec());
@@ -179,23 +217,11 @@
 
 /// Reads the clocks of the VM.
 fn clocks() -> ClockReading {
-    let mut steady = libc::timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    // SAFETY: The pointer leads to a local value of the right type, and the call writes nothing else.
-    let result = unsafe { libc::clock_gettime(libc::CLOCK_MONOTONIC, &mut steady) };
-    let steady_ms = if result == 0 {
-        steady.tv_sec as u64 * 1_000 + steady.tv_nsec as u64 / 1_000_000
-    } else {
-        log::error!(step = "journal"; "no steady clock: {}", std::io::Error::last_os_error());
-        0
-    };
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
     ClockReading {
-        steady_ms,
-        wall_ms: wall.map_or(0, |wall| wall.as_millis() as u64),
+        steady_ms: clock::steady_ms(),
+        wall_ms: clock::wall_ms(),
         // Without a boot id the clocks alone tell a restart of the VM.
         boot: std::fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default(),
+        fleet_ms: None,
     }
 }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,4 +1,4 @@
-//! Datagrams between gateways: notices of long prompts, and transfers of spending rights.
+//! Datagrams between gateways: notices of long prompts, transfers of spending rights, and questions for the time.
 //!
 //! All gateways place requests at the same engines and each sees only its own. A gateway that sends a long prompt to an
 //! engine tells the others at once, in one datagram each. Datagrams may be lost: the others then place as if the
@@ -19,7 +19,7 @@
 use rand::seq::IteratorRandom;
 use rand::Rng;
 
-use super::Shared;
+use super::{clock, Shared};
 use crate::collections::FastMap;
 
 /// Prompts that take at least this long to read are worth a notice, in milliseconds.
@@ -48,7 +48,7 @@
 #[derive(Clone, PartialEq, Message)]
 struct Datagram {
     /// Content.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5")]
     content: Option<Content>,
 }
 
@@ -63,6 +63,22 @@
     /// Rights that a gateway which stops leaves to another one.
     #[prost(message, tag = "4")]
     Leave(Transfer),
+    #[prost(message, tag = "5")]
+    Clock(ClockReport),
+}
+
+/// A question for the wall clock of another gateway, or the answer.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct ClockReport {
+    /// Wall clock of the gateway that answers.
+    #[prost(uint64, tag = "1")]
+    pub(super) wall_ms: u64,
+    /// Steady clock of the gateway that asks, at the question.
+    #[prost(uint64, tag = "2")]
+    pub(super) asked_steady_ms: u64,
+    /// Whether this is the answer.
+    #[prost(bool, tag = "3")]
+    pub(super) is_answer: bool,
 }
 
 /// Spending rights that are asked for, given or left.
@@ -77,6 +93,9 @@
     /// Random number of the question, which its answer repeats, or of what is left.
     #[prost(fixed64, tag = "3")]
     id: u64,
+    /// Process that gives or leaves them.
+    #[prost(fixed64, tag = "4")]
+    giver: u64,
 }
 
 /// A prompt that was sent to an engine.
@@ -168,6 +187,7 @@
                 team: team.into(),
                 tokens,
                 id,
+                giver: 0,
             };
             self.send_datagram(encode(Content::Ask(ask)), peer);
         }
@@ -183,6 +203,7 @@
                 team: team.into(),
                 tokens,
                 id: random.random(),
+                giver: shared.router,
             };
             self.send_datagram(encode(Content::Leave(leave)), peer);
         }
@@ -193,7 +214,9 @@
         let mut left = self.left.borrow_mut();
         left.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < REMEMBERED_MS);
         if left.insert(leave.id, now_ms).is_none() {
-            shared.funds.receive(shared, &leave.team, leave.tokens);
+            shared
+                .funds
+                .receive(shared, &leave.team, leave.giver, leave.tokens);
         }
     }
 
@@ -204,6 +227,7 @@
                 team: ask.team.clone(),
                 tokens,
                 id: ask.id,
+                giver: shared.router,
             };
             self.send_datagram(encode(Content::Give(give)), peer);
         }
@@ -212,10 +236,17 @@
     fn accept(&self, shared: &Shared, give: &Transfer) {
         // An answer counts once, and only to a question of this process.
         if self.asked.borrow_mut().remove(&give.id).is_some() {
-            shared.funds.receive(shared, &give.team, give.tokens);
+            shared
+                .funds
+                .receive(shared, &give.team, give.giver, give.tokens);
         }
     }
 
+    /// Sends a question or an answer about clocks.
+    pub(super) fn send_clock(&self, report: &ClockReport, peer: SocketAddr) {
+        self.send_datagram(encode(Content::Clock(report.clone())), peer);
+    }
+
     fn send_datagram(&self, content: Vec<u8>, peer: SocketAddr) {
         // A datagram that the kernel cannot take now is dropped like one that is lost on the way.
         let _ = self.socket.send_to(content, peer).now_or_never();
@@ -266,6 +297,7 @@
         Some(Content::Ask(ask)) => shared.notices.answer(shared, &ask, peer),
         Some(Content::Give(give)) => shared.notices.accept(shared, &give),
         Some(Content::Leave(leave)) => shared.notices.accept_left(shared, &leave),
+        Some(Content::Clock(report)) => clock::take(shared, &report, peer),
         None => {}
     }
 }
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -1,5 +1,6 @@
 //! Presence of the gateways and how much each one serves, from which shared limits are split.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -52,6 +53,27 @@
     }
 }
 
+/// Returns the addresses of other gateways that reported their presence at any time, for questions at a start.
+pub(super) async fn addresses(shared: &Shared) -> Vec<SocketAddr> {
+    let snapshot = match shared.store.snapshot(Feed::Routers).await {
+        Ok(snapshot) => snapshot,
+        Err(error) => {
+            log::debug!(step = "read presence"; "{error}");
+            return Vec::new();
+        }
+    };
+    let others = snapshot
+        .records
+        .iter()
+        .filter(|record| record.key != shared.settings.vm);
+    others
+        .filter_map(|record| {
+            let presence: Presence = serde_json::from_slice(record.value.as_deref()?).ok()?;
+            presence.peer_address
+        })
+        .collect()
+}
+
 /// Reads the reports of all gateways.
 ///
 /// Only changes count: a report that was written before this process began says nothing of the present.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -198,7 +198,10 @@
     }
     let need = call.meta.input_tokens + call.meta.max_output_tokens;
     let reservation = match call.team_name() {
-        Some(team) if need > 0 => shared.funds.reserve(shared, team, need).await,
+        Some(team) if need > 0 => {
+            let left_ms = call.left_ms(shared);
+            shared.funds.reserve(shared, team, need, left_ms).await
+        }
         _ => Ok(None),
     };
     let reservation = match reservation {
@@ -237,7 +240,13 @@
         }
         Err(failure) => {
             if let Some(reservation) = reservation {
-                reservation.charge(charge_input(&attempts));
+                // A request whose upstream failed delivered nothing and is not billed; its caller sends it again.
+                let is_billed = failure.may_still_run();
+                reservation.charge(if is_billed {
+                    charge_input(&attempts)
+                } else {
+                    0
+                });
             }
             fail(shared, call, caller, &attempts, failure).await
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod evidence;
 pub mod explain;
 pub mod fleet;
+pub mod fleet_clock;
 pub mod fleet_share;
 pub mod fold;
 pub mod gateway;
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -3,7 +3,7 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use monsoonfield::allowance::{
-    Account, ClockReading, JournalEntry, Mark, Shortage, TeamRecord, CUT_OFF_MS,
+    Account, ClockReading, JournalEntry, Limit, Mark, Shortage, TeamRecord, LOCKED_MS,
 };
 
 const PREPAID: u64 = 100_000;
@@ -33,6 +33,8 @@
     late: Vec<(u64, JournalEntry)>,
     /// Offset of the steady clock; another one after a loss of power.
     steady_offset_ms: u64,
+    /// Offset of the wall clock, which jumps now and then.
+    wall_offset_ms: u64,
     router: Router,
 }
 
@@ -48,7 +50,7 @@
     unknown_entry: Option<(u64, JournalEntry)>,
     made_ms: u64,
     entries: u64,
-    /// Process that ran on the VM before and its mark.
+    /// Process that ran on the VM before and the most that it can have used.
     predecessor: Option<(u64, u64)>,
     /// Need of the request that waits for rights.
     wanted: u64,
@@ -83,8 +85,9 @@
     fn clocks(&self, now_ms: u64) -> ClockReading {
         ClockReading {
             steady_ms: now_ms + self.steady_offset_ms,
-            wall_ms: 1_000_000 + now_ms,
+            wall_ms: 1_000_000 + now_ms + self.wall_offset_ms,
             boot: String::new(),
+            fleet_ms: Some(1_000_000 + now_ms),
         }
     }
 
@@ -110,10 +113,7 @@
                 (condition, entry)
             }
             None => {
-                let account = &mut self.router.account;
-                account.set_cut_off(false);
-                let open_tokens = account.next_mark();
-                account.lower_mark(open_tokens);
+                let limit = self.router.account.begin_entry();
                 self.router.entries += 1;
                 self.router.made_ms = now_ms;
                 let clocks = self.clocks(now_ms);
@@ -123,10 +123,8 @@
                     steady_ms: clocks.steady_ms,
                     wall_ms: clocks.wall_ms,
                     boot: clocks.boot,
-                    marks: vec![Mark {
-                        team: "team".into(),
-                        open_tokens,
-                    }],
+                    marks: vec![Mark::new("team", limit)],
+                    fleet_ms: clocks.fleet_ms,
                 };
                 self.router.unknown_entry = Some((self.journal_end, entry.clone()));
                 (self.journal_end, entry)
@@ -147,7 +145,7 @@
     }
 
     fn opened(&mut self, entry: &JournalEntry) {
-        self.router.account.open(entry.marks[0].open_tokens);
+        self.router.account.open(entry.marks[0].limit());
         self.router.unknown_entry = None;
     }
 }
@@ -180,8 +178,8 @@
         let (record, end) = (self.record.clone(), self.end);
         let router = &mut self.vms[vm].router;
         let id = router.id;
-        if let Some((predecessor, open_tokens)) = router.predecessor {
-            match record.reclaim(predecessor, open_tokens) {
+        if let Some((predecessor, limit_tokens)) = router.predecessor {
+            match record.reclaim(predecessor, limit_tokens) {
                 Some(planned) => {
                     self.send(vm, end, planned, fate, false);
                 }
@@ -189,6 +187,7 @@
             }
             return;
         }
+        router.account.observe(&record, id, SMALL_PREPAID);
         if let Some((condition, content)) = router.unknown.clone() {
             let was_written = router.account.is_written(&record, id);
             if was_written || end > condition {
@@ -199,7 +198,6 @@
             }
             return;
         }
-        router.account.observe(&record, id, SMALL_PREPAID);
         let planned = if returns {
             router.account.plan_return(&record, id)
         } else {
@@ -241,23 +239,48 @@
             vm.steady_offset_ms += 77_777;
         }
         let start = vm.clocks(self.now_ms);
-        let newest = vm
-            .journal
-            .clone()
-            .filter(|entry| entry.is_reclaimable(&start));
+        let predecessor = vm.journal.as_ref().and_then(|entry| {
+            let age_ms = entry.age_at(&start)?;
+            Some((entry.router, entry.marks[0].limit().at(age_ms)))
+        });
         vm.router = Router {
             id,
             made_ms: self.now_ms,
-            predecessor: newest.map(|entry| (entry.router, entry.marks[0].open_tokens)),
+            predecessor,
             ..Router::default()
         };
     }
 
+    /// Checks that a successor which started now would take back no more than what its predecessor has left.
+    fn check_successors(&self) {
+        for vm in &self.vms {
+            let router = &vm.router;
+            let entry = vm
+                .journal
+                .as_ref()
+                .filter(|entry| entry.router == router.id);
+            let (Some(entry), None) = (entry, &router.unknown) else {
+                continue;
+            };
+            let age_ms = entry.age_at(&vm.clocks(self.now_ms)).expect("an age");
+            let limit_tokens = entry.marks[0].limit().at(age_ms);
+            if let Some(reclaimed) = self.record.reclaim(router.id, limit_tokens) {
+                let taken = self.record.granted_tokens - reclaimed.granted_tokens;
+                let left = router.account.available_tokens();
+                assert!(taken <= left, "{taken} taken back of {left} that are left");
+            }
+        }
+    }
+
     fn step(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
         self.now_ms += u.int_in_range(0..=400)?;
+        if u.ratio(1, 60)? {
+            let vm = u.choose_index(self.vms.len())?;
+            self.vms[vm].wall_offset_ms = u.int_in_range(0..=4_000)?;
+        }
         for vm in &mut self.vms {
             let age_ms = self.now_ms - vm.router.made_ms;
-            vm.router.account.set_cut_off(age_ms >= CUT_OFF_MS);
+            vm.router.account.set_entry_age(age_ms);
         }
         let vm = u.choose_index(self.vms.len())?;
         match u.int_in_range(0..=39)? {
@@ -287,16 +310,17 @@
                     self.charged += charge;
                 }
             }
-            15..=16 => {
+            15..=17 => {
                 // A transfer between routers, which may be lost on the way.
                 let asked = u.int_in_range(0..=20_000)?;
                 let given = self.vms[vm].router.account.give(asked, 500);
                 let taker = u.choose_index(self.vms.len())?;
                 if taker != vm && u.ratio(4, 5)? {
-                    self.vms[taker].router.account.receive(given);
+                    let giver = self.vms[vm].router.id;
+                    self.vms[taker].router.account.receive(giver, given);
                 }
             }
-            17..=27 => {
+            18..=27 => {
                 let (fate, returns) = (Fate::draw(u)?, u.ratio(1, 5)?);
                 self.cycle(vm, fate, returns);
             }
@@ -318,7 +342,7 @@
                 }
             }
             _ => {
-                let (down_ms, loses_power) = (u.int_in_range(0..=2_000)?, u.ratio(1, 3)?);
+                let (down_ms, loses_power) = (u.int_in_range(0..=5_000)?, u.ratio(1, 3)?);
                 self.kill(vm, down_ms, loses_power);
             }
         }
@@ -337,11 +361,15 @@
             world.step(u)?;
             let open: u64 = world.vms.iter().flat_map(|vm| &vm.router.open).sum();
             let charged = world.charged;
+            // Rights that a router has and does not spend yet count, too: whatever it has it can spend later.
+            let accounts = world.vms.iter().map(|vm| &vm.router.account);
+            let available: u64 = accounts.map(Account::available_tokens).sum();
             assert!(
-                charged + open <= SMALL_PREPAID,
-                "charged {charged} open {open}"
+                charged + open + available <= SMALL_PREPAID,
+                "charged {charged} open {open} available {available}"
             );
             assert!(world.record.granted_tokens <= SMALL_PREPAID);
+            world.check_successors();
         }
         Ok(())
     })
@@ -351,9 +379,9 @@
 }
 
 /// Guards against rights that are taken back although their process may have used them, and against rights that stay
-/// lost after an ordinary kill.
+/// lost after an ordinary kill or a loss of power.
 #[test]
-fn rights_are_taken_back_only_if_the_clocks_prove_that_they_are_unused() {
+fn an_entry_is_as_old_as_the_clocks_prove_at_most() {
     let entry = JournalEntry {
         router: 1,
         write: 1,
@@ -361,49 +389,103 @@
         wall_ms: 900_000,
         boot: "b".into(),
         marks: Vec::new(),
+        fleet_ms: Some(900_100),
     };
+    let slack_ms = 300;
+    let kill = Some(800 + slack_ms);
+    // Case, steady clock, wall clock, boot, time of the fleet, largest age.
     let cases = [
-        ("a kill and a quick start", 50_800, 900_800, "b", true),
+        ("a kill and a quick start", 50_800, 900_800, "b", None, kill),
+        ("a loss of power", 300, 900_800, "c", Some(900_900), kill),
         (
-            "a start after the mark had stopped binding",
-            51_500,
-            901_500,
-            "b",
-            false,
+            "a loss of power, no other VM",
+            300,
+            900_800,
+            "c",
+            None,
+            None,
         ),
         (
-            "a start just before, within the slack",
-            51_300,
-            901_300,
-            "b",
-            false,
+            "a wall clock that jumped back during a loss of power",
+            300,
+            898_000,
+            "c",
+            Some(904_100),
+            Some(4_000 + slack_ms),
         ),
-        ("another boot", 50_800, 900_800, "c", false),
-        ("a steady clock that began anew", 300, 900_800, "b", false),
         (
             "a steady clock that began anew at a later time",
             70_000,
             900_800,
             "b",
-            false,
+            None,
+            None,
+        ),
+        (
+            "a wall clock that jumped",
+            50_800,
+            898_000,
+            "b",
+            Some(900_900),
+            kill,
         ),
-        ("a wall clock that jumped back", 50_800, 898_000, "b", false),
         (
             "a suspended VM, whose steady clock stood still",
             50_800,
             905_000,
             "b",
-            false,
+            Some(905_100),
+            Some(5_000 + slack_ms),
+        ),
+        (
+            "a fleet whose time is behind by less than the slack",
+            300,
+            900_800,
+            "c",
+            Some(899_900),
+            Some(slack_ms),
+        ),
+        (
+            "a fleet whose time is behind by more",
+            300,
+            900_800,
+            "c",
+            Some(899_000),
+            None,
         ),
     ];
-    for (case, steady_ms, wall_ms, boot, expected) in cases {
+    for (case, steady_ms, wall_ms, boot, fleet_ms, expected) in cases {
         let now = ClockReading {
             steady_ms,
             wall_ms,
             boot: boot.into(),
+            fleet_ms,
         };
-        assert_eq!(entry.is_reclaimable(&now), expected, "{case}");
+        assert_eq!(entry.age_at(&now), expected, "{case}");
+    }
+}
+
+fn limit(open_tokens: u64, held_tokens: u64) -> Limit {
+    Limit {
+        open_tokens,
+        held_tokens,
+    }
+}
+
+/// Guards against a process that spends more than its successor assumes: the limit must not rise before the entry is
+/// old, never fall, and never pass what is held.
+#[test]
+fn the_limit_rises_only_with_the_age_of_the_entry() {
+    let limit = limit(1_000, 5_000);
+    assert_eq!(limit.at(0), 1_000);
+    assert_eq!(limit.at(LOCKED_MS), 1_000);
+    assert_eq!(limit.at(60_000), 5_000);
+    for used in [0, 1_000, 1_001, 3_000, 5_000] {
+        let age_ms = limit.age_for(used).expect("an age");
+        assert!(limit.at(age_ms) >= used, "{used}");
+        assert!(age_ms == 0 || limit.at(age_ms - 1) < used, "{used}");
     }
+    assert_eq!(limit.age_for(5_001), None);
 }
 
 /// Guards against spending up to an old mark while an entry with a lower one may take effect, from which a successor would
@@ -415,8 +497,10 @@
     account.want(30_000);
     cycle(&mut account, &mut record, 1);
     account.unwant(30_000);
-    account.open(5_000);
-    account.lower_mark(1_000);
+    account.open(limit(5_000, 30_000));
+    account.want(1_000);
+    account.begin_entry();
+    account.unwant(1_000);
     assert_eq!(account.reserve(1_001, 0), Err(Shortage::NotHeld));
     assert!(account.reserve(1_000, 0).is_ok());
 }
@@ -429,7 +513,7 @@
     account.want(30_000);
     cycle(&mut account, &mut record, 1);
     account.unwant(30_000);
-    account.open(2_000);
+    account.open(limit(2_000, 30_000));
     assert!(account.reserve(2_000, 0).is_ok());
     assert_eq!(
         account.reserve(1, 0),
@@ -439,13 +523,68 @@
     let reclaimed = record.reclaim(1, 2_000).expect("unused rights");
     assert_eq!(reclaimed.granted_tokens, 2_000);
     assert_eq!(reclaimed.reclaim(1, 2_000), None, "only once");
-    account.set_cut_off(true);
+    account.set_entry_age(60_000);
     assert!(
-        account.reserve(1, 0).is_ok(),
-        "without the store all rights count"
+        account.reserve(28_000, 0).is_ok(),
+        "after a long outage everything that is held counts"
     );
 }
 
+/// Guards against rights that pass between routers in an outage and are stranded by a kill after it: the record never
+/// showed them for the router that received them.
+#[test]
+fn received_rights_are_moved_to_the_receiver_in_the_record() {
+    let mut record = TeamRecord::default();
+    let (mut giver, mut taker) = (Account::default(), Account::default());
+    giver.want(30_000);
+    cycle(&mut giver, &mut record, 1);
+    giver.unwant(30_000);
+    let given = giver.give(10_000, 1_000);
+    taker.receive(1, given);
+    assert!(
+        taker.reserve(10_000, 0).is_ok(),
+        "at once, without the store"
+    );
+    taker.settle(10_000, 4_000);
+    journal(&mut taker);
+    cycle(&mut taker, &mut record, 2);
+    assert_eq!(taker.available_tokens(), taker.granted_tokens() - 4_000);
+    giver.observe(&record, 1, PREPAID);
+    assert_eq!(giver.available_tokens(), 20_000);
+    let held = |router| record.holder(router).expect("an entry").granted_tokens;
+    assert_eq!(held(1), 20_000);
+    assert_eq!(held(2), taker.granted_tokens());
+    assert_eq!(record.granted_tokens, held(1) + held(2));
+    let reclaimed = record.reclaim(2, 4_000).expect("unused rights");
+    assert_eq!(
+        reclaimed.granted_tokens, 24_000,
+        "the giver's and what was used"
+    );
+}
+
+/// Guards against moving received rights before the journal counts them: a successor would take them back although they
+/// were spent.
+#[test]
+fn received_rights_stay_with_the_giver_until_the_journal_counts_them() {
+    let mut record = TeamRecord::default();
+    let (mut giver, mut taker) = (Account::default(), Account::default());
+    giver.want(30_000);
+    cycle(&mut giver, &mut record, 1);
+    journal(&mut taker);
+    taker.receive(1, giver.give(10_000, 1_000));
+    assert!(taker.reserve(10_000, 0).is_ok());
+    taker.observe(&record, 2, PREPAID);
+    if let Some(planned) = taker.plan(&record, 2, PREPAID, ROUTERS) {
+        let holder = planned.holder(1).expect("the giver");
+        assert_eq!(holder.moved_tokens, 0);
+    }
+}
+
+fn journal(account: &mut Account) {
+    let limit = account.begin_entry();
+    account.open(limit);
+}
+
 fn cycle(account: &mut Account, record: &mut TeamRecord, router: u64) {
     account.observe(record, router, PREPAID);
     if let Some(planned) = account.plan(record, router, PREPAID, ROUTERS) {
@@ -453,7 +592,7 @@
         account.finish(true);
         *record = planned;
     }
-    account.open(u64::MAX);
+    account.open(limit(u64::MAX, u64::MAX));
 }
 
 /// Guards against refusing a request that the balance covers while no other router holds rights.
--- /dev/null
+++ b/tests/fleet_clock.rs
@@ -0,0 +1,65 @@
+//! The time of the fleet from clocks of which some are wrong.
+
+use std::net::SocketAddr;
+
+use monsoonfield::fleet_clock::FleetClock;
+
+const STEADY_MS: u64 = 40_000;
+const WALL_MS: u64 = 9_000_000;
+
+fn peer(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+fn clock(walls_ms: &[u64]) -> FleetClock {
+    let mut clock = FleetClock::default();
+    for (number, wall_ms) in walls_ms.iter().enumerate() {
+        clock.sample(peer(number as u8), *wall_ms, STEADY_MS);
+    }
+    clock
+}
+
+/// Guards against rights that are taken back because one VM's clock, or the clocks of a minority, jumped.
+#[test]
+fn a_minority_of_wrong_clocks_does_not_move_the_time() {
+    let right = WALL_MS;
+    let cases: [(&str, u64, &[u64]); 4] = [
+        ("all agree", right, &[right, right + 20, right - 20]),
+        ("the own clock is ahead", right + 5_000, &[right, right]),
+        ("the own clock is behind", right - 5_000, &[right, right]),
+        (
+            "two of five others jumped",
+            right,
+            &[right, right - 9_000, right - 9_000, right, right],
+        ),
+    ];
+    for (case, own_ms, others_ms) in cases {
+        let now_ms = clock(others_ms).now_ms(own_ms, STEADY_MS).expect(case);
+        assert!(now_ms.abs_diff(right) <= 20, "{case}: {now_ms}");
+    }
+}
+
+/// Guards against a time that two clocks make up between them, one of which may be wrong.
+#[test]
+fn too_few_clocks_tell_nothing() {
+    assert_eq!(clock(&[]).now_ms(WALL_MS, STEADY_MS), None);
+    assert_eq!(clock(&[WALL_MS]).now_ms(WALL_MS, STEADY_MS), None);
+    let mut repeated = FleetClock::default();
+    for _ in 0..5 {
+        repeated.sample(peer(1), WALL_MS, STEADY_MS);
+    }
+    assert_eq!(
+        repeated.now_ms(WALL_MS, STEADY_MS),
+        None,
+        "one peer counts once"
+    );
+}
+
+/// Guards against a jump of the own clock after the samples were taken, and against samples from before a long silence.
+#[test]
+fn samples_follow_the_steady_clock_and_expire() {
+    let clock = clock(&[WALL_MS, WALL_MS, WALL_MS]);
+    let later_ms = clock.now_ms(WALL_MS + 9_000, STEADY_MS + 1_000);
+    assert_eq!(later_ms, Some(WALL_MS + 1_000));
+    assert_eq!(clock.now_ms(WALL_MS, STEADY_MS + 60_000), None);
+}
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -495,6 +495,7 @@
 /// A gateway process; it is killed when the value is dropped.
 pub struct Gateway {
     child: Child,
+    pub vm: String,
     pub callers: String,
     pub readiness: String,
     pub metrics: String,
@@ -502,9 +503,15 @@
 }
 
 impl Gateway {
+    /// Starts a gateway on a VM of its own.
     pub fn start(store: &Store) -> Self {
+        Self::start_on(store, &format!("edge-{}", unique()))
+    }
+
+    /// Starts a gateway on a VM, where another one may have run before.
+    pub fn start_on(store: &Store, vm: &str) -> Self {
         let settings = json!({
-            "vm": format!("edge-{}", unique()),
+            "vm": vm,
             "data_centre": "kv-a",
             "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
                        "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0"},
@@ -534,6 +541,7 @@
         let _ = std::fs::remove_file(path);
         Self {
             child,
+            vm: vm.into(),
             callers: address("callers"),
             readiness: address("readiness"),
             metrics: address("metrics"),
@@ -556,6 +564,13 @@
         of_request.cloned().collect()
     }
 
+    /// Returns whether a line of the log has a field of at least this value.
+    pub fn log_has(&self, field: &str, least: u64) -> bool {
+        let lines = self.lines.lock().unwrap();
+        let mut values = lines.iter().filter_map(|line| line[field].as_u64());
+        values.any(|value| value >= least)
+    }
+
     pub fn signal(&self, signal: libc::c_int) {
         // SAFETY: the process is a child of this one that was not waited for, so the id still belongs to it.
         let result = unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -506,6 +506,49 @@
     assert_eq!(statuses.last(), Some(&402));
 }
 
+/// Guards against billing a customer for requests whose upstream failed without any part of a response: their callers
+/// get nothing and send them again.
+#[test]
+fn a_request_that_delivered_nothing_is_not_billed() {
+    let upstream = Upstream::start(|request, number| {
+        if number <= 12 {
+            return Action::WriteAndReset(Vec::new());
+        }
+        let head = signed_head(
+            request,
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+        );
+        let body = event_chunk(1) + "0\r\n\r\n";
+        Action::Write((head + &body).into_bytes())
+    });
+    let (_store, gateway) = fleet(1_200, &[&upstream]);
+    let send = || stream("/stream/1").send(&gateway).status();
+    let failed: Vec<u16> = (0..12).map(|_| send()).collect();
+    assert_eq!(failed, [502; 12], "twelve prompts are the whole budget");
+    assert_eq!(send(), 200);
+}
+
+/// Guards against rights that a killed gateway held for outages and that stay lost.
+#[test]
+fn the_next_process_takes_back_what_a_killed_one_held() {
+    let upstream = token_stream();
+    let (store, gateway) = fleet(1_200, &[&upstream]);
+    wait_for("success", || {
+        stream("/stream/1").send(&gateway).status() == 200
+    });
+    wait_for("rights that are held", || {
+        gateway.log_has("available_tokens", 300)
+    });
+    let vm = gateway.vm.clone();
+    drop(gateway);
+    let gateway = Gateway::start_on(&store, &vm);
+    gateway.wait_ready();
+    let served = (0..12)
+        .filter(|_| stream("/stream/1").send(&gateway).status() == 200)
+        .count();
+    assert!(served >= 7, "{served} of the 8 that are left");
+}
+
 /// Guards against a request that waits for a store which does not answer, and against a refusal that is not true.
 #[test]
 fn without_the_store_held_rights_are_spent_and_the_rest_is_refused_at_once() {
