--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -385,7 +385,7 @@
             let missing = goal - available;
             let taken = missing.min(record.free_tokens(prepaid));
             base + taken
-        } else if available > goal + goal / 2 {
+        } else if available > self.kept_tokens(goal) {
             base.saturating_sub(available - goal)
         } else {
             base
@@ -403,6 +403,18 @@
         Some(self.with_granted(next, router, base, granted))
     }
 
+    /// Returns the rights from which on the surplus is returned. A router without recent traffic keeps more, because the
+    /// number of routers, by which its part is measured, changes while a fleet starts.
+    fn kept_tokens(&self, goal: u64) -> u64 {
+        /// Rate below which a router counts as idle.
+        const IDLE_TOKENS_PER_S: f64 = 1.0;
+        if self.rate_tokens_per_s < IDLE_TOKENS_PER_S {
+            goal * 8
+        } else {
+            goal + goal / 2
+        }
+    }
+
     /// Plans the return of everything that is not reserved, for a planned stop.
     pub fn plan_return(&mut self, record: &TeamRecord, router: u64) -> Option<TeamRecord> {
         let available = self.available_tokens();
--- a/src/fleet_share.rs
+++ b/src/fleet_share.rs
@@ -12,12 +12,19 @@
 
 use crate::collections::FastMap;
 
-/// Time without a report after which a router is taken as gone; three reports.
+/// Time without a report after which a router of a small fleet is taken as gone; three reports.
 pub const PRESENCE_TIMEOUT_MS: u64 = 6_500;
 
 /// Routers that are assumed until the first presence records are read.
 const ASSUMED_ROUTERS: u64 = 12;
 
+/// Routers up to which control calls are made at their shortest intervals. The calls of the whole fleet to the store are
+/// priced and limited, so each router of a larger one calls less often.
+const UNPACED_ROUTERS: u64 = 16;
+
+/// Largest factor by which intervals grow; what a router believes must stay younger than operators allow.
+const MAX_PACE: u64 = 4;
+
 /// Part of the allowed retries that is used, in percent; the rest covers windows that the parts do not see alike.
 const USED_PERCENT: u64 = 70;
 
@@ -57,8 +64,9 @@
 
     /// Removes routers that have not reported in time.
     pub fn expire(&mut self, now_ms: u64) {
+        let timeout_ms = PRESENCE_TIMEOUT_MS * self.pace();
         self.present
-            .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < PRESENCE_TIMEOUT_MS);
+            .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < timeout_ms);
     }
 
     /// Lets all reports count as so much younger, after a time in which none could be read.
@@ -76,6 +84,11 @@
         }
     }
 
+    /// Returns the factor by which the intervals of control calls grow with the fleet.
+    pub fn pace(&self) -> u64 {
+        (self.count() / UNPACED_ROUTERS).clamp(1, MAX_PACE)
+    }
+
     /// Returns the addresses of all routers but this one.
     pub fn peers<'a>(&'a self, vm: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
         self.present
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -132,6 +132,11 @@
         self.random.borrow_mut().random()
     }
 
+    /// Returns the factor by which the intervals of control calls grow with the fleet.
+    fn pace(&self) -> u32 {
+        self.routers.borrow().pace() as u32
+    }
+
     fn is_stopping(&self) -> bool {
         self.phase.get() == Phase::Stopping
     }
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -32,8 +32,12 @@
 /// Looks in a row after another router's change came first.
 const MAX_CONFLICTS: u32 = 6;
 
-/// Pause after a conflict, spread at random so that the routers do not meet again.
-const CONFLICT_PAUSE_MS: u32 = 12;
+/// Longest pause after a conflict for each router, spread at random so that they do not meet again; a change takes two
+/// answers of the store.
+const CONFLICT_PAUSE_MS: u64 = 3;
+
+/// Time over which the first looks at the records are spread.
+const START_SPREAD_MS: u64 = 3_000;
 
 /// Time after which rights that other gateways hold may be back.
 const HELD_RETRY_AFTER_MS: u64 = 700;
@@ -248,10 +252,12 @@
         teams.values().any(|team| team.predecessor.get().is_some())
     }
 
-    /// Looks at all records soon.
-    pub(super) fn wake_all(&self) {
+    /// Looks soon at the records of teams whose requests wait.
+    pub(super) fn wake_waiting(&self) {
         for team in self.teams.borrow().values() {
-            team.wake();
+            if team.is_urgent() {
+                team.wake();
+            }
         }
     }
 
@@ -321,14 +327,21 @@
 }
 
 async fn keep(shared: Rc<Shared>, team: Rc<TeamFunds>) {
+    // Routers that start together would all change the record at once; a request or a reclaim does not wait for this.
+    let spread = Duration::from_millis(u64::from(shared.random()) % START_SPREAD_MS);
+    let needed = team.needed.wait_for(|| team.is_needed.get().then_some(()));
+    let _ = monoio::time::timeout(spread, needed).await;
     while !shared.is_stopping() {
         team.is_needed.set(false);
         for _ in 0..MAX_CONFLICTS {
-            if team.cycle(&shared, Goal::Hold).await != Cycle::Conflict {
+            if team.cycle(&shared, Goal::Hold).await != Cycle::Conflict || !team.is_urgent() {
                 break;
             }
-            let pause_ms = shared.random() % CONFLICT_PAUSE_MS;
-            monoio::time::sleep(Duration::from_millis(u64::from(pause_ms))).await;
+            let routers = shared.routers.borrow();
+            let longest_ms = CONFLICT_PAUSE_MS * routers.count() * routers.pace();
+            drop(routers);
+            let pause_ms = u64::from(shared.random()) % longest_ms;
+            monoio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
         if !team.can_ask(shared.now_ms()) {
             team.ask_peers(&shared);
--- a/src/gateway/funds/team.rs
+++ b/src/gateway/funds/team.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Returns whether a change of the record cannot wait for the next regular look.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.account.borrow().wanted_tokens() > 0 || self.predecessor.get().is_some()
+    }
+
     pub(super) fn wake(&self) {
         self.is_needed.set(true);
         self.needed.notify();
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -21,10 +21,10 @@
 /// Slots over which VMs are spread; a shared slot costs repeated writes.
 const SLOTS: u64 = 480;
 
-/// Longest time between two entries; the newest one must be young when the process is killed.
+/// Longest time between two entries in a small fleet; the newest one must be young when the process is killed.
 const INTERVAL: Duration = Duration::from_millis(200);
 
-/// Shortest time between two entries.
+/// Shortest time between two entries in a small fleet.
 const MIN_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Longest time for which the first entry waits until the rights of the process before are taken back.
@@ -75,15 +75,16 @@
         write += 1;
         end = write_entry(&shared, write, end).await;
         if !shared.journal.is_open.replace(true) {
-            shared.funds.wake_all();
+            shared.funds.wake_waiting();
         }
-        monoio::time::sleep(MIN_INTERVAL).await;
+        let pace = shared.pace();
+        monoio::time::sleep(MIN_INTERVAL * pace).await;
         let journal = &shared.journal;
         let needed = journal
             .needed
             .wait_for(|| journal.is_needed.get().then_some(()));
         // Both ends of the wait lead to the next entry.
-        let _ = monoio::time::timeout(INTERVAL, needed).await;
+        let _ = monoio::time::timeout(INTERVAL * pace, needed).await;
     }
 }
 
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -8,10 +8,10 @@
 use crate::fleet_share::Presence;
 use crate::store::{Changes, Feed, Record};
 
-/// Interval between two reports; every report is a priced call.
+/// Interval between two reports in a small fleet; every report is a priced call.
 const REPORT_INTERVAL: Duration = Duration::from_millis(2_000);
 
-/// Interval between two reads of the reports of others.
+/// Interval between two reads of the reports of others in a small fleet.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Time between two reads above which reports of others may have been missed.
@@ -21,7 +21,7 @@
 pub(super) async fn report(shared: Rc<Shared>) {
     while !shared.is_stopping() {
         write(&shared, false).await;
-        monoio::time::sleep(REPORT_INTERVAL).await;
+        monoio::time::sleep(REPORT_INTERVAL * shared.pace()).await;
     }
 }
 
@@ -83,7 +83,8 @@
     let mut position = None;
     let mut read_ms = shared.now_ms();
     loop {
-        monoio::time::sleep(READ_INTERVAL).await;
+        let pace = shared.pace();
+        monoio::time::sleep(READ_INTERVAL * pace).await;
         let Some(from) = position else {
             match shared.store.snapshot(Feed::Routers).await {
                 Ok(snapshot) => position = Some(snapshot.end),
@@ -97,7 +98,7 @@
                 let now_ms = shared.now_ms();
                 let unread_ms = now_ms.saturating_sub(std::mem::replace(&mut read_ms, now_ms));
                 let mut routers = shared.routers.borrow_mut();
-                if unread_ms > LATE_READ_MS {
+                if unread_ms > LATE_READ_MS * u64::from(pace) {
                     routers.extend(unread_ms);
                 }
                 routers.expire(now_ms);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -18,6 +18,9 @@
 /// Interval between two reads of the upstreams; a leaving upstream must get no more work 2 s after its report.
 const UPSTREAM_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Factor up to which that interval grows with the fleet; the store's answer takes its time, too.
+const MAX_UPSTREAM_PACE: u32 = 2;
+
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -159,7 +162,8 @@
             shared.directory_read_ms.set(shared.now_ms());
             shared.has_directory.set(true);
             expire(&shared);
-            monoio::time::sleep(UPSTREAM_INTERVAL).await;
+            let pace = shared.pace().min(MAX_UPSTREAM_PACE);
+            monoio::time::sleep(UPSTREAM_INTERVAL * pace).await;
         }
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use compact_str::CompactString;
+use compact_str::{format_compact, CompactString};
 use monsoonfield::directory::{Change, Directory, Entry, LAPSE_GRACE_MS};
 use monsoonfield::fleet_share::{Presence, RetryLimit, RetryRule, Routers, PRESENCE_TIMEOUT_MS};
 use monsoonfield::placement::{Candidate, LoadReport, Outcome, Placement, Prompt, Unplaced};
@@ -199,6 +199,31 @@
     );
 }
 
+/// Guards against control calls that grow with the square of the fleet: sixty routers at the intervals of nine made
+/// 2,440 calls a second to the store, twice what it takes.
+#[test]
+fn each_router_of_a_large_fleet_calls_less_often() {
+    let pace = |count: u64| {
+        let mut routers = Routers::default();
+        for vm in 0..count {
+            routers.apply(format_compact!("edge-{vm}"), presence(1), 0);
+        }
+        routers.pace()
+    };
+    assert_eq!([pace(6), pace(9), pace(60), pace(520)], [1, 1, 3, 4]);
+}
+
+/// Guards against taking routers of a large fleet as gone between two of their reports.
+#[test]
+fn a_router_is_present_for_three_of_its_reports() {
+    let mut routers = Routers::default();
+    for vm in 0..60 {
+        routers.apply(format_compact!("edge-{vm}"), presence(1), 0);
+    }
+    routers.expire(3 * 6_000);
+    assert_eq!(routers.count(), 60);
+}
+
 /// Guards against retries beyond the share of requests in any window.
 #[test]
 fn retries_stay_within_their_share_of_requests() {
