Send callers away from a congested VM, take rights back in turns

After a kill of all sixty gateways 1,020 of 1,900 attempts to take rights back were refused by the store, and entries of successors pushed those of the killed out of the record. Gateways now take turns, wait for another turn after a failure, and entries with rights outlast those without. What others ask for no longer raises the mark.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -38,9 +38,13 @@
 /// Part of the unspent budget that all routers together hold for teams whose requests have not come yet, in thousandths.
 const IDLE_MILLIS: u64 = 30;
 
-/// Router entries that a record keeps; entries of ended routers only serve the estimate of what is left.
+/// Router entries from which on a record drops the oldest one that has nothing left.
 const MAX_HOLDERS: usize = 96;
 
+/// Router entries from which on a record drops the oldest one, whatever it has left; what it has left is lost. Three times
+/// as many routers as the largest fleet in use has.
+const MAX_HOLDERS_WITH_RIGHTS: usize = 200;
+
 /// Time constant of the measured spending rate.
 const RATE_WINDOW_MS: f64 = 4_000.0;
 
@@ -154,6 +158,22 @@
         Some(next)
     }
 
+    /// Drops an entry if there are too many, never that of the writer.
+    fn drop_oldest(&mut self, writer: u64) {
+        if self.holders.len() <= MAX_HOLDERS {
+            return;
+        }
+        let is_full = self.holders.len() > MAX_HOLDERS_WITH_RIGHTS;
+        let droppable = self.holders.iter().enumerate().filter(|(_, holder)| {
+            let has_rights = holder.granted_tokens > holder.spent_tokens;
+            holder.router != writer && (is_full || !has_rights)
+        });
+        let oldest = droppable.min_by_key(|(_, holder)| holder.revision);
+        if let Some((index, _)) = oldest {
+            self.holders.remove(index);
+        }
+    }
+
     /// Moves rights from the entry of the router that gave them to the entry of the one that received them.
     ///
     /// Returns whether the entry of the giver still has them; entries of routers that ended long ago are dropped.
@@ -264,7 +284,7 @@
     pub fn begin_entry(&mut self) -> Limit {
         let part = self.unspent_part.clamp(MIN_AHEAD_PART, 1.0);
         let ahead = (self.rate_tokens_per_s * OPEN_AHEAD_MS * part / 1_000.0) as u64;
-        let ahead = ahead.max(self.wanted_tokens) + self.asked_tokens;
+        let ahead = ahead.max(self.wanted_tokens);
         let available = self.available_tokens();
         let next = Limit {
             open_tokens: self.used_tokens() + ahead.min(available),
@@ -441,6 +461,11 @@
         self.booking_tokens()
     }
 
+    /// Returns whether received rights can be moved to this router's entry in the record.
+    pub fn has_covered_rights(&self) -> bool {
+        self.received.iter().any(|received| received.is_covered)
+    }
+
     fn booking_tokens(&self) -> u64 {
         let booking = self.received.iter().filter(|received| received.is_booking);
         booking.map(|received| received.tokens).sum()
@@ -575,11 +600,7 @@
             Some(holder) => *holder = entry,
             None => next.holders.push(entry),
         }
-        if next.holders.len() > MAX_HOLDERS {
-            let oldest = next.holders.iter().map(|holder| holder.revision).min();
-            next.holders
-                .retain(|holder| Some(holder.revision) != oldest || holder.router == router);
-        }
+        next.drop_oldest(router);
         next
     }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -42,6 +42,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::collections::FastMap;
+use crate::congestion::Congestion;
 use crate::directory::Directory;
 use crate::fleet_clock::FleetClock;
 use crate::fleet_share::{RetryLimit, Routers};
@@ -114,6 +115,8 @@
     notices: notices::Notices,
     journal: journal::Journal,
     clock: RefCell<FleetClock>,
+    congestion: RefCell<Congestion>,
+    was_congested: Cell<bool>,
     routers: RefCell<Routers>,
     retries: RefCell<FastMap<CompactString, RetryLimit>>,
     metrics: Metrics,
@@ -143,7 +146,30 @@
 
     /// Returns whether new connections should be sent here.
     fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.table.borrow().is_some() && self.has_directory.get()
+        !self.is_stopping()
+            && !self.is_congested()
+            && self.table.borrow().is_some()
+            && self.has_directory.get()
+    }
+
+    /// Returns whether callers should go to other gateways because packets wait at this VM.
+    fn is_congested(&self) -> bool {
+        self.congestion.borrow().is_congested(self.now_ms())
+    }
+
+    /// Notes how long a connection to an upstream took.
+    fn note_connect(&self, upstream: &str, elapsed_ms: u64) {
+        let now_ms = self.now_ms();
+        let mut congestion = self.congestion.borrow_mut();
+        congestion.connected(upstream, elapsed_ms, now_ms);
+        let is_congested = congestion.is_congested(now_ms);
+        if self.was_congested.replace(is_congested) != is_congested {
+            log::info!(
+                step = "congestion", congested = is_congested, connections = self.connections.get(),
+                open_requests = self.open_requests.get(), at_ms = now_ms;
+                "{}", if is_congested { "packets wait at this VM, callers are sent away" } else { "callers are welcome again" }
+            );
+        }
     }
 }
 
@@ -219,6 +245,8 @@
         notices,
         journal: journal::Journal::default(),
         clock: RefCell::default(),
+        congestion: RefCell::default(),
+        was_congested: Cell::new(false),
         routers: RefCell::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -414,7 +414,10 @@
         Some(socket) => socket,
         None => {
             shared.metrics.add("upstream_connects", 1);
-            match guard(shared, call, caller, None, pool::connect(entry.address)).await {
+            let connecting_ms = shared.now_ms();
+            let connected = guard(shared, call, caller, None, pool::connect(entry.address)).await;
+            shared.note_connect(id, shared.now_ms().saturating_sub(connecting_ms));
+            match connected {
                 Err(interrupt) => return Tried::Interrupted(interrupt),
                 Ok(Err(reason)) => {
                     sent.set_outcome(Outcome::Unreachable);
--- a/src/gateway/funds.rs
+++ b/src/gateway/funds.rs
@@ -18,7 +18,7 @@
 use crate::notify::Notify;
 use crate::routing::Table;
 
-use team::{Cycle, Goal, TeamFunds};
+use team::{Cycle, Goal, Reclaim, TeamFunds};
 
 /// Interval between two looks at a team's record, with few routers and teams.
 const INTERVAL_MS: u64 = 1_000;
@@ -36,6 +36,15 @@
 /// answers of the store.
 const CONFLICT_PAUSE_MS: u64 = 3;
 
+/// Time of one gateway to take back rights of one team; a look and a change take two answers of the store.
+const TURN_MS: u64 = 12;
+
+/// Rights of teams that all gateways together take back in one second; two calls each.
+const RECLAIMS_PER_S: u64 = 800;
+
+/// Time after a look at a record after which received rights are moved in it; until then a kill strands them.
+const BOOK_INTERVAL_MS: u64 = 300;
+
 /// Time over which the first looks at the records are spread.
 const START_SPREAD_MS: u64 = 3_000;
 
@@ -61,6 +70,19 @@
 struct Predecessor {
     router: u64,
     limits_tokens: FastMap<CompactString, u64>,
+    vm: CompactString,
+    /// Time from which its rights are taken back, turns among the gateways, and the length of a turn.
+    from_ms: u64,
+    turns: u64,
+    turn_ms: u64,
+}
+
+/// The last entry of a process that ended.
+pub(super) struct Ended<'e> {
+    pub(super) router: u64,
+    pub(super) marks: &'e [Mark],
+    /// Age that the entry had at most when this process started.
+    pub(super) age_ms: u64,
 }
 
 /// Rights that one request holds until it is settled; what is not charged becomes available at the end.
@@ -210,12 +232,20 @@
     }
 
     /// Applies the marks of a journal entry that has taken effect.
-    pub(super) fn open_marks(&self, marks: &[Mark]) {
+    pub(super) fn open_marks(&self, shared: &Shared, marks: &[Mark]) {
         let teams = self.teams.borrow();
+        let book_interval_ms = BOOK_INTERVAL_MS * u64::from(shared.pace());
         for mark in marks {
             if let Some(team) = teams.get(mark.team.as_str()) {
-                team.account.borrow_mut().open(mark.limit());
+                let mut account = team.account.borrow_mut();
+                account.open(mark.limit());
+                let has_covered_rights = account.has_covered_rights();
+                drop(account);
                 team.changed.notify();
+                let age_ms = shared.now_ms().saturating_sub(team.read_ms.get());
+                if has_covered_rights && age_ms > book_interval_ms {
+                    team.wake();
+                }
             }
         }
     }
@@ -232,15 +262,24 @@
 
     /// Takes back the rights of the process that ran on this VM before, beyond what its last entry lets it spend at the
     /// age that it had at most when this process started.
-    pub(super) fn reclaim(&self, router: u64, marks: &[Mark], age_ms: u64) {
-        let limits = marks
+    ///
+    /// Gateways that start together take turns at each record, because only one of them can change it at a time.
+    pub(super) fn reclaim(&self, shared: &Shared, last: &Ended<'_>, routers: u64) {
+        let limits = last
+            .marks
             .iter()
-            .map(|mark| (mark.team.as_str().into(), mark.limit().at(age_ms)));
+            .map(|mark| (mark.team.as_str().into(), mark.limit().at(last.age_ms)));
+        let teams = self.teams.borrow();
+        let turn_ms = TURN_MS.max(teams.len() as u64 * 1_000 / RECLAIMS_PER_S);
         *self.predecessor.borrow_mut() = Some(Predecessor {
-            router,
+            router: last.router,
             limits_tokens: limits.collect(),
+            vm: shared.settings.vm.clone(),
+            from_ms: shared.now_ms(),
+            turns: routers.max(1),
+            turn_ms,
         });
-        for team in self.teams.borrow().values() {
+        for team in teams.values() {
             team.predecessor.set(self.predecessor_of(&team.name));
             team.wake();
         }
@@ -261,11 +300,18 @@
         }
     }
 
-    fn predecessor_of(&self, team: &str) -> Option<(u64, u64)> {
+    fn predecessor_of(&self, team: &str) -> Option<Reclaim> {
         let predecessor = self.predecessor.borrow();
         let predecessor = predecessor.as_ref()?;
         let limit_tokens = predecessor.limits_tokens.get(team).copied();
-        Some((predecessor.router, limit_tokens.unwrap_or(0)))
+        let seed = xxhash_rust::xxh3::xxh3_64(team.as_bytes());
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(predecessor.vm.as_bytes(), seed);
+        Some(Reclaim {
+            router: predecessor.router,
+            limit_tokens: limit_tokens.unwrap_or(0),
+            from_ms: predecessor.from_ms + hash % predecessor.turns * predecessor.turn_ms,
+            round_ms: predecessor.turns * predecessor.turn_ms,
+        })
     }
 
     /// Returns when a request that found too few rights may find them.
@@ -337,9 +383,10 @@
             if team.cycle(&shared, Goal::Hold).await != Cycle::Conflict || !team.is_urgent() {
                 break;
             }
-            let routers = shared.routers.borrow();
-            let longest_ms = CONFLICT_PAUSE_MS * routers.count() * routers.pace();
-            drop(routers);
+            let longest_ms = {
+                let routers = shared.routers.borrow();
+                CONFLICT_PAUSE_MS * routers.count() * routers.pace()
+            };
             let pause_ms = u64::from(shared.random()) % longest_ms;
             monoio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
@@ -347,7 +394,8 @@
             team.ask_peers(&shared);
         }
         monoio::time::sleep(MIN_INTERVAL).await;
-        let interval = Duration::from_millis(interval_ms(&shared));
+        let turn_ms = team.reclaim_wait_ms(shared.now_ms()).unwrap_or(u64::MAX);
+        let interval = Duration::from_millis(interval_ms(&shared).min(turn_ms));
         let needed = team.needed.wait_for(|| team.is_needed.get().then_some(()));
         // Both ends of the wait lead to the next look.
         let _ = monoio::time::timeout(interval, needed).await;
--- a/src/gateway/funds/team.rs
+++ b/src/gateway/funds/team.rs
@@ -59,8 +59,21 @@
     pub(super) free_tokens: Cell<u64>,
     /// Time of the last question to other gateways.
     pub(super) asked_ms: Cell<u64>,
-    /// Process that ran on this VM before and the most that it can have used, while its rights can be taken back.
-    pub(super) predecessor: Cell<Option<(u64, u64)>>,
+    /// Rights of the process before that are still to be taken back.
+    pub(super) predecessor: Cell<Option<Reclaim>>,
+}
+
+/// Rights of one team that the process before this one left.
+#[derive(Clone, Copy)]
+pub(super) struct Reclaim {
+    /// Process that ran on this VM before.
+    pub(super) router: u64,
+    /// The most that it can have used.
+    pub(super) limit_tokens: u64,
+    /// Time of this gateway's turn.
+    pub(super) from_ms: u64,
+    /// Time in which every gateway has one turn.
+    pub(super) round_ms: u64,
 }
 
 /// What a cycle aims at.
@@ -102,7 +115,13 @@
 
     /// Returns whether a change of the record cannot wait for the next regular look.
     pub(super) fn is_urgent(&self) -> bool {
-        self.account.borrow().wanted_tokens() > 0 || self.predecessor.get().is_some()
+        self.account.borrow().wanted_tokens() > 0
+    }
+
+    /// Returns the time until this gateway's turn to take rights back, if there are any.
+    pub(super) fn reclaim_wait_ms(&self, now_ms: u64) -> Option<u64> {
+        let reclaim = self.predecessor.get()?;
+        Some(reclaim.from_ms.saturating_sub(now_ms))
     }
 
     pub(super) fn wake(&self) {
@@ -178,10 +197,10 @@
         let Some((record, end)) = self.read(shared).await else {
             return Cycle::Done;
         };
-        if let Some((router, limit_tokens)) = self.predecessor.get() {
-            return self
-                .reclaim(shared, &record, end, router, limit_tokens)
-                .await;
+        if let Some(reclaim) = self.predecessor.get() {
+            if shared.now_ms() >= reclaim.from_ms {
+                return self.reclaim(shared, &record, end, reclaim).await;
+            }
         }
         let routers = shared.routers.borrow().count();
         let planned = {
@@ -221,10 +240,10 @@
         shared: &Shared,
         record: &TeamRecord,
         end: u64,
-        router: u64,
-        limit_tokens: u64,
+        reclaim: Reclaim,
     ) -> Cycle {
-        let Some(planned) = record.reclaim(router, limit_tokens) else {
+        let router = reclaim.router;
+        let Some(planned) = record.reclaim(router, reclaim.limit_tokens) else {
             self.predecessor.set(None);
             return Cycle::Conflict;
         };
@@ -239,7 +258,16 @@
             outcome = format!("{result:?}").as_str(), at_ms = shared.now_ms();
             "taking back the rights of the process before"
         );
-        Cycle::Conflict
+        if matches!(result, Ok(Appended::Written)) {
+            return Cycle::Conflict;
+        }
+        // Another gateway's change came first or the store is busy; repeating at once would keep it busy.
+        let wait_ms = u64::from(shared.random()) % reclaim.round_ms;
+        self.predecessor.set(Some(Reclaim {
+            from_ms: shared.now_ms() + wait_ms,
+            ..reclaim
+        }));
+        Cycle::Done
     }
 
     pub(super) async fn read(&self, shared: &Shared) -> Option<(TeamRecord, u64)> {
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -13,7 +13,8 @@
 
 use prost::Message;
 
-use super::{clock, Shared};
+use super::funds::Ended;
+use super::{clock, presence, Shared};
 use crate::allowance::{ClockReading, JournalEntry};
 use crate::notify::Notify;
 use crate::store::{Appended, Feed, Record};
@@ -27,8 +28,9 @@
 /// Shortest time between two entries in a small fleet.
 const MIN_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Longest time for which the first entry waits until the rights of the process before are taken back.
-const RECLAIM_TIME: Duration = Duration::from_millis(2_000);
+/// Longest time for which the first entry waits until the rights of the process before are taken back; in a large fleet it
+/// takes longer, and requests are served meanwhile.
+const RECLAIM_TIME: Duration = Duration::from_millis(400);
 
 /// Interval of looks at whether they are.
 const RECLAIM_POLL: Duration = Duration::from_millis(10);
@@ -129,7 +131,13 @@
         wall_ms = start.wall_ms.wrapping_sub(entry.wall_ms); "journal taken over"
     );
     if let Some(age_ms) = age_ms {
-        shared.funds.reclaim(entry.router, &entry.marks, age_ms);
+        let routers = presence::addresses(shared).await.len() as u64 + 1;
+        let ended = Ended {
+            router: entry.router,
+            marks: &entry.marks,
+            age_ms,
+        };
+        shared.funds.reclaim(shared, &ended, routers);
         let reclaimed = async {
             while shared.table.borrow().is_none() || shared.funds.is_reclaiming() {
                 monoio::time::sleep(RECLAIM_POLL).await;
@@ -139,7 +147,7 @@
             .await
             .is_err()
         {
-            log::warn!(step = "predecessor", predecessor = entry.router; "not all rights were taken back in time");
+            log::info!(step = "predecessor", predecessor = entry.router; "rights are taken back beside new requests");
         }
     }
     end
@@ -169,7 +177,7 @@
         };
         let result = shared.store.append(feed(shared), Some(end), record).await;
         if matches!(result, Ok(Appended::Written)) {
-            shared.funds.open_marks(&entry.marks);
+            shared.funds.open_marks(shared, &entry.marks);
             return end + 1;
         }
         if let Err(error) = &result {
@@ -184,7 +192,7 @@
             .is_some_and(|newest| newest.router == entry.router && newest.write == entry.write);
         end = newest_end;
         if is_written {
-            shared.funds.open_marks(&entry.marks);
+            shared.funds.open_marks(shared, &entry.marks);
             return end;
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod billing;
 pub mod cli;
 pub mod collections;
+pub mod congestion;
 pub mod contract;
 pub mod directory;
 pub mod engine;
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -632,6 +632,24 @@
     assert_eq!(other.reserve(500, 0), Err(Shortage::NotHeld));
 }
 
+/// Guards against losing the rights of killed routers of a large fleet: the entries of their successors pushed theirs out
+/// of the record before they were taken back.
+#[test]
+fn entries_with_rights_outlast_those_of_sixty_successors() {
+    let mut record = TeamRecord::default();
+    for router in 0..120 {
+        let mut account = Account::default();
+        account.want(500);
+        cycle(&mut account, &mut record, router);
+        if router >= 60 {
+            assert_eq!(account.reserve(account.granted_tokens(), 0), Ok(()));
+        }
+    }
+    for router in 0..60 {
+        assert!(record.reclaim(router, 0).is_some(), "{router}");
+    }
+}
+
 /// Guards against rights that an idle router keeps while others need them.
 #[test]
 fn idle_rights_go_back() {
--- /dev/null
+++ b/tests/congestion.rs
@@ -0,0 +1,71 @@
+//! A small VM that gets more callers than its link carries, beside upstreams that are slow themselves.
+
+use monsoonfield::congestion::Congestion;
+
+/// Connects to upstreams in turn and returns whether the router then counts as congested.
+fn after(connects: &[(&str, u64)]) -> bool {
+    let mut congestion = Congestion::default();
+    for (upstream, elapsed_ms) in connects {
+        congestion.connected(upstream, *elapsed_ms, 100);
+    }
+    congestion.is_congested(200)
+}
+
+/// Guards against a small VM that takes ever more callers while its packets wait (tapak-router-grown: one of sixty VMs
+/// held 1,900 connections and refused 5,125 requests because no upstream could be reached), and against taking slow
+/// upstreams for a full link.
+#[test]
+fn only_slow_connections_to_several_upstreams_mean_congestion() {
+    let cases: [(&str, &[(&str, u64)], bool); 6] = [
+        ("nothing known", &[], false),
+        (
+            "all are quick",
+            &[("a", 2), ("b", 3), ("c", 2), ("d", 2)],
+            false,
+        ),
+        (
+            "all are slow",
+            &[("a", 300), ("b", 90), ("c", 300), ("d", 80)],
+            true,
+        ),
+        (
+            "one upstream is silent",
+            &[("a", 300), ("a", 300), ("a", 300), ("a", 300), ("b", 2)],
+            false,
+        ),
+        (
+            "most are quick",
+            &[
+                ("e", 2),
+                ("f", 2),
+                ("g", 2),
+                ("h", 2),
+                ("a", 300),
+                ("b", 300),
+                ("c", 300),
+                ("d", 300),
+            ],
+            false,
+        ),
+        (
+            "too few to tell",
+            &[("a", 300), ("b", 300), ("c", 300)],
+            false,
+        ),
+    ];
+    for (case, connects, expected) in cases {
+        assert_eq!(after(connects), expected, "{case}");
+    }
+}
+
+/// Guards against a router that stays away from callers after its link is free again.
+#[test]
+fn congestion_ends() {
+    let mut congestion = Congestion::default();
+    for upstream in ["a", "b", "c", "d"] {
+        congestion.connected(upstream, 300, 1_000);
+    }
+    assert!(congestion.is_congested(3_900));
+    congestion.connected("a", 2, 3_950);
+    assert!(!congestion.is_congested(4_100));
+}
