--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -571,13 +571,17 @@
     giver.want(30_000);
     cycle(&mut giver, &mut record, 1);
     journal(&mut taker);
+    let under_way = taker.begin_entry();
     taker.receive(1, giver.give(10_000, 1_000));
+    taker.open(under_way);
     assert!(taker.reserve(10_000, 0).is_ok());
     taker.observe(&record, 2, PREPAID);
-    if let Some(planned) = taker.plan(&record, 2, PREPAID, ROUTERS) {
-        let holder = planned.holder(1).expect("the giver");
-        assert_eq!(holder.moved_tokens, 0);
-    }
+    let planned = taker.plan(&record, 2, PREPAID, ROUTERS);
+    let moved = |planned: &TeamRecord| planned.holder(1).expect("the giver").moved_tokens;
+    assert_eq!(planned.as_ref().map_or(0, moved), 0);
+    journal(&mut taker);
+    let planned = taker.plan(&record, 2, PREPAID, ROUTERS);
+    assert_eq!(planned.as_ref().map(moved), Some(10_000));
 }
 
 fn journal(account: &mut Account) {
--- a/tests/congestion.rs
+++ b/tests/congestion.rs
@@ -2,6 +2,9 @@
 
 use monsoonfield::congestion::Congestion;
 
+/// Case, connections with the time that each took, whether the router counts as congested after them.
+type Case<'a> = (&'a str, &'a [(&'a str, u64)], bool);
+
 /// Connects to upstreams in turn and returns whether the router then counts as congested.
 fn after(connects: &[(&str, u64)]) -> bool {
     let mut congestion = Congestion::default();
@@ -16,7 +19,7 @@
 /// upstreams for a full link.
 #[test]
 fn only_slow_connections_to_several_upstreams_mean_congestion() {
-    let cases: [(&str, &[(&str, u64)], bool); 6] = [
+    let cases: [Case<'_>; 6] = [
         ("nothing known", &[], false),
         (
             "all are quick",
