--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -10,7 +10,7 @@
 //!
 //! Most of the rights that a router holds are only for the time when it cannot reach the store. So that a router that is
 //! killed does not strand them, its journal in the store shows how far it may spend: up to a mark at once, and beyond it
-//! only as the entry grows old, see [`Mark::limit_at`]. The next process on the same VM takes back what lies beyond that
+//! only as the entry grows old, see [`Limit::at`]. The next process on the same VM takes back what lies beyond that
 //! limit if the clocks show how old the entry was at its start, see [`JournalEntry::age_at`].
 //!
 //! Routers without the store pass rights to each other. The record learns of it afterwards: the receiver moves them from
@@ -219,8 +219,6 @@
     moved_tokens: u64,
     /// Need of requests that wait for rights.
     wanted_tokens: u64,
-    /// What other routers asked for and could not get because of the mark.
-    asked_tokens: u64,
     /// How far the newest entry of the journal lets this router spend, counted like [`Account::used_tokens`].
     mark: Limit,
     /// Age of that entry, or of the one that is under way.
@@ -301,7 +299,6 @@
     /// Notes that an entry has taken effect.
     pub fn open(&mut self, mark: Limit) {
         self.mark = mark;
-        self.asked_tokens = 0;
         for received in &mut self.received {
             received.is_covered = received.is_in_entry;
         }
@@ -314,8 +311,7 @@
 
     /// Returns whether somebody waits for a higher mark than the journal shows; otherwise the next regular entry serves.
     pub fn needs_mark(&self) -> bool {
-        let need = self.wanted_tokens + self.asked_tokens;
-        self.spendable_tokens() < need.min(self.available_tokens())
+        self.spendable_tokens() < self.wanted_tokens.min(self.available_tokens())
     }
 
     /// Reserves the largest possible charge of a request.
@@ -532,9 +528,6 @@
     pub fn give(&mut self, asked_tokens: u64, part_millis: u64) -> u64 {
         let given = asked_tokens.min(self.spendable_tokens() * part_millis / 1_000);
         self.given_tokens += given;
-        self.asked_tokens = self
-            .asked_tokens
-            .max(asked_tokens.min(self.granted_tokens) - given.min(self.granted_tokens));
         given
     }
 
