Build the event loop in one place, decide once whether a connection stays open

The builder of the event loop stood in cli, router and gateway; the condition for keeping a caller's connection stood in relay and request. Behaviour is unchanged.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,7 @@
 use http::Method;
 use serde::de::DeserializeOwned;
 
+use crate::event_loop;
 use crate::log_client::http_client::HttpClient;
 use crate::settings::Settings;
 use crate::{explain, gateway, logging, publish, router, status};
@@ -198,11 +199,7 @@
 
 /// Runs a future to its end on an event loop of its own.
 pub(crate) fn block_on<F: Future>(future: F) -> Result<F::Output, String> {
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| format!("event loop: {error}"))?;
-    Ok(runtime.block_on(future))
+    event_loop::block_on(future).map_err(|error| format!("event loop: {error}"))
 }
 
 /// Reads a JSON document from the admin address of a router, and returns the exit code and message if that fails.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,6 +44,7 @@
 use crate::collections::FastMap;
 use crate::congestion::Congestion;
 use crate::directory::Directory;
+use crate::event_loop;
 use crate::fleet_clock::FleetClock;
 use crate::fleet_share::{RetryLimit, Routers};
 use crate::metrics::Metrics;
@@ -157,6 +158,11 @@
         self.congestion.borrow().is_congested(self.now_ms())
     }
 
+    /// Returns whether a caller's connection stays open after the response to a request.
+    fn keeps_connection(&self, request: &server::Request) -> bool {
+        request.keep_alive && !self.is_stopping() && !self.is_congested()
+    }
+
     /// Notes how long a connection to an upstream took.
     fn note_connect(&self, upstream: &str, elapsed_ms: u64) {
         let now_ms = self.now_ms();
@@ -179,11 +185,8 @@
 ///
 /// Returns an error if an address cannot be opened.
 pub fn run(settings: Settings) -> Result<(), Error> {
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| Error::Start("starting the event loop", error))?;
-    runtime.block_on(serve(settings))
+    event_loop::block_on(serve(settings))
+        .map_err(|error| Error::Start("starting the event loop", error))?
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -106,7 +106,7 @@
     mut sent: Sent<'a>,
     attempts: &mut Attempts,
 ) -> Delivery {
-    let keeps = call.request.keep_alive && !shared.is_stopping() && !shared.is_congested();
+    let keeps = shared.keeps_connection(call.request);
     let mut response = response;
     let status = response.exchange.status();
     let is_event_stream = call.route().is_stream && status == 200;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -302,7 +302,7 @@
     refused: &Refused,
 ) -> bool {
     shared.metrics.count_refusal(refused.refusal);
-    let keeps = request.keep_alive && !shared.is_stopping() && !shared.is_congested();
+    let keeps = shared.keeps_connection(request);
     let output = own_answer(refused.refusal, id, refused.retry_after_ms, keeps);
     caller.write_all(output).await.is_ok() && keeps
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod contract;
 pub mod directory;
 pub mod engine;
+mod event_loop;
 pub mod evidence;
 pub mod explain;
 pub mod fleet;
--- a/src/router.rs
+++ b/src/router.rs
@@ -30,6 +30,7 @@
 use crate::backpressure::Shares;
 use crate::collections::FastMap;
 use crate::engine::Client;
+use crate::event_loop;
 use crate::evidence::Collector;
 use crate::explain::Journal;
 use crate::fleet::{self, Fleet};
@@ -157,11 +158,8 @@
 ///
 /// Returns an error if an address cannot be opened or the planned stop is not complete.
 pub fn run(settings: Settings) -> Result<(), Error> {
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| Error::Start("starting the event loop", error))?;
-    runtime.block_on(serve(settings))
+    event_loop::block_on(serve(settings))
+        .map_err(|error| Error::Start("starting the event loop", error))?
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
