--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -2,7 +2,7 @@
 //!
 //! The store keeps one [`BudgetRecord`] for each team. It states how many tokens are granted to routers in total, and
 //! that sum never exceeds what the team prepaid. A router spends only its spending rights: tokens that the record
-//! already shows as granted to it, or to another router that transferred them. So neither a partition nor a restart nor
+//! already shows as granted to it, or to another router that handed them over. So neither a partition nor a restart nor
 //! a loss of all VMs can overspend the budget. Tokens that a router holds when it is killed or loses power are
 //! stranded, which means that they cannot be spent unless they are reclaimed. Records are replaced by compare-and-swap:
 //! a write takes effect only if nothing else was written in between.
@@ -17,9 +17,9 @@
 //! limit, provided that the clocks show how old the entry was when this process started, see
 //! [`JournalEntry::max_age_at`].
 //!
-//! While the store is unreachable, routers transfer tokens to each other. The record learns of a transfer afterwards:
-//! the receiver moves the tokens from the giver's grant to its own, see [`TeamAccount::plan`]; until then the giver's
-//! grant covers them.
+//! A router that shuts down while the store is unreachable hands its tokens over to another one. The record learns of
+//! the transfer afterwards: the receiver moves the tokens from the giver's grant to its own, see [`TeamAccount::plan`];
+//! until then the giver's grant covers them.
 //!
 //! How many tokens a router holds is a trade-off: those below the limit are stranded when it is killed, and the tokens
 //! that it holds are all that it can spend during an outage. It holds what it spends in [`COVERED_OUTAGE_MS`], and less
@@ -36,22 +36,23 @@
 /// Outages of the path to the store last up to nine seconds.
 pub const COVERED_OUTAGE_MS: u64 = 10_000;
 
-/// Fraction of the unspent budget up to which all routers together aim to hold tokens.
+/// Fraction of the unspent budget up to which all holders together aim to hold tokens.
 ///
-/// It covers an outage of nine seconds late in the day, when half of the budget is left; `docs/design.md`, section 10,
-/// compares the alternatives.
-const MAX_HELD_FRACTION: f64 = 0.5;
+/// The rest lets a holder take what a large request needs. With half of it, outages of nine seconds late in the day used
+/// up what was held while the other half could not be granted.
+const MAX_HELD_FRACTION: f64 = 0.8;
 
-/// Share of the unspent budget, per mille, that all routers together hold for a team without recent requests.
+/// Share of the unspent budget, per mille, that all holders together hold for a team without recent requests.
 const IDLE_HELD_PERMILLE: u64 = 30;
 
-/// Grants in a record above which the oldest grant without unspent tokens is evicted.
-const SOFT_GRANT_LIMIT: usize = 96;
+/// Spending rate below which a router counts as idle.
+const IDLE_TOKENS_PER_S: f64 = 1.0;
 
-/// Grants in a record above which the oldest grant is evicted even if it has unspent tokens, which are then lost.
+/// Grants in a record above which the oldest grant without unspent tokens is evicted.
 ///
-/// Three times the number of routers in the largest fleet in use.
-const HARD_GRANT_LIMIT: usize = 200;
+/// A grant with unspent tokens is never evicted, because its tokens could not be reclaimed any more. Only the holders of
+/// a team have grants, so their number does not grow with the fleet.
+const MAX_GRANTS: usize = 96;
 
 /// Time constant of the exponential decay of the measured spending rate.
 const RATE_TIME_CONSTANT_MS: f64 = 4_000.0;
@@ -163,20 +164,20 @@
         }
         grant.granted_tokens -= unused;
         grant.spent_tokens = grant.granted_tokens;
+        // A process that has ended competes with no other for the rights that may be held.
+        grant.rate_tokens_per_s = 0;
         next.granted_tokens = next.granted_tokens.saturating_sub(unused);
         next.revision += 1;
         Some(next)
     }
 
-    /// Evicts a grant if there are too many, but never that of the writer.
+    /// Evicts a grant without unspent tokens if there are too many, but never that of the writer.
     fn evict_oldest(&mut self, writer: u64) {
-        if self.holders.len() <= SOFT_GRANT_LIMIT {
+        if self.holders.len() <= MAX_GRANTS {
             return;
         }
-        let is_over_hard_limit = self.holders.len() > HARD_GRANT_LIMIT;
         let evictable = self.holders.iter().enumerate().filter(|(_, grant)| {
-            let has_tokens_left = grant.granted_tokens > grant.spent_tokens;
-            grant.router != writer && (is_over_hard_limit || !has_tokens_left)
+            grant.router != writer && grant.granted_tokens <= grant.spent_tokens
         });
         let oldest = evictable.min_by_key(|(_, grant)| grant.revision);
         if let Some((index, _)) = oldest {
@@ -201,6 +202,15 @@
     }
 }
 
+/// Role of a router for one team, see [`crate::holders`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Role {
+    /// Number of routers that hold the team's rights.
+    pub holders: u64,
+    /// Whether this router is one of them. Another one holds rights only while it spends some.
+    pub is_holder: bool,
+}
+
 /// Why tokens cannot be reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReserveError {
@@ -294,9 +304,7 @@
     /// From here on the entry may take effect at any time, so a limit lower than that of the previous entry applies at
     /// once.
     pub fn begin_entry(&mut self) -> SpendingLimit {
-        let fraction = self.unspent_fraction.clamp(MIN_HEADROOM_FRACTION, 1.0);
-        let headroom = (self.rate_tokens_per_s * HEADROOM_MS * fraction / 1_000.0) as u64;
-        let headroom = headroom.max(self.demand_tokens);
+        let headroom = self.headroom_tokens().max(self.demand_tokens);
         let available = self.available_tokens();
         let next = SpendingLimit {
             open_tokens: self.used_tokens() + headroom.min(available),
@@ -310,6 +318,12 @@
         next
     }
 
+    /// Returns how many tokens the next journal entry lets this router spend at once.
+    fn headroom_tokens(&self) -> u64 {
+        let fraction = self.unspent_fraction.clamp(MIN_HEADROOM_FRACTION, 1.0);
+        (self.rate_tokens_per_s * HEADROOM_MS * fraction / 1_000.0) as u64
+    }
+
     /// Applies the limit of a journal entry that has taken effect.
     pub fn commit_entry(&mut self, limit: SpendingLimit) {
         self.limit = limit;
@@ -323,9 +337,11 @@
         self.entry_age_ms = age_ms;
     }
 
-    /// Returns whether requests wait for a higher limit than that of the journal, so that an entry is needed at once.
+    /// Returns whether an entry is needed at once: requests wait for a higher limit than that of the journal, or will
+    /// soon, because less than half of what an entry allows is left.
     pub fn needs_entry(&self) -> bool {
-        self.spendable_tokens() < self.demand_tokens.min(self.available_tokens())
+        let soon = self.headroom_tokens() / 2;
+        self.spendable_tokens() < self.demand_tokens.max(soon).min(self.available_tokens())
     }
 
     /// Reserves the largest possible charge of a request.
@@ -370,7 +386,7 @@
         self.demand_tokens
     }
 
-    /// Returns how many tokens to hold, given the record and the number of routers.
+    /// Returns how many tokens to hold, given the record and the role of this router.
     ///
     /// A router's share of what all may hold together is proportional to its spending rate.
     pub fn target_tokens(
@@ -378,8 +394,12 @@
         record: &BudgetRecord,
         router: u64,
         prepaid: u64,
-        routers: u64,
+        role: Role,
     ) -> u64 {
+        if !role.is_holder && self.rate_tokens_per_s < IDLE_TOKENS_PER_S {
+            return 0;
+        }
+        let holders = role.holders.max(1);
         let rate = self.rate_tokens_per_s as u64;
         let others: u64 = record
             .holders
@@ -390,9 +410,9 @@
         let unspent = record.unspent_tokens(prepaid);
         // A minimum weight keeps a share for the next request of a router without recent traffic.
         let floor = unspent / 1_000;
-        let share = (rate + floor) as f64 / (rate + others + floor * routers.max(1)).max(1) as f64;
+        let share = (rate + floor) as f64 / (rate + others + floor * holders).max(1) as f64;
         let cap = unspent as f64 * MAX_HELD_FRACTION * share.min(1.0);
-        let idle = unspent * IDLE_HELD_PERMILLE / 1_000 / routers.max(1);
+        let idle = unspent * IDLE_HELD_PERMILLE / 1_000 / holders;
         let desired = rate * COVERED_OUTAGE_MS / 1_000 + 2 * self.largest_need_tokens;
         desired.max(idle).min(cap as u64)
     }
@@ -404,12 +424,12 @@
         record: &BudgetRecord,
         router: u64,
         prepaid: u64,
-        routers: u64,
+        role: Role,
     ) -> Option<BudgetRecord> {
         if self.pending.is_some() {
             return None;
         }
-        let target = self.target_tokens(record, router, prepaid, routers);
+        let target = self.target_tokens(record, router, prepaid, role);
         let mut next = record.clone();
         let base = self.granted_tokens + self.claim_received(&mut next);
         let available = self.available_tokens();
@@ -441,8 +461,6 @@
     /// The threshold of a router without recent traffic is higher, because its share depends on the number of routers,
     /// which changes while a fleet starts.
     fn return_threshold_tokens(&self, goal: u64) -> u64 {
-        /// Rate below which a router counts as idle.
-        const IDLE_TOKENS_PER_S: f64 = 1.0;
         if self.rate_tokens_per_s < IDLE_TOKENS_PER_S {
             goal * 8
         } else {
@@ -545,16 +563,21 @@
         self.unspent_fraction = unspent as f64 / prepaid.max(1) as f64;
     }
 
-    /// Gives tokens to another router: at most what it asks for, and at most `max_permille` of the spendable tokens.
+    /// Gives spendable tokens to another router, at most what is asked for; returns their number.
     ///
     /// The record keeps them in this router's grant until the receiver moves them; if the message to the receiver is
     /// lost, they are stranded.
-    pub fn give(&mut self, asked_tokens: u64, max_permille: u64) -> u64 {
-        let given = asked_tokens.min(self.spendable_tokens() * max_permille / 1_000);
+    pub fn give(&mut self, asked_tokens: u64) -> u64 {
+        let given = asked_tokens.min(self.spendable_tokens());
         self.given_tokens += given;
         given
     }
 
+    /// Returns whether any tokens are held or used, so that the record must be followed.
+    pub fn holds_tokens(&self) -> bool {
+        self.available_tokens() > 0 || self.reserved_tokens > 0 || self.demand_tokens > 0
+    }
+
     /// Adds tokens that another router gave.
     pub fn receive(&mut self, giver: u64, tokens: u64) {
         self.received.push(ReceivedTransfer {
@@ -566,13 +589,9 @@
         });
     }
 
-    /// Returns how many tokens to ask other routers for, so that the requests of the next seconds do not wait.
-    pub fn shortfall_tokens(&self) -> u64 {
-        /// Time for which the tokens are to last.
-        const LOOKAHEAD_MS: u64 = 1_500;
-        let expected = self.rate_tokens_per_s as u64 * LOOKAHEAD_MS / 1_000;
-        let need = (expected + self.largest_need_tokens).max(self.demand_tokens);
-        need.saturating_sub(self.spendable_tokens())
+    /// Returns an upper bound on the team's balance when the record was last read; `None` before that.
+    pub fn team_unspent_tokens(&self) -> Option<u64> {
+        self.unspent_tokens
     }
 
     /// Returns the largest need of one request so far.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 //! | --- | --- |
 //! | follow the configuration and the upstreams in the store | `watch` |
 //! | acquire, return and reclaim spending rights | `budget` |
+//! | reserve tokens at the gateways that hold rights, and serve such reservations | `budget::remote`, `budget::serving` |
 //! | write journal entries, which limit how far the rights may be spent | `journal` |
 //! | sample the wall clocks of other gateways | `clock` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
@@ -24,7 +25,8 @@
 //! | shut down without cutting off requests | `shutdown` |
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
-//! [`crate::allowance`], [`crate::fleet_clock`], [`crate::congestion`] and [`crate::shared_limits`]. These modules,
+//! [`crate::allowance`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`] and
+//! [`crate::shared_limits`]. These modules,
 //! [`crate::store`] and [`crate::platform`] call a gateway process a router. The design is in `docs/design.md`, section
 //! 10.
 
@@ -58,7 +60,9 @@
 use crate::directory::UpstreamDirectory;
 use crate::event_loop;
 use crate::fleet_clock::FleetClock;
+use crate::holders::PeerMonitor;
 use crate::metrics::Metrics;
+use crate::notify::Notify;
 use crate::placement::{Placement, Prompt};
 use crate::platform::StoreClient;
 use crate::routing::RoutingTable;
@@ -131,6 +135,11 @@
     congestion: RefCell<CongestionDetector>,
     was_congested: Cell<bool>,
     routers: RefCell<ActiveRouters>,
+    /// Which other gateways respond to datagrams.
+    peer_monitor: RefCell<PeerMonitor>,
+    /// Wakes the reader of presence reports; `is_stranger_seen` is the condition.
+    stranger_seen: Notify,
+    is_stranger_seen: Cell<bool>,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
     metrics: Metrics,
@@ -227,7 +236,9 @@
     log::info!(
         step = "start", vm = shared.settings.vm.as_str(), router = shared.router_id,
         callers = local(&callers).as_str(), readiness = local(&readiness).as_str(),
-        metrics = local(&metrics).as_str(); "started"
+        metrics = local(&metrics).as_str(),
+        peers = shared.peer_socket.address().map(|peers| peers.to_string()).unwrap_or_default().as_str();
+        "started"
     );
     monoio::spawn(callers::accept(Rc::clone(&shared), callers));
     monoio::spawn(probes::accept(Rc::clone(&shared), readiness));
@@ -240,6 +251,8 @@
     monoio::spawn(clock::run(Rc::clone(&shared)));
     monoio::spawn(journal::run(Rc::clone(&shared)));
     monoio::spawn(budget::run(Rc::clone(&shared)));
+    monoio::spawn(budget::remote::send_outgoing(Rc::clone(&shared)));
+    monoio::spawn(budget::serving::expire(Rc::clone(&shared)));
     monoio::spawn(run_housekeeping(Rc::clone(&shared)));
     shutdown::wait_and_drain(&shared, &mut signals).await;
     Ok(())
@@ -249,9 +262,10 @@
     let store = &settings.store;
     let store = StoreClient::new(&store.address, &settings.vm, store.partitions);
     let mut random = Pcg64Mcg::from_os_rng();
+    let started = Instant::now();
     Shared {
         router_id: random.random(),
-        started: Instant::now(),
+        started,
         phase: Cell::new(Phase::Running),
         stopping_since: Cell::new(None),
         store: Rc::new(store),
@@ -262,13 +276,16 @@
         directory_read_ms: Cell::new(0),
         placement: RefCell::default(),
         pool: pool::Pool::default(),
-        budgets: budget::Budgets::default(),
+        budgets: budget::Budgets::new(started),
         peer_socket,
         journal: journal::Journal::default(),
         clock: RefCell::default(),
         congestion: RefCell::default(),
         was_congested: Cell::new(false),
         routers: RefCell::default(),
+        peer_monitor: RefCell::default(),
+        stranger_seen: Notify::default(),
+        is_stranger_seen: Cell::new(false),
         retries: RefCell::default(),
         metrics: Metrics::new(),
         random: RefCell::new(random),
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -6,27 +6,41 @@
 //! record until it knows whether the write took effect, and repeats the same write as long as that is unknown. At most
 //! one of the copies can meet the condition.
 
+pub(super) mod remote;
+pub(super) mod serving;
 mod team_budget;
 
 use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
+use compact_str::{format_compact, CompactString};
+use rand::Rng;
 
+use super::peers::Handover;
 use super::Shared;
 use crate::allowance::{ReserveError, TeamLimit, LOCK_PERIOD_MS};
 use crate::collections::FastMap;
+use crate::holders::{Holder, HOLDERS_PER_TEAM};
 use crate::notify::Notify;
+use crate::reservations::ReservationId;
 use crate::routing::RoutingTable;
 
+use remote::{Answer, Need, Outbox, Replies};
+
 use team_budget::{Goal, Reclaim, ReconcileResult, TeamBudget};
 
-/// Interval at which the record of a team is polled, with few gateways and teams.
+/// Interval at which a holder polls the record of a team.
 const POLL_INTERVAL_MS: u64 = 1_000;
 
-/// Maximum rate at which all gateways together poll the records of all teams; the interval grows to stay below it.
-const POLLS_PER_S: u64 = 200;
+/// Part of the reading calls that the store accepts which all gateways together use to poll the records of teams, in
+/// percent.
+const POLL_READS_PERCENT: u64 = 10;
+
+/// Interval at which a gateway that holds no rights of a team checks whether it has become a holder.
+const ROLE_INTERVAL_MS: u64 = 1_000;
 
 /// Minimum time between two polls, so that a team that needs rights does not flood the store.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(30);
@@ -34,37 +48,35 @@
 /// Maximum number of attempts in a row when the write of another gateway takes effect first.
 const MAX_CONFLICTS: u32 = 6;
 
-/// Maximum backoff after a conflict for each gateway of the fleet; the backoff is random, so that the gateways do not
+/// Maximum backoff after a conflict for each holder of the team; the backoff is random, so that the holders do not
 /// collide again. A change takes two responses of the store.
-const CONFLICT_BACKOFF_MS: u64 = 3;
+const CONFLICT_BACKOFF_MS: u64 = 8;
 
-/// Minimum length of one gateway's turn to reclaim the rights of a team; a read and a write take two responses of the
-/// store.
+/// Length of one holder's turn to reclaim the rights of a team; a read and a write take two responses of the store.
 const RECLAIM_TURN_MS: u64 = 12;
 
-/// Maximum rate at which all gateways together reclaim the rights of teams; each takes two calls.
-const RECLAIMS_PER_S: u64 = 800;
+/// Time over which gateways spread the check for rights that are not in the predecessor's last journal entry; few have
+/// any.
+const LATE_RECLAIM_MS: u64 = 3_000;
 
 /// Age of the last poll from which on received rights are moved in the record at once; until then they are lost if this
 /// process is killed.
 const TRANSFER_RECORD_INTERVAL_MS: u64 = 300;
 
 /// Time over which the first polls of the records are spread.
-const START_JITTER_MS: u64 = 3_000;
-
-/// Time after which rights that other gateways hold may have been returned.
-const NOT_HELD_RETRY_AFTER_MS: u64 = 700;
+const START_JITTER_MS: u64 = 1_000;
 
-/// Time after which an unresponsive store may be available again; its outages last some seconds.
-const OUTAGE_RETRY_AFTER_MS: u64 = 4_000;
+/// Longest retry delay for callers whose request finds too few rights.
+const MAX_RETRY_AFTER_MS: u64 = 30_000;
 
-/// Time after which a fully granted budget may have been topped up.
-const FULLY_GRANTED_RETRY_AFTER_MS: u64 = 30_000;
+/// Number of holders that may fail to respond to one request before it asks no more of them.
+const MAX_SILENT: usize = 2;
 
 /// Spending rights of all teams that have a budget.
-#[derive(Default)]
 pub(super) struct Budgets {
     teams: RefCell<FastMap<CompactString, Rc<TeamBudget>>>,
+    replies: Replies,
+    outbox: Rc<Outbox>,
     team_added: Notify,
     unstarted: RefCell<Vec<Rc<TeamBudget>>>,
     predecessor: RefCell<Option<Predecessor>>,
@@ -77,10 +89,6 @@
     vm: CompactString,
     /// Time from which its rights are reclaimed.
     from_ms: u64,
-    /// Number of turns in a round, one for each gateway.
-    turns_per_round: u64,
-    /// Length of a turn.
-    turn_ms: u64,
 }
 
 /// The last journal entry of a process that has ended.
@@ -91,11 +99,26 @@
     pub(super) age_ms: u64,
 }
 
-/// Rights reserved for one request until it is settled. On drop the charge is deducted and the rest becomes available.
+/// Where the tokens of a request are reserved.
+enum ReservedAt {
+    /// In the account of this gateway.
+    Own(Rc<TeamBudget>),
+    /// At another gateway, which holds rights of the team.
+    Peer {
+        id: ReservationId,
+        holder: SocketAddr,
+        team: CompactString,
+        outbox: Rc<Outbox>,
+    },
+}
+
+/// Tokens reserved for one request until it is settled. On drop the charge is deducted and the rest becomes available.
 pub(super) struct Reservation {
-    team: Rc<TeamBudget>,
+    reserved_at: ReservedAt,
     tokens: u64,
     charge_tokens: Cell<u64>,
+    /// VM of the gateway that holds the tokens, for the log.
+    pub(super) holder: CompactString,
 }
 
 impl Reservation {
@@ -107,33 +130,67 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let mut account = self.team.account.borrow_mut();
-        account.settle(self.tokens, self.charge_tokens.get());
-        drop(account);
-        self.team.rights_changed.notify();
+        let charge_tokens = self.charge_tokens.get();
+        match &self.reserved_at {
+            ReservedAt::Own(team) => team.settle_tokens(self.tokens, charge_tokens),
+            ReservedAt::Peer {
+                id,
+                holder,
+                team,
+                outbox,
+            } => outbox.settle(*id, *holder, team, charge_tokens),
+        }
     }
 }
 
+/// Why no tokens could be reserved for a request.
+pub(super) struct Shortage {
+    pub(super) error: ReserveError,
+    /// Time after which the request may be served.
+    pub(super) retry_after_ms: u64,
+    /// Answers of the gateways that were asked, for the log.
+    pub(super) answers: CompactString,
+}
+
 /// Figures of one team's budget as this gateway knows them, for the log.
 #[derive(Default)]
 pub(super) struct BudgetSummary {
     granted_tokens: u64,
     spent_tokens: u64,
     available_tokens: u64,
-    record_age_ms: u64,
+    spendable_tokens: u64,
+    unspent_tokens: u64,
+    read_ms: u64,
 }
 
-impl std::fmt::Display for BudgetSummary {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "granted {}, spent {}, available {}, record {} ms old",
-            self.granted_tokens, self.spent_tokens, self.available_tokens, self.record_age_ms
+impl BudgetSummary {
+    /// Returns the figures with the age of the record at a time.
+    fn aged(&self, now_ms: u64) -> CompactString {
+        format_compact!(
+            "granted {}, spent {}, available {}, spendable {}, unspent by the team {}, record {} ms old",
+            self.granted_tokens,
+            self.spent_tokens,
+            self.available_tokens,
+            self.spendable_tokens,
+            self.unspent_tokens,
+            now_ms.saturating_sub(self.read_ms)
         )
     }
 }
 
 impl Budgets {
+    /// Creates an empty set; `started` is the start of the process.
+    pub(super) fn new(started: Instant) -> Self {
+        Self {
+            teams: RefCell::default(),
+            replies: Replies::default(),
+            outbox: Rc::new(Outbox::new(started)),
+            team_added: Notify::default(),
+            unstarted: RefCell::default(),
+            predecessor: RefCell::default(),
+        }
+    }
+
     /// Applies the budgets of a configuration.
     pub(super) fn configure(&self, table: &RoutingTable) {
         let mut teams = self.teams.borrow_mut();
@@ -159,7 +216,10 @@
                 failing_since_ms: Cell::new(None),
                 read_ms: Cell::new(0),
                 free_tokens: Cell::new(prepaid_tokens),
+                book: RefCell::default(),
                 peers_asked_ms: Cell::new(0),
+                received_ms: Cell::new(0),
+                ranking: RefCell::default(),
                 pending_reclaim: Cell::new(self.reclaim_for(&team.name)),
             });
             teams.insert(team.name.clone(), Rc::clone(&budget));
@@ -168,66 +228,171 @@
         self.team_added.notify();
     }
 
-    /// Reserves the maximum charge of a request; waits a short time if rights must be acquired first. Returns `None`
-    /// for a team without a budget.
+    /// Reserves the maximum charge of a request, here or at another gateway; waits a short time if rights must be
+    /// acquired first. Returns `None` for a team without a budget.
+    ///
+    /// Each holder that responds is asked once without waiting, and then the one that expects rights soonest may wait
+    /// for them.
     ///
     /// # Errors
     ///
-    /// Returns whether the budget is exhausted or the rights are not held here.
+    /// Returns whether the budget is exhausted or the rights cannot be obtained now.
     pub(super) async fn reserve(
         &self,
         shared: &Shared,
         team: &str,
-        tokens: u64,
-        remaining_ms: u64,
-    ) -> Result<Option<Reservation>, ReserveError> {
-        let Some(team) = self.teams.borrow().get(team).cloned() else {
+        need: Need<'_>,
+    ) -> Result<Option<Reservation>, Shortage> {
+        let Some(team) = self.find(team) else {
             return Ok(None);
         };
-        match team.try_reserve(tokens, shared.now_ms()) {
-            Ok(reservation) => Ok(Some(reservation)),
-            Err(ReserveError::NotHeld) => team
-                .wait_for_rights(shared, tokens, remaining_ms)
-                .await
-                .map(Some),
-            Err(ReserveError::Exhausted) => Err(ReserveError::Exhausted),
+        let mut answers = CompactString::default();
+        let mut retry_after_ms = MAX_RETRY_AFTER_MS;
+        let mut best: Option<(u64, Holder)> = None;
+        let mut silent = 0;
+        for holder in team.ask_order(shared) {
+            if silent == MAX_SILENT && holder != Holder::Own {
+                continue;
+            }
+            let answer = self.ask(shared, &team, &holder, need, None).await;
+            match answer {
+                Ok(reservation) => return Ok(Some(reservation)),
+                Err(answer) => {
+                    let _ = write!(answers, "{}: {answer}; ", holder_name(shared, &holder));
+                    match answer {
+                        Answer::Exhausted => {
+                            return Err(Shortage {
+                                error: ReserveError::Exhausted,
+                                retry_after_ms: 0,
+                                answers,
+                            });
+                        }
+                        Answer::NotHeld {
+                            wait_ms,
+                            retry_after_ms: after_ms,
+                        } => {
+                            retry_after_ms = retry_after_ms.min(after_ms);
+                            let is_sooner = |wait_ms: &u64| {
+                                best.as_ref().is_none_or(|(best_ms, _)| wait_ms < best_ms)
+                            };
+                            if let Some(wait_ms) = wait_ms.filter(is_sooner) {
+                                best = Some((wait_ms, holder));
+                            }
+                        }
+                        Answer::Silent => silent += 1,
+                        Answer::Granted(_) | Answer::Unavailable => {}
+                    }
+                }
+            }
+        }
+        if let Some((wait_ms, holder)) = best {
+            match self.ask(shared, &team, &holder, need, Some(wait_ms)).await {
+                Ok(reservation) => return Ok(Some(reservation)),
+                Err(answer) => {
+                    let name = holder_name(shared, &holder);
+                    let _ = write!(answers, "{name} after waiting: {answer}; ");
+                    if answer == Answer::Exhausted {
+                        return Err(Shortage {
+                            error: ReserveError::Exhausted,
+                            retry_after_ms: 0,
+                            answers,
+                        });
+                    }
+                }
+            }
         }
+        Err(Shortage {
+            error: ReserveError::NotHeld,
+            retry_after_ms,
+            answers,
+        })
     }
 
-    /// Gives rights of a team to another gateway and returns their amount.
-    ///
-    /// While the store responds, all available rights may be given, because new ones can be acquired at once; otherwise
-    /// half of them is kept.
-    pub(super) fn give(&self, shared: &Shared, team: &str, asked_tokens: u64) -> u64 {
-        let Some(team) = self.teams.borrow().get(team).cloned() else {
-            return 0;
+    /// Asks one holder for tokens; with `wait_ms` it may wait for rights about that long.
+    async fn ask(
+        &self,
+        shared: &Shared,
+        team: &Rc<TeamBudget>,
+        holder: &Holder,
+        need: Need<'_>,
+        wait_ms: Option<u64>,
+    ) -> Result<Reservation, Answer> {
+        let reserved_at = match holder {
+            Holder::Own => {
+                let result = match wait_ms {
+                    None => team.reserve_tokens(need.tokens, shared.now_ms()),
+                    Some(_) => {
+                        team.wait_for_rights(shared, need.tokens, need.remaining_ms)
+                            .await
+                    }
+                };
+                match result {
+                    Ok(()) => ReservedAt::Own(Rc::clone(team)),
+                    Err(ReserveError::Exhausted) => return Err(Answer::Exhausted),
+                    Err(ReserveError::NotHeld) => {
+                        return Err(Answer::NotHeld {
+                            wait_ms: team.expected_wait_ms(shared, need.tokens, need.remaining_ms),
+                            retry_after_ms: team.retry_after_ms(shared, need.tokens),
+                        });
+                    }
+                }
+            }
+            Holder::Peer { address, .. } => {
+                match remote::ask(shared, *address, team, need, wait_ms).await {
+                    Answer::Granted(id) => ReservedAt::Peer {
+                        id,
+                        holder: *address,
+                        team: team.name.clone(),
+                        outbox: Rc::clone(&self.outbox),
+                    },
+                    answer => return Err(answer),
+                }
+            }
         };
-        let is_store_available =
-            team.is_store_responsive(shared.now_ms()) && team.free_tokens.get() > 0;
-        let max_permille = if is_store_available { 1_000 } else { 500 };
-        let given = team.account.borrow_mut().give(asked_tokens, max_permille);
-        if given < asked_tokens || is_store_available {
-            team.request_poll();
-        }
-        team.wake_journal(shared);
-        log::info!(
-            step = "give", team = team.name.as_str(), asked_tokens = asked_tokens,
-            given_tokens = given, at_ms = shared.now_ms(); "gave rights to another gateway"
-        );
-        given
+        Ok(Reservation {
+            reserved_at,
+            tokens: need.tokens,
+            charge_tokens: Cell::new(0),
+            holder: holder_name(shared, holder).into(),
+        })
     }
 
-    /// Adds rights that another gateway gave.
+    /// Returns the budget of a team; `None` if it has none.
+    fn find(&self, team: &str) -> Option<Rc<TeamBudget>> {
+        self.teams.borrow().get(team).cloned()
+    }
+
+    /// Returns the budgets of all teams.
+    fn all(&self) -> Vec<Rc<TeamBudget>> {
+        self.teams.borrow().values().cloned().collect()
+    }
+
+    /// Returns whether rights of any team are held and not in use.
+    pub(super) fn holds_rights(&self) -> bool {
+        let teams = self.teams.borrow();
+        let mut accounts = teams.values().map(|team| team.account.borrow());
+        accounts.any(|account| account.available_tokens() > 0)
+    }
+
+    /// Returns whether requests of other gateways have reserved tokens here, or settlements have not arrived there.
+    pub(super) fn has_open_reservations(&self) -> bool {
+        let teams = self.teams.borrow();
+        let mut books = teams.values().map(|team| team.book.borrow());
+        books.any(|book| book.open_count() > 0) || !self.outbox.is_empty()
+    }
+
+    /// Adds rights that another gateway handed over.
     pub(super) fn receive(&self, shared: &Shared, team: &str, giver: u64, tokens: u64) {
         let Some(team) = self.teams.borrow().get(team).cloned() else {
             return;
         };
         team.account.borrow_mut().receive(giver, tokens);
+        team.received_ms.set(shared.now_ms());
         team.wake_journal(shared);
         team.rights_changed.notify();
         log::info!(
             step = "receive", team = team.name.as_str(), tokens = tokens,
-            at_ms = shared.now_ms(); "received rights from another gateway"
+            at_ms = shared.now_ms(); "received rights of another gateway"
         );
     }
 
@@ -243,8 +408,6 @@
     /// Applies the spending limits of a journal entry that has taken effect.
     pub(super) fn commit_entry(&self, shared: &Shared, limits: &[TeamLimit]) {
         let teams = self.teams.borrow();
-        let transfer_record_interval_ms =
-            TRANSFER_RECORD_INTERVAL_MS * u64::from(shared.interval_factor());
         for stored in limits {
             if let Some(team) = teams.get(stored.team.as_str()) {
                 let mut account = team.account.borrow_mut();
@@ -253,7 +416,7 @@
                 drop(account);
                 team.rights_changed.notify();
                 let age_ms = shared.now_ms().saturating_sub(team.read_ms.get());
-                if has_journalled_transfers && age_ms > transfer_record_interval_ms {
+                if has_journalled_transfers && age_ms > TRANSFER_RECORD_INTERVAL_MS {
                     team.request_poll();
                 }
             }
@@ -273,35 +436,31 @@
     /// Schedules the reclaim of the rights that the predecessor left: everything beyond what its last entry let it
     /// spend at the maximum age that the entry had when this process started.
     ///
-    /// Gateways that start together take turns at each record, because only one of them can change it at a time. A hash
-    /// of the VM and the team determines a gateway's turn in the round.
-    pub(super) fn reclaim(&self, shared: &Shared, last: &LastEntry<'_>, routers: u64) {
+    /// Holders that start together take turns at each record, because only one of them can change it at a time. A hash
+    /// of the VM and the team determines a gateway's turn. A team that the entry does not name is checked later, because
+    /// rights that were acquired just after the entry may be left.
+    pub(super) fn reclaim(&self, shared: &Shared, last: &LastEntry<'_>) {
         let limits = last
             .limits
             .iter()
             .map(|stored| (stored.team.as_str().into(), stored.limit().at(last.age_ms)));
-        let teams = self.teams.borrow();
-        let turn_ms = RECLAIM_TURN_MS.max(teams.len() as u64 * 1_000 / RECLAIMS_PER_S);
         *self.predecessor.borrow_mut() = Some(Predecessor {
             router: last.router,
             limits_tokens: limits.collect(),
             vm: shared.settings.vm.clone(),
             from_ms: shared.now_ms(),
-            turns_per_round: routers.max(1),
-            turn_ms,
         });
-        for team in teams.values() {
+        for team in self.teams.borrow().values() {
             team.pending_reclaim.set(self.reclaim_for(&team.name));
             team.request_poll();
         }
     }
 
-    /// Returns whether rights of the predecessor are still to be reclaimed.
+    /// Returns whether rights that the predecessor's last entry names are still to be reclaimed.
     pub(super) fn is_reclaiming(&self) -> bool {
         let teams = self.teams.borrow();
-        teams
-            .values()
-            .any(|team| team.pending_reclaim.get().is_some())
+        let mut pending = teams.values().filter_map(|team| team.pending_reclaim.get());
+        pending.any(|reclaim| reclaim.is_in_entry)
     }
 
     /// Polls the records of teams with waiting requests as soon as possible.
@@ -319,36 +478,24 @@
         let limit_tokens = predecessor.limits_tokens.get(team).copied();
         let seed = xxhash_rust::xxh3::xxh3_64(team.as_bytes());
         let hash = xxhash_rust::xxh3::xxh3_64_with_seed(predecessor.vm.as_bytes(), seed);
+        let round_ms = RECLAIM_TURN_MS * (HOLDERS_PER_TEAM as u64 + 1);
+        let delay_ms = match limit_tokens {
+            Some(_) => hash % round_ms / RECLAIM_TURN_MS * RECLAIM_TURN_MS,
+            None => hash % LATE_RECLAIM_MS,
+        };
         Some(Reclaim {
             router: predecessor.router,
             limit_tokens: limit_tokens.unwrap_or(0),
-            from_ms: predecessor.from_ms + hash % predecessor.turns_per_round * predecessor.turn_ms,
-            round_ms: predecessor.turns_per_round * predecessor.turn_ms,
+            is_in_entry: limit_tokens.is_some(),
+            from_ms: predecessor.from_ms + delay_ms,
+            round_ms,
         })
     }
 
-    /// Returns the time after which a request that found too few rights may succeed.
-    pub(super) fn retry_after_ms(&self, team: &str, now_ms: u64) -> u64 {
-        match self.teams.borrow().get(team) {
-            Some(team) if !team.is_store_responsive(now_ms) => OUTAGE_RETRY_AFTER_MS,
-            Some(team) if team.free_tokens.get() == 0 => FULLY_GRANTED_RETRY_AFTER_MS,
-            _ => NOT_HELD_RETRY_AFTER_MS,
-        }
-    }
-
     /// Returns the figures of a team's budget for the log.
-    pub(super) fn summary(&self, team: &str, now_ms: u64) -> BudgetSummary {
-        let teams = self.teams.borrow();
-        let Some(team) = teams.get(team) else {
-            return BudgetSummary::default();
-        };
-        let account = team.account.borrow();
-        BudgetSummary {
-            granted_tokens: account.granted_tokens(),
-            spent_tokens: account.spent_tokens(),
-            available_tokens: account.available_tokens(),
-            record_age_ms: now_ms.saturating_sub(team.read_ms.get()),
-        }
+    pub(super) fn summary(&self, team: &str, now_ms: u64) -> CompactString {
+        let summary = self.find(team).map(|team| team.summary());
+        summary.unwrap_or_default().aged(now_ms)
     }
 
     /// Returns all unreserved rights to the store, for a graceful shutdown.
@@ -364,15 +511,47 @@
 impl Budgets {
     /// Hands unreserved rights over to other gateways, for a shutdown while the store is unavailable.
     pub(super) fn hand_over_all(&self, shared: &Shared) {
-        for team in self.teams.borrow().values() {
-            let tokens = team.account.borrow_mut().give(u64::MAX, 1_000);
-            if tokens > 0 {
-                shared
-                    .peer_socket
-                    .hand_over_rights(shared, &team.name, tokens);
-            }
+        for team in self.all() {
+            let order = team.ask_order(shared);
+            let receiver = order.iter().find_map(|holder| match holder {
+                Holder::Peer { address, .. } => Some(*address),
+                Holder::Own => None,
+            });
+            let Some(receiver) = receiver else {
+                continue;
+            };
+            self.hand_over(shared, &team, u64::MAX, receiver);
         }
     }
+
+    /// Gives rights that can be spent now to another gateway, at most `tokens`.
+    fn hand_over(&self, shared: &Shared, team: &TeamBudget, tokens: u64, receiver: SocketAddr) {
+        let given = team.account.borrow_mut().give(tokens);
+        if given == 0 {
+            return;
+        }
+        let handover = Handover {
+            team: team.name.as_str().into(),
+            tokens: given,
+            id: shared.random.borrow_mut().random(),
+            giver: shared.router_id,
+        };
+        self.outbox.hand_over(handover, receiver);
+        team.wake_journal(shared);
+        log::info!(
+            step = "hand over", team = team.name.as_str(), tokens = given,
+            peer = receiver.to_string().as_str(), at_ms = shared.now_ms();
+            "handed rights over to another gateway"
+        );
+    }
+}
+
+/// Returns the name of a holder for the log.
+fn holder_name<'a>(shared: &'a Shared, holder: &'a Holder) -> &'a str {
+    match holder {
+        Holder::Own => &shared.settings.vm,
+        Holder::Peer { vm, .. } => vm,
+    }
 }
 
 /// Starts a task for each team that the configuration adds.
@@ -405,30 +584,44 @@
             {
                 break;
             }
-            let max_pause_ms = {
-                let routers = shared.routers.borrow();
-                CONFLICT_BACKOFF_MS * routers.count() * routers.interval_factor()
-            };
+            let max_pause_ms = CONFLICT_BACKOFF_MS * team.role(&shared).holders.max(1);
             let pause_ms = u64::from(shared.random()) % max_pause_ms;
             monoio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
-        if !team.is_store_responsive(shared.now_ms()) {
-            team.request_from_peers(&shared);
-        }
         monoio::time::sleep(MIN_POLL_INTERVAL).await;
+        wait_for_poll(&shared, &team).await;
+    }
+}
+
+/// Waits until the record of a team is to be polled: regularly if this gateway is a holder or has rights left,
+/// otherwise only on request.
+async fn wait_for_poll(shared: &Shared, team: &TeamBudget) {
+    loop {
         let reclaim_wait_ms = team.reclaim_wait_ms(shared.now_ms()).unwrap_or(u64::MAX);
-        let interval = Duration::from_millis(poll_interval_ms(&shared).min(reclaim_wait_ms));
+        let is_polling = team.role(shared).is_holder || team.account.borrow().holds_tokens();
+        let interval_ms = if is_polling {
+            poll_interval_ms(shared)
+        } else {
+            ROLE_INTERVAL_MS
+        };
+        let interval = Duration::from_millis(interval_ms.min(reclaim_wait_ms));
         let poll_requested = team
             .poll_requested
             .wait_for(|| team.is_poll_requested.get().then_some(()));
-        // Whether requested or due, the next poll follows.
-        let _ = monoio::time::timeout(interval, poll_requested).await;
+        let is_requested = monoio::time::timeout(interval, poll_requested)
+            .await
+            .is_ok();
+        let is_due = is_polling || reclaim_wait_ms <= interval_ms;
+        if is_requested || is_due || shared.is_stopping() {
+            return;
+        }
     }
 }
 
-/// Returns the poll interval that keeps all gateways together within the rate that the store can take.
+/// Returns the poll interval that keeps all gateways together within their part of the calls that the store accepts.
 fn poll_interval_ms(shared: &Shared) -> u64 {
     let teams = shared.budgets.teams.borrow().len() as u64;
-    let routers = shared.routers.borrow().count();
-    POLL_INTERVAL_MS.max(teams * routers * 1_000 / POLLS_PER_S)
+    let holders = shared.routers.borrow().count().min(HOLDERS_PER_TEAM as u64);
+    let polls_per_s = shared.settings.store.reads_per_s * POLL_READS_PERCENT / 100;
+    POLL_INTERVAL_MS.max(teams * holders * 1_000 / polls_per_s.max(1))
 }
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -1,16 +1,20 @@
 //! Spending rights of one team: reservations, requests that wait for rights, and the record in the store.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use prost::Message;
 
-use super::Reservation;
-use crate::allowance::{BudgetRecord, ReserveError, TeamAccount};
+use super::{remote, BudgetSummary};
+use crate::allowance::{BudgetRecord, ReserveError, Role, TeamAccount};
+use crate::gateway::peers::{Content, RightsRequest};
+use crate::gateway::watch::CONFIGURATION_LONG_POLL_MS;
 use crate::gateway::Shared;
+use crate::holders::{self, Candidate, Holder, HOLDERS_PER_TEAM};
 use crate::notify::Notify;
+use crate::reservations::{ReservationBook, Settled};
 use crate::store::{AppendOutcome, Error, Feed, Record};
 
 /// Number of slots over which the records of teams are spread.
@@ -23,10 +27,6 @@
 /// writing a journal entry take some 20 ms, and several gateways may have to take turns.
 const STORE_WAIT: Duration = Duration::from_millis(250);
 
-/// Longest time for which a request waits for rights that only other gateways hold; they respond within some
-/// milliseconds.
-const PEER_WAIT: Duration = Duration::from_millis(80);
-
 /// Longest time for which a request waits until held rights become spendable as the journal entry ages.
 const UNLOCK_WAIT_MS: u64 = 2_500;
 
@@ -36,11 +36,29 @@
 /// Margin for the intervals at which the age of the entry is applied.
 const UNLOCK_MARGIN_MS: u64 = 120;
 
-/// Time without a response from the store after which other gateways are asked for rights.
+/// Time without a response from the store after which it counts as unavailable.
 const OUTAGE_MS: u64 = 300;
 
-/// Minimum time between two requests to other gateways for rights of one team.
-const PEER_REQUEST_INTERVAL_MS: u64 = 60;
+/// Expected time until rights that the store can grant are held: one read and one write of the record.
+const GRANT_MS: u64 = 20;
+
+/// Expected time until a journal entry lets held rights be spent.
+const ENTRY_MS: u64 = 10;
+
+/// Expected time until another holder has handed rights over.
+const HANDOVER_MS: u64 = 40;
+
+/// Time for which the other holders are not asked again after they had no rights to hand over.
+const ASKED_IN_VAIN_MS: u64 = 500;
+
+/// Time after which rights that are used now may have been returned.
+const NOT_HELD_RETRY_AFTER_MS: u64 = 700;
+
+/// Time after which an unresponsive store may be available again; its outages last some seconds.
+const OUTAGE_RETRY_AFTER_MS: u64 = 4_000;
+
+/// Time after which a budget that does not cover the request may have been topped up.
+const EXHAUSTED_RETRY_AFTER_MS: u64 = 30_000;
 
 /// Spending rights of one team.
 pub(super) struct TeamBudget {
@@ -60,12 +78,26 @@
     pub(super) read_ms: Cell<u64>,
     /// Tokens that were granted to no gateway when the record was read.
     pub(super) free_tokens: Cell<u64>,
-    /// Time of the last request to other gateways.
+    /// Time of the last request to other holders for rights, and time at which some were last received.
     pub(super) peers_asked_ms: Cell<u64>,
+    pub(super) received_ms: Cell<u64>,
+    /// Reservations for requests at other gateways.
+    pub(super) book: RefCell<ReservationBook>,
+    /// Holders of the team's rights.
+    pub(super) ranking: RefCell<Ranking>,
     /// Rights of the predecessor that are still to be reclaimed.
     pub(super) pending_reclaim: Cell<Option<Reclaim>>,
 }
 
+/// The routers that hold a team's rights and their substitutes, for one state of the fleet.
+#[derive(Default)]
+pub(super) struct Ranking {
+    /// State of the fleet, see [`crate::shared_limits::ActiveRouters::generation`]; `None` before the first use.
+    generation: Option<u64>,
+    /// VMs with their data centres, see [`holders::rank`].
+    ranked: Vec<(CompactString, CompactString)>,
+}
+
 /// Rights of one team that the predecessor, the previous process on this VM, left.
 #[derive(Clone, Copy)]
 pub(super) struct Reclaim {
@@ -73,9 +105,11 @@
     pub(super) router: u64,
     /// Upper bound of what it can have used.
     pub(super) limit_tokens: u64,
+    /// Whether the last journal entry of the predecessor names the team.
+    pub(super) is_in_entry: bool,
     /// Start of this gateway's next turn.
     pub(super) from_ms: u64,
-    /// Length of a round, in which every gateway has one turn.
+    /// Length of a round, in which every holder has one turn.
     pub(super) round_ms: u64,
 }
 
@@ -97,20 +131,78 @@
     Conflict,
 }
 
+/// Returns this gateway as a holder of rights.
+fn own_candidate(shared: &Shared) -> Candidate<'_> {
+    Candidate {
+        vm: &shared.settings.vm,
+        data_centre: &shared.settings.data_centre,
+        weight_permille: shared.settings.resources.weight_permille(),
+    }
+}
+
 impl TeamBudget {
-    /// Asks other gateways for rights, at most once in [`PEER_REQUEST_INTERVAL_MS`].
-    pub(super) fn request_from_peers(&self, shared: &Shared) {
-        let now_ms = shared.now_ms();
-        let shortfall = self.account.borrow().shortfall_tokens();
-        if shortfall == 0
-            || now_ms.saturating_sub(self.peers_asked_ms.get()) < PEER_REQUEST_INTERVAL_MS
-        {
+    /// Updates the holders if the fleet has changed.
+    fn update_ranking(&self, shared: &Shared) {
+        let routers = shared.routers.borrow();
+        let mut ranking = self.ranking.borrow_mut();
+        if ranking.generation == Some(routers.generation()) {
             return;
         }
-        self.peers_asked_ms.set(now_ms);
-        shared
-            .peer_socket
-            .request_rights(shared, &self.name, shortfall);
+        let own = own_candidate(shared);
+        let others = routers.candidates().filter(|other| other.vm != own.vm);
+        let ranked = holders::rank(&self.name, others.chain([own]));
+        *ranking = Ranking {
+            generation: Some(routers.generation()),
+            ranked: ranked
+                .iter()
+                .map(|candidate| (candidate.vm.into(), candidate.data_centre.into()))
+                .collect(),
+        };
+    }
+
+    /// Returns whom to ask for tokens, in order, and probes holders that did not respond.
+    pub(super) fn ask_order(&self, shared: &Shared) -> Vec<Holder> {
+        self.update_ranking(shared);
+        let ranking = self.ranking.borrow();
+        let routers = shared.routers.borrow();
+        for (vm, _) in &ranking.ranked {
+            if let Some(address) = routers.address_of(vm).filter(|_| *vm != shared.settings.vm) {
+                remote::probe_if_silent(shared, address);
+            }
+        }
+        let monitor = shared.peer_monitor.borrow();
+        let ranked: Vec<Candidate<'_>> = ranking
+            .ranked
+            .iter()
+            .map(|(vm, data_centre)| Candidate {
+                vm,
+                data_centre,
+                weight_permille: 0,
+            })
+            .collect();
+        let mut order = holders::ask_order(
+            &ranked,
+            own_candidate(shared),
+            |vm| routers.address_of(vm),
+            |address| monitor.is_silent(address),
+        );
+        if shared.is_stopping() {
+            // The rights of a process that shuts down are on their way back to the store.
+            order.retain(|holder| *holder != Holder::Own);
+            order.push(Holder::Own);
+        }
+        order
+    }
+
+    /// Returns the role of this gateway.
+    pub(super) fn role(&self, shared: &Shared) -> Role {
+        self.update_ranking(shared);
+        let ranking = self.ranking.borrow();
+        let mut holders = ranking.ranked.iter().take(HOLDERS_PER_TEAM);
+        Role {
+            holders: ranking.ranked.len().min(HOLDERS_PER_TEAM) as u64,
+            is_holder: holders.any(|(vm, _)| *vm == shared.settings.vm),
+        }
     }
 
     /// Requests a journal entry if waiting requests need a higher spending limit.
@@ -136,68 +228,179 @@
         self.poll_requested.notify();
     }
 
-    /// Returns whether the store is responsive: no call has been waiting for a response for [`OUTAGE_MS`].
-    pub(super) fn is_store_responsive(&self, now_ms: u64) -> bool {
+    /// Returns whether the store is responsive: no call of this team has been waiting for a response for [`OUTAGE_MS`],
+    /// and the configuration has been read lately.
+    pub(super) fn is_store_responsive(&self, shared: &Shared) -> bool {
+        let now_ms = shared.now_ms();
         let pending_since = self.call_pending_since_ms.get();
-        pending_since.is_none_or(|since_ms| now_ms.saturating_sub(since_ms) < OUTAGE_MS)
+        let is_pending =
+            pending_since.is_some_and(|since| now_ms.saturating_sub(since) >= OUTAGE_MS);
+        let read_age_ms = now_ms.saturating_sub(shared.table_read_ms.get());
+        !is_pending && read_age_ms < CONFIGURATION_LONG_POLL_MS + OUTAGE_MS
     }
 
-    pub(super) fn try_reserve(
-        self: &Rc<Self>,
-        tokens: u64,
-        now_ms: u64,
-    ) -> Result<Reservation, ReserveError> {
+    /// Reserves tokens in the account, without waiting.
+    pub(super) fn reserve_tokens(&self, tokens: u64, now_ms: u64) -> Result<(), ReserveError> {
         let mut account = self.account.borrow_mut();
         account.reserve(tokens, now_ms)?;
         if account.available_tokens() < tokens {
             self.request_poll();
         }
+        Ok(())
+    }
+
+    /// Ends a reservation in the account.
+    pub(super) fn settle_tokens(&self, reserved_tokens: u64, charge_tokens: u64) {
+        let mut account = self.account.borrow_mut();
+        account.settle(reserved_tokens, charge_tokens);
+        drop(account);
+        self.rights_changed.notify();
+    }
+
+    /// Ends a reservation that was made for another gateway.
+    pub(super) fn settle(&self, settled: Settled) {
+        self.settle_tokens(settled.reserved_tokens, settled.charge_tokens);
+    }
+
+    /// Starts to acquire rights for a request that does not wait for them here.
+    pub(super) fn request_rights(&self, shared: &Shared, tokens: u64) {
+        if self.account.borrow().available_tokens() < tokens {
+            self.request_poll();
+        } else {
+            shared.journal.wake();
+        }
+    }
+
+    /// Returns how long a request that finds too few rights is expected to wait for them; `None` if none are expected
+    /// in time.
+    pub(super) fn expected_wait_ms(
+        &self,
+        shared: &Shared,
+        tokens: u64,
+        remaining_ms: u64,
+    ) -> Option<u64> {
+        let account = self.account.borrow();
+        let available = account.available_tokens();
+        if available >= tokens && self.is_store_responsive(shared) {
+            return Some(ENTRY_MS);
+        }
+        if available + self.usable_free_tokens(shared) >= tokens {
+            return Some(GRANT_MS);
+        }
+        // What unlocks first goes to requests that wait already.
+        let ahead = account.demand_tokens();
+        if let Some(wait_ms) = account.unlock_wait_ms(ahead + tokens) {
+            let wait_ms = wait_ms + UNLOCK_MARGIN_MS;
+            let is_soon = wait_ms <= UNLOCK_WAIT_MS.min(remaining_ms / UNLOCK_DIVISOR);
+            return is_soon.then_some(wait_ms);
+        }
+        let unspent = account.team_unspent_tokens();
+        let may_be_elsewhere = unspent.is_none_or(|unspent| unspent >= tokens);
         drop(account);
-        Ok(Reservation {
-            team: Rc::clone(self),
-            tokens,
-            charge_tokens: Cell::new(0),
+        (may_be_elsewhere && self.may_ask_holders(shared)).then_some(HANDOVER_MS)
+    }
+
+    /// Returns whether other holders may have rights to hand over: they were not asked in vain just now.
+    fn may_ask_holders(&self, shared: &Shared) -> bool {
+        let asked_ms = self.peers_asked_ms.get();
+        let was_in_vain = self.received_ms.get() < asked_ms;
+        let is_recent = shared.now_ms().saturating_sub(asked_ms) < ASKED_IN_VAIN_MS;
+        !(was_in_vain && is_recent && asked_ms > 0) && self.other_holders(shared).next().is_some()
+    }
+
+    /// Returns the addresses of the other holders that respond.
+    fn other_holders(&self, shared: &Shared) -> impl Iterator<Item = SocketAddr> {
+        let order = self.ask_order(shared);
+        order.into_iter().filter_map(|holder| match holder {
+            Holder::Peer { address, .. } => Some(address),
+            Holder::Own => None,
         })
     }
 
+    /// Asks the other holders for rights that requests wait for here.
+    fn ask_holders(&self, shared: &Shared) {
+        let missing = {
+            let account = self.account.borrow();
+            let demand = account.demand_tokens();
+            demand.saturating_sub(account.spendable_tokens())
+        };
+        if missing == 0 || !self.may_ask_holders(shared) {
+            return;
+        }
+        self.peers_asked_ms.set(shared.now_ms());
+        for holder in self.other_holders(shared) {
+            let request = RightsRequest {
+                team: self.name.as_str().into(),
+                tokens: missing,
+            };
+            shared
+                .peer_socket
+                .send(Content::RightsRequest(request), holder);
+        }
+    }
+
+    /// Returns the tokens that the store can grant now.
+    fn usable_free_tokens(&self, shared: &Shared) -> u64 {
+        if self.is_store_responsive(shared) {
+            self.free_tokens.get()
+        } else {
+            0
+        }
+    }
+
+    /// Waits until tokens can be reserved, for about as long as [`TeamBudget::expected_wait_ms`] states.
     pub(super) async fn wait_for_rights(
-        self: &Rc<Self>,
+        &self,
         shared: &Shared,
         tokens: u64,
         remaining_ms: u64,
-    ) -> Result<Reservation, ReserveError> {
+    ) -> Result<(), ReserveError> {
+        let Some(expected_ms) = self.expected_wait_ms(shared, tokens, remaining_ms) else {
+            return Err(ReserveError::NotHeld);
+        };
         self.account.borrow_mut().add_demand(tokens);
         if self.account.borrow().available_tokens() < tokens {
             self.request_poll();
         }
         self.wake_journal(shared);
-        let is_store_available =
-            self.is_store_responsive(shared.now_ms()) && self.free_tokens.get() >= tokens;
-        let wait_limit = if is_store_available {
-            STORE_WAIT
-        } else {
-            self.request_from_peers(shared);
-            PEER_WAIT
-        };
-        let unlock_wait = self.account.borrow().unlock_wait_ms(tokens);
-        let unlock_wait = unlock_wait
-            .map(|wait_ms| wait_ms + UNLOCK_MARGIN_MS)
-            .filter(|wait_ms| *wait_ms <= UNLOCK_WAIT_MS.min(remaining_ms / UNLOCK_DIVISOR));
-        let wait_limit = wait_limit.max(Duration::from_millis(unlock_wait.unwrap_or(0)));
-        let mut last = ReserveError::NotHeld;
+        if self.account.borrow().available_tokens() + self.usable_free_tokens(shared) < tokens {
+            self.ask_holders(shared);
+        }
+        let wait_limit = STORE_WAIT.max(Duration::from_millis(expected_ms));
         let wait =
             self.rights_changed
-                .wait_for(|| match self.try_reserve(tokens, shared.now_ms()) {
-                    Ok(reservation) => Some(Ok(reservation)),
-                    Err(ReserveError::Exhausted) => Some(Err(ReserveError::Exhausted)),
-                    Err(shortage) => {
-                        last = shortage;
-                        None
-                    }
+                .wait_for(|| match self.reserve_tokens(tokens, shared.now_ms()) {
+                    Err(ReserveError::NotHeld) => None,
+                    result => Some(result),
                 });
         let result = monoio::time::timeout(wait_limit, wait).await;
         self.account.borrow_mut().remove_demand(tokens);
-        result.unwrap_or(Err(last))
+        result.unwrap_or(Err(ReserveError::NotHeld))
+    }
+
+    /// Returns the time after which a request that found too few rights may succeed.
+    pub(super) fn retry_after_ms(&self, shared: &Shared, tokens: u64) -> u64 {
+        let unspent = self.account.borrow().team_unspent_tokens();
+        if !self.is_store_responsive(shared) {
+            OUTAGE_RETRY_AFTER_MS
+        } else if unspent.is_some_and(|unspent| unspent < tokens) {
+            EXHAUSTED_RETRY_AFTER_MS
+        } else {
+            NOT_HELD_RETRY_AFTER_MS
+        }
+    }
+
+    /// Returns the figures of the budget as this gateway knows them.
+    pub(super) fn summary(&self) -> BudgetSummary {
+        let account = self.account.borrow();
+        BudgetSummary {
+            granted_tokens: account.granted_tokens(),
+            spent_tokens: account.spent_tokens(),
+            available_tokens: account.available_tokens(),
+            spendable_tokens: account.spendable_tokens(),
+            unspent_tokens: account.team_unspent_tokens().unwrap_or(0),
+            read_ms: self.read_ms.get(),
+        }
     }
 
     /// Reads the record, plans the next one and writes it if it differs.
@@ -210,18 +413,15 @@
                 return self.reclaim(shared, &record, end, reclaim).await;
             }
         }
-        let routers = shared.routers.borrow().count();
+        let role = self.role(shared);
         let planned = {
             let mut account = self.account.borrow_mut();
             account.decay_rate(shared.now_ms());
             let planned = match goal {
                 Goal::Hold if !shared.journal.has_entry() => None,
-                Goal::Hold => account.plan(
-                    &record,
-                    shared.router_id,
-                    self.prepaid_tokens.get(),
-                    routers,
-                ),
+                Goal::Hold => {
+                    account.plan(&record, shared.router_id, self.prepaid_tokens.get(), role)
+                }
                 Goal::Return => account.plan_return(&record, shared.router_id),
             };
             if let Some(planned) = &planned {
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -9,7 +9,7 @@
 
 use rand::seq::IteratorRandom;
 
-use super::peers::ClockMessage;
+use super::peers::{ClockMessage, Content};
 use super::{presence, Shared};
 use crate::fleet_clock::MIN_CLOCKS;
 
@@ -74,14 +74,19 @@
 }
 
 fn send_requests(shared: &Shared, peers: &[SocketAddr]) {
+    for peer in peers {
+        send_request(shared, *peer);
+    }
+}
+
+/// Asks another gateway for its wall clock; the response also shows that it can be reached.
+pub(super) fn send_request(shared: &Shared, peer: SocketAddr) {
     let request = ClockMessage {
         wall_ms: 0,
         asked_steady_ms: monotonic_ms(),
         is_answer: false,
     };
-    for peer in peers {
-        shared.peer_socket.send_clock(&request, *peer);
-    }
+    shared.peer_socket.send(Content::Clock(request), peer);
 }
 
 /// Handles a clock request or response of another gateway.
@@ -92,14 +97,16 @@
             asked_steady_ms: message.asked_steady_ms,
             is_answer: true,
         };
-        shared.peer_socket.send_clock(&response, peer);
+        shared.peer_socket.send(Content::Clock(response), peer);
         return;
     }
     let now_ms = monotonic_ms();
-    let is_in_time = now_ms
-        .checked_sub(message.asked_steady_ms)
-        .is_some_and(|elapsed_ms| elapsed_ms <= MAX_ROUND_TRIP_MS);
-    if is_in_time {
+    let Some(round_trip_ms) = now_ms.checked_sub(message.asked_steady_ms) else {
+        return;
+    };
+    let mut monitor = shared.peer_monitor.borrow_mut();
+    monitor.record_response(peer, round_trip_ms);
+    if round_trip_ms <= MAX_ROUND_TRIP_MS {
         let mut clock = shared.clock.borrow_mut();
         clock.add_sample(peer, message.wall_ms, now_ms);
     }
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 
 use super::budget::LastEntry;
-use super::{clock, presence, Shared};
+use super::{clock, Shared};
 use crate::allowance::{ClockReading, JournalEntry};
 use crate::notify::Notify;
 use crate::store::{AppendOutcome, Feed, Record};
@@ -22,11 +22,15 @@
 /// Number of slots over which the VMs are spread; the writes of VMs that share a slot conflict and are repeated.
 const FEED_SLOTS: u64 = 480;
 
-/// Longest time between two entries in a small fleet. The newest entry must be recent when the process is killed.
-const INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time between two entries while rights are held. The newest entry must be recent when the process is killed.
+const INTERVAL_MS: u64 = 200;
 
-/// Shortest time between two entries in a small fleet.
-const MIN_INTERVAL: Duration = Duration::from_millis(15);
+/// Part of the writing calls that the store accepts which all gateways together use for entries at these intervals, in
+/// percent.
+const WRITES_PERCENT: u64 = 25;
+
+/// Shortest time between two entries.
+const MIN_INTERVAL_MS: u64 = 15;
 
 /// Longest time for which the first entry is delayed until the rights of the predecessor are reclaimed. In a large
 /// fleet the reclaim takes longer, and requests are served meanwhile.
@@ -52,6 +56,8 @@
     /// Time at which the content of the newest entry was created.
     created_ms: Cell<u64>,
     has_entry: Cell<bool>,
+    /// Whether no rights are held, so that no new entry is needed.
+    is_idle: Cell<bool>,
 }
 
 impl Journal {
@@ -79,14 +85,33 @@
         if !shared.journal.has_entry.replace(true) {
             shared.budgets.wake_waiting();
         }
-        let factor = shared.interval_factor();
-        monoio::time::sleep(MIN_INTERVAL * factor).await;
-        let journal = &shared.journal;
+        wait_for_entry(&shared).await;
+    }
+}
+
+/// Waits until an entry is requested, or due because rights are held.
+async fn wait_for_entry(shared: &Shared) {
+    let journal = &shared.journal;
+    let routers = shared.routers.borrow().count();
+    let writes_per_s = shared.settings.store.writes_per_s;
+    // Even if each gateway writes as often as it may, the store accepts the calls.
+    let min_interval_ms = MIN_INTERVAL_MS.max(routers * 1_000 / writes_per_s);
+    let interval_ms = INTERVAL_MS.max(routers * 100_000 / (writes_per_s * WRITES_PERCENT));
+    monoio::time::sleep(Duration::from_millis(min_interval_ms)).await;
+    loop {
         let entry_requested = journal
             .entry_requested
             .wait_for(|| journal.is_entry_requested.get().then_some(()));
-        // Whether requested or due, the next entry follows.
-        let _ = monoio::time::timeout(INTERVAL * factor, entry_requested).await;
+        let interval = Duration::from_millis(interval_ms);
+        let is_requested = monoio::time::timeout(interval, entry_requested)
+            .await
+            .is_ok();
+        journal
+            .is_idle
+            .set(!is_requested && !shared.budgets.holds_rights());
+        if !journal.is_idle.get() {
+            return;
+        }
     }
 }
 
@@ -97,7 +122,7 @@
         monoio::time::sleep(AGE_INTERVAL).await;
         let now_ms = shared.now_ms();
         let age_ms = now_ms.saturating_sub(shared.journal.created_ms.get());
-        let is_out_of_reach = age_ms >= OUT_OF_REACH_MS;
+        let is_out_of_reach = age_ms >= OUT_OF_REACH_MS && !shared.journal.is_idle.get();
         if is_out_of_reach != was_out_of_reach {
             log::info!(
                 step = "journal", out_of_reach = is_out_of_reach, age_ms = age_ms, at_ms = now_ms;
@@ -135,13 +160,12 @@
         "found the journal entry of the previous process"
     );
     if let Some(age_ms) = age_ms {
-        let routers = presence::peer_addresses(shared).await.len() as u64 + 1;
         let last_entry = LastEntry {
             router: entry.router,
             limits: &entry.marks,
             age_ms,
         };
-        shared.budgets.reclaim(shared, &last_entry, routers);
+        shared.budgets.reclaim(shared, &last_entry);
         let reclaimed = async {
             while shared.table.borrow().is_none() || shared.budgets.is_reclaiming() {
                 monoio::time::sleep(RECLAIM_POLL_INTERVAL).await;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,12 +1,14 @@
-//! Datagrams between gateways: notices of long prompts, transfers of spending rights, and clock requests.
+//! Datagrams between gateways: notices of long prompts, reservations of tokens, handovers of rights, clock requests.
 //!
 //! All gateways place requests at the same engines, but each sees only its own requests. A gateway that sends a long
 //! prompt to an engine notifies all others at once, in one datagram each. Datagrams may be lost: the others then place
 //! requests as if the prompt did not exist, which costs latency but not correctness. The rate is limited, so that the
 //! processor time for notices does not grow with the square of the fleet.
 //!
-//! A gateway that cannot get spending rights from the store requests some from other gateways. Rights are deducted
-//! before they are sent and count once for each request, so a lost or repeated datagram never creates any.
+//! Messages about rights count only if they come from the address of a gateway that reported its presence. A stranger's
+//! message makes this gateway read the reports soon, because the stranger may have just started.
+
+mod messages;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -15,13 +17,18 @@
 
 use futures_util::FutureExt;
 use monoio::net::udp::UdpSocket;
-use prost::{Message, Oneof};
-use rand::seq::IteratorRandom;
-use rand::Rng;
+use prost::Message;
 
+use super::budget::{remote, serving};
 use super::{clock, Shared};
 use crate::collections::FastMap;
 
+use messages::Datagram;
+pub(super) use messages::{
+    ClockMessage, Content, Handover, HandoverReply, PromptNotice, Reserve, ReserveOutcome,
+    ReserveReply, RightsRequest, Settle, SettleReply,
+};
+
 /// Prefill time from which on a prompt is announced as far as the rate limit allows, in milliseconds.
 const MIN_PREFILL_MS: f64 = 3.0;
 
@@ -32,85 +39,14 @@
 /// Maximum rate of notices of shorter prompts from all gateways to one gateway; receiving one takes some 10 µs.
 const MAX_NOTICES_PER_S: u64 = 400;
 
-/// Number of gateways that one request for rights is sent to.
-const PEERS_PER_REQUEST: usize = 2;
-
-/// Time for which a response to a request for rights is accepted; the rights of a later one are lost.
-const RESPONSE_WINDOW_MS: u64 = 10_000;
-
 /// Time for which the id of a handover is remembered; the network does not hold a datagram for longer.
 const HANDOVER_DEDUP_MS: u64 = 600_000;
 
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 512;
 
-/// Envelope of all datagrams.
-#[derive(Clone, PartialEq, Message)]
-struct Datagram {
-    /// Content of the datagram.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5")]
-    content: Option<Content>,
-}
-
-#[derive(Clone, PartialEq, Oneof)]
-enum Content {
-    #[prost(message, tag = "1")]
-    PromptNotice(PromptNotice),
-    #[prost(message, tag = "2")]
-    RightsRequest(Transfer),
-    #[prost(message, tag = "3")]
-    Transfer(Transfer),
-    /// Rights that a gateway hands over when it shuts down.
-    #[prost(message, tag = "4")]
-    Handover(Transfer),
-    #[prost(message, tag = "5")]
-    Clock(ClockMessage),
-}
-
-/// A request for the wall clock of another gateway, or the response.
-#[derive(Clone, PartialEq, Message)]
-pub(super) struct ClockMessage {
-    /// Wall clock of the responding gateway.
-    #[prost(uint64, tag = "1")]
-    pub(super) wall_ms: u64,
-    /// Monotonic clock of the requesting gateway when it sent the request.
-    #[prost(uint64, tag = "2")]
-    pub(super) asked_steady_ms: u64,
-    /// Whether this is the response.
-    #[prost(bool, tag = "3")]
-    pub(super) is_answer: bool,
-}
-
-/// Spending rights that are requested, transferred or handed over.
-#[derive(Clone, PartialEq, Message)]
-struct Transfer {
-    /// Name of the team.
-    #[prost(string, tag = "1")]
-    team: String,
-    /// Number of tokens.
-    #[prost(uint64, tag = "2")]
-    tokens: u64,
-    /// Random id of a request, which its response repeats, or of a handover.
-    #[prost(fixed64, tag = "3")]
-    id: u64,
-    /// Id of the process that gives the rights away; 0 in a request.
-    #[prost(fixed64, tag = "4")]
-    giver: u64,
-}
-
-/// A prompt that was sent to an engine.
-#[derive(Clone, PartialEq, Message)]
-struct PromptNotice {
-    /// Id of the engine.
-    #[prost(string, tag = "1")]
-    upstream: String,
-    /// Hash that identifies the session of the prompt.
-    #[prost(fixed64, tag = "2")]
-    session: u64,
-    /// Time that the engine takes to prefill the prompt, in microseconds.
-    #[prost(uint64, tag = "3")]
-    reading_us: u64,
-}
+/// Minimum time between two log lines about ignored datagrams.
+const IGNORED_LOG_INTERVAL_MS: u64 = 1_000;
 
 /// UDP socket for the messages of other gateways, with the state that deduplicates them.
 pub(super) struct PeerSocket {
@@ -119,10 +55,10 @@
     /// Token bucket of notices, in thousandths of a notice, and the time at which it was last filled.
     credit_permille: Cell<u64>,
     credited_ms: Cell<u64>,
-    /// Requests for rights without a response yet, by id, with their time.
-    pending_requests: RefCell<FastMap<u64, u64>>,
     /// Handovers that were accepted, by id, with their time; a repeated datagram does not count again.
     handovers: RefCell<FastMap<u64, u64>>,
+    /// Time of the last log line about an ignored datagram.
+    ignored_logged_ms: Cell<u64>,
 }
 
 impl PeerSocket {
@@ -142,8 +78,8 @@
             address,
             credit_permille: Cell::new(0),
             credited_ms: Cell::new(0),
-            pending_requests: RefCell::default(),
             handovers: RefCell::default(),
+            ignored_logged_ms: Cell::new(0),
         })
     }
 
@@ -167,7 +103,7 @@
         let notice = PromptNotice {
             upstream: upstream.into(),
             session,
-            reading_us: (prefill_ms * 1_000.0) as u64,
+            prefill_us: (prefill_ms * 1_000.0) as u64,
         };
         let content = encode(Content::PromptNotice(notice));
         for peer in shared.routers.borrow().peers(&shared.settings.vm) {
@@ -175,47 +111,7 @@
         }
     }
 
-    /// Requests spending rights from some other gateways.
-    pub(super) fn request_rights(&self, shared: &Shared, team: &str, tokens: u64) {
-        let now_ms = shared.now_ms();
-        let peers = {
-            let routers = shared.routers.borrow();
-            let mut random = shared.random.borrow_mut();
-            let peers = routers.peers(&shared.settings.vm);
-            peers.choose_multiple(&mut *random, PEERS_PER_REQUEST)
-        };
-        let mut pending = self.pending_requests.borrow_mut();
-        pending.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < RESPONSE_WINDOW_MS);
-        for peer in peers {
-            let id = shared.random.borrow_mut().random();
-            pending.insert(id, now_ms);
-            let request = Transfer {
-                team: team.into(),
-                tokens,
-                id,
-                giver: 0,
-            };
-            self.send_datagram(encode(Content::RightsRequest(request)), peer);
-        }
-    }
-
-    /// Hands rights over to another gateway, chosen at random.
-    pub(super) fn hand_over_rights(&self, shared: &Shared, team: &str, tokens: u64) {
-        let routers = shared.routers.borrow();
-        let mut random = shared.random.borrow_mut();
-        let peers = routers.peers(&shared.settings.vm);
-        if let Some(peer) = peers.choose(&mut *random) {
-            let handover = Transfer {
-                team: team.into(),
-                tokens,
-                id: random.random(),
-                giver: shared.router_id,
-            };
-            self.send_datagram(encode(Content::Handover(handover)), peer);
-        }
-    }
-
-    fn accept_handover(&self, shared: &Shared, handover: &Transfer) {
+    fn accept_handover(&self, shared: &Shared, handover: &Handover, peer: SocketAddr) {
         let now_ms = shared.now_ms();
         let mut handovers = self.handovers.borrow_mut();
         handovers.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < HANDOVER_DEDUP_MS);
@@ -224,38 +120,13 @@
                 .budgets
                 .receive(shared, &handover.team, handover.giver, handover.tokens);
         }
+        let reply = HandoverReply { id: handover.id };
+        self.send(Content::HandoverReply(reply), peer);
     }
 
-    fn answer(&self, shared: &Shared, request: &Transfer, peer: SocketAddr) {
-        let tokens = shared.budgets.give(shared, &request.team, request.tokens);
-        if tokens > 0 {
-            let transfer = Transfer {
-                team: request.team.clone(),
-                tokens,
-                id: request.id,
-                giver: shared.router_id,
-            };
-            self.send_datagram(encode(Content::Transfer(transfer)), peer);
-        }
-    }
-
-    fn accept_transfer(&self, shared: &Shared, transfer: &Transfer) {
-        // A response counts once, and only for a request of this process.
-        if self
-            .pending_requests
-            .borrow_mut()
-            .remove(&transfer.id)
-            .is_some()
-        {
-            shared
-                .budgets
-                .receive(shared, &transfer.team, transfer.giver, transfer.tokens);
-        }
-    }
-
-    /// Sends a clock request or response.
-    pub(super) fn send_clock(&self, message: &ClockMessage, peer: SocketAddr) {
-        self.send_datagram(encode(Content::Clock(message.clone())), peer);
+    /// Sends a message to another gateway.
+    pub(super) fn send(&self, content: Content, peer: SocketAddr) {
+        self.send_datagram(encode(content), peer);
     }
 
     fn send_datagram(&self, content: Vec<u8>, peer: SocketAddr) {
@@ -275,44 +146,76 @@
             .set(if is_enough { credit - 1_000 } else { credit });
         is_enough
     }
+
+    /// Counts a datagram that is ignored, and logs it at a bounded rate.
+    fn ignore(&self, shared: &Shared, peer: SocketAddr, reason: &str) {
+        shared.metrics.add("datagrams_ignored", 1);
+        let now_ms = shared.now_ms();
+        if now_ms.saturating_sub(self.ignored_logged_ms.get()) < IGNORED_LOG_INTERVAL_MS {
+            return;
+        }
+        self.ignored_logged_ms.set(now_ms);
+        log::warn!(
+            step = "datagram", peer = peer.to_string().as_str(),
+            ignored = shared.metrics.value("datagrams_ignored"), at_ms = now_ms;
+            "ignored a datagram: {reason}"
+        );
+    }
 }
 
 /// Receives the datagrams of other gateways until the process ends.
 pub(super) async fn receive(shared: Rc<Shared>) {
-    let mut buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+    // One byte more than the limit shows that a datagram is too large.
+    let mut buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES + 1);
     loop {
         let (result, returned_buffer) = shared.peer_socket.socket.recv_from(buffer).await;
         buffer = returned_buffer;
         match result {
+            Ok((count, peer)) if count > MAX_DATAGRAM_BYTES => {
+                shared.peer_socket.ignore(&shared, peer, "it is too large");
+            }
             Ok((count, peer)) => match Datagram::decode(&buffer[..count]) {
                 Ok(datagram) => dispatch(&shared, datagram, peer),
                 Err(error) => {
-                    log::debug!(
-                        step = "datagram", peer = peer.to_string().as_str();
-                        "ignored a datagram that cannot be decoded: {error}"
-                    );
+                    let reason = format!("it cannot be decoded: {error}");
+                    shared.peer_socket.ignore(&shared, peer, &reason);
                 }
             },
-            Err(error) => log::debug!(step = "notice"; "receiving a datagram failed: {error}"),
+            Err(error) => log::debug!(step = "datagram"; "receiving a datagram failed: {error}"),
         }
         buffer.clear();
     }
 }
 
-fn dispatch(shared: &Shared, datagram: Datagram, peer: SocketAddr) {
-    match datagram.content {
-        Some(Content::PromptNotice(notice)) => {
+fn dispatch(shared: &Rc<Shared>, datagram: Datagram, peer: SocketAddr) {
+    let socket = &shared.peer_socket;
+    let Some(content) = datagram.content else {
+        socket.ignore(shared, peer, "its content is of an unknown kind");
+        return;
+    };
+    let concerns_rights = !matches!(content, Content::PromptNotice(_) | Content::Clock(_));
+    if concerns_rights && !shared.routers.borrow().is_member(peer) {
+        shared.is_stranger_seen.set(true);
+        shared.stranger_seen.notify();
+        socket.ignore(shared, peer, "its sender has not reported its presence");
+        return;
+    }
+    match content {
+        Content::PromptNotice(notice) => {
             shared.metrics.add("notices_received", 1);
-            let prefill_ms = notice.reading_us as f64 / 1_000.0;
+            let prefill_ms = notice.prefill_us as f64 / 1_000.0;
             let now_ms = shared.now_ms();
             let mut placement = shared.placement.borrow_mut();
             placement.record_peer_sent(&notice.upstream, notice.session, prefill_ms, now_ms);
         }
-        Some(Content::RightsRequest(request)) => shared.peer_socket.answer(shared, &request, peer),
-        Some(Content::Transfer(transfer)) => shared.peer_socket.accept_transfer(shared, &transfer),
-        Some(Content::Handover(handover)) => shared.peer_socket.accept_handover(shared, &handover),
-        Some(Content::Clock(message)) => clock::handle_message(shared, &message, peer),
-        None => {}
+        Content::Handover(handover) => socket.accept_handover(shared, &handover, peer),
+        Content::Clock(message) => clock::handle_message(shared, &message, peer),
+        Content::Reserve(request) => serving::handle_reserve(shared, request, peer),
+        Content::ReserveReply(reply) => remote::handle_reply(shared, reply, peer),
+        Content::Settle(settlement) => serving::handle_settle(shared, &settlement, peer),
+        Content::SettleReply(reply) => remote::acknowledge(shared, reply.id, peer),
+        Content::HandoverReply(reply) => remote::acknowledge(shared, reply.id, peer),
+        Content::RightsRequest(request) => serving::handle_rights_request(shared, &request, peer),
     }
 }
 
--- /dev/null
+++ b/src/gateway/peers/messages.rs
@@ -0,0 +1,182 @@
+//! Datagrams between gateways, as they are encoded.
+
+use prost::{Enumeration, Message, Oneof};
+
+/// Envelope of all datagrams.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct Datagram {
+    /// Content of the datagram.
+    #[prost(oneof = "Content", tags = "1, 4, 5, 6, 7, 8, 9, 10, 11")]
+    pub(super) content: Option<Content>,
+}
+
+/// Content of a datagram. Tags 2 and 3 were used by earlier versions.
+#[derive(Clone, PartialEq, Oneof)]
+pub(in crate::gateway) enum Content {
+    #[prost(message, tag = "1")]
+    PromptNotice(PromptNotice),
+    /// Rights that a gateway gives to another one.
+    #[prost(message, tag = "4")]
+    Handover(Handover),
+    #[prost(message, tag = "5")]
+    Clock(ClockMessage),
+    #[prost(message, tag = "6")]
+    Reserve(Reserve),
+    #[prost(message, tag = "7")]
+    ReserveReply(ReserveReply),
+    #[prost(message, tag = "8")]
+    Settle(Settle),
+    #[prost(message, tag = "9")]
+    SettleReply(SettleReply),
+    #[prost(message, tag = "10")]
+    RightsRequest(RightsRequest),
+    #[prost(message, tag = "11")]
+    HandoverReply(HandoverReply),
+}
+
+/// A request for the wall clock of another gateway, or the response.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct ClockMessage {
+    /// Wall clock of the responding gateway.
+    #[prost(uint64, tag = "1")]
+    pub(in crate::gateway) wall_ms: u64,
+    /// Monotonic clock of the requesting gateway when it sent the request.
+    #[prost(uint64, tag = "2")]
+    pub(in crate::gateway) asked_steady_ms: u64,
+    /// Whether this is the response.
+    #[prost(bool, tag = "3")]
+    pub(in crate::gateway) is_answer: bool,
+}
+
+/// Spending rights that are handed over.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct Handover {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) team: String,
+    /// Number of tokens.
+    #[prost(uint64, tag = "2")]
+    pub(in crate::gateway) tokens: u64,
+    /// Random id of the handover.
+    #[prost(fixed64, tag = "3")]
+    pub(in crate::gateway) id: u64,
+    /// Id of the process that gives the rights away.
+    #[prost(fixed64, tag = "4")]
+    pub(in crate::gateway) giver: u64,
+}
+
+/// Acknowledgement of a [`Handover`].
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct HandoverReply {
+    /// Id of the handover.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+}
+
+/// A request of one holder to another one for rights that it can spend and does not need at once.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct RightsRequest {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) team: String,
+    /// Number of tokens.
+    #[prost(uint64, tag = "2")]
+    pub(in crate::gateway) tokens: u64,
+}
+
+/// A prompt that was sent to an engine.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct PromptNotice {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) upstream: String,
+    /// Hash that identifies the session of the prompt.
+    #[prost(fixed64, tag = "2")]
+    pub(in crate::gateway) session: u64,
+    /// Time that the engine takes to prefill the prompt, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub(in crate::gateway) prefill_us: u64,
+}
+
+/// A request to reserve the largest possible charge of a caller's request at a holder of the team's rights.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct Reserve {
+    /// Random id of the reservation.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+    /// Name of the team.
+    #[prost(string, tag = "2")]
+    pub(in crate::gateway) team: String,
+    /// Tokens to reserve.
+    #[prost(uint64, tag = "3")]
+    pub(in crate::gateway) tokens: u64,
+    /// Time until the deadline of the caller's request.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) remaining_ms: u64,
+    /// Budget of the team in the configuration of the sender.
+    #[prost(uint64, tag = "5")]
+    pub(in crate::gateway) prepaid_tokens: u64,
+    /// Whether the holder may wait for rights before it responds.
+    #[prost(bool, tag = "6")]
+    pub(in crate::gateway) may_wait: bool,
+    /// Id of the caller's request, for the log.
+    #[prost(string, tag = "7")]
+    pub(in crate::gateway) request_id: String,
+}
+
+/// Result of a [`Reserve`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub(in crate::gateway) enum ReserveOutcome {
+    /// Not used; an unknown result counts as [`ReserveOutcome::Unavailable`].
+    Unspecified = 0,
+    /// The tokens are reserved.
+    Granted = 1,
+    /// The team's balance does not cover the request.
+    Exhausted = 2,
+    /// The holder can spend too few tokens now.
+    NotHeld = 3,
+    /// The holder waits for rights and will send another reply.
+    Waiting = 4,
+    /// The holder serves no reservations, because it is shutting down or does not know the team.
+    Unavailable = 5,
+}
+
+/// Reply to a [`Reserve`].
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct ReserveReply {
+    /// Id of the reservation.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+    /// Result.
+    #[prost(enumeration = "ReserveOutcome", tag = "2")]
+    pub(in crate::gateway) outcome: i32,
+    /// If the tokens are not held: time after which the holder expects to have them; `None` if it expects none.
+    #[prost(uint64, optional, tag = "3")]
+    pub(in crate::gateway) wait_ms: Option<u64>,
+    /// If the tokens are not held: time after which the caller may be served.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) retry_after_ms: u64,
+}
+
+/// The charge of a reservation, which ends it.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct Settle {
+    /// Id of the reservation.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+    /// Name of the team.
+    #[prost(string, tag = "2")]
+    pub(in crate::gateway) team: String,
+    /// Tokens to charge.
+    #[prost(uint64, tag = "3")]
+    pub(in crate::gateway) charge_tokens: u64,
+}
+
+/// Acknowledgement of a [`Settle`].
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct SettleReply {
+    /// Id of the reservation.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+}
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -14,6 +14,9 @@
 /// Interval between two reads of the reports in a small fleet.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Time between two reads at least, so that datagrams from strangers cannot flood the store.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time between two reads from which on reports of other gateways may have been missed.
 const MAX_READ_GAP_MS: u64 = 1_500;
 
@@ -40,6 +43,7 @@
         router: shared.router_id,
         requests,
         peer_address: shared.peer_socket.address(),
+        weight_permille: shared.settings.resources.weight_permille(),
         is_leaving,
     };
     // A value of strings and numbers always serialises.
@@ -77,21 +81,35 @@
 
 /// Reads the reports of all gateways.
 ///
-/// Only changes count, because a report that was written before this process started says nothing about the present.
-/// While the reports cannot be read, no gateway is considered gone.
+/// Reports from before this process started count as if they were new, because after a restart of all gateways the same
+/// ones are back; those that are not expire. While the reports cannot be read, no gateway is considered gone.
 pub(super) async fn watch(shared: Rc<Shared>) {
     let mut position = None;
     let mut read_ms = shared.now_ms();
     loop {
         let factor = shared.interval_factor();
-        monoio::time::sleep(READ_INTERVAL * factor).await;
         let Some(from) = position else {
             match shared.store.snapshot(Feed::Routers).await {
-                Ok(snapshot) => position = Some(snapshot.end),
-                Err(error) => log::debug!(step = "read presence"; "{error}"),
+                Ok(snapshot) => {
+                    position = Some(snapshot.end);
+                    read_ms = shared.now_ms();
+                    for record in snapshot.records {
+                        apply(&shared, record);
+                    }
+                }
+                Err(error) => {
+                    log::debug!(step = "read presence"; "{error}");
+                    monoio::time::sleep(READ_INTERVAL).await;
+                }
             }
             continue;
         };
+        monoio::time::sleep(MIN_READ_INTERVAL).await;
+        let stranger = shared
+            .stranger_seen
+            .wait_for(|| shared.is_stranger_seen.replace(false).then_some(()));
+        // Whether a stranger was seen or a read is due, the next read follows.
+        let _ = monoio::time::timeout(READ_INTERVAL * factor, stranger).await;
         match shared.store.changes(Feed::Routers, from, 0).await {
             Ok(Changes::Records { records, end }) => {
                 position = Some(end);
@@ -106,6 +124,9 @@
                 for record in records {
                     apply(&shared, record);
                 }
+                let routers = shared.routers.borrow();
+                let mut monitor = shared.peer_monitor.borrow_mut();
+                monitor.retain(|peer| routers.is_member(peer));
             }
             Ok(Changes::PositionExpired) => position = None,
             Err(error) => log::debug!(step = "read presence"; "{error}"),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,6 +7,8 @@
 use compact_str::{format_compact, CompactString};
 
 use super::attempt::{self, Attempts, Failure};
+use super::budget::remote::Need;
+use super::budget::Shortage;
 use super::relay::{self, Delivery};
 use super::Shared;
 use crate::allowance::ReserveError;
@@ -207,22 +209,25 @@
     let needed_tokens = call.meta.input_tokens + call.meta.max_output_tokens;
     let reservation = match call.team_name() {
         Some(team) if needed_tokens > 0 => {
-            let remaining_ms = call.remaining_ms(shared);
-            shared
-                .budgets
-                .reserve(shared, team, needed_tokens, remaining_ms)
-                .await
+            let need = Need {
+                tokens: needed_tokens,
+                remaining_ms: call.remaining_ms(shared),
+                request_id: &call.meta.id,
+            };
+            shared.budgets.reserve(shared, team, need).await
         }
         _ => Ok(None),
     };
     let reservation = match reservation {
         Ok(reservation) => reservation,
         Err(shortage) => {
-            let refused = shortage_refusal(shared, call, shortage, needed_tokens);
+            let refused = shortage_refusal(shared, call, &shortage, needed_tokens);
             log_refusal(shared, &call.meta.id, &refused, call.started_ms);
             return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
         }
     };
+    let holder = reservation.as_ref().map(|reserved| reserved.holder.clone());
+    let holder = holder.unwrap_or_default();
     let mut attempts = Attempts::default();
     let last_event_id = call.meta.last_event_id;
     let result = attempt::run(shared, call, caller, &mut attempts, last_event_id).await;
@@ -247,7 +252,7 @@
             if let Some(reservation) = reservation {
                 reservation.charge(charge);
             }
-            log_end(shared, call, &attempts, &delivery, charge);
+            log_end(shared, call, &attempts, &delivery, charge, &holder);
             delivery.keeps_connection
         }
         Err(failure) => {
@@ -261,7 +266,7 @@
                     0
                 });
             }
-            handle_failure(shared, call, caller, &attempts, failure).await
+            handle_failure(shared, call, caller, &attempts, failure, &holder).await
         }
     }
 }
@@ -272,11 +277,12 @@
     caller: &mut Socket,
     attempts: &Attempts,
     failure: Failure,
+    holder: &str,
 ) -> bool {
     match failure {
         Failure::CallerGone => {
             let delivery = Delivery::new("caller disconnected before the response");
-            log_end(shared, call, attempts, &delivery, 0);
+            log_end(shared, call, attempts, &delivery, 0, holder);
             false
         }
         Failure::Refused(refusal, reason, retry_after_ms) => {
@@ -294,18 +300,18 @@
 fn shortage_refusal(
     shared: &Shared,
     call: &Call<'_>,
-    shortage: ReserveError,
+    shortage: &Shortage,
     needed_tokens: u64,
 ) -> Refused {
     let team = call.team_name().unwrap_or_default();
     let summary = shared.budgets.summary(team, shared.now_ms());
-    let reason = format_compact!("team {team} needs {needed_tokens} tokens: {summary}");
-    match shortage {
+    let answers = &shortage.answers;
+    let reason =
+        format_compact!("team {team} needs {needed_tokens} tokens: {answers}here {summary}");
+    match shortage.error {
         ReserveError::Exhausted => Refused::new(Refusal::BudgetExhausted, reason),
         ReserveError::NotHeld => Refused {
-            retry_after_ms: Some(
-                shared.budgets.retry_after_ms(team, shared.now_ms()) + 2 * call.retry_jitter_ms,
-            ),
+            retry_after_ms: Some(shortage.retry_after_ms + 2 * call.retry_jitter_ms),
             ..Refused::new(Refusal::BudgetUnavailable, reason)
         },
     }
@@ -370,6 +376,7 @@
     attempts: &Attempts,
     delivery: &Delivery,
     charge: u64,
+    holder: &str,
 ) {
     let now_ms = shared.now_ms();
     let elapsed_ms = now_ms.saturating_sub(call.started_ms);
@@ -385,6 +392,7 @@
         misses = attempts.not_run,
         last_attempt = attempts.last.as_str(), status = delivery.status, events = delivery.events,
         input_tokens = call.meta.input_tokens, charge_tokens = charge,
+        holder = holder,
         at_ms = now_ms, elapsed_ms = elapsed_ms,
         expected_ms = attempts.expected_ms,
         first_byte_ms = delivery.first_byte_ms.saturating_sub(call.started_ms),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -52,16 +52,40 @@
     pub address: CompactString,
     /// Number of partitions of a topic.
     pub partitions: u16,
+    /// Rate of writing calls that the store accepts from all gateways together, per second.
+    pub writes_per_s: u64,
+    /// Rate of reading calls that the store accepts from all gateways together, per second.
+    pub reads_per_s: u64,
 }
 
 /// Resources of the VM.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Resources {
     /// Memory that the process may use, in MiB.
     pub memory_mb: u64,
     /// Number of file descriptors that the process may open.
     pub descriptors: u64,
+    /// Processor time that the process may use, in cores.
+    pub processor_cores: f64,
+    /// Bandwidth of the VM's network link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Resources {
+    /// Returns the capacity of the VM for the rights of teams, in thousandths of an ordinary one.
+    ///
+    /// A reservation costs some tens of microseconds and some hundred bytes, so the processor decides unless the link
+    /// is so narrow that responses fill it.
+    pub fn weight_permille(&self) -> u32 {
+        /// Processor share of an ordinary VM.
+        const ORDINARY_CORES: f64 = 0.25;
+        /// Bandwidth below which a link is often filled by responses, in Mbit/s.
+        const NARROW_LINK_MBPS: f64 = 50.0;
+        let processor = self.processor_cores / ORDINARY_CORES;
+        let link = (self.link_mbps / NARROW_LINK_MBPS).min(1.0);
+        (processor * link * 1_000.0).clamp(1.0, 100_000.0) as u32
+    }
 }
 
 /// Limits that operators set for the whole fleet.
@@ -108,11 +132,15 @@
 const STORE: Schema = Schema(&[
     field("address", FieldType::Address),
     integer("partitions", 1, 10_000, "partitions"),
+    integer("writes_per_s", 1, 1_000_000, "calls"),
+    integer("reads_per_s", 1, 1_000_000, "calls"),
 ]);
 
 const RESOURCES: Schema = Schema(&[
     integer("memory_mb", 16, 1 << 20, "megabytes"),
     integer("descriptors", 256, 1 << 20, "descriptors"),
+    number("processor_cores", 0.01, 1_024.0),
+    number("link_mbps", 0.1, 1_000_000.0),
 ]);
 
 const FLEET: Schema = Schema(&[
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -4,6 +4,7 @@
 //! requests are served as before, except that each response closes its connection. Open requests are completed.
 
 use std::io;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use monoio::io::AsyncReadRent;
@@ -58,7 +59,7 @@
 }
 
 /// Waits for a shutdown signal, then until open requests and connections have ended or the grace time is nearly over.
-pub(super) async fn wait_and_drain(shared: &Shared, signals: &mut Signals) {
+pub(super) async fn wait_and_drain(shared: &Rc<Shared>, signals: &mut Signals) {
     loop {
         let is_stop = monoio::select! {
             () = next_signal(&mut signals.stop) => true,
@@ -78,11 +79,16 @@
     );
     shared.phase.set(Phase::Stopping);
     shared.stopping_since.set(Some(Instant::now()));
+    // From here on new requests reserve tokens at other gateways, which need the rights at once.
+    let returning = Rc::clone(shared);
+    monoio::spawn(async move { returning.budgets.return_all(&returning).await });
     let grace = Duration::from_secs_f64(shared.settings.fleet.stop_grace_s);
     let end = Instant::now() + grace * GRACE_PERCENT / 100 - RETURN_TIMEOUT;
     let earliest_end = Instant::now() + BALANCER_DRAIN_TIME;
     while Instant::now() < end {
-        let is_idle = shared.open_requests.get() == 0 && shared.connections.get() == 0;
+        let is_idle = shared.open_requests.get() == 0
+            && shared.connections.get() == 0
+            && !shared.budgets.has_open_reservations();
         if is_idle && Instant::now() >= earliest_end {
             break;
         }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -13,7 +13,7 @@
 use crate::store::{Changes, Feed, Record, Snapshot};
 
 /// Time for which the store may hold a read of the configuration; it bounds how long a dead connection goes unnoticed.
-const CONFIGURATION_LONG_POLL_MS: u64 = 500;
+pub(super) const CONFIGURATION_LONG_POLL_MS: u64 = 500;
 
 /// Interval between two reads of the upstreams; an upstream must receive no new requests 2 s after it reported that it
 /// is draining.
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::collections::FastMap;
+use crate::holders::Candidate;
 
 /// Time without a report after which a router of a small fleet counts as gone; three report intervals.
 pub const PRESENCE_TIMEOUT_MS: u64 = 6_500;
@@ -41,14 +42,23 @@
     pub requests: u64,
     /// Address for datagrams from other routers.
     pub peer_address: Option<SocketAddr>,
+    /// Capacity of the VM, in thousandths of an ordinary one.
+    #[serde(default = "ordinary_weight")]
+    pub weight_permille: u32,
     /// Whether the router is shutting down.
     pub is_leaving: bool,
 }
 
+/// Returns the weight of a router whose report states none.
+fn ordinary_weight() -> u32 {
+    1_000
+}
+
 /// Routers that reported recently, by VM.
 #[derive(Clone, Debug, Default)]
 pub struct ActiveRouters {
     present: FastMap<CompactString, (Presence, u64)>,
+    generation: u64,
 }
 
 impl ActiveRouters {
@@ -56,10 +66,20 @@
     pub fn apply(&mut self, vm: CompactString, presence: Option<Presence>, now_ms: u64) {
         match presence {
             Some(presence) if !presence.is_leaving => {
-                self.present.insert(vm, (presence, now_ms));
+                let candidate = |presence: &Presence| {
+                    let data_centre = presence.data_centre.clone();
+                    (data_centre, presence.peer_address, presence.weight_permille)
+                };
+                let after = candidate(&presence);
+                let before = self.present.insert(vm, (presence, now_ms));
+                if before.map(|(before, _)| candidate(&before)) != Some(after) {
+                    self.generation += 1;
+                }
             }
             _ => {
-                self.present.remove(&vm);
+                if self.present.remove(&vm).is_some() {
+                    self.generation += 1;
+                }
             }
         }
     }
@@ -67,8 +87,37 @@
     /// Removes routers that have not reported in time.
     pub fn expire(&mut self, now_ms: u64) {
         let timeout_ms = PRESENCE_TIMEOUT_MS * self.interval_factor();
+        let before = self.present.len();
         self.present
             .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < timeout_ms);
+        if self.present.len() < before {
+            self.generation += 1;
+        }
+    }
+
+    /// Returns a number that changes whenever [`ActiveRouters::candidates`] does.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns the routers that can hold rights.
+    pub fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
+        self.present.iter().map(|(vm, (presence, _))| Candidate {
+            vm,
+            data_centre: &presence.data_centre,
+            weight_permille: presence.weight_permille,
+        })
+    }
+
+    /// Returns the address for datagrams of the router on a VM.
+    pub fn address_of(&self, vm: &str) -> Option<SocketAddr> {
+        self.present.get(vm)?.0.peer_address
+    }
+
+    /// Returns whether an address is that of a router.
+    pub fn is_member(&self, address: SocketAddr) -> bool {
+        let mut present = self.present.values();
+        present.any(|(presence, _)| presence.peer_address == Some(address))
     }
 
     /// Postpones the expiry of all reports by a time in which none could be read.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -3,8 +3,12 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use monsoonfield::allowance::{
-    BudgetRecord, ClockReading, JournalEntry, ReserveError, SpendingLimit, TeamAccount, TeamLimit,
-    LOCK_PERIOD_MS,
+    BudgetRecord, ClockReading, JournalEntry, ReserveError, Role, SpendingLimit, TeamAccount,
+    TeamLimit, LOCK_PERIOD_MS,
+};
+
+use monsoonfield::reservations::{
+    Admission, ReservationBook, ReservationId, SettlementQueue, SETTLEMENT_GRACE_MS,
 };
 
 const PREPAID: u64 = 100_000;
@@ -13,6 +17,12 @@
 const SMALL_PREPAID: u64 = 20_000;
 const ROUTERS: u64 = 3;
 
+/// Role of every router of the tests.
+const HOLDER: Role = Role {
+    holders: ROUTERS,
+    is_holder: true,
+};
+
 /// A store with a team's record and a journal for each VM.
 ///
 /// A write takes effect only if the feed still ends where the writer expects; some writes are still in flight.
@@ -26,6 +36,42 @@
     vms: Vec<Vm>,
     next_router: u64,
     charged: u64,
+    /// Datagrams in flight; they are lost, repeated and reordered.
+    datagrams: Vec<Datagram>,
+    next_reservation: ReservationId,
+}
+
+/// A message about a reservation at another router. A router that has restarted receives those of its predecessor.
+#[derive(Clone, Copy)]
+enum Datagram {
+    Reserve {
+        id: ReservationId,
+        tokens: u64,
+        holder: usize,
+        asker: usize,
+    },
+    Granted {
+        id: ReservationId,
+        tokens: u64,
+        asker: usize,
+    },
+    Settle {
+        id: ReservationId,
+        charge_tokens: u64,
+        holder: usize,
+    },
+}
+
+/// Time for which a request waits for a reservation and then runs, at most.
+const REQUEST_MS: u64 = 3_000;
+
+/// A request whose tokens are reserved at another router.
+struct RemoteRequest {
+    id: ReservationId,
+    holder: usize,
+    /// Tokens that the holder granted; `None` while its reply has not arrived.
+    granted_tokens: Option<u64>,
+    end_ms: u64,
 }
 
 #[derive(Default)]
@@ -57,6 +103,12 @@
     predecessor: Option<(u64, u64)>,
     /// Need of the request that waits for tokens.
     waiting_need: u64,
+    /// Reservations for requests at other routers.
+    book: ReservationBook,
+    /// Requests whose tokens are reserved at other routers.
+    remote: Vec<RemoteRequest>,
+    /// Settlements that other routers have not acknowledged, with the holder and the charge.
+    settlements: SettlementQueue<(usize, u64)>,
 }
 
 /// What happens to a call to the store.
@@ -204,7 +256,7 @@
         let planned = if returns {
             router.account.plan_return(&record, id)
         } else {
-            router.account.plan(&record, id, SMALL_PREPAID, ROUTERS)
+            router.account.plan(&record, id, SMALL_PREPAID, HOLDER)
         };
         if let Some(planned) = planned {
             router.account.begin_write(&planned, id);
@@ -241,6 +293,8 @@
     fn kill(&mut self, vm: usize, down_ms: u64, loses_power: bool) {
         // The upstreams of open requests may still deliver and charge everything that is reserved.
         self.charged += self.vms[vm].router.open.iter().sum::<u64>();
+        let remote = &self.vms[vm].router.remote;
+        self.charged += remote.iter().filter_map(|r| r.granted_tokens).sum::<u64>();
         self.now_ms += down_ms;
         let id = self.next_router;
         self.next_router += 1;
@@ -293,7 +347,8 @@
             vm.router.account.set_entry_age(age_ms);
         }
         let vm = u.choose_index(self.vms.len())?;
-        match u.int_in_range(0..=39)? {
+        self.end_late_requests();
+        match u.int_in_range(0..=59)? {
             0..=8 => {
                 let need = u.int_in_range(1..=3_000)?;
                 let now_ms = self.now_ms;
@@ -323,7 +378,7 @@
             15..=17 => {
                 // A transfer between routers, which may be lost in transit.
                 let asked = u.int_in_range(0..=20_000)?;
-                let given = self.vms[vm].router.account.give(asked, 500);
+                let given = self.vms[vm].router.account.give(asked);
                 let receiver = u.choose_index(self.vms.len())?;
                 if receiver != vm && u.ratio(4, 5)? {
                     let giver = self.vms[vm].router.id;
@@ -351,17 +406,154 @@
                     vm.apply(expected_end, &entry);
                 }
             }
-            _ => {
+            39 => {
                 let (down_ms, loses_power) = (u.int_in_range(0..=5_000)?, u.ratio(1, 3)?);
                 self.kill(vm, down_ms, loses_power);
             }
+            40..=44 => {
+                let holder = u.choose_index(self.vms.len())?;
+                let tokens = u.int_in_range(1..=3_000)?;
+                self.ask(vm, holder, tokens);
+            }
+            45..=48 => {
+                if !self.vms[vm].router.remote.is_empty() {
+                    let index = u.choose_index(self.vms[vm].router.remote.len())?;
+                    let delivered_permille = u.int_in_range(0..=1_000)?;
+                    self.end_remote(vm, index, delivered_permille);
+                }
+            }
+            49..=50 => self.repeat_settlements(vm),
+            51 => {
+                let now_ms = self.now_ms;
+                let router = &mut self.vms[vm].router;
+                for settled in router.book.expire(now_ms) {
+                    router
+                        .account
+                        .settle(settled.reserved_tokens, settled.charge_tokens);
+                }
+            }
+            _ => {
+                if !self.datagrams.is_empty() {
+                    let index = u.choose_index(self.datagrams.len())?;
+                    let datagram = self.datagrams[index];
+                    // A datagram that stays in flight arrives again later.
+                    if u.ratio(3, 4)? {
+                        self.datagrams.swap_remove(index);
+                    }
+                    if u.ratio(5, 6)? {
+                        self.deliver(datagram);
+                    }
+                }
+            }
         }
         Ok(())
     }
+
+    /// Asks another router to reserve tokens for a request.
+    fn ask(&mut self, asker: usize, holder: usize, tokens: u64) {
+        if asker == holder {
+            return;
+        }
+        let id = self.next_reservation;
+        self.next_reservation += 1;
+        self.vms[asker].router.remote.push(RemoteRequest {
+            id,
+            holder,
+            granted_tokens: None,
+            end_ms: self.now_ms + REQUEST_MS,
+        });
+        self.datagrams.push(Datagram::Reserve {
+            id,
+            tokens,
+            holder,
+            asker,
+        });
+    }
+
+    /// Ends the requests whose deadline has passed; their callers have received everything by then.
+    fn end_late_requests(&mut self) {
+        for vm in 0..self.vms.len() {
+            let remote = &self.vms[vm].router.remote;
+            if let Some(index) = remote.iter().position(|r| r.end_ms <= self.now_ms) {
+                self.end_remote(vm, index, 1_000);
+            }
+        }
+    }
+
+    /// Ends a request, whether its tokens were granted or not, and settles what was delivered.
+    fn end_remote(&mut self, vm: usize, index: usize, delivered_permille: u64) {
+        let now_ms = self.now_ms;
+        let router = &mut self.vms[vm].router;
+        let request = router.remote.swap_remove(index);
+        let charge = request.granted_tokens.unwrap_or(0) * delivered_permille / 1_000;
+        self.charged += charge;
+        router
+            .settlements
+            .push(request.id, (request.holder, charge), now_ms);
+        self.repeat_settlements(vm);
+    }
+
+    fn repeat_settlements(&mut self, vm: usize) {
+        let due = self.vms[vm].router.settlements.take_due(self.now_ms);
+        for (id, (holder, charge_tokens)) in due.send {
+            self.datagrams.push(Datagram::Settle {
+                id,
+                charge_tokens,
+                holder,
+            });
+        }
+    }
+
+    /// Handles a datagram at its receiver. Follows `gateway::budget`.
+    fn deliver(&mut self, datagram: Datagram) {
+        match datagram {
+            Datagram::Reserve {
+                id,
+                tokens,
+                holder,
+                asker,
+            } => {
+                let now_ms = self.now_ms;
+                let router = &mut self.vms[holder].router;
+                let is_granted = match router.book.admit(id) {
+                    Admission::New if router.account.reserve(tokens, now_ms).is_ok() => {
+                        let expires_ms = now_ms + REQUEST_MS + SETTLEMENT_GRACE_MS;
+                        let is_open = router.book.grant(id, tokens, expires_ms);
+                        assert!(is_open, "a new reservation is not settled");
+                        true
+                    }
+                    Admission::Granted => true,
+                    Admission::New | Admission::Waiting | Admission::Refused => false,
+                };
+                if is_granted {
+                    self.datagrams.push(Datagram::Granted { id, tokens, asker });
+                }
+            }
+            Datagram::Granted { id, tokens, asker } => {
+                let mut remote = self.vms[asker].router.remote.iter_mut();
+                if let Some(request) = remote.find(|request| request.id == id) {
+                    request.granted_tokens = Some(tokens);
+                }
+            }
+            Datagram::Settle {
+                id,
+                charge_tokens,
+                holder,
+            } => {
+                let router = &mut self.vms[holder].router;
+                if let Some(settled) = router.book.settle(id, charge_tokens, self.now_ms) {
+                    router
+                        .account
+                        .settle(settled.reserved_tokens, settled.charge_tokens);
+                }
+            }
+        }
+    }
 }
 
-/// Guards against spending more than was prepaid when responses are lost, writes are delayed, routers transfer tokens,
-/// or routers are killed or lose power and their successors reclaim tokens.
+/// Guards against spending more than was prepaid when responses are lost, writes are delayed, routers transfer tokens
+/// or reserve them at each other over a network that loses, repeats and reorders datagrams, or when routers are killed or
+/// lose power and their successors reclaim tokens.
 #[test]
 fn no_interleaving_overspends() {
     arbtest(|u| {
@@ -370,6 +562,8 @@
         for _ in 0..steps {
             simulation.step(u)?;
             let open: u64 = simulation.vms.iter().flat_map(|vm| &vm.router.open).sum();
+            let remote = simulation.vms.iter().flat_map(|vm| &vm.router.remote);
+            let open = open + remote.filter_map(|r| r.granted_tokens).sum::<u64>();
             let charged = simulation.charged;
             // Tokens that a router holds but may not spend yet count too, because it can spend them later.
             let accounts = simulation.vms.iter().map(|vm| &vm.router.account);
@@ -556,7 +750,7 @@
     giver.add_demand(30_000);
     sync(&mut giver, &mut record, 1);
     giver.remove_demand(30_000);
-    let given = giver.give(10_000, 1_000);
+    let given = giver.give(10_000);
     receiver.receive(1, given);
     assert!(
         receiver.reserve(10_000, 0).is_ok(),
@@ -592,15 +786,15 @@
     sync(&mut giver, &mut record, 1);
     write_entry(&mut receiver);
     let pending_limit = receiver.begin_entry();
-    receiver.receive(1, giver.give(10_000, 1_000));
+    receiver.receive(1, giver.give(10_000));
     receiver.commit_entry(pending_limit);
     assert!(receiver.reserve(10_000, 0).is_ok());
     receiver.observe(&record, 2, PREPAID);
-    let planned = receiver.plan(&record, 2, PREPAID, ROUTERS);
+    let planned = receiver.plan(&record, 2, PREPAID, HOLDER);
     let moved = |planned: &BudgetRecord| planned.grant_of(1).expect("the giver").moved_tokens;
     assert_eq!(planned.as_ref().map_or(0, moved), 0);
     write_entry(&mut receiver);
-    let planned = receiver.plan(&record, 2, PREPAID, ROUTERS);
+    let planned = receiver.plan(&record, 2, PREPAID, HOLDER);
     assert_eq!(planned.as_ref().map(moved), Some(10_000));
 }
 
@@ -611,7 +805,7 @@
 
 fn sync(account: &mut TeamAccount, record: &mut BudgetRecord, router: u64) {
     account.observe(record, router, PREPAID);
-    if let Some(planned) = account.plan(record, router, PREPAID, ROUTERS) {
+    if let Some(planned) = account.plan(record, router, PREPAID, HOLDER) {
         account.begin_write(&planned, router);
         account.finish_write(true);
         *record = planned;
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -504,6 +504,7 @@
     pub callers: String,
     pub readiness: String,
     pub metrics: String,
+    pub peers: String,
     pub log_lines: Arc<Mutex<Vec<Value>>>,
 }
 
@@ -520,8 +521,10 @@
             "data_centre": "kv-a",
             "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
                        "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0"},
-            "store": {"address": store.address.to_string(), "partitions": 4},
-            "resources": {"memory_mb": 100, "descriptors": 1024},
+            "store": {"address": store.address.to_string(), "partitions": 4,
+                      "writes_per_s": 800, "reads_per_s": 2000},
+            "resources": {"memory_mb": 100, "descriptors": 1024, "processor_cores": 0.25,
+                          "link_mbps": 1000.0},
             "fleet": {"retry_ratio": 0.2, "retry_slack": 1000, "retry_window_s": 10.0,
                       "stop_grace_s": 8.0},
         });
@@ -550,6 +553,7 @@
             callers: address("callers"),
             readiness: address("readiness"),
             metrics: address("metrics"),
+            peers: address("peers"),
             log_lines,
         }
     }
@@ -569,6 +573,13 @@
         of_request.cloned().collect()
     }
 
+    /// Returns the log lines of a step, in the order in which they were written.
+    pub fn log_lines_with_step(&self, step: &str) -> Vec<Value> {
+        let lines = self.log_lines.lock().unwrap();
+        let of_step = lines.iter().filter(|line| line["step"] == step);
+        of_step.cloned().collect()
+    }
+
     /// Returns whether a log line has this field with at least this value.
     pub fn log_has(&self, field: &str, least: u64) -> bool {
         let lines = self.log_lines.lock().unwrap();
