Observe the store's responsiveness over all calls, and the rate from its start

Cause: whether a request waits for rights of the store followed from the calls of its team alone, so requests waited 250 ms at gateways that had no call pending while the store was cut off, and were refused up to 2.5 s after it was back. The reader of the configuration noticed the end of an outage 2 s late, because a connection opened during a cut hangs. The measured spending rate was a quarter too low five seconds after the first request, so what was held ran out before the first outage ended.

Change: `store_health` observes all calls: the store responds if a call succeeded within 800 ms and none has become overdue since. During an outage two of three calls are given up after 300 ms. The decaying rate is scaled up while it covers less than its time constant.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -246,6 +246,8 @@
     writes: u64,
     rate_tokens_per_s: f64,
     rate_updated_ms: u64,
+    /// Time of the first reservation, from which on the rate is measured.
+    rate_started_ms: Option<u64>,
     largest_need_tokens: u64,
     /// Upper bound on the team's balance when the record was last read.
     unspent_tokens: Option<u64>,
@@ -321,7 +323,7 @@
     /// Returns how many tokens the next journal entry lets this router spend at once.
     fn headroom_tokens(&self) -> u64 {
         let fraction = self.unspent_fraction.clamp(MIN_HEADROOM_FRACTION, 1.0);
-        (self.rate_tokens_per_s * HEADROOM_MS * fraction / 1_000.0) as u64
+        (self.spending_rate() * HEADROOM_MS * fraction / 1_000.0) as u64
     }
 
     /// Applies the limit of a journal entry that has taken effect.
@@ -396,11 +398,11 @@
         prepaid: u64,
         role: Role,
     ) -> u64 {
-        if !role.is_holder && self.rate_tokens_per_s < IDLE_TOKENS_PER_S {
+        if !role.is_holder && self.spending_rate() < IDLE_TOKENS_PER_S {
             return 0;
         }
         let holders = role.holders.max(1);
-        let rate = self.rate_tokens_per_s as u64;
+        let rate = self.spending_rate() as u64;
         let others: u64 = record
             .holders
             .iter()
@@ -445,7 +447,7 @@
         };
         let known = record.grant_of(router);
         let is_reported = known.is_some_and(|grant| {
-            let rate = self.rate_tokens_per_s as u64;
+            let rate = self.spending_rate() as u64;
             grant.spent_tokens + target / 2 + 1 >= self.spent_tokens
                 && rate <= grant.rate_tokens_per_s * 2
                 && grant.rate_tokens_per_s <= rate * 2 + 64
@@ -461,7 +463,7 @@
     /// The threshold of a router without recent traffic is higher, because its share depends on the number of routers,
     /// which changes while a fleet starts.
     fn return_threshold_tokens(&self, goal: u64) -> u64 {
-        if self.rate_tokens_per_s < IDLE_TOKENS_PER_S {
+        if self.spending_rate() < IDLE_TOKENS_PER_S {
             goal * 8
         } else {
             goal + goal / 2
@@ -623,7 +625,7 @@
             router,
             granted_tokens: granted,
             spent_tokens: self.spent_tokens,
-            rate_tokens_per_s: self.rate_tokens_per_s as u64,
+            rate_tokens_per_s: self.spending_rate() as u64,
             write: self.writes + 1,
             revision: next.revision,
             moved_tokens: self.moved_tokens,
@@ -636,6 +638,18 @@
         next
     }
 
+    /// Returns the tokens reserved per second.
+    ///
+    /// The decaying sum starts at zero, so it is scaled up while it covers less time than its time constant.
+    fn spending_rate(&self) -> f64 {
+        /// Smallest part of the sum that is scaled up; a single request must not count as a high rate.
+        const MIN_COVERED: f64 = 0.3;
+        let started_ms = self.rate_started_ms.unwrap_or(self.rate_updated_ms);
+        let elapsed_ms = self.rate_updated_ms.saturating_sub(started_ms) as f64;
+        let covered = 1.0 - (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
+        self.rate_tokens_per_s / covered.max(MIN_COVERED)
+    }
+
     /// Decays the measured rate to the present time.
     pub fn decay_rate(&mut self, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.rate_updated_ms) as f64;
@@ -644,6 +658,7 @@
     }
 
     fn update_rate(&mut self, tokens: u64, now_ms: u64) {
+        self.rate_started_ms.get_or_insert(now_ms);
         self.decay_rate(now_ms);
         self.rate_tokens_per_s += tokens as f64 * 1_000.0 / RATE_TIME_CONSTANT_MS;
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -43,6 +43,7 @@
 mod request;
 mod settings;
 mod shutdown;
+mod store_health;
 mod watch;
 
 use std::cell::{Cell, RefCell};
@@ -68,7 +69,7 @@
 use crate::routing::RoutingTable;
 use crate::server;
 use crate::shared_limits::{ActiveRouters, RetryLimiter};
-use crate::store::Store;
+use store_health::ObservedStore;
 
 pub use settings::{FleetLimits, Listen, Resources, Settings, StoreSettings};
 
@@ -117,7 +118,7 @@
     started: Instant,
     phase: Cell<Phase>,
     stopping_since: Cell<Option<Instant>>,
-    store: Rc<dyn Store>,
+    store: ObservedStore<StoreClient>,
     /// `None` until the first configuration has been read.
     table: RefCell<Option<Rc<RoutingTable>>>,
     /// Time at which the configuration was last confirmed to be the newest one.
@@ -259,16 +260,17 @@
 }
 
 fn build_shared(settings: Settings, peer_socket: peers::PeerSocket) -> Shared {
+    let started = Instant::now();
     let store = &settings.store;
     let store = StoreClient::new(&store.address, &settings.vm, store.partitions);
+    let store = ObservedStore::new(store, started);
     let mut random = Pcg64Mcg::from_os_rng();
-    let started = Instant::now();
     Shared {
         router_id: random.random(),
         started,
         phase: Cell::new(Phase::Running),
         stopping_since: Cell::new(None),
-        store: Rc::new(store),
+        store,
         table: RefCell::default(),
         table_read_ms: Cell::new(0),
         directory: RefCell::default(),
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -212,7 +212,6 @@
                 poll_requested: Notify::default(),
                 is_poll_requested: Cell::new(false),
                 rights_changed: Notify::default(),
-                call_pending_since_ms: Cell::new(None),
                 failing_since_ms: Cell::new(None),
                 read_ms: Cell::new(0),
                 free_tokens: Cell::new(prepaid_tokens),
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -10,12 +10,11 @@
 use super::{remote, BudgetSummary};
 use crate::allowance::{BudgetRecord, ReserveError, Role, TeamAccount};
 use crate::gateway::peers::{Content, RightsRequest};
-use crate::gateway::watch::CONFIGURATION_LONG_POLL_MS;
 use crate::gateway::Shared;
 use crate::holders::{self, Candidate, Holder, HOLDERS_PER_TEAM};
 use crate::notify::Notify;
 use crate::reservations::{ReservationBook, Settled};
-use crate::store::{AppendOutcome, Error, Feed, Record};
+use crate::store::{AppendOutcome, Error, Feed, Record, Store};
 
 /// Number of slots over which the records of teams are spread.
 const FEED_SLOTS: u64 = 48;
@@ -36,9 +35,6 @@
 /// Margin for the intervals at which the age of the entry is applied.
 const UNLOCK_MARGIN_MS: u64 = 120;
 
-/// Time without a response from the store after which it counts as unavailable.
-const OUTAGE_MS: u64 = 300;
-
 /// Expected time until rights that the store can grant are held: one read and one write of the record.
 const GRANT_MS: u64 = 20;
 
@@ -70,8 +66,6 @@
     pub(super) is_poll_requested: Cell<bool>,
     /// Wakes requests that wait for rights.
     pub(super) rights_changed: Notify,
-    /// Time since which a call has been waiting for a response of the store; `None` while none is.
-    pub(super) call_pending_since_ms: Cell<Option<u64>>,
     /// Time since which calls have failed; `None` while they succeed.
     pub(super) failing_since_ms: Cell<Option<u64>>,
     /// Time at which the record was last read.
@@ -228,17 +222,6 @@
         self.poll_requested.notify();
     }
 
-    /// Returns whether the store is responsive: no call of this team has been waiting for a response for [`OUTAGE_MS`],
-    /// and the configuration has been read lately.
-    pub(super) fn is_store_responsive(&self, shared: &Shared) -> bool {
-        let now_ms = shared.now_ms();
-        let pending_since = self.call_pending_since_ms.get();
-        let is_pending =
-            pending_since.is_some_and(|since| now_ms.saturating_sub(since) >= OUTAGE_MS);
-        let read_age_ms = now_ms.saturating_sub(shared.table_read_ms.get());
-        !is_pending && read_age_ms < CONFIGURATION_LONG_POLL_MS + OUTAGE_MS
-    }
-
     /// Reserves tokens in the account, without waiting.
     pub(super) fn reserve_tokens(&self, tokens: u64, now_ms: u64) -> Result<(), ReserveError> {
         let mut account = self.account.borrow_mut();
@@ -281,7 +264,7 @@
     ) -> Option<u64> {
         let account = self.account.borrow();
         let available = account.available_tokens();
-        if available >= tokens && self.is_store_responsive(shared) {
+        if available >= tokens && shared.store.is_responsive() {
             return Some(ENTRY_MS);
         }
         if available + self.usable_free_tokens(shared) >= tokens {
@@ -341,7 +324,7 @@
 
     /// Returns the tokens that the store can grant now.
     fn usable_free_tokens(&self, shared: &Shared) -> u64 {
-        if self.is_store_responsive(shared) {
+        if shared.store.is_responsive() {
             self.free_tokens.get()
         } else {
             0
@@ -381,7 +364,7 @@
     /// Returns the time after which a request that found too few rights may succeed.
     pub(super) fn retry_after_ms(&self, shared: &Shared, tokens: u64) -> u64 {
         let unspent = self.account.borrow().team_unspent_tokens();
-        if !self.is_store_responsive(shared) {
+        if !shared.store.is_responsive() {
             OUTAGE_RETRY_AFTER_MS
         } else if unspent.is_some_and(|unspent| unspent < tokens) {
             EXHAUSTED_RETRY_AFTER_MS
@@ -483,7 +466,6 @@
     }
 
     pub(super) async fn read(&self, shared: &Shared) -> Option<(BudgetRecord, u64)> {
-        self.record_call(shared);
         let result = shared.store.snapshot(self.feed()).await;
         let snapshot = match result {
             Ok(snapshot) => snapshot,
@@ -525,11 +507,7 @@
                 key: self.name.clone(),
                 value: Some(value.clone()),
             };
-            self.record_call(shared);
             let result = shared.store.append(self.feed(), Some(end), record).await;
-            if result.is_ok() {
-                self.call_pending_since_ms.set(None);
-            }
             if matches!(result, Ok(AppendOutcome::Written)) {
                 self.finish(shared, true);
                 return true;
@@ -568,12 +546,6 @@
         Feed::Budgets((hash % FEED_SLOTS) as u16)
     }
 
-    pub(super) fn record_call(&self, shared: &Shared) {
-        if self.call_pending_since_ms.get().is_none() {
-            self.call_pending_since_ms.set(Some(shared.now_ms()));
-        }
-    }
-
     pub(super) fn record_failure(&self, shared: &Shared, error: &Error) {
         if self.failing_since_ms.get().is_none() {
             self.failing_since_ms.set(Some(shared.now_ms()));
@@ -583,7 +555,6 @@
 
     pub(super) fn record_success(&self, shared: &Shared) {
         self.read_ms.set(shared.now_ms());
-        self.call_pending_since_ms.set(None);
         if let Some(since_ms) = self.failing_since_ms.take() {
             let away_ms = shared.now_ms().saturating_sub(since_ms);
             log::info!(
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -17,7 +17,7 @@
 use super::{clock, Shared};
 use crate::allowance::{ClockReading, JournalEntry};
 use crate::notify::Notify;
-use crate::store::{AppendOutcome, Feed, Record};
+use crate::store::{AppendOutcome, Feed, Record, Store};
 
 /// Number of slots over which the VMs are spread; the writes of VMs that share a slot conflict and are repeated.
 const FEED_SLOTS: u64 = 480;
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -6,7 +6,7 @@
 
 use super::Shared;
 use crate::shared_limits::Presence;
-use crate::store::{Changes, Feed, Record};
+use crate::store::{Changes, Feed, Record, Store};
 
 /// Interval between two reports in a small fleet; the store charges for every report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(2_000);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -10,10 +10,10 @@
 use crate::directory::UpstreamChange;
 use crate::platform::documents::{self, CONFIGURATION_KEY};
 use crate::routing::RoutingTable;
-use crate::store::{Changes, Feed, Record, Snapshot};
+use crate::store::{Changes, Feed, Record, Snapshot, Store};
 
 /// Time for which the store may hold a read of the configuration; it bounds how long a dead connection goes unnoticed.
-pub(super) const CONFIGURATION_LONG_POLL_MS: u64 = 500;
+const CONFIGURATION_LONG_POLL_MS: u64 = 500;
 
 /// Interval between two reads of the upstreams; an upstream must receive no new requests 2 s after it reported that it
 /// is draining.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -881,3 +881,23 @@
     assert!(account.available_tokens() < 10_000);
     assert_eq!(record.granted_tokens, account.granted_tokens());
 }
+
+/// Guards against holding too little for an outage that comes soon after the first requests: the rate that was measured
+/// for five seconds was a quarter too low, and what was held ran out before the outage ended.
+#[test]
+fn the_spending_rate_is_right_soon_after_the_first_request() {
+    let mut account = TeamAccount::default();
+    let mut record = BudgetRecord::default();
+    account.add_demand(PREPAID / 2);
+    sync(&mut account, &mut record, 1);
+    account.remove_demand(PREPAID / 2);
+    for step in 0..50 {
+        assert_eq!(account.reserve(100, step * 100), Ok(()));
+        account.settle(100, 100);
+    }
+    // 100 tokens each 100 ms for five seconds.
+    account.decay_rate(5_000);
+    sync(&mut account, &mut record, 1);
+    let rate = record.grant_of(1).expect("a grant").rate_tokens_per_s;
+    assert!((850..=1_150).contains(&rate), "{rate} tokens per second");
+}
