--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -150,7 +150,11 @@
 }
 
 impl BudgetRecord {
-    /// Plans the next record with the tokens beyond the limit of an ended process reclaimed; `None` if there are none.
+    /// Plans the next record with the tokens beyond the limit of an ended process reclaimed and the rest of its grant
+    /// closed; `None` if that has been done.
+    ///
+    /// What it held below its limit may have been used and counts as spent. Otherwise the team would seem to have tokens
+    /// left that nobody can spend, and the ended process would seem to compete for rights.
     pub fn reclaim(&self, router: u64, limit_tokens: u64) -> Option<Self> {
         let mut next = self.clone();
         let grant = next
@@ -159,12 +163,12 @@
             .find(|grant| grant.router == router)?;
         let held = grant.granted_tokens + grant.moved_tokens;
         let unused = held.saturating_sub(limit_tokens).min(grant.granted_tokens);
-        if unused == 0 {
+        let is_closed = grant.spent_tokens == grant.granted_tokens && grant.rate_tokens_per_s == 0;
+        if unused == 0 && is_closed {
             return None;
         }
         grant.granted_tokens -= unused;
         grant.spent_tokens = grant.granted_tokens;
-        // A process that has ended competes with no other for the rights that may be held.
         grant.rate_tokens_per_s = 0;
         next.granted_tokens = next.granted_tokens.saturating_sub(unused);
         next.revision += 1;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,9 +26,8 @@
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
 //! [`crate::allowance`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`] and
-//! [`crate::shared_limits`]. These modules,
-//! [`crate::store`] and [`crate::platform`] call a gateway process a router. The design is in `docs/design.md`, section
-//! 10.
+//! [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router. The
+//! design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod budget;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -89,6 +89,8 @@
 struct Predecessor {
     router: u64,
     limits_tokens: FastMap<CompactString, u64>,
+    /// The same for teams that its last entry does not name.
+    other_limit_tokens: u64,
     vm: CompactString,
     /// Time from which its rights are reclaimed.
     from_ms: u64,
@@ -98,8 +100,16 @@
 pub(super) struct LastEntry<'e> {
     pub(super) router: u64,
     pub(super) limits: &'e [TeamLimit],
-    /// Upper bound of the age that the entry had when this process started.
-    pub(super) age_ms: u64,
+    /// Upper bound of the age that the entry had when this process started; `None` if the clocks give none.
+    pub(super) age_ms: Option<u64>,
+}
+
+impl LastEntry<'_> {
+    /// Returns an upper bound of what the process can have used of a team's rights.
+    fn used_limit(&self, stored: &TeamLimit) -> u64 {
+        self.age_ms
+            .map_or(u64::MAX, |age_ms| stored.limit().at(age_ms))
+    }
 }
 
 /// Where the tokens of a request are reserved.
@@ -155,6 +165,68 @@
     pub(super) answers: CompactString,
 }
 
+/// What the holders have answered to one request so far.
+struct Inquiry {
+    answers: CompactString,
+    retry_after_ms: u64,
+    /// The holder that expects to have the rights soonest, and when.
+    soonest: Option<(u64, Holder)>,
+    /// Number of holders that did not respond.
+    silent: usize,
+}
+
+impl Default for Inquiry {
+    fn default() -> Self {
+        Self {
+            answers: CompactString::default(),
+            retry_after_ms: MAX_RETRY_AFTER_MS,
+            soonest: None,
+            silent: 0,
+        }
+    }
+}
+
+impl Inquiry {
+    /// Records the answer of a holder that did not grant the tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns a shortage if no other holder can have the tokens either.
+    fn record(&mut self, shared: &Shared, holder: &Holder, answer: Answer) -> Result<(), Shortage> {
+        let name = holder_name(shared, holder);
+        // Writing to a growable text cannot fail.
+        let _ = write!(self.answers, "{name}: {answer}; ");
+        match answer {
+            Answer::Exhausted => {
+                let inquiry = std::mem::take(self);
+                return Err(inquiry.into_shortage(ReserveError::Exhausted));
+            }
+            Answer::NotHeld {
+                wait_ms,
+                retry_after_ms,
+            } => {
+                self.retry_after_ms = self.retry_after_ms.min(retry_after_ms);
+                let soonest_ms = self.soonest.as_ref().map(|(wait_ms, _)| *wait_ms);
+                let is_sooner = |wait_ms: &u64| soonest_ms.is_none_or(|soonest| *wait_ms < soonest);
+                if let Some(wait_ms) = wait_ms.filter(is_sooner) {
+                    self.soonest = Some((wait_ms, holder.clone()));
+                }
+            }
+            Answer::Silent => self.silent += 1,
+            Answer::Granted(_) | Answer::Unavailable => {}
+        }
+        Ok(())
+    }
+
+    fn into_shortage(self, error: ReserveError) -> Shortage {
+        Shortage {
+            error,
+            retry_after_ms: self.retry_after_ms,
+            answers: self.answers,
+        }
+    }
+}
+
 /// Figures of one team's budget as this gateway knows them, for the log.
 #[derive(Default)]
 pub(super) struct BudgetSummary {
@@ -248,66 +320,23 @@
         let Some(team) = self.find(team) else {
             return Ok(None);
         };
-        let mut answers = CompactString::default();
-        let mut retry_after_ms = MAX_RETRY_AFTER_MS;
-        let mut best: Option<(u64, Holder)> = None;
-        let mut silent = 0;
+        let mut inquiry = Inquiry::default();
         for holder in team.ask_order(shared) {
-            if silent == MAX_SILENT && holder != Holder::Own {
+            if inquiry.silent == MAX_SILENT && holder != Holder::Own {
                 continue;
             }
-            let answer = self.ask(shared, &team, &holder, need, None).await;
-            match answer {
+            match self.ask(shared, &team, &holder, need, None).await {
                 Ok(reservation) => return Ok(Some(reservation)),
-                Err(answer) => {
-                    let _ = write!(answers, "{}: {answer}; ", holder_name(shared, &holder));
-                    match answer {
-                        Answer::Exhausted => {
-                            return Err(Shortage {
-                                error: ReserveError::Exhausted,
-                                retry_after_ms: 0,
-                                answers,
-                            });
-                        }
-                        Answer::NotHeld {
-                            wait_ms,
-                            retry_after_ms: after_ms,
-                        } => {
-                            retry_after_ms = retry_after_ms.min(after_ms);
-                            let is_sooner = |wait_ms: &u64| {
-                                best.as_ref().is_none_or(|(best_ms, _)| wait_ms < best_ms)
-                            };
-                            if let Some(wait_ms) = wait_ms.filter(is_sooner) {
-                                best = Some((wait_ms, holder));
-                            }
-                        }
-                        Answer::Silent => silent += 1,
-                        Answer::Granted(_) | Answer::Unavailable => {}
-                    }
-                }
+                Err(answer) => inquiry.record(shared, &holder, answer)?,
             }
         }
-        if let Some((wait_ms, holder)) = best {
+        if let Some((wait_ms, holder)) = inquiry.soonest.take() {
             match self.ask(shared, &team, &holder, need, Some(wait_ms)).await {
                 Ok(reservation) => return Ok(Some(reservation)),
-                Err(answer) => {
-                    let name = holder_name(shared, &holder);
-                    let _ = write!(answers, "{name} after waiting: {answer}; ");
-                    if answer == Answer::Exhausted {
-                        return Err(Shortage {
-                            error: ReserveError::Exhausted,
-                            retry_after_ms: 0,
-                            answers,
-                        });
-                    }
-                }
+                Err(answer) => inquiry.record(shared, &holder, answer)?,
             }
         }
-        Err(Shortage {
-            error: ReserveError::NotHeld,
-            retry_after_ms,
-            answers,
-        })
+        Err(inquiry.into_shortage(ReserveError::NotHeld))
     }
 
     /// Asks one holder for tokens; with `wait_ms` it may wait for rights about that long.
@@ -445,10 +474,12 @@
         let limits = last
             .limits
             .iter()
-            .map(|stored| (stored.team.as_str().into(), stored.limit().at(last.age_ms)));
+            .map(|stored| (stored.team.as_str().into(), last.used_limit(stored)));
         *self.predecessor.borrow_mut() = Some(Predecessor {
             router: last.router,
             limits_tokens: limits.collect(),
+            // Without a known age nothing is reclaimed, and the grants are only closed.
+            other_limit_tokens: last.age_ms.map_or(u64::MAX, |_| 0),
             vm: shared.settings.vm.clone(),
             from_ms: shared.now_ms(),
         });
@@ -487,7 +518,7 @@
         };
         Some(Reclaim {
             router: predecessor.router,
-            limit_tokens: limit_tokens.unwrap_or(0),
+            limit_tokens: limit_tokens.unwrap_or(predecessor.other_limit_tokens),
             is_in_entry: limit_tokens.is_some(),
             from_ms: predecessor.from_ms + delay_ms,
             round_ms,
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -159,13 +159,13 @@
         wall_ms = start.wall_ms.wrapping_sub(entry.wall_ms);
         "found the journal entry of the previous process"
     );
-    if let Some(age_ms) = age_ms {
-        let last_entry = LastEntry {
-            router: entry.router,
-            limits: &entry.marks,
-            age_ms,
-        };
-        shared.budgets.reclaim(shared, &last_entry);
+    let last_entry = LastEntry {
+        router: entry.router,
+        limits: &entry.marks,
+        age_ms,
+    };
+    shared.budgets.reclaim(shared, &last_entry);
+    if age_ms.is_some() {
         let reclaimed = async {
             while shared.table.borrow().is_none() || shared.budgets.is_reclaiming() {
                 monoio::time::sleep(RECLAIM_POLL_INTERVAL).await;
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -901,3 +901,25 @@
     let rate = record.grant_of(1).expect("a grant").rate_tokens_per_s;
     assert!((850..=1_150).contains(&rate), "{rate} tokens per second");
 }
+
+/// Guards against a team that seems to have tokens left because a process that ended held them: its callers were told to
+/// come back although nothing was left, and the other holders left room for the rate of the ended process.
+#[test]
+fn the_grant_of_an_ended_process_counts_as_spent_once_it_is_reclaimed() {
+    let mut record = BudgetRecord::default();
+    let mut account = TeamAccount::default();
+    account.add_demand(60_000);
+    sync(&mut account, &mut record, 1);
+    account.remove_demand(60_000);
+    assert_eq!(account.reserve(40_000, 0), Ok(()));
+    sync(&mut account, &mut record, 1);
+    let limit_tokens = account.granted_tokens();
+    let closed = record.reclaim(1, limit_tokens).expect("a grant to close");
+    assert_eq!(closed.granted_tokens, record.granted_tokens);
+    assert_eq!(closed.unspent_tokens(PREPAID), PREPAID - limit_tokens);
+    assert_eq!(
+        closed.grant_of(1).map(|grant| grant.rate_tokens_per_s),
+        Some(0)
+    );
+    assert_eq!(closed.reclaim(1, limit_tokens), None, "only once");
+}
--- a/tests/gateway_budgets.rs
+++ b/tests/gateway_budgets.rs
@@ -3,7 +3,7 @@
 mod gateway_common;
 
 use std::collections::BTreeMap;
-use std::io::{BufReader, Write};
+use std::io::Write;
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
@@ -181,12 +181,16 @@
         holder.signal(libc::SIGSTOP);
     }
     let started = Instant::now();
-    let during: Vec<u16> = (0..10)
-        .map(|_| stream_request("during").send(&fleet.other).status())
-        .collect();
+    // It reserves far more than it costs, which shows if its reservation at the stopped holder is not settled.
+    let first = CallerRequest {
+        headers: "X-Token-Count: 100,3000\r\n",
+        ..stream_request("during")
+    };
+    let mut during = vec![first.send(&fleet.other).status()];
+    during.extend((0..9).map(|_| stream_request("during").send(&fleet.other).status()));
     let elapsed = started.elapsed();
     fleet.holders[0].signal(libc::SIGCONT);
-    assert_eq!(during, [200; 10]);
+    assert_eq!(during, [200; 10], "{during:?}");
     assert!(elapsed < Duration::from_millis(1_500), "{elapsed:?}");
     let served = fleet.upstream.requests().len() as u64;
     // Everything that is not charged can still be spent once the holder has settled what was given up.
@@ -320,16 +324,13 @@
     let mut fleet = start_fleet_of_three(6_000);
     fleet.wait_success();
     fleet.holders[0].signal(libc::SIGTERM);
-    let statuses: Vec<u16> = (0..30)
+    // Nearly the whole budget, so that the rights of the holder are needed before it ends.
+    let statuses: Vec<u16> = (0..45)
         .map(|_| stream_request("during").send(&fleet.other).status())
         .collect();
-    assert_eq!(statuses, [200; 30]);
+    assert_eq!(statuses, [200; 45]);
     assert_eq!(fleet.holders[0].wait(), Some(0));
-    let mut connection = connect(&fleet.other.callers);
-    connection
-        .write_all(&stream_request("after").encode())
-        .unwrap();
-    let response = read_response(&mut BufReader::new(connection));
-    assert_eq!(response.status(), 200);
+    let after = stream_request("after").send(&fleet.other);
+    assert_eq!(after.status(), 200);
     fleet.assert_within(6_000);
 }
