Count what a router has used since its last read against the team's balance

The trace: granted 1200, spent 1080, `unspent by the team 600, record 4 ms old`. What the gateway itself had used since it read the record did not count, so the team seemed to have tokens left. Before, a request waited 80 ms for other gateways, and a poll in that time hid it.

Change: the account keeps the balance of the read with its own use added back, and subtracts its present use.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -253,8 +253,9 @@
     /// Time of the first reservation, from which on the rate is measured.
     rate_started_ms: Option<u64>,
     largest_need_tokens: u64,
-    /// Upper bound on the team's balance when the record was last read.
-    unspent_tokens: Option<u64>,
+    /// Upper bound on the team's balance when the record was last read, plus what this router had used then; `None`
+    /// before that.
+    unspent_or_used_here: Option<u64>,
     /// Fraction of the budget that was unspent then.
     unspent_fraction: f64,
 }
@@ -359,7 +360,9 @@
         self.largest_need_tokens = self.largest_need_tokens.max(need_tokens);
         if need_tokens > self.spendable_tokens() {
             let is_exhausted = self.pending.is_none()
-                && self.unspent_tokens.is_some_and(|left| left < need_tokens);
+                && self
+                    .team_unspent_tokens()
+                    .is_some_and(|left| left < need_tokens);
             return Err(if is_exhausted {
                 ReserveError::Exhausted
             } else {
@@ -563,9 +566,8 @@
             }
         }
         let reported = grant.map_or(0, |grant| grant.spent_tokens);
-        let unreported = (self.spent_tokens + self.reserved_tokens).saturating_sub(reported);
-        let unspent = record.unspent_tokens(prepaid).saturating_sub(unreported);
-        self.unspent_tokens = Some(unspent);
+        self.unspent_or_used_here = Some(record.unspent_tokens(prepaid) + reported);
+        let unspent = self.team_unspent_tokens().unwrap_or(0);
         self.unspent_fraction = unspent as f64 / prepaid.max(1) as f64;
     }
 
@@ -595,9 +597,11 @@
         });
     }
 
-    /// Returns an upper bound on the team's balance when the record was last read; `None` before that.
+    /// Returns an upper bound on the team's balance, from the record that was last read and what this router has used;
+    /// `None` before the first read.
     pub fn team_unspent_tokens(&self) -> Option<u64> {
-        self.unspent_tokens
+        let used_here = self.spent_tokens + self.reserved_tokens;
+        Some(self.unspent_or_used_here?.saturating_sub(used_here))
     }
 
     /// Returns the largest need of one request so far.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -923,3 +923,20 @@
     );
     assert_eq!(closed.reclaim(1, limit_tokens), None, "only once");
 }
+
+/// Guards against telling the callers of an exhausted team to come back: what a router itself has used since it read the
+/// record did not count, so the team seemed to have tokens left.
+#[test]
+fn tokens_that_were_used_since_the_record_was_read_are_not_unspent() {
+    let mut record = BudgetRecord::default();
+    let mut account = TeamAccount::default();
+    account.add_demand(PREPAID);
+    sync(&mut account, &mut record, 1);
+    account.remove_demand(PREPAID);
+    account.observe(&record, 1, PREPAID);
+    assert_eq!(account.reserve(PREPAID - 100, 0), Ok(()));
+    assert_eq!(account.team_unspent_tokens(), Some(100));
+    assert_eq!(account.reserve(150, 0), Err(ReserveError::Exhausted));
+    account.settle(PREPAID - 100, 0);
+    assert_eq!(account.reserve(150, 0), Ok(()));
+}
--- a/tests/gateway_budgets.rs
+++ b/tests/gateway_budgets.rs
@@ -166,9 +166,13 @@
 fn a_holder_that_is_stopped_and_continued_delays_only_the_first_request() {
     let fleet = start_fleet_of_three(30_000);
     fleet.wait_success();
-    for holder in &fleet.holders[..1] {
-        holder.signal(libc::SIGSTOP);
-    }
+    // The holder that the gateway asks first.
+    let is_asked = |holder: &&Gateway| !holder.log_lines_of("warm").is_empty();
+    wait_for("a line of the holder", || {
+        fleet.holders.iter().any(|holder| is_asked(&holder))
+    });
+    let stopped = fleet.holders.iter().find(is_asked).expect("a holder");
+    stopped.signal(libc::SIGSTOP);
     let started = Instant::now();
     // It reserves far more than it costs, which shows if its reservation at the stopped holder is not settled.
     let first = CallerRequest {
@@ -178,7 +182,7 @@
     let mut during = vec![first.send(&fleet.other).status()];
     during.extend((0..9).map(|_| stream_request("during").send(&fleet.other).status()));
     let elapsed = started.elapsed();
-    fleet.holders[0].signal(libc::SIGCONT);
+    stopped.signal(libc::SIGCONT);
     assert_eq!(during, [200; 10], "{during:?}");
     assert!(elapsed < Duration::from_millis(1_500), "{elapsed:?}");
     let served = fleet.upstream.requests().len() as u64;
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -498,7 +498,8 @@
         served, 9,
         "the tenth would need 150 of 120 tokens: {statuses:?}"
     );
-    assert_eq!(statuses.last(), Some(&402));
+    let refusals = gateway.log_lines_with_step("refuse");
+    assert_eq!(statuses.last(), Some(&402), "{:?}", refusals.last());
 }
 
 /// Guards against billing a customer for requests whose upstream failed before any part of a response: the callers
