Use one list of other holders and one longest Retry-After

Found on reading the change: hand_over_all searched the order of holders itself beside `other_holders`, and the longest retry delay stood twice. Behaviour is the same. A new test shuts a holder down while the store is silent; it passed before too (four of four runs), so the suspicion that the process ends before its handovers are sent is not shown.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -30,7 +30,7 @@
 
 use remote::{Answer, Need, Outbox, Replies};
 
-use team_budget::{Goal, Reclaim, ReconcileResult, TeamBudget};
+use team_budget::{Goal, Reclaim, ReconcileResult, TeamBudget, EXHAUSTED_RETRY_AFTER_MS};
 
 /// Interval at which a holder polls the record of a team.
 const POLL_INTERVAL_MS: u64 = 1_000;
@@ -69,9 +69,6 @@
 /// Time over which the first polls of the records are spread.
 const START_JITTER_MS: u64 = 1_000;
 
-/// Longest retry delay for callers whose request finds too few rights.
-const MAX_RETRY_AFTER_MS: u64 = 30_000;
-
 /// Number of holders that may fail to respond to one request before it asks no more of them.
 const MAX_SILENT: usize = 2;
 
@@ -179,7 +176,7 @@
     fn default() -> Self {
         Self {
             answers: CompactString::default(),
-            retry_after_ms: MAX_RETRY_AFTER_MS,
+            retry_after_ms: EXHAUSTED_RETRY_AFTER_MS,
             soonest: None,
             silent: 0,
         }
@@ -545,15 +542,10 @@
     /// Hands unreserved rights over to other gateways, for a shutdown while the store is unavailable.
     pub(super) fn hand_over_all(&self, shared: &Shared) {
         for team in self.all() {
-            let order = team.ask_order(shared);
-            let receiver = order.iter().find_map(|holder| match holder {
-                Holder::Peer { address, .. } => Some(*address),
-                Holder::Own => None,
-            });
-            let Some(receiver) = receiver else {
-                continue;
-            };
-            self.hand_over(shared, &team, u64::MAX, receiver);
+            let receiver = team.other_holders(shared).next();
+            if let Some(receiver) = receiver {
+                self.hand_over(shared, &team, u64::MAX, receiver);
+            }
         }
     }
 
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -53,8 +53,8 @@
 /// Time after which an unresponsive store may be available again; its outages last some seconds.
 const OUTAGE_RETRY_AFTER_MS: u64 = 4_000;
 
-/// Time after which a budget that does not cover the request may have been topped up.
-const EXHAUSTED_RETRY_AFTER_MS: u64 = 30_000;
+/// Time after which a budget that does not cover the request may have been topped up; no caller is told to wait longer.
+pub(super) const EXHAUSTED_RETRY_AFTER_MS: u64 = 30_000;
 
 /// Spending rights of one team.
 pub(super) struct TeamBudget {
@@ -293,7 +293,7 @@
     }
 
     /// Returns the addresses of the other holders that respond.
-    fn other_holders(&self, shared: &Shared) -> impl Iterator<Item = SocketAddr> {
+    pub(super) fn other_holders(&self, shared: &Shared) -> impl Iterator<Item = SocketAddr> {
         let order = self.ask_order(shared);
         order.into_iter().filter_map(|holder| match holder {
             Holder::Peer { address, .. } => Some(address),
--- a/tests/gateway_budgets.rs
+++ b/tests/gateway_budgets.rs
@@ -334,3 +334,29 @@
     assert_eq!(after.status(), 200);
     fleet.assert_within(12_000);
 }
+
+/// Guards against rights that are stranded by a shutdown while the store is silent: the process ended before the rights
+/// that it hands over were sent.
+#[test]
+fn a_holder_that_shuts_down_without_the_store_hands_its_rights_over() {
+    let mut fleet = start_fleet_of_three(12_000);
+    for _ in 0..10 {
+        let _ = stream_request("before").send(&fleet.holders[0]);
+    }
+    wait_for("rights that are held", || {
+        fleet.holders[0].log_has("available_tokens", 300)
+    });
+    fleet.store.set_mode(StoreMode::Silent);
+    fleet.holders[0].signal(libc::SIGTERM);
+    assert_eq!(fleet.holders[0].wait(), Some(0));
+    let handed_over = fleet.holders[0].log_lines_with_step("hand over");
+    assert!(!handed_over.is_empty(), "nothing was left to hand over");
+    wait_for("rights at another gateway", || {
+        let others = [&fleet.holders[1], &fleet.other];
+        let mut lines = others
+            .iter()
+            .flat_map(|gateway| gateway.log_lines_with_step("receive"));
+        lines.next().is_some()
+    });
+    fleet.store.set_mode(StoreMode::Available);
+}
