Log lost connections with the parts of the prompt and whether the upstream crashed

A connection that is lost before any part of the body has arrived is followed by one connection to the same host: a refusal shows that no process listens there. An accepted connection goes to the pool.

No decision changes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,6 +33,7 @@
 mod budget;
 mod callers;
 mod clock;
+mod crashes;
 mod journal;
 mod peers;
 mod pool;
@@ -96,6 +97,8 @@
     pub max_output_tokens: u64,
     /// Prompt of a request to a model engine; `None` for plain services.
     pub prompt: Option<Prompt>,
+    /// Hashes of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<u64>,
     /// Id of the last event that the caller received; the stream resumes after it.
     pub last_event_id: Option<u64>,
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 mod encode;
 mod interrupt;
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use compact_str::{format_compact, CompactString};
 
 use super::request::Call;
-use super::{pool, Shared};
+use super::{crashes, pool, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::{Candidate, Outcome, PlacementError, Prompt};
 use crate::platform::headers;
@@ -130,6 +131,7 @@
 pub(super) struct InFlight<'a> {
     shared: &'a Shared,
     id: CompactString,
+    address: SocketAddr,
     outcome: Outcome,
     awaits_first_byte: bool,
     /// Prefill work of the request, if the engine was idle; see [`crate::placement::Placement::idle_prefill_work`].
@@ -137,7 +139,7 @@
 }
 
 impl<'a> InFlight<'a> {
-    fn new(shared: &'a Shared, id: &str, prompt: Option<&Prompt>) -> Self {
+    fn new(shared: &'a Shared, id: &str, address: SocketAddr, prompt: Option<&Prompt>) -> Self {
         let now_ms = shared.now_ms();
         let idle_prefill_work = prompt.and_then(|prompt| {
             let placement = shared.placement.borrow();
@@ -155,6 +157,7 @@
         Self {
             shared,
             id: id.into(),
+            address,
             outcome: Outcome::Neutral,
             awaits_first_byte: true,
             idle_prefill_work,
@@ -171,6 +174,11 @@
         }
     }
 
+    /// Records that the connection was lost before any part of the body arrived.
+    pub(super) async fn record_lost_connection(&self, call: &Call<'_>) {
+        crashes::record_lost_connection(self.shared, call, &self.id, self.address).await;
+    }
+
     /// Sets the outcome that is recorded for the upstream when this value is dropped.
     pub(super) fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -225,7 +233,7 @@
             let placement = shared.placement.borrow();
             placement.expected_delay_ms(&id, call.meta.prompt.as_ref(), shared.now_ms()) as u64
         };
-        let mut in_flight = InFlight::new(shared, &id, call.meta.prompt.as_ref());
+        let mut in_flight = InFlight::new(shared, &id, entry.address, call.meta.prompt.as_ref());
         let is_last = attempts.runs + 1 >= call.route().max_attempts;
         let timeout = if is_last {
             None
@@ -480,7 +488,7 @@
         }
     };
     let output = encode(shared, call, target);
-    let mut exchange = pin!(send_request(shared, call, id, socket, output));
+    let mut exchange = pin!(send_request(shared, call, target, socket, output));
     let timeout = target.timeout;
     let started_ms = shared.now_ms();
     let result = loop {
@@ -493,7 +501,10 @@
     in_flight.end_first_byte_wait();
     let now_ms = shared.now_ms();
     match result {
-        Err(reason) => AttemptResult::MayHaveRun(reason),
+        Err(reason) => {
+            in_flight.record_lost_connection(call).await;
+            AttemptResult::MayHaveRun(reason)
+        }
         Ok(response) => {
             let elapsed_ms = now_ms.saturating_sub(started_ms);
             classify_response(shared, call, response, in_flight, elapsed_ms)
@@ -523,10 +534,11 @@
 async fn send_request(
     shared: &Shared,
     call: &Call<'_>,
-    id: &CompactString,
+    target: &Target<'_>,
     mut socket: Socket,
     output: Bytes,
 ) -> Result<StartedResponse, CompactString> {
+    let id = target.id;
     let written = pool::write_request(&mut socket, output).await;
     let is_reusable = written.map_err(|error| format_compact!("sending: {error}"))?;
     let started = UpstreamResponse::read_head(socket, id).await;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -21,6 +21,9 @@
 /// Time within which an upstream must accept a connection; data centres are a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time within which the host of an upstream must respond when it is probed; a caller may wait for the result.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -114,6 +117,26 @@
     }
 }
 
+/// Returns whether the host of an upstream refuses connections, so that no process listens there any more.
+///
+/// A connection that can be opened is added to the pool.
+pub(super) async fn refuses_connections(
+    pool: &Pool,
+    id: &str,
+    address: SocketAddr,
+    now_ms: u64,
+) -> bool {
+    match monoio::time::timeout(PROBE_TIMEOUT, TcpStream::connect_addr(address)).await {
+        Ok(Ok(stream)) => {
+            set_user_timeout(&stream);
+            pool.put(id, Socket::new(stream), None, now_ms);
+            false
+        }
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    }
+}
+
 fn set_user_timeout(stream: &TcpStream) {
     // SAFETY: The descriptor is owned by `stream`, which outlives the borrow.
     let descriptor = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -109,6 +109,8 @@
     splitter: EventSplitter,
     delivery: Delivery,
     last_event_id: Option<u64>,
+    /// Whether a part of the body of the current response has arrived.
+    has_body: bool,
     is_watching_caller: bool,
 }
 
@@ -143,6 +145,7 @@
         splitter: EventSplitter::default(),
         delivery: Delivery::new("complete"),
         last_event_id: call.meta.last_event_id,
+        has_body: false,
         is_watching_caller: caller.input_len() == 0,
     };
     relay.delivery.status = status;
@@ -165,6 +168,9 @@
             End::UpstreamLost(reason) => {
                 in_flight.set_outcome(Outcome::Failed);
                 attempts.last = format_compact!("{}: {reason}", response.upstream);
+                if !relay.has_body {
+                    in_flight.record_lost_connection(call).await;
+                }
                 if may_resume && attempts.runs < call.route().max_attempts {
                     log::info!(
                         step = "resume", request_id = call.meta.id.as_str(),
@@ -179,6 +185,7 @@
                             response = next;
                             in_flight = next_in_flight;
                             relay.splitter = EventSplitter::default();
+                            relay.has_body = false;
                             continue;
                         }
                     }
@@ -291,6 +298,7 @@
     ///
     /// Returns an error if an event is too large, so that the upstream sends something other than events.
     fn process_body(&mut self, piece: &[u8], is_event_stream: bool) -> Result<(), &'static str> {
+        self.has_body = true;
         if self.delivery.first_byte_ms == 0 {
             self.delivery.first_byte_ms = self.shared.now_ms();
         }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -77,6 +77,7 @@
         input_tokens,
         max_output_tokens,
         prompt: prompt(headers, input_tokens),
+        shared_parts: shared_parts(headers),
         last_event_id: field_text(headers, &LAST_EVENT_ID)
             .and_then(|value| value.trim().parse().ok()),
     }
@@ -209,6 +210,19 @@
     })
 }
 
+/// Returns the hashes of all parts of a prompt except the last one, which belongs to this request or its session.
+fn shared_parts(headers: &HeaderMap) -> Vec<u64> {
+    let ids = field_text(headers, &PROMPT_PREFIX)
+        .unwrap_or_default()
+        .split(',')
+        .map(|part| part.split_once(':').map_or(part, |(id, _)| id).trim());
+    let mut hashes: Vec<u64> = ids
+        .map(|id| xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
+        .collect();
+    hashes.pop();
+    hashes
+}
+
 fn field_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
