--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -339,6 +339,8 @@
     },
     /// Reads without responding until the peer closes the connection, then counts it in `abandoned`.
     Silent,
+    /// Writes these bytes, then resets all connections and refuses new ones for a time, like a crash with a restart.
+    Crash { first: Vec<u8>, down: Duration },
 }
 
 type Script = Arc<dyn Fn(&Message, usize) -> Action + Send + Sync>;
@@ -351,6 +353,12 @@
     pub received: Arc<Mutex<Vec<Message>>>,
     /// Number of connections that the gateway closed before a response.
     pub abandoned: Arc<AtomicU64>,
+    /// Number of crashes.
+    pub crashes: Arc<AtomicU64>,
+    /// Connections that a crash resets.
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    /// Time for which the last crash keeps the listener closed.
+    down: Arc<Mutex<Duration>>,
     /// Whether the script runs before the body of the request is read.
     early: Arc<Mutex<bool>>,
     script: Arc<Mutex<Script>>,
@@ -365,17 +373,54 @@
             address: listener.local_addr().expect("bound"),
             received: Arc::default(),
             abandoned: Arc::default(),
+            crashes: Arc::default(),
+            connections: Arc::default(),
+            down: Arc::default(),
             early: Arc::default(),
             script: Arc::new(Mutex::new(Arc::new(script))),
         };
         let served = upstream.clone();
-        std::thread::spawn(move || {
+        std::thread::spawn(move || served.accept(listener));
+        upstream
+    }
+
+    /// Accepts connections; after a crash the listener is closed for as long as the crash says.
+    fn accept(&self, listener: TcpListener) {
+        let mut listener = listener;
+        loop {
+            let crashes = self.crashes.load(Ordering::SeqCst);
             for stream in listener.incoming().flatten() {
-                let upstream = served.clone();
+                if self.crashes.load(Ordering::SeqCst) != crashes {
+                    break;
+                }
+                let copy = stream.try_clone().expect("a socket");
+                self.connections.lock().unwrap().push(copy);
+                let upstream = self.clone();
                 std::thread::spawn(move || upstream.serve(stream));
             }
+            drop(listener);
+            let down = *self.down.lock().unwrap();
+            std::thread::sleep(down);
+            wait_for("the address of the upstream", || {
+                TcpListener::bind(self.address).is_ok()
+            });
+            listener = TcpListener::bind(self.address).expect("its address is free");
+        }
+    }
+
+    /// Ends all connections and the listener.
+    fn crash(&self, down: Duration) {
+        *self.down.lock().unwrap() = down;
+        self.crashes.fetch_add(1, Ordering::SeqCst);
+        // Wakes the listener, which then closes.
+        let _ = TcpStream::connect(self.address);
+        wait_for("the end of the listener", || {
+            TcpStream::connect(self.address).is_err()
         });
-        upstream
+        for stream in self.connections.lock().unwrap().drain(..) {
+            reset(&stream);
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
 
     /// Responds before the body of a request is read.
@@ -452,6 +497,11 @@
                     self.abandoned.fetch_add(1, Ordering::SeqCst);
                     return;
                 }
+                Action::Crash { first, down } => {
+                    let _ = stream.write_all(&first);
+                    self.crash(down);
+                    return;
+                }
                 Action::Silent => {
                     let mut rest = Vec::new();
                     let _ = reader.read_to_end(&mut rest);
--- /dev/null
+++ b/tests/gateway_crashes.rs
@@ -0,0 +1,131 @@
+//! Requests that crash upstreams, at fleets of real gateways.
+
+mod gateway_common;
+
+use std::time::Duration;
+
+use gateway_common::*;
+
+/// Time for which a crashed upstream refuses connections.
+const DOWN: Duration = Duration::from_millis(150);
+
+/// Part of a prompt that crashes each upstream.
+const DEADLY: &str = "dead01";
+
+/// Parts that sound prompts share with the deadly ones.
+const SYSTEM: &str = "aa01";
+const SUBJECT: &str = "bb01";
+
+/// Crashes after which no more than [`MAX_FURTHER_REQUESTS`] may reach upstreams; stated by the platform.
+const CRASHES: usize = 5;
+
+/// Requests with a deadly part that may still reach upstreams; stated by the platform.
+const MAX_FURTHER_REQUESTS: usize = 3;
+
+fn has_deadly_part(request: &Message) -> bool {
+    let prompt = request.header("x-prompt-prefix").unwrap_or_default();
+    prompt.contains(DEADLY)
+}
+
+/// Starts an upstream that crashes after the head of its response to a prompt with the deadly part.
+fn start_crashing_upstream() -> UpstreamStub {
+    UpstreamStub::start(|request, _| {
+        let head = signed_head(
+            request,
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+        );
+        if has_deadly_part(request) {
+            return Action::Crash {
+                first: head.into_bytes(),
+                down: DOWN,
+            };
+        }
+        let body = event_chunk(1) + &event_chunk(2) + "0\r\n\r\n";
+        Action::Write((head + &body).into_bytes())
+    })
+}
+
+/// A fleet of gateways and the upstreams behind it.
+struct Fleet {
+    store: StoreStub,
+    gateways: Vec<Gateway>,
+    upstreams: Vec<UpstreamStub>,
+}
+
+fn start_fleet_of(gateways: usize, upstreams: Vec<UpstreamStub>) -> Fleet {
+    let store = StoreStub::start();
+    store.configure(&configuration(1, 100_000_000));
+    for upstream in &upstreams {
+        let entry = upstream.entry("desk", "ready").to_string();
+        store.put("keyed.servers", &upstream.id, entry.as_bytes());
+    }
+    let gateways: Vec<Gateway> = (0..gateways).map(|_| Gateway::start(&store)).collect();
+    for gateway in &gateways {
+        gateway.wait_ready();
+    }
+    Fleet {
+        store,
+        gateways,
+        upstreams,
+    }
+}
+
+impl Fleet {
+    fn deadly_requests(&self) -> usize {
+        let received = self.upstreams.iter().map(UpstreamStub::requests);
+        received
+            .map(|requests| {
+                requests
+                    .iter()
+                    .filter(|request| has_deadly_part(request))
+                    .count()
+            })
+            .sum()
+    }
+}
+
+/// Sends a request whose prompt has these parts and a part of its own; no two are alike.
+fn send_prompt(gateway: &Gateway, path: &str, parts: &[&str], number: usize) -> u16 {
+    let shared: String = parts.iter().map(|part| format!("{part}:20,")).collect();
+    let headers = format!("X-Token-Count: 100,20\r\nX-Prompt-Prefix: {shared}{number:x}ff:40\r\n");
+    let (path, id) = (format!("/{path}/{number}"), format!("r-{path}-{number}"));
+    let body = format!("prompt {number}");
+    let request = CallerRequest {
+        path: &path,
+        id: &id,
+        headers: &headers,
+        body: body.as_bytes(),
+        ..CallerRequest::default()
+    };
+    request.send(gateway).status()
+}
+
+/// Waits until a sound prompt that shares all but the deadly part is served.
+fn wait_served(gateway: &Gateway, number: usize) {
+    wait_for("a served prompt", || {
+        send_prompt(gateway, "stream", &[SYSTEM, SUBJECT], number) == 200
+    });
+}
+
+/// Guards against incident "one part of a prompt crashes one engine after the other": requests that share a part, no
+/// two alike and at different gateways, crash upstreams without end, or sound prompts are refused with them.
+#[test]
+fn a_prompt_part_that_crashes_upstreams_is_refused_by_the_whole_fleet() {
+    let upstreams = (0..4).map(|_| start_crashing_upstream()).collect();
+    let fleet = start_fleet_of(3, upstreams);
+    let parts = [SYSTEM, SUBJECT, DEADLY];
+    for number in 0..4 * CRASHES {
+        let gateway = &fleet.gateways[number % fleet.gateways.len()];
+        wait_served(gateway, 1_000 + number);
+        let status = send_prompt(gateway, "stream", &parts, number);
+        assert!(status != 402, "the budget covers all requests");
+    }
+    let reached = fleet.deadly_requests();
+    assert!(
+        reached <= CRASHES + MAX_FURTHER_REQUESTS,
+        "{reached} requests with the part reached upstreams"
+    );
+    for (number, gateway) in fleet.gateways.iter().enumerate() {
+        wait_served(gateway, 2_000 + number);
+    }
+}
