Refuse requests with a prompt part that crashes upstreams

Callers saw: one upstream after the other ended, and the streams of others broke off, as long as requests with one bad prompt part came in. No two of them were alike, so nothing related them to the crashes.

Cause: a gateway kept nothing about requests that were running when an upstream crashed.

Each gateway now counts crashes by the features of requests: the shared parts of the prompt and the request as a whole (crash_attribution). A response that begins resets the counts of its features; crashes that were not known when the request was sent count once; a request is refused only if it has all the features that were present in the crashes, so sound parts are still served. Counts are merged through a topic of the store with one record for each VM. Refused requests get 503 crash_suspect, and one is tried after a minute.

--- /dev/null
+++ b/src/crash_attribution.rs
@@ -0,0 +1,501 @@
+//! Attribution of upstream crashes to what the requests that caused them have in common.
+//!
+//! A request can crash every upstream that begins to answer it, and such requests need not be alike: one part of their
+//! prompts may be the cause. So a router counts crashes for each [`Feature`] of a request: the parts of its prompt that
+//! other requests may share, and the request as a whole. The counts follow three rules:
+//!
+//! - A response that begins proves all features of its request harmless and resets their counts.
+//! - A crash counts for a feature only if the request was sent after the previous crash of that feature was known.
+//!   Upstreams that end together, for reasons of their own, count once.
+//! - A feature keeps the features that were present in all its crashes. A request is refused only if it has all of
+//!   them, so that a harmless part which has only been seen beside a harmful one is still served.
+//!
+//! The counts of all routers are merged. A merge is commutative, associative and idempotent, so reports may be late,
+//! repeated or lost as long as a later one arrives. The policy is described in `docs/policies/quarantine.md`.
+
+use std::cmp::Ordering;
+
+use prost::Message;
+
+use crate::collections::FastMap;
+
+/// Number of crashes without a response in between from which requests with a feature are refused.
+///
+/// A request that waits at an upstream when it crashes for another reason is a suspect too, and the caller's retry can
+/// meet a second crash of a series; the third one is unlikely to be a coincidence.
+pub const CRASH_LIMIT: u32 = 3;
+
+/// Maximum number of features with a count; a feature takes up to 600 bytes.
+pub const MAX_FEATURES: usize = 4_096;
+
+/// Maximum number of features of one request.
+pub const MAX_REQUEST_FEATURES: usize = 64;
+
+/// Maximum number of features in one report, so that a report fits into a record of the store.
+const MAX_REPORTED_FEATURES: usize = 256;
+
+/// Time after which a count below the limit is forgotten.
+const SUSPICION_RETENTION_MS: u64 = 60_000;
+
+/// Time after which a feature at the limit is forgotten, if no trial has confirmed it.
+const QUARANTINE_RETENTION_MS: u64 = 24 * 3_600_000;
+
+/// Time after which one request with a refused feature is tried; each failed trial multiplies it by
+/// [`TRIAL_DELAY_FACTOR`].
+const TRIAL_DELAY_MS: u64 = 60_000;
+
+/// Growth of the delay between trials: three requests at most are tried within eight hours.
+const TRIAL_DELAY_FACTOR: u64 = 8;
+
+/// Time for which a crash with a known cause exonerates the other requests that waited at the upstream.
+const EXPLANATION_RETENTION_MS: u64 = 10_000;
+
+/// Maximum number of crashes with a known cause that are kept.
+const MAX_EXPLANATIONS: usize = 256;
+
+/// A property that requests can share, as a hash: a part of the prompt, or the request as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Feature(pub u64);
+
+/// A crash of one process of an upstream, as a hash of its id and its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct CrashId(pub u64);
+
+/// What a router tells the others about crashes.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashReport {
+    /// Counts that the sender has changed.
+    #[prost(message, repeated, tag = "1")]
+    pub counts: Vec<FeatureCount>,
+    /// Crashes of whose cause the sender is certain, because a response had begun.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub explained_crashes: Vec<u64>,
+}
+
+/// Count of one feature.
+#[derive(Clone, PartialEq, Message)]
+pub struct FeatureCount {
+    /// The feature.
+    #[prost(fixed64, tag = "1")]
+    pub feature: u64,
+    /// Number of times that the feature was proved harmless.
+    #[prost(uint32, tag = "2")]
+    pub generation: u32,
+    /// Crashes in this generation.
+    #[prost(uint32, tag = "3")]
+    pub crashes: u32,
+    /// Wall clock at the newest crash, in seconds.
+    #[prost(uint64, tag = "4")]
+    pub counted_at_s: u64,
+    /// Features that were present in all crashes.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub companions: Vec<u64>,
+}
+
+/// Time as this module needs it: a monotonic clock for decisions, and the wall clock to judge the age of reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Clocks {
+    /// Monotonic clock of this process.
+    pub now_ms: u64,
+    /// Wall clock, in seconds.
+    pub wall_s: u64,
+}
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Nothing is known against the request.
+    Allowed,
+    /// The request has the features of requests that crashed upstreams.
+    Refused {
+        /// The feature that reached the limit.
+        feature: Feature,
+        /// Time until a request with this feature is tried; 0 if one may be tried now.
+        trial_in_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    generation: u32,
+    crashes: u32,
+    companions: Vec<Feature>,
+    /// Time at which the newest change became known here.
+    changed_ms: u64,
+    counted_at_s: u64,
+    /// Generation, crashes and number of companions that the reports of any router have shown.
+    published: (u32, u32, usize),
+    /// Whether the report of this router contains the feature.
+    is_reported: bool,
+}
+
+impl Entry {
+    fn state(&self) -> (u32, u32, usize) {
+        (self.generation, self.crashes, self.companions.len())
+    }
+
+    /// Returns the order in which entries are evicted: lower counts first, then older ones.
+    fn eviction_order(&self) -> (u32, u64) {
+        (self.crashes.min(CRASH_LIMIT), self.changed_ms)
+    }
+
+    fn trial_due_ms(&self) -> u64 {
+        let failed_trials = self.crashes.saturating_sub(CRASH_LIMIT);
+        let factor = TRIAL_DELAY_FACTOR.saturating_pow(failed_trials);
+        self.changed_ms
+            .saturating_add(TRIAL_DELAY_MS.saturating_mul(factor))
+    }
+}
+
+/// Crash counts of features, as this router knows them.
+#[derive(Clone, Debug, Default)]
+pub struct CrashAttribution {
+    entries: FastMap<Feature, Entry>,
+    /// Number of features at the limit.
+    refused_count: usize,
+    /// Crashes with a known cause, with the time at which that became known here.
+    explained: FastMap<CrashId, u64>,
+    /// Crashes with a known cause that this router reports.
+    own_explained: Vec<CrashId>,
+    has_unpublished_explanation: bool,
+    /// Whether the stored report of this router still claims more than is known now.
+    is_report_outdated: bool,
+}
+
+impl CrashAttribution {
+    /// Returns whether no feature has a count, so that every request is allowed.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the number of features with a count.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the number of features whose requests are refused.
+    pub fn refused_count(&self) -> usize {
+        self.refused_count
+    }
+
+    fn update_refused_count(&mut self) {
+        let entries = self.entries.values();
+        self.refused_count = entries.filter(|entry| entry.crashes >= CRASH_LIMIT).count();
+    }
+
+    /// Returns the number of crashes that count against a feature.
+    pub fn crashes(&self, feature: Feature) -> u32 {
+        self.entries.get(&feature).map_or(0, |entry| entry.crashes)
+    }
+
+    /// Returns whether a request with these features may be sent.
+    pub fn admission(&self, features: &[Feature], now_ms: u64) -> Admission {
+        for feature in features {
+            let Some(entry) = self.entries.get(feature) else {
+                continue;
+            };
+            let has_all = entry
+                .companions
+                .iter()
+                .all(|other| features.contains(other));
+            if entry.crashes >= CRASH_LIMIT && has_all {
+                return Admission::Refused {
+                    feature: *feature,
+                    trial_in_ms: entry.trial_due_ms().saturating_sub(now_ms),
+                };
+            }
+        }
+        Admission::Allowed
+    }
+
+    /// Records that one request with a refused feature is sent to find out whether it still crashes upstreams.
+    pub fn begin_trial(&mut self, features: &[Feature], now_ms: u64) {
+        for feature in features {
+            if let Some(entry) = self.entries.get_mut(feature) {
+                entry.changed_ms = now_ms;
+            }
+        }
+    }
+
+    /// Counts a crash for a request that was sent at `sent_ms`; returns the features that reached the limit by it.
+    pub fn record_crash(
+        &mut self,
+        features: &[Feature],
+        sent_ms: u64,
+        clocks: Clocks,
+    ) -> Vec<Feature> {
+        let features = &features[..features.len().min(MAX_REQUEST_FEATURES)];
+        let mut reached = Vec::new();
+        for feature in features {
+            match self.entries.get_mut(feature) {
+                Some(entry) if sent_ms < entry.changed_ms => {}
+                Some(entry) => {
+                    if entry.crashes == 0 {
+                        entry.companions = features.to_vec();
+                    } else {
+                        entry.companions.retain(|other| features.contains(other));
+                    }
+                    entry.crashes = entry.crashes.saturating_add(1);
+                    entry.changed_ms = clocks.now_ms;
+                    entry.counted_at_s = clocks.wall_s;
+                    if entry.crashes == CRASH_LIMIT {
+                        reached.push(*feature);
+                    }
+                }
+                None => {
+                    self.make_room();
+                    let entry = Entry {
+                        generation: 0,
+                        crashes: 1,
+                        companions: features.to_vec(),
+                        changed_ms: clocks.now_ms,
+                        counted_at_s: clocks.wall_s,
+                        published: (0, 0, 0),
+                        is_reported: false,
+                    };
+                    self.entries.insert(*feature, entry);
+                }
+            }
+        }
+        self.update_refused_count();
+        reached
+    }
+
+    /// Records that a response to a request with these features has begun; returns whether that changes anything.
+    pub fn record_success(&mut self, features: &[Feature], clocks: Clocks) -> bool {
+        let mut is_changed = false;
+        for feature in features {
+            let Some(entry) = self.entries.get_mut(feature) else {
+                continue;
+            };
+            if entry.crashes > 0 {
+                entry.generation = entry.generation.saturating_add(1);
+                entry.crashes = 0;
+                entry.companions.clear();
+                entry.changed_ms = clocks.now_ms;
+                entry.counted_at_s = clocks.wall_s;
+                self.remove_companion(*feature);
+                is_changed = true;
+            }
+        }
+        if is_changed {
+            self.update_refused_count();
+        }
+        is_changed
+    }
+
+    /// Records that the cause of a crash is certain, so that it is not counted for other requests.
+    pub fn explain(&mut self, crash: CrashId, now_ms: u64) {
+        let is_new = self.insert_explanation(crash, now_ms);
+        if is_new && self.own_explained.len() < MAX_EXPLANATIONS {
+            self.own_explained.push(crash);
+            self.has_unpublished_explanation = true;
+        }
+    }
+
+    fn insert_explanation(&mut self, crash: CrashId, now_ms: u64) -> bool {
+        let has_room = self.explained.len() < MAX_FEATURES;
+        has_room && self.explained.insert(crash, now_ms).is_none()
+    }
+
+    /// Returns whether the cause of a crash is certain.
+    pub fn is_explained(&self, crash: CrashId) -> bool {
+        self.explained.contains_key(&crash)
+    }
+
+    /// Merges the report of a router; `is_own` tells that a predecessor of this process wrote it. Returns the features
+    /// that reached the limit or were proved harmless after they had reached it.
+    pub fn merge(&mut self, report: &CrashReport, is_own: bool, clocks: Clocks) -> Vec<Feature> {
+        for crash in report.explained_crashes.iter().take(MAX_EXPLANATIONS) {
+            self.insert_explanation(CrashId(*crash), clocks.now_ms);
+        }
+        let mut changed = Vec::new();
+        for count in report.counts.iter().take(MAX_REPORTED_FEATURES) {
+            let feature = Feature(count.feature);
+            let was_refused = self.crashes(feature) >= CRASH_LIMIT;
+            self.merge_count(feature, count, is_own, clocks);
+            if was_refused != (self.crashes(feature) >= CRASH_LIMIT) {
+                changed.push(feature);
+            }
+        }
+        self.update_refused_count();
+        changed
+    }
+
+    fn merge_count(
+        &mut self,
+        feature: Feature,
+        count: &FeatureCount,
+        is_own: bool,
+        clocks: Clocks,
+    ) {
+        let retention_ms = retention_ms(count.crashes);
+        let age_ms = clocks.wall_s.saturating_sub(count.counted_at_s) * 1_000;
+        if !self.entries.contains_key(&feature) {
+            if age_ms > retention_ms {
+                return;
+            }
+            self.make_room();
+        }
+        let mut companions: Vec<Feature> = count.companions.iter().copied().map(Feature).collect();
+        companions.truncate(MAX_REQUEST_FEATURES);
+        let entry = self.entries.entry(feature).or_insert_with(|| Entry {
+            generation: count.generation,
+            crashes: 0,
+            companions: companions.clone(),
+            changed_ms: clocks.now_ms,
+            counted_at_s: count.counted_at_s,
+            published: (0, 0, 0),
+            is_reported: false,
+        });
+        entry.is_reported |= is_own;
+        let mut is_exonerated = false;
+        match count.generation.cmp(&entry.generation) {
+            Ordering::Less => {
+                self.is_report_outdated |= entry.is_reported && is_own;
+                return;
+            }
+            Ordering::Greater => {
+                is_exonerated = true;
+                self.is_report_outdated |= entry.is_reported && entry.crashes >= CRASH_LIMIT;
+                entry.generation = count.generation;
+                entry.crashes = count.crashes;
+                entry.companions = companions;
+                entry.changed_ms = clocks.now_ms;
+                entry.counted_at_s = count.counted_at_s;
+            }
+            Ordering::Equal => {
+                if count.crashes > 0 {
+                    entry.companions.retain(|other| companions.contains(other));
+                }
+                if count.crashes > entry.crashes {
+                    entry.crashes = count.crashes;
+                    entry.changed_ms = clocks.now_ms;
+                    entry.counted_at_s = count.counted_at_s;
+                }
+            }
+        }
+        let seen = (count.generation, count.crashes, count.companions.len());
+        if is_newer(seen, entry.published) {
+            entry.published = seen;
+        }
+        if is_exonerated {
+            self.remove_companion(feature);
+        }
+    }
+
+    /// Returns whether this router knows something that no report has shown.
+    pub fn needs_report(&self) -> bool {
+        let mut entries = self.entries.values();
+        self.has_unpublished_explanation
+            || self.is_report_outdated
+            || entries.any(|entry| is_newer(entry.state(), entry.published))
+    }
+
+    /// Returns whether this router knows of a crash that no report has shown, so that the others must learn it at once.
+    pub fn has_unreported_crash(&self) -> bool {
+        let mut entries = self.entries.values();
+        self.has_unpublished_explanation
+            || entries.any(|entry| entry.crashes > 0 && is_newer(entry.state(), entry.published))
+    }
+
+    /// Returns the report of this router, which replaces its previous one.
+    pub fn report(&mut self) -> CrashReport {
+        let mut own: Vec<(&Feature, &mut Entry)> = self
+            .entries
+            .iter_mut()
+            .filter(|(_, entry)| entry.is_reported || is_newer(entry.state(), entry.published))
+            .collect();
+        own.sort_by_key(|(feature, entry)| (std::cmp::Reverse(entry.eviction_order()), **feature));
+        let mut counts = Vec::with_capacity(own.len().min(MAX_REPORTED_FEATURES));
+        for (position, (feature, entry)) in own.into_iter().enumerate() {
+            entry.is_reported = position < MAX_REPORTED_FEATURES;
+            if entry.is_reported {
+                counts.push(FeatureCount {
+                    feature: feature.0,
+                    generation: entry.generation,
+                    crashes: entry.crashes,
+                    counted_at_s: entry.counted_at_s,
+                    companions: entry.companions.iter().map(|other| other.0).collect(),
+                });
+            }
+        }
+        CrashReport {
+            counts,
+            explained_crashes: self.own_explained.iter().map(|crash| crash.0).collect(),
+        }
+    }
+
+    /// Records that a report of this router was written.
+    pub fn record_published(&mut self, report: &CrashReport) {
+        for count in &report.counts {
+            let seen = (count.generation, count.crashes, count.companions.len());
+            if let Some(entry) = self.entries.get_mut(&Feature(count.feature)) {
+                if is_newer(seen, entry.published) {
+                    entry.published = seen;
+                }
+            }
+        }
+        let own = self.own_explained.iter();
+        let is_missing = |crash: &CrashId| !report.explained_crashes.contains(&crash.0);
+        self.has_unpublished_explanation = own.copied().any(|crash| is_missing(&crash));
+        self.is_report_outdated = false;
+    }
+
+    /// Forgets counts and explanations that are too old.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.entries.retain(|_, entry| {
+            now_ms.saturating_sub(entry.changed_ms) < retention_ms(entry.crashes)
+        });
+        self.update_refused_count();
+        let explained = &mut self.explained;
+        explained.retain(|_, known_ms| now_ms.saturating_sub(*known_ms) < EXPLANATION_RETENTION_MS);
+        self.own_explained
+            .retain(|crash| explained.contains_key(crash));
+    }
+
+    /// Evicts the entry that says least, if there are as many as allowed.
+    fn make_room(&mut self) {
+        if self.entries.len() < MAX_FEATURES {
+            return;
+        }
+        let weakest = self
+            .entries
+            .iter()
+            .min_by_key(|(feature, entry)| (entry.eviction_order(), **feature))
+            .map(|(feature, _)| *feature);
+        if let Some(feature) = weakest {
+            self.entries.remove(&feature);
+        }
+    }
+
+    /// Removes a harmless feature from those that were present in the crashes of others.
+    fn remove_companion(&mut self, harmless: Feature) {
+        for entry in self.entries.values_mut() {
+            entry.companions.retain(|other| *other != harmless);
+        }
+    }
+}
+
+fn retention_ms(crashes: u32) -> u64 {
+    if crashes >= CRASH_LIMIT {
+        QUARANTINE_RETENTION_MS
+    } else {
+        SUSPICION_RETENTION_MS
+    }
+}
+
+/// Returns whether a state of a feature tells more than another one: a higher generation, more crashes, or fewer
+/// companions.
+fn is_newer(state: (u32, u32, usize), other: (u32, u32, usize)) -> bool {
+    let (generation, crashes, companions) = state;
+    let (other_generation, other_crashes, other_companions) = other;
+    match generation.cmp(&other_generation) {
+        Ordering::Greater => true,
+        Ordering::Less => false,
+        Ordering::Equal => {
+            crashes > other_crashes
+                || (crashes == other_crashes && crashes > 0 && companions < other_companions)
+        }
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,13 +19,14 @@
 //! | reserve tokens at the gateways that hold rights, and serve such reservations | `budget::remote`, `budget::serving` |
 //! | write journal entries, which limit how far the rights may be spent | `journal` |
 //! | sample the wall clocks of other gateways | `clock` |
+//! | relate crashes of upstreams to requests, refuse requests that cause them | `crashes` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
 //! | exchange datagrams with other gateways | `peers` |
 //! | answer readiness probes and metric scrapes | `probes` |
 //! | shut down without cutting off requests | `shutdown` |
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
-//! [`crate::allowance`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`] and
+//! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`] and
 //! [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router. The
 //! design is in `docs/design.md`, section 10.
 
@@ -143,6 +144,7 @@
     /// Wakes the reader of presence reports; `is_stranger_seen` is the condition.
     stranger_seen: Notify,
     is_stranger_seen: Cell<bool>,
+    crashes: crashes::Crashes,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
     metrics: Metrics,
@@ -248,6 +250,9 @@
     monoio::spawn(probes::accept(Rc::clone(&shared), metrics));
     monoio::spawn(watch::watch_configuration(Rc::clone(&shared)));
     monoio::spawn(watch::watch_upstreams(Rc::clone(&shared)));
+    monoio::spawn(crashes::watch(Rc::clone(&shared)));
+    monoio::spawn(crashes::report(Rc::clone(&shared)));
+    monoio::spawn(crashes::judge_suspects(Rc::clone(&shared)));
     monoio::spawn(presence::watch(Rc::clone(&shared)));
     monoio::spawn(presence::report(Rc::clone(&shared)));
     monoio::spawn(peers::receive(Rc::clone(&shared)));
@@ -290,6 +295,7 @@
         peer_monitor: RefCell::default(),
         stranger_seen: Notify::default(),
         is_stranger_seen: Cell::new(false),
+        crashes: crashes::Crashes::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
         random: RefCell::new(random),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,8 +15,9 @@
 use bytes::Bytes;
 use compact_str::{format_compact, CompactString};
 
+use super::crashes::{self, LostConnection};
 use super::request::Call;
-use super::{crashes, pool, Shared};
+use super::{pool, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::{Candidate, Outcome, PlacementError, Prompt};
 use crate::platform::headers;
@@ -132,6 +133,9 @@
     shared: &'a Shared,
     id: CompactString,
     address: SocketAddr,
+    /// Start of the upstream's process by its own clock.
+    started_ms: Option<u64>,
+    sent_ms: u64,
     outcome: Outcome,
     awaits_first_byte: bool,
     /// Prefill work of the request, if the engine was idle; see [`crate::placement::Placement::idle_prefill_work`].
@@ -139,7 +143,7 @@
 }
 
 impl<'a> InFlight<'a> {
-    fn new(shared: &'a Shared, id: &str, address: SocketAddr, prompt: Option<&Prompt>) -> Self {
+    fn new(shared: &'a Shared, id: &str, entry: &UpstreamEntry, prompt: Option<&Prompt>) -> Self {
         let now_ms = shared.now_ms();
         let idle_prefill_work = prompt.and_then(|prompt| {
             let placement = shared.placement.borrow();
@@ -157,7 +161,9 @@
         Self {
             shared,
             id: id.into(),
-            address,
+            address: entry.address,
+            started_ms: entry.started_ms,
+            sent_ms: now_ms,
             outcome: Outcome::Neutral,
             awaits_first_byte: true,
             idle_prefill_work,
@@ -174,9 +180,17 @@
         }
     }
 
-    /// Records that the connection was lost before any part of the body arrived.
-    pub(super) async fn record_lost_connection(&self, call: &Call<'_>) {
-        crashes::record_lost_connection(self.shared, call, &self.id, self.address).await;
+    /// Records that the connection was lost before any part of the body arrived; `has_begun` tells whether the head of
+    /// the response had.
+    pub(super) async fn record_lost_connection(&self, call: &Call<'_>, has_begun: bool) {
+        let lost = LostConnection {
+            upstream: &self.id,
+            address: self.address,
+            started_ms: self.started_ms,
+            sent_ms: self.sent_ms,
+            has_begun,
+        };
+        crashes::record_lost_connection(self.shared, call, lost).await;
     }
 
     /// Sets the outcome that is recorded for the upstream when this value is dropped.
@@ -215,6 +229,10 @@
                 "the deadline is too near",
             ));
         }
+        if let Err(refusal) = crashes::admit(shared, call) {
+            let refused = Refusal::CrashSuspect;
+            return Err(give_up(call, attempts, refused, &refusal.reason));
+        }
         let upstream = match choose_upstream(shared, call, &attempts.tried) {
             Ok(upstream) => upstream,
             Err(error) => return Err(placement_failure(call, attempts, error)),
@@ -233,7 +251,7 @@
             let placement = shared.placement.borrow();
             placement.expected_delay_ms(&id, call.meta.prompt.as_ref(), shared.now_ms()) as u64
         };
-        let mut in_flight = InFlight::new(shared, &id, entry.address, call.meta.prompt.as_ref());
+        let mut in_flight = InFlight::new(shared, &id, &entry, call.meta.prompt.as_ref());
         let is_last = attempts.runs + 1 >= call.route().max_attempts;
         let timeout = if is_last {
             None
@@ -359,10 +377,12 @@
 
 fn give_up(call: &Call<'_>, attempts: &Attempts, refusal: Refusal, reason: &str) -> Failure {
     let reason = format_compact!("{reason}; last attempt: {}", attempts.last);
-    // `NoUpstream` and `Overloaded` state that the request did not run, which is false or uncertain once an attempt may
+    // `NoUpstream`, `Overloaded` and `CrashSuspect` state that the request did not run, which is false or uncertain once an attempt may
     // have run. `TimedOut` states that it may have run, which is false as long as no attempt may have.
     let refusal = match refusal {
-        Refusal::NoUpstream | Refusal::Overloaded if attempts.runs > 0 => Refusal::UpstreamFailed,
+        Refusal::NoUpstream | Refusal::Overloaded | Refusal::CrashSuspect if attempts.runs > 0 => {
+            Refusal::UpstreamFailed
+        }
         Refusal::TimedOut if attempts.runs == 0 => Refusal::Overloaded,
         other => other,
     };
@@ -502,7 +522,7 @@
     let now_ms = shared.now_ms();
     match result {
         Err(reason) => {
-            in_flight.record_lost_connection(call).await;
+            in_flight.record_lost_connection(call, false).await;
             AttemptResult::MayHaveRun(reason)
         }
         Ok(response) => {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,39 +1,413 @@
-//! Upstreams that end while they begin to answer a request.
+//! Requests that crash upstreams: detection of crashes, exchange of the counts, and refusal.
 //!
 //! A connection that is lost before any part of the body has arrived shows either a crash of the upstream or a fault of
 //! this connection alone. The host of a crashed upstream refuses connections until the upstream has been restarted.
+//!
+//! A request whose response had begun is the cause of the crash. A request that waited for its response is a suspect
+//! only if no gateway reports such a cause within [`EXPLANATION_DELAY_MS`]. [`crate::crash_attribution`] decides; this
+//! module exchanges the counts through the store, so that they survive restarts.
 
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::{format_compact, CompactString};
+use prost::Message;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::request::Call;
-use super::{pool, Shared};
+use super::watch::FeedReader;
+use super::{clock, pool, Shared};
+use crate::crash_attribution::{
+    Admission, Clocks, CrashAttribution, CrashId, CrashReport, Feature, MAX_REQUEST_FEATURES,
+};
+use crate::holders;
+use crate::notify::Notify;
+use crate::store::{Feed, Record, Store};
+
+/// Time for which the store may hold a read; a crash of which another gateway reports arrives at once.
+const LONG_POLL_MS: u64 = 1_500;
+
+/// Time within which the cause of a crash is known from other gateways: a write and a read of the store.
+const EXPLANATION_DELAY_MS: u64 = 60;
+
+/// Maximum number of suspects that wait for an explanation.
+const MAX_PENDING_SUSPECTS: usize = 1_024;
+
+/// Shortest delay before a feature is reported as harmless. Many gateways find out at the same time, and one report is
+/// enough.
+const MIN_SUCCESS_REPORT_DELAY_MS: u64 = 50;
+
+/// Range of the random part of this delay.
+const SUCCESS_REPORT_JITTER_MS: u32 = 450;
+
+/// Delay before a crash is reported, so that all its suspects at this gateway are in one report.
+const CRASH_REPORT_DELAY: Duration = Duration::from_millis(2);
+
+/// Delay after a failed write.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Finds out whether an upstream has crashed after the connection of a request was lost, and logs it with the parts of
-/// the prompt.
+/// A request that waited for its response when its upstream crashed.
+struct PendingSuspect {
+    request_id: CompactString,
+    features: Vec<Feature>,
+    crash: CrashId,
+    sent_ms: u64,
+    due_ms: u64,
+}
+
+/// Crash counts, with the tasks that wait for changes of them.
+#[derive(Default)]
+pub(super) struct Crashes {
+    attribution: RefCell<CrashAttribution>,
+    pending: RefCell<Vec<PendingSuspect>>,
+    /// Whether the counts of all gateways have been read; a report before that could lose those of a predecessor.
+    is_loaded: Cell<bool>,
+    changed: Notify,
+}
+
+/// A connection that was lost before any part of the body of a response arrived.
+pub(super) struct LostConnection<'a> {
+    /// Id of the upstream.
+    pub(super) upstream: &'a str,
+    /// Address of the upstream.
+    pub(super) address: SocketAddr,
+    /// Start of the upstream's process by its own clock.
+    pub(super) started_ms: Option<u64>,
+    /// Time at which the request was sent.
+    pub(super) sent_ms: u64,
+    /// Whether the head of the response had arrived.
+    pub(super) has_begun: bool,
+}
+
+/// Refusal of a request that has the features of requests that crashed upstreams.
+pub(super) struct CrashRefusal {
+    /// Reason for the log.
+    pub(super) reason: CompactString,
+    /// Time after which such a request is tried again.
+    pub(super) retry_after_ms: u64,
+}
+
+/// Returns the features of a request: the shared parts of its prompt, and a hash of the team, the method, the target and
+/// the body.
+pub(super) fn features_of(call: &Call<'_>) -> Vec<Feature> {
+    let mut hash = Xxh3::new();
+    for field in [
+        call.team_name().unwrap_or_default(),
+        call.request.method.as_str(),
+        call.request_target(),
+    ] {
+        hash.update(field.as_bytes());
+        hash.update(&[0]);
+    }
+    hash.update(&call.request.body);
+    let parts = call.meta.shared_parts.iter().take(MAX_REQUEST_FEATURES - 1);
+    let mut features: Vec<Feature> = parts.copied().map(Feature).collect();
+    features.push(Feature(hash.digest()));
+    features
+}
+
+/// Checks that a request does not have the features of requests that crashed upstreams.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
+pub(super) fn admit(shared: &Shared, call: &Call<'_>) -> Result<(), CrashRefusal> {
+    let attribution = shared.crashes.attribution.borrow();
+    if attribution.refused_count() == 0 {
+        return Ok(());
+    }
+    let now_ms = shared.now_ms();
+    let features = call.features();
+    let Admission::Refused {
+        feature,
+        trial_in_ms,
+    } = attribution.admission(features, now_ms)
+    else {
+        return Ok(());
+    };
+    let crashes = attribution.crashes(feature);
+    drop(attribution);
+    if trial_in_ms == 0 && is_trial_gateway(shared, feature) {
+        shared
+            .crashes
+            .attribution
+            .borrow_mut()
+            .begin_trial(features, now_ms);
+        log::warn!(
+            step = "crash_trial", request_id = call.meta.id.as_str(), feature = hex(feature).as_str(),
+            crashes = crashes, at_ms = now_ms;
+            "sending one request with a feature of requests that crashed upstreams"
+        );
+        return Ok(());
+    }
+    shared.metrics.add("crash_refusals", 1);
+    let feature = hex(feature);
+    Err(CrashRefusal {
+        reason: format_compact!(
+            "upstreams crashed {crashes} times on requests with feature {feature}"
+        ),
+        retry_after_ms: trial_in_ms.max(LONG_POLL_MS),
+    })
+}
+
+/// Returns whether this gateway is the one that tries requests with a feature again.
+fn is_trial_gateway(shared: &Shared, feature: Feature) -> bool {
+    let routers = shared.routers.borrow();
+    let ranked = holders::rank(&hex(feature), routers.candidates());
+    ranked
+        .first()
+        .is_some_and(|first| first.vm == shared.settings.vm)
+}
+
+/// Records that a response to a request has begun.
+pub(super) fn record_served(shared: &Shared, call: &Call<'_>) {
+    let crashes = &shared.crashes;
+    if crashes.attribution.borrow().is_empty() {
+        return;
+    }
+    let clocks = clocks(shared);
+    let before = crashes.attribution.borrow().refused_count();
+    let is_changed = crashes
+        .attribution
+        .borrow_mut()
+        .record_success(call.features(), clocks);
+    if is_changed {
+        let after = crashes.attribution.borrow().refused_count();
+        if after < before {
+            log::warn!(
+                step = "crash_release", request_id = call.meta.id.as_str(), at_ms = clocks.now_ms;
+                "requests with a feature of this request are no longer refused, because its response has begun"
+            );
+        }
+        crashes.changed.notify();
+    }
+}
+
+/// Finds out whether an upstream has crashed after the connection of a request was lost, and counts the crash.
 pub(super) async fn record_lost_connection(
     shared: &Shared,
     call: &Call<'_>,
-    upstream: &str,
-    address: SocketAddr,
+    lost: LostConnection<'_>,
 ) {
     let now_ms = shared.now_ms();
-    let is_crash = pool::refuses_connections(&shared.pool, upstream, address, now_ms).await;
-    if is_crash {
-        shared.metrics.add("upstream_crashes_seen", 1);
-    }
+    let is_crash =
+        pool::refuses_connections(&shared.pool, lost.upstream, lost.address, now_ms).await;
+    let features = call.features();
     let parts: Vec<String> = call
         .meta
         .shared_parts
         .iter()
-        .map(|part| format!("{part:016x}"))
+        .map(|part| hex(Feature(*part)))
         .collect();
     log::info!(
-        step = "lost_connection", request_id = call.meta.id.as_str(), upstream = upstream,
-        is_crash = is_crash, parts = parts.join(",").as_str(), at_ms = shared.now_ms();
+        step = "lost_connection", request_id = call.meta.id.as_str(), upstream = lost.upstream,
+        is_crash = is_crash, has_begun = lost.has_begun, parts = parts.join(",").as_str(),
+        at_ms = shared.now_ms();
         "{}", if is_crash {
-            "the upstream crashed before its response began"
+            "the upstream crashed before the first part of its response"
         } else {
-            "the connection was lost before the response began"
+            "the connection was lost before the first part of the response"
         }
     );
+    if !is_crash {
+        return;
+    }
+    shared.metrics.add("upstream_crashes_seen", 1);
+    let crash = crash_id(lost.upstream, lost.started_ms);
+    if lost.has_begun {
+        let now_ms = shared.now_ms();
+        shared
+            .crashes
+            .attribution
+            .borrow_mut()
+            .explain(crash, now_ms);
+        count_crash(shared, &call.meta.id, features, lost.sent_ms);
+        return;
+    }
+    let mut pending = shared.crashes.pending.borrow_mut();
+    if pending.len() < MAX_PENDING_SUSPECTS {
+        pending.push(PendingSuspect {
+            request_id: call.meta.id.clone(),
+            features: features.to_vec(),
+            crash,
+            sent_ms: lost.sent_ms,
+            due_ms: shared.now_ms() + EXPLANATION_DELAY_MS,
+        });
+    }
+    shared.crashes.changed.notify();
+}
+
+fn count_crash(shared: &Shared, request_id: &str, features: &[Feature], sent_ms: u64) {
+    let clocks = clocks(shared);
+    let mut attribution = shared.crashes.attribution.borrow_mut();
+    let reached = attribution.record_crash(features, sent_ms, clocks);
+    for feature in reached {
+        log::warn!(
+            step = "crash_limit", request_id = request_id, feature = hex(feature).as_str(),
+            crashes = attribution.crashes(feature), at_ms = clocks.now_ms;
+            "refusing requests with this feature, because upstreams crashed on them"
+        );
+    }
+    drop(attribution);
+    shared.crashes.changed.notify();
+}
+
+/// Counts the suspects of crashes that nobody explained in time, until the process ends.
+pub(super) async fn judge_suspects(shared: Rc<Shared>) {
+    loop {
+        let next_due = || {
+            let pending = shared.crashes.pending.borrow();
+            pending.iter().map(|suspect| suspect.due_ms).min()
+        };
+        let due_ms = shared.crashes.changed.wait_for(next_due).await;
+        let wait_ms = due_ms.saturating_sub(shared.now_ms());
+        monoio::time::sleep(Duration::from_millis(wait_ms)).await;
+        let now_ms = shared.now_ms();
+        let due: Vec<PendingSuspect> = {
+            let mut pending = shared.crashes.pending.borrow_mut();
+            let (due, later) = pending
+                .drain(..)
+                .partition(|suspect| suspect.due_ms <= now_ms);
+            *pending = later;
+            due
+        };
+        for suspect in due {
+            let is_explained = shared
+                .crashes
+                .attribution
+                .borrow()
+                .is_explained(suspect.crash);
+            if !is_explained {
+                count_crash(
+                    &shared,
+                    &suspect.request_id,
+                    &suspect.features,
+                    suspect.sent_ms,
+                );
+            }
+        }
+    }
+}
+
+/// Merges the reports of all gateways until the process ends.
+pub(super) async fn watch(shared: Rc<Shared>) {
+    let mut reader = FeedReader::new(Feed::Crashes);
+    loop {
+        let started = Instant::now();
+        let Some(batch) = reader.read(&shared, LONG_POLL_MS).await else {
+            continue;
+        };
+        let is_snapshot = batch.is_snapshot;
+        let is_quiet = batch.records.is_empty();
+        for record in batch.records {
+            merge(&shared, &record);
+        }
+        shared.crashes.is_loaded.set(true);
+        shared.crashes.changed.notify();
+        expire(&shared);
+        if is_quiet && !is_snapshot {
+            // The store does not hold a read of a topic that has no record yet.
+            let elapsed = started.elapsed();
+            monoio::time::sleep(Duration::from_millis(LONG_POLL_MS).saturating_sub(elapsed)).await;
+        }
+    }
+}
+
+fn merge(shared: &Shared, record: &Record) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    let report = match CrashReport::decode(value.as_ref()) {
+        Ok(report) => report,
+        Err(error) => {
+            log::warn!(
+                step = "read crashes", peer = record.key.as_str();
+                "skipped a report of crashes that cannot be decoded: {error}"
+            );
+            return;
+        }
+    };
+    let clocks = clocks(shared);
+    let is_own = record.key == shared.settings.vm;
+    let mut attribution = shared.crashes.attribution.borrow_mut();
+    for feature in attribution.merge(&report, is_own, clocks) {
+        log::warn!(
+            step = "crash_limit", peer = record.key.as_str(), feature = hex(feature).as_str(),
+            crashes = attribution.crashes(feature), at_ms = clocks.now_ms;
+            "another gateway changed whether requests with this feature are refused"
+        );
+    }
+}
+
+fn expire(shared: &Shared) {
+    let mut attribution = shared.crashes.attribution.borrow_mut();
+    attribution.expire(shared.now_ms());
+    shared
+        .metrics
+        .set("crash_features", attribution.len() as u64);
+    shared
+        .metrics
+        .set("crash_features_refused", attribution.refused_count() as u64);
+}
+
+/// Writes what this gateway has found out, until the process ends.
+pub(super) async fn report(shared: Rc<Shared>) {
+    let crashes = &shared.crashes;
+    let has_crash = || crashes.attribution.borrow().has_unreported_crash();
+    loop {
+        let needs_report = || {
+            let is_needed = crashes.is_loaded.get() && crashes.attribution.borrow().needs_report();
+            is_needed.then_some(())
+        };
+        crashes.changed.wait_for(needs_report).await;
+        let jitter_ms = u64::from(shared.random() % SUCCESS_REPORT_JITTER_MS);
+        let delay = Duration::from_millis(MIN_SUCCESS_REPORT_DELAY_MS + jitter_ms);
+        let crash = crashes.changed.wait_for(|| has_crash().then_some(()));
+        // Whether a crash is to be reported or the delay has ended, the report follows.
+        let _ = monoio::time::timeout(delay, crash).await;
+        monoio::time::sleep(CRASH_REPORT_DELAY).await;
+        if needs_report().is_some() {
+            write_report(&shared).await;
+        }
+    }
+}
+
+async fn write_report(shared: &Shared) {
+    let report = shared.crashes.attribution.borrow_mut().report();
+    let record = Record {
+        key: shared.settings.vm.clone(),
+        value: Some(report.encode_to_vec().into()),
+    };
+    match shared.store.append(Feed::Crashes, None, record).await {
+        Ok(_) => shared
+            .crashes
+            .attribution
+            .borrow_mut()
+            .record_published(&report),
+        Err(error) => {
+            log::info!(step = "report crashes", at_ms = shared.now_ms(); "will be repeated: {error}");
+            monoio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+fn clocks(shared: &Shared) -> Clocks {
+    Clocks {
+        now_ms: shared.now_ms(),
+        wall_s: clock::wall_ms() / 1_000,
+    }
+}
+
+fn crash_id(upstream: &str, started_ms: Option<u64>) -> CrashId {
+    let seed = started_ms.unwrap_or_default();
+    CrashId(xxhash_rust::xxh3::xxh3_64_with_seed(
+        upstream.as_bytes(),
+        seed,
+    ))
+}
+
+fn hex(feature: Feature) -> String {
+    format!("{:016x}", feature.0)
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::{self, put_fields, Attempts, InFlight, StartedResponse};
 use super::request::Call;
-use super::Shared;
+use super::{crashes, Shared};
 use crate::placement::Outcome;
 use crate::platform::headers;
 use crate::routing::RetrySemantics;
@@ -111,6 +111,8 @@
     last_event_id: Option<u64>,
     /// Whether a part of the body of the current response has arrived.
     has_body: bool,
+    /// Whether an event of the current response has arrived.
+    has_event: bool,
     is_watching_caller: bool,
 }
 
@@ -146,6 +148,7 @@
         delivery: Delivery::new("complete"),
         last_event_id: call.meta.last_event_id,
         has_body: false,
+        has_event: false,
         is_watching_caller: caller.input_len() == 0,
     };
     relay.delivery.status = status;
@@ -156,6 +159,9 @@
         let is_failure = status >= 500;
         match end {
             End::Complete => {
+                if !is_failure && !is_event_stream {
+                    crashes::record_served(shared, call);
+                }
                 in_flight.set_outcome(if is_failure {
                     Outcome::Failed
                 } else {
@@ -169,7 +175,7 @@
                 in_flight.set_outcome(Outcome::Failed);
                 attempts.last = format_compact!("{}: {reason}", response.upstream);
                 if !relay.has_body {
-                    in_flight.record_lost_connection(call).await;
+                    in_flight.record_lost_connection(call, true).await;
                 }
                 if may_resume && attempts.runs < call.route().max_attempts {
                     log::info!(
@@ -186,6 +192,7 @@
                             in_flight = next_in_flight;
                             relay.splitter = EventSplitter::default();
                             relay.has_body = false;
+                            relay.has_event = false;
                             continue;
                         }
                     }
@@ -313,6 +320,9 @@
                 continue;
             }
             self.last_event_id = event.index.or(self.last_event_id);
+            if !std::mem::replace(&mut self.has_event, true) {
+                crashes::record_served(self.shared, self.call);
+            }
             self.enqueue(&event.raw);
             self.event_ends.push_back(self.queued_bytes);
         }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,6 +1,6 @@
 //! One request from its head to its end: route, authentication, budget, attempts, response.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
 use bytes::{BufMut, BytesMut};
@@ -9,10 +9,12 @@
 use super::attempt::{self, Attempts, Failure};
 use super::budget::remote::Need;
 use super::budget::Shortage;
+use super::crashes::{self, CrashRefusal};
 use super::relay::{self, Delivery};
 use super::Shared;
 use crate::allowance::ReserveError;
 use crate::contract::Priority;
+use crate::crash_attribution::Feature;
 use crate::platform::headers;
 use crate::refusal::Refusal;
 use crate::routing::{Route, RouteIndex, RoutingTable, TeamIndex};
@@ -37,9 +39,16 @@
     started_ms: u64,
     end_ms: u64,
     retry_jitter_ms: u64,
+    /// Features by which crashes are attributed; computed only if they are needed, because the body is hashed.
+    features: OnceCell<Vec<Feature>>,
 }
 
 impl Call<'_> {
+    /// Returns the features by which crashes of upstreams are attributed to requests.
+    pub(super) fn features(&self) -> &[Feature] {
+        self.features.get_or_init(|| crashes::features_of(self))
+    }
+
     /// Returns the route of the request.
     pub(super) fn route(&self) -> &Route {
         self.table.route(self.route)
@@ -193,6 +202,7 @@
         started_ms,
         end_ms,
         retry_jitter_ms,
+        features: OnceCell::new(),
         table,
     })
 }
@@ -206,6 +216,19 @@
         let limit = retries.entry(call.service.clone()).or_default();
         limit.count_request(shared.now_ms());
     }
+    if let Err(refusal) = crashes::admit(shared, call) {
+        let CrashRefusal {
+            reason,
+            retry_after_ms,
+        } = refusal;
+        let refused = Refused {
+            refusal: Refusal::CrashSuspect,
+            reason,
+            retry_after_ms: Some(retry_after_ms),
+        };
+        log_refusal(shared, &call.meta.id, &refused, call.started_ms);
+        return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
+    }
     let needed_tokens = call.meta.input_tokens + call.meta.max_output_tokens;
     let reservation = match call.team_name() {
         Some(team) if needed_tokens > 0 => {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -30,7 +30,7 @@
 const OUTAGE_MS: u64 = 1_000;
 
 /// Reader of one feed: a snapshot first, then the changes.
-struct FeedReader {
+pub(super) struct FeedReader {
     feed: Feed,
     position: Option<u64>,
     needs_snapshot: bool,
@@ -40,15 +40,18 @@
 }
 
 /// Records from one read.
-struct Batch {
-    records: Vec<Record>,
-    is_snapshot: bool,
+pub(super) struct Batch {
+    /// Records in the order in which they were written.
+    pub(super) records: Vec<Record>,
+    /// Whether the records are the newest ones of all keys.
+    pub(super) is_snapshot: bool,
     /// Whether this read ended an outage of the store.
     after_outage: bool,
 }
 
 impl FeedReader {
-    fn new(feed: Feed) -> Self {
+    /// Creates a reader that has read nothing yet.
+    pub(super) fn new(feed: Feed) -> Self {
         Self {
             feed,
             position: None,
@@ -59,7 +62,7 @@
     }
 
     /// Reads the snapshot or the next changes; returns `None` if the read failed or the next one must be a snapshot.
-    async fn read(&mut self, shared: &Shared, wait_ms: u64) -> Option<Batch> {
+    pub(super) async fn read(&mut self, shared: &Shared, wait_ms: u64) -> Option<Batch> {
         let result = match self.position {
             Some(position) if !self.needs_snapshot => {
                 shared.store.changes(self.feed, position, wait_ms).await
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod collections;
 pub mod congestion;
 pub mod contract;
+pub mod crash_attribution;
 pub mod directory;
 mod event_loop;
 pub mod evidence;
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -73,6 +73,7 @@
         match feed {
             Feed::Operator => ("keyed.op".into(), 0),
             Feed::Upstreams => ("keyed.servers".into(), 0),
+            Feed::Crashes => ("keyed.crashes".into(), 0),
             Feed::RolloutStatus => ("keyed.status".into(), 0),
             Feed::Routers => ("keyed.routers".into(), 0),
             Feed::Budgets(slot) => self.slot_partition("keyed.budgets", slot, BUDGET_TOPICS),
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -54,6 +54,8 @@
     ShuttingDown,
     /// The request crashed upstreams and is blocked in the whole fleet.
     Quarantined,
+    /// The request has the features of requests that crashed upstreams.
+    CrashSuspect,
     /// An earlier attempt holds the claim on the call, and its result is unknown.
     EarlierAttempt,
     /// The upstream failed after the request was sent.
@@ -86,6 +88,7 @@
             Self::LogUnavailable => "log_unavailable",
             Self::ShuttingDown => "shutting_down",
             Self::Quarantined => "quarantined",
+            Self::CrashSuspect => "crash_suspect",
             Self::EarlierAttempt => "earlier_attempt",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
@@ -111,6 +114,7 @@
             Self::UpstreamFailed => 502,
             Self::Overloaded
             | Self::NoUpstream
+            | Self::CrashSuspect
             | Self::BudgetUnavailable
             | Self::LogUnavailable
             | Self::TooManyConnections
--- a/src/store.rs
+++ b/src/store.rs
@@ -17,6 +17,8 @@
     Operator,
     /// Entries of upstreams; read only.
     Upstreams,
+    /// Crashes of upstreams by the features of the requests that they were running, with a record for each VM.
+    Crashes,
     /// Progress of version rollouts.
     RolloutStatus,
     /// Presence of routers, with the request counts that each one reports.
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -356,7 +356,7 @@
     /// Number of crashes.
     pub crashes: Arc<AtomicU64>,
     /// Connections that a crash resets.
-    connections: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
     /// Time for which the last crash keeps the listener closed.
     down: Arc<Mutex<Duration>>,
     /// Whether the script runs before the body of the request is read.
@@ -394,9 +394,13 @@
                     break;
                 }
                 let copy = stream.try_clone().expect("a socket");
-                self.connections.lock().unwrap().push(copy);
+                let number = unique_number();
+                self.connections.lock().unwrap().insert(number, copy);
                 let upstream = self.clone();
-                std::thread::spawn(move || upstream.serve(stream));
+                std::thread::spawn(move || {
+                    upstream.serve(stream);
+                    upstream.connections.lock().unwrap().remove(&number);
+                });
             }
             drop(listener);
             let down = *self.down.lock().unwrap();
@@ -417,7 +421,8 @@
         wait_for("the end of the listener", || {
             TcpStream::connect(self.address).is_err()
         });
-        for stream in self.connections.lock().unwrap().drain(..) {
+        let connections = std::mem::take(&mut *self.connections.lock().unwrap());
+        for stream in connections.into_values() {
             reset(&stream);
             let _ = stream.shutdown(Shutdown::Both);
         }
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -129,3 +129,75 @@
         wait_served(gateway, 2_000 + number);
     }
 }
+
+/// Guards against a gateway that starts later, or again, and sends the requests that the others refuse.
+#[test]
+fn a_gateway_that_starts_later_refuses_what_the_others_do() {
+    let upstreams = (0..4).map(|_| start_crashing_upstream()).collect();
+    let fleet = start_fleet_of(1, upstreams);
+    let parts = [SYSTEM, SUBJECT, DEADLY];
+    let mut number = 0;
+    wait_for("a refusal", || {
+        wait_served(&fleet.gateways[0], 1_000 + number);
+        number += 1;
+        send_prompt(&fleet.gateways[0], "stream", &parts, number) == 503
+    });
+    let reached = fleet.deadly_requests();
+    let later = Gateway::start(&fleet.store);
+    later.wait_ready();
+    wait_for("the counts of the others", || {
+        !later.log_lines_with_step("crash_limit").is_empty()
+    });
+    assert_eq!(send_prompt(&later, "stream", &parts, 500), 503);
+    assert_eq!(send_prompt(&later, "chat", &parts, 501), 503);
+    assert_eq!(fleet.deadly_requests(), reached);
+    wait_served(&later, 3_000);
+}
+
+/// Guards against a refusal that says "not run" without a time for the next attempt, or that a log does not explain.
+#[test]
+fn the_refusal_is_truthful_and_logged() {
+    let upstreams = (0..3).map(|_| start_crashing_upstream()).collect();
+    let fleet = start_fleet_of(1, upstreams);
+    let gateway = &fleet.gateways[0];
+    let request = CallerRequest {
+        path: "/stream/1",
+        id: "r-same",
+        headers: "X-Token-Count: 100,20\r\nX-Prompt-Prefix: dead01:20,1:80\r\n",
+        ..CallerRequest::default()
+    };
+    wait_for("a refusal", || {
+        wait_for("an upstream", || {
+            CallerRequest::default().send(gateway).status() == 200
+        });
+        request.send(gateway).status() == 503
+    });
+    let response = request.send(gateway);
+    let retry_after: f64 = response.header("retry-after").unwrap().parse().unwrap();
+    assert!(retry_after > 1.0, "{retry_after}");
+    let lines = gateway.log_lines_of("r-same");
+    assert!(lines.iter().any(|line| line["code"] == "crash_suspect"));
+    assert!(lines
+        .iter()
+        .any(|line| line["step"] == "lost_connection" && line["is_crash"] == true));
+}
+
+/// Guards against refusing requests because connections break at upstreams that keep running.
+#[test]
+fn connections_that_break_at_running_upstreams_get_nobody_refused() {
+    let upstream = UpstreamStub::start(|_, _| Action::WriteAndReset(Vec::new()));
+    let fleet = start_fleet_of(1, vec![upstream]);
+    let parts = [SYSTEM, SUBJECT];
+    for number in 0..10 {
+        let status = send_prompt(&fleet.gateways[0], "stream", &parts, number);
+        assert!(status == 502 || status == 503, "{status}");
+    }
+    let lines = fleet.gateways[0].log_lines_with_step("lost_connection");
+    assert!(!lines.is_empty());
+    assert!(
+        lines.iter().all(|line| line["is_crash"] == false),
+        "{lines:?}"
+    );
+    let metrics = get(&fleet.gateways[0].metrics, "/metrics").text();
+    assert!(!metrics.contains("crash_refusals"), "{metrics}");
+}
