Treat a stream without framing that ends inside an event as broken off

Callers saw a stream that looked complete although its upstream had ended in the middle of an event: a response with neither a length nor chunks ends with its connection, and the gateway passed the partial event on and closed the stream properly. A stream that ends before its first event is treated alike, since an engine produces at least one.

Both new tests failed before: the partial stream was complete for the caller, and a resumable one was not resumed. The router role is not affected, because it requires the last event.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -240,6 +240,14 @@
                         }
                     }
                     Ok(None) if response.upstream_response.is_ended() => {
+                        let is_unframed = response.upstream_response.is_unframed();
+                        if is_event_stream && is_unframed && !self.is_at_event_end() {
+                            if self.flush(caller).is_err() {
+                                return End::CallerGone;
+                            }
+                            let reason = "the connection ended inside an event";
+                            return End::UpstreamLost(reason.into());
+                        }
                         is_ended = true;
                         self.finish();
                     }
@@ -329,6 +337,11 @@
         Ok(())
     }
 
+    /// Returns whether the stream may end here: after an event, and not before the first one.
+    fn is_at_event_end(&self) -> bool {
+        self.splitter.pending_bytes() == 0 && (self.has_event || self.last_event_id.is_some())
+    }
+
     /// Queues the rest of the body and its end.
     fn finish(&mut self) {
         let rest = self.splitter.take_rest();
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -35,6 +35,8 @@
     status: u16,
     headers: Box<HeaderMap>,
     keep_alive: bool,
+    /// Whether the body has neither a length nor chunks.
+    is_unframed: bool,
     is_eof: bool,
 }
 
@@ -101,6 +103,7 @@
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         Ok(Self {
             keep_alive: !closes && !matches!(framing, Framing::UntilClose),
+            is_unframed: matches!(framing, Framing::UntilClose),
             socket,
             upstream: upstream.into(),
             framing,
@@ -137,6 +140,12 @@
         }
     }
 
+    /// Returns whether the body has neither a length nor chunks and ends with the connection, so that its end does not
+    /// prove that it is complete.
+    pub fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+
     /// Returns whether the complete body was taken.
     pub fn is_ended(&self) -> bool {
         matches!(self.framing, Framing::Ended)
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -339,6 +339,46 @@
     assert_eq!(upstream.requests().len(), 1);
 }
 
+/// Encodes the head of a stream that has neither a length nor chunks, followed by some bytes of its body.
+fn unframed_stream(request: &Message, body: &str) -> Action {
+    let head = signed_head(
+        request,
+        "Content-Type: text/event-stream\r\nConnection: close\r\n",
+    );
+    Action::WriteAndClose((head + body).into_bytes())
+}
+
+/// Guards against a stream that ends with its connection inside an event and looks complete to the caller.
+#[test]
+fn a_stream_without_framing_that_ends_inside_an_event_is_truncated() {
+    let cases = [
+        ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true),
+        ("id: 1\ndata: a\n\nid: 2\nda", false),
+        ("id: 1\ndata: a\n\nid: 2\ndata: b\n", false),
+        ("", false),
+    ];
+    for (body, is_complete) in cases {
+        let upstream = UpstreamStub::start(move |request, _| unframed_stream(request, body));
+        let (_store, gateway) = start_fleet(LARGE_BUDGET, &[&upstream]);
+        let response = stream_request("/stream/1").send(&gateway);
+        assert_eq!(response.is_complete, is_complete, "{body:?}: {response:?}");
+    }
+}
+
+/// Guards against losing the rest of a resumable stream that ends with its connection inside an event.
+#[test]
+fn a_stream_without_framing_that_ends_inside_an_event_is_resumed() {
+    let script = |request: &Message, _| match request.header("last-event-id") {
+        None => unframed_stream(request, "id: 1\ndata: a\n\nid: 2\nda"),
+        Some(_) => unframed_stream(request, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+    };
+    let (one, two) = (UpstreamStub::start(script), UpstreamStub::start(script));
+    let (_store, gateway) = start_fleet(LARGE_BUDGET, &[&one, &two]);
+    let response = stream_request("/chat/1").send(&gateway);
+    assert!(response.is_complete, "{response:?}");
+    assert_eq!(event_ids(&response), [1, 2, 3]);
+}
+
 /// Guards against work at an upstream for a caller that has disconnected.
 #[test]
 fn upstream_requests_are_cancelled_when_the_caller_disconnects() {
