--- a/src/message.rs
+++ b/src/message.rs
@@ -18,7 +18,10 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// The message; Protocol Buffers require a message around a `oneof`.
-    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "PeerMessage",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     pub message: Option<PeerMessage>,
 }
 
@@ -69,6 +72,9 @@
     /// Part of a snapshot.
     #[prost(message, tag = "12")]
     SnapshotChunk(SnapshotChunk),
+    /// Crash counts of the features of requests.
+    #[prost(message, tag = "13")]
+    CrashReport(crate::crash_attribution::CrashReport),
 }
 
 /// First message of a connection.
--- a/src/router.rs
+++ b/src/router.rs
@@ -10,6 +10,7 @@
 mod call;
 mod claim;
 mod connection;
+mod crash_counts;
 mod events;
 mod notify;
 mod pools;
@@ -100,6 +101,7 @@
     /// Crashes that this process observed or peers reported. The fleet state contains a crash only after its record was
     /// appended to the log and read back.
     reported_crashes: RefCell<Quarantine>,
+    crash_counts: crash_counts::CrashCounts,
     buffer_shares: RefCell<BufferShares>,
     /// Customers by the SHA-256 hash of a bearer key.
     api_keys: RefCell<FastMap<[u8; 32], CustomerKey>>,
@@ -199,6 +201,7 @@
         evidence: RefCell::default(),
         proposer: RefCell::default(),
         reported_crashes: RefCell::default(),
+        crash_counts: crash_counts::CrashCounts::default(),
         buffer_shares: RefCell::new(BufferShares::new(
             settings.limits.reader_buffer_bytes as usize,
         )),
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -12,7 +12,7 @@
 use super::call::{Call, CallKind, Refused};
 use super::claim::ClaimOutcome;
 use super::pools::{self, ChosenVersion, Isolation, Slot, SlotOutcome};
-use super::Shared;
+use super::{crash_counts, Shared};
 use crate::evidence;
 use crate::ids::UpstreamKey;
 use crate::intent::Claim;
@@ -48,6 +48,8 @@
     is_crash_suspect: bool,
     /// Whether the upstream of the last attempt crashed.
     last_attempt_crashed: bool,
+    /// Time at which the last attempt was dispatched.
+    sent_ms: u64,
     /// Keeps other crash suspects away from the upstream of the current attempt.
     isolation: Option<Isolation>,
     /// Whether an upstream may have run the request in any attempt.
@@ -64,6 +66,7 @@
             count: 0,
             is_crash_suspect: shared.has_crashed(call.fingerprint),
             last_attempt_crashed: false,
+            sent_ms: 0,
             isolation: None,
             may_have_run: false,
         })
@@ -92,7 +95,8 @@
         let excluded = self.isolate().await?;
         let admitted = pools::admit(shared, call, &self.version, &excluded).await;
         let slot = admitted.map_err(|refused| self.with_execution_status(refused))?;
-        let wait_ms = shared.now_ms() - queued_ms;
+        self.sent_ms = shared.now_ms();
+        let wait_ms = self.sent_ms - queued_ms;
         shared
             .metrics
             .record_queue_wait(call.priority, &call.customer_name, wait_ms);
@@ -236,7 +240,10 @@
         if let Err(error) = fleet.write(Entry::Crash(crash)) {
             log::warn!(step = "crash", peer = slot.name.as_str(); "{error}");
         }
-        if self.shared.is_quarantined(fingerprint) {
+        crash_counts::record_crash(self.shared, self.call, self.sent_ms);
+        let is_refused = self.shared.is_quarantined(fingerprint)
+            || crash_counts::is_refused(self.shared, self.call);
+        if is_refused {
             self.finish_slot(slot, SlotOutcome::Neutral);
             return Err(quarantined());
         }
@@ -296,6 +303,7 @@
 
 /// Records the metrics and the decision for a completed response.
 pub(super) fn record_completion(shared: &Shared, call: &Call, charged_tokens: u64) {
+    crash_counts::record_completion(shared, call);
     let elapsed_ms = shared.now_ms() - call.accepted_ms;
     shared
         .metrics
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -6,6 +6,7 @@
 
 use super::Shared;
 use crate::contract::{Contract, Priority, ServiceRoute};
+use crate::crash_attribution::{Feature, MAX_REQUEST_FEATURES};
 use crate::fleet_state::FleetState;
 use crate::ids::{CustomerKey, Fingerprint, RequestKey};
 use crate::refusal::{ExecutionStatus, Refusal};
@@ -83,6 +84,8 @@
     pub(super) priority: Priority,
     pub(super) key: RequestKey,
     pub(super) fingerprint: Fingerprint,
+    /// Features by which crashes of upstreams are attributed.
+    pub(super) features: Vec<Feature>,
     /// Model or service and how it is used, such as `large/stream`; health and evidence are tracked per route.
     pub(super) route: CompactString,
     /// Name of the model or service.
@@ -147,12 +150,17 @@
             check_service(&state, contract, &request)
         };
         let target = checked.map_err(|refused| (refused, Some(key)))?;
+        let fingerprint = Fingerprint::of(&request.uri.to_string(), &request.body);
+        let mut features = target.shared_features;
+        features.truncate(MAX_REQUEST_FEATURES - 1);
+        features.push(Feature(fingerprint.0));
         Ok(Self {
             customer,
             customer_name: contract.customer.clone(),
             priority: contract.priority,
             key,
-            fingerprint: Fingerprint::of(&request.uri.to_string(), &request.body),
+            fingerprint,
+            features,
             route: target.route,
             target_name: target.name,
             versions: target.versions,
@@ -174,6 +182,8 @@
     configured_version: CompactString,
     max_charge_tokens: u64,
     kind: CallKind,
+    /// Features of the messages that other requests may share.
+    shared_features: Vec<Feature>,
 }
 
 fn authenticate(shared: &Shared, request: &Request) -> Result<CustomerKey, Refused> {
@@ -263,6 +273,11 @@
             prefix_hashes: chat.prefix_hashes(),
             prompt_tokens: chat.prompt_tokens_estimate(),
         },
+        shared_features: chat
+            .shared_message_hashes()
+            .into_iter()
+            .map(Feature)
+            .collect(),
     })
 }
 
@@ -309,6 +324,7 @@
             timeout_ms: service.timeout_ms,
             charge_tokens: service.charge_tokens,
         },
+        shared_features: Vec::new(),
     })
 }
 
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -7,7 +7,7 @@
 
 use super::call::{Call, Refused};
 use super::response_writer::ResponseWriter;
-use super::{attempt, stream, Phase, Shared};
+use super::{attempt, crash_counts, stream, Phase, Shared};
 use crate::ids::RequestKey;
 use crate::refusal::Refusal;
 use crate::server::{error_body, Error, ErrorDetail, Request, RequestLimits, ResponseHead, Socket};
@@ -279,7 +279,7 @@
             return Err(key_reused());
         }
     }
-    if shared.is_quarantined(call.fingerprint) {
+    if shared.is_quarantined(call.fingerprint) || crash_counts::is_refused(shared, call) {
         return Err(attempt::quarantined());
     }
     Ok(())
--- a/src/router/events.rs
+++ b/src/router/events.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{wall_clock_ms, Phase, Shared};
+use super::{crash_counts, wall_clock_ms, Phase, Shared};
 use crate::fleet::Event;
 use crate::fleet_state::{Change, FleetState};
 use crate::ids::{Fingerprint, IncarnationId};
@@ -118,6 +118,7 @@
             .reported_crashes
             .borrow_mut()
             .add_crash(Fingerprint(crash.fingerprint)),
+        PeerMessage::CrashReport(report) => crash_counts::merge(shared, report),
         PeerMessage::BillCopy(copy) => shared.budget.on_bill_copy(from, copy),
         PeerMessage::BillCopyAck(ack) => shared.budget.on_copy_ack(from, ack),
         _ => {}
@@ -136,6 +137,7 @@
         shared.claims.tick();
         request_rights(&shared);
         write_rollout_entries(&shared);
+        crash_counts::tick(&shared);
         update_load(&shared);
     }
 }
@@ -192,7 +194,7 @@
 }
 
 /// Returns the rank of this process among the open incarnations; a process of higher rank proposes later.
-fn rank(shared: &Shared) -> u32 {
+pub(super) fn rank(shared: &Shared) -> u32 {
     let own = shared.fleet.incarnation();
     let before = open_incarnations(shared)
         .into_iter()
--- a/src/server/chat.rs
+++ b/src/server/chat.rs
@@ -91,6 +91,16 @@
         (bytes * BLOCK_TOKENS as usize / PREFIX_BLOCK_BYTES) as u64
     }
 
+    /// Returns the hashes of all messages except the last one, which belongs to this request; conversations and requests
+    /// of one application share the others.
+    pub fn shared_message_hashes(&self) -> Vec<u64> {
+        let shared = self.messages.split_last().map(|(_, shared)| shared);
+        let shared = shared.unwrap_or_default().iter();
+        shared
+            .map(|message| xxhash_rust::xxh3::xxh3_64(message.content.as_bytes()))
+            .collect()
+    }
+
     /// Returns the hashes of the prefixes of the prompt, one for each full block, the shortest prefix first.
     ///
     /// Engines report the contents of their prefix caches by the same hashes: the XXH3 hash of all message contents up
--- a/tests/http_common/mod.rs
+++ b/tests/http_common/mod.rs
@@ -323,6 +323,25 @@
         .body(body.to_string())
 }
 
+/// Returns a chat request whose conversation begins with a message that other requests share.
+pub fn chat_after(
+    idempotency_key: &str,
+    shared_text: &str,
+    text: &str,
+    tokens: u64,
+    stream: bool,
+) -> HttpRequest {
+    let body = json!({
+        "model": "quotes",
+        "messages": [{ "role": "system", "content": shared_text }, { "role": "user", "content": text }],
+        "max_tokens": tokens,
+        "stream": stream,
+    });
+    HttpRequest::new("POST", "/v1/chat/completions")
+        .customer_headers(idempotency_key)
+        .body(body.to_string())
+}
+
 /// One HTTP request.
 #[derive(Clone, Debug)]
 pub struct HttpRequest {
--- a/tests/http_failures.rs
+++ b/tests/http_failures.rs
@@ -4,7 +4,7 @@
 
 use std::io::{BufReader, Read, Write};
 
-use http_common::{chat, connect, key, read_head, Deployment, HttpRequest};
+use http_common::{chat, chat_after, connect, key, read_head, Deployment, HttpRequest};
 use serde_json::json;
 
 const FAST_ENGINE: &[&str] = &["--tokens-per-second", "2000"];
@@ -95,6 +95,33 @@
     assert_eq!(running, 2, "exactly two engines crashed");
 }
 
+/// Guards against requests that share a message which crashes engines: each is quarantined only after two crashes of its
+/// own, so no engine is left after a few of them.
+#[test]
+fn requests_that_share_a_crashing_message_are_quarantined_together() {
+    let mut deployment = Deployment::start(&[FAST_ENGINE; 8]);
+    let router = deployment.router("vm-1");
+    for upstream in &deployment.upstreams {
+        upstream.set_faults(json!({ "crash_on": "poison" }));
+    }
+
+    for number in 0..6 {
+        let name = format!("m{number}");
+        let text = format!("question {number}");
+        let response = chat_after(&name, "poison", &text, 10, false).send(&router.callers);
+        assert_eq!(response.error().0, "quarantined", "{response:?}");
+    }
+
+    let running = deployment
+        .upstreams
+        .iter_mut()
+        .filter_map(|upstream| upstream.process.is_running().then_some(()))
+        .count();
+    assert_eq!(running, 5, "three engines crashed, and no more");
+    let sound = chat_after("sound", "instructions", "question 0", 10, false);
+    assert_eq!(sound.send(&router.callers).status, 200);
+}
+
 /// Guards against quarantining requests that only ran at the same engine as one that crashes it.
 ///
 /// After the first crash, all requests of the engine are retried, including the one that caused it. If they ran
