--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,6 +36,7 @@
 mod clock;
 mod crashes;
 mod journal;
+mod limits;
 mod peers;
 mod pool;
 mod presence;
@@ -70,6 +71,7 @@
 use crate::routing::RoutingTable;
 use crate::server;
 use crate::shared_limits::{ActiveRouters, RetryLimiter};
+use crate::upstream_limits::UpstreamLimits;
 use store_health::ObservedStore;
 
 pub use settings::{FleetLimits, Listen, Resources, Settings, StoreSettings};
@@ -145,6 +147,7 @@
     stranger_seen: Notify,
     is_stranger_seen: Cell<bool>,
     crashes: crashes::Crashes,
+    limits: RefCell<UpstreamLimits>,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
     metrics: Metrics,
@@ -296,6 +299,7 @@
         stranger_seen: Notify::default(),
         is_stranger_seen: Cell::new(false),
         crashes: crashes::Crashes::default(),
+        limits: RefCell::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
         random: RefCell::new(random),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 
 use super::crashes::{self, LostConnection};
 use super::request::Call;
-use super::{pool, Shared};
+use super::{limits, pool, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::{Candidate, Outcome, PlacementError, Prompt};
 use crate::platform::headers;
@@ -600,6 +600,9 @@
         let mut placement = shared.placement.borrow_mut();
         placement.record_load(&response.upstream, report, now_ms);
     }
+    if status != MISDIRECTED_REQUEST {
+        limits::record_response(shared, &response.upstream, fields);
+    }
     if headers::is_not_executed(status, fields) {
         in_flight.set_outcome(if status == MISDIRECTED_REQUEST {
             Outcome::Replaced
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod status;
 pub mod store;
 pub mod upstream_client;
+pub mod upstream_limits;
 pub mod validation;
 pub mod vm_list;
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -19,6 +19,7 @@
 const TARGET_INSTANCE: HeaderName = HeaderName::from_static("x-target-instance");
 const TEAM: HeaderName = HeaderName::from_static("x-tenant");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+const REQUEST_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
@@ -179,6 +180,19 @@
     })
 }
 
+/// Returns the requests a second that an upstream takes from all routers together, in thousandths; `None` if it states
+/// no limit.
+pub fn request_limit_milli_per_s(headers: &HeaderMap) -> Option<u64> {
+    let text = field_text(headers, &REQUEST_LIMIT)?.trim();
+    match text.parse::<f64>() {
+        Ok(per_s) if per_s.is_finite() && per_s >= 0.0 => Some((per_s * 1_000.0) as u64),
+        _ => {
+            log::warn!(step = "read header", header = REQUEST_LIMIT.as_str(); "not a rate: {text}");
+            None
+        }
+    }
+}
+
 /// Returns the idle time after which the sender closes the connection, in whole seconds.
 pub fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
