Merge crash counts alike in any order

Cause: a report of crashes that follows a proof of harmlessness in the same generation kept an empty list of companions, which refuses every request with the feature; and a proof that was read before the crashes it exonerates removed nothing. A companion now carries its generation, and one with a higher known generation no longer counts.

Two tests for surviving mutants are added: requests that wait beside the cause of a crash, and the second run of a request that has reached the limit.

--- a/src/crash_attribution.rs
+++ b/src/crash_attribution.rs
@@ -88,8 +88,19 @@
     #[prost(uint64, tag = "4")]
     pub counted_at_s: u64,
     /// Features that were present in all crashes.
-    #[prost(fixed64, repeated, tag = "5")]
-    pub companions: Vec<u64>,
+    #[prost(message, repeated, tag = "5")]
+    pub companions: Vec<Companion>,
+}
+
+/// A feature that was present in all crashes of another one.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Companion {
+    /// The feature.
+    #[prost(fixed64, tag = "1")]
+    pub feature: u64,
+    /// Its generation at the time of the crashes; a higher one proves that it did not cause them.
+    #[prost(uint32, tag = "2")]
+    pub generation: u32,
 }
 
 /// Time as this module needs it: a monotonic clock for decisions, and the wall clock to judge the age of reports.
@@ -119,7 +130,7 @@
 struct Entry {
     generation: u32,
     crashes: u32,
-    companions: Vec<Feature>,
+    companions: Vec<Companion>,
     /// Time at which the newest change became known here.
     changed_ms: u64,
     counted_at_s: u64,
@@ -194,11 +205,13 @@
             let Some(entry) = self.entries.get(feature) else {
                 continue;
             };
-            let has_all = entry
-                .companions
-                .iter()
-                .all(|other| features.contains(other));
-            if entry.crashes >= CRASH_LIMIT && has_all {
+            let has_all = || {
+                let mut companions = entry.companions.iter();
+                companions.all(|other| {
+                    features.contains(&Feature(other.feature)) || !self.is_suspected(other)
+                })
+            };
+            if entry.crashes >= CRASH_LIMIT && has_all() {
                 return Admission::Refused {
                     feature: *feature,
                     trial_in_ms: entry.trial_due_ms().saturating_sub(now_ms),
@@ -225,15 +238,23 @@
         clocks: Clocks,
     ) -> Vec<Feature> {
         let features = &features[..features.len().min(MAX_REQUEST_FEATURES)];
+        let present = features.iter().map(|feature| Companion {
+            feature: feature.0,
+            generation: self
+                .entries
+                .get(feature)
+                .map_or(0, |entry| entry.generation),
+        });
+        let present: Vec<Companion> = present.collect();
         let mut reached = Vec::new();
         for feature in features {
             match self.entries.get_mut(feature) {
                 Some(entry) if sent_ms < entry.changed_ms => {}
                 Some(entry) => {
                     if entry.crashes == 0 {
-                        entry.companions = features.to_vec();
+                        entry.companions = present.clone();
                     } else {
-                        entry.companions.retain(|other| features.contains(other));
+                        entry.companions.retain(|other| present.contains(other));
                     }
                     entry.crashes = entry.crashes.saturating_add(1);
                     entry.changed_ms = clocks.now_ms;
@@ -247,7 +268,7 @@
                     let entry = Entry {
                         generation: 0,
                         crashes: 1,
-                        companions: features.to_vec(),
+                        companions: present.clone(),
                         changed_ms: clocks.now_ms,
                         counted_at_s: clocks.wall_s,
                         published: (0, 0, 0),
@@ -337,12 +358,14 @@
             }
             self.make_room();
         }
-        let mut companions: Vec<Feature> = count.companions.iter().copied().map(Feature).collect();
-        companions.truncate(MAX_REQUEST_FEATURES);
+        let companions = count.companions.iter().take(MAX_REQUEST_FEATURES).copied();
+        let companions: Vec<Companion> = companions
+            .filter(|other| self.is_suspected(other))
+            .collect();
         let entry = self.entries.entry(feature).or_insert_with(|| Entry {
             generation: count.generation,
             crashes: 0,
-            companions: companions.clone(),
+            companions: Vec::new(),
             changed_ms: clocks.now_ms,
             counted_at_s: count.counted_at_s,
             published: (0, 0, 0),
@@ -365,7 +388,9 @@
                 entry.counted_at_s = count.counted_at_s;
             }
             Ordering::Equal => {
-                if count.crashes > 0 {
+                if count.crashes > 0 && entry.crashes == 0 {
+                    entry.companions = companions;
+                } else if count.crashes > 0 {
                     entry.companions.retain(|other| companions.contains(other));
                 }
                 if count.crashes > entry.crashes {
@@ -416,7 +441,7 @@
                     generation: entry.generation,
                     crashes: entry.crashes,
                     counted_at_s: entry.counted_at_s,
-                    companions: entry.companions.iter().map(|other| other.0).collect(),
+                    companions: entry.companions.clone(),
                 });
             }
         }
@@ -469,10 +494,22 @@
         }
     }
 
-    /// Removes a harmless feature from those that were present in the crashes of others.
+    /// Returns whether a companion may still be the cause: it has not been proved harmless since the crashes.
+    fn is_suspected(&self, companion: &Companion) -> bool {
+        let entry = self.entries.get(&Feature(companion.feature));
+        entry.is_none_or(|entry| entry.generation <= companion.generation)
+    }
+
+    /// Removes a feature that was proved harmless from the companions of others, before its generation is forgotten.
     fn remove_companion(&mut self, harmless: Feature) {
+        let generation = self
+            .entries
+            .get(&harmless)
+            .map_or(0, |entry| entry.generation);
         for entry in self.entries.values_mut() {
-            entry.companions.retain(|other| *other != harmless);
+            entry
+                .companions
+                .retain(|other| other.feature != harmless.0 || other.generation >= generation);
         }
     }
 }
--- a/tests/crash_attribution.rs
+++ b/tests/crash_attribution.rs
@@ -245,6 +245,43 @@
     });
 }
 
+/// Guards against a gateway that learns of a crash before the others' proof that one of its parts is harmless, or after
+/// it, and refuses other requests than the rest of the fleet.
+#[test]
+fn a_proof_of_harmlessness_counts_whether_it_arrives_before_or_after_a_crash() {
+    let mut counting = CrashAttribution::default();
+    crash_times(&mut counting, &[SUBJECT, DEADLY], 3, 0);
+    let crashes = counting.report();
+    let mut proving = CrashAttribution::default();
+    proving.merge(&crashes, false, at(400));
+    proving.record_success(&request(&[SUBJECT], 1), at(500));
+    let proof = proving.report();
+    proving.record_crash(&request(&[SUBJECT], 2), 600, at(700));
+    let crash_after_proof = proving.report();
+    let orders = [
+        [&crashes, &proof, &crash_after_proof],
+        [&proof, &crashes, &crash_after_proof],
+        [&proof, &crash_after_proof, &crashes],
+        [&crash_after_proof, &proof, &crashes],
+    ];
+    for (number, order) in orders.iter().enumerate() {
+        let mut reader = CrashAttribution::default();
+        for report in order {
+            reader.merge(report, false, at(800));
+        }
+        let deadly = request(&[DEADLY], 3);
+        assert!(is_refused(&reader, &deadly, 900), "order {number}");
+        let sound = request(&[SUBJECT], 4);
+        assert!(!is_refused(&reader, &sound, 900), "order {number}");
+        assert_eq!(reader.crashes(SUBJECT), 1, "order {number}");
+        crash_times(&mut reader, &[SUBJECT], 2, 1_000);
+        assert!(
+            is_refused(&reader, &request(&[SUBJECT], 5), 2_000),
+            "order {number}: three crashes since"
+        );
+    }
+}
+
 fn random_parts(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Vec<Feature>> {
     let mut parts = Vec::new();
     for feature in 1..=4 {
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -201,3 +201,70 @@
     let metrics = get(&fleet.gateways[0].metrics, "/metrics").text();
     assert!(!metrics.contains("crash_refusals"), "{metrics}");
 }
+
+/// Guards against refusing sound requests that waited at upstreams beside the requests that crashed them.
+#[test]
+fn requests_that_wait_beside_the_cause_of_a_crash_are_not_counted() {
+    const WAITING: &str = "cc01";
+    let is_waiting = |request: &Message| {
+        let prompt = request.header("x-prompt-prefix").unwrap_or_default();
+        prompt.contains(WAITING)
+    };
+    let upstream = UpstreamStub::start(move |request, _| {
+        let head = signed_head(request, "Transfer-Encoding: chunked\r\n");
+        if has_deadly_part(request) {
+            let first = head.into_bytes();
+            Action::Crash { first, down: DOWN }
+        } else if is_waiting(request) {
+            Action::Silent
+        } else {
+            Action::Write((head + &event_chunk(1) + "0\r\n\r\n").into_bytes())
+        }
+    });
+    let fleet = start_fleet_of(1, vec![upstream]);
+    let gateway = &fleet.gateways[0];
+    for number in 0..3 {
+        wait_served(gateway, 1_000 + number);
+        std::thread::scope(|scope| {
+            scope.spawn(|| send_prompt(gateway, "stream", &[WAITING], 2_000 + number));
+            wait_for("the request that waits", || {
+                let requests = fleet.upstreams[0].requests();
+                requests
+                    .iter()
+                    .filter(|request| is_waiting(request))
+                    .count()
+                    > number
+            });
+            send_prompt(gateway, "stream", &[DEADLY], number);
+        });
+    }
+    wait_for("the limit of the crashing part", || {
+        !gateway.log_lines_with_step("crash_limit").is_empty()
+    });
+    wait_served(gateway, 3_000);
+    let lines = gateway.log_lines_with_step("lost_connection");
+    let waiting = lines.iter().filter(|line| line["has_begun"] == false);
+    assert_eq!(waiting.count(), 3, "{lines:?}");
+    let reached = gateway.log_lines_with_step("crash_limit");
+    assert_eq!(reached.len(), 1, "{reached:?}");
+}
+
+/// Guards against a second run of a request whose first run brought a feature of it to the limit.
+#[test]
+fn a_request_that_reaches_the_limit_is_not_sent_again() {
+    let upstreams = (0..5).map(|_| start_crashing_upstream()).collect();
+    let fleet = start_fleet_of(1, upstreams);
+    let gateway = &fleet.gateways[0];
+    for number in 0..2 {
+        wait_served(gateway, 1_000 + number);
+        send_prompt(gateway, "stream", &[SYSTEM, DEADLY], number);
+    }
+    wait_served(gateway, 1_010);
+    let status = send_prompt(gateway, "chat", &[SYSTEM, DEADLY], 20);
+    assert_eq!(
+        fleet.deadly_requests(),
+        3,
+        "a resumable stream runs once more"
+    );
+    assert_ne!(status, 503, "the request has run");
+}
