Keep to the limits on requests that upstreams state, summed over all gateways

Upstreams saw: more requests than one and a half times what they had said they take, from a fleet whose gateways had all read it. Callers saw nothing.

Cause: no gateway acted on Server-Limit. Ruled out: a limit kept at each gateway by itself (the sum grows with the fleet); requests sent before the limit was known (the excess lasts as long as the limit).

For each limited upstream one gateway, its keeper, grants the requests; the others ask it by a datagram. A keeper that may have a predecessor waits until the predecessor's grants no longer count. Long prompts go first, because the limit counts requests whatever their size. A refusal tells the time until the next grant.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,14 +20,15 @@
 //! | write journal entries, which limit how far the rights may be spent | `journal` |
 //! | sample the wall clocks of other gateways | `clock` |
 //! | relate crashes of upstreams to requests, refuse requests that cause them | `crashes` |
+//! | keep to the limits on requests that upstreams state | `limits` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
 //! | exchange datagrams with other gateways | `peers` |
 //! | answer readiness probes and metric scrapes | `probes` |
 //! | shut down without cutting off requests | `shutdown` |
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
-//! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`] and
-//! [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router. The
+//! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`],
+//! [`crate::upstream_limits`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router. The
 //! design is in `docs/design.md`, section 10.
 
 mod attempt;
@@ -71,7 +72,6 @@
 use crate::routing::RoutingTable;
 use crate::server;
 use crate::shared_limits::{ActiveRouters, RetryLimiter};
-use crate::upstream_limits::UpstreamLimits;
 use store_health::ObservedStore;
 
 pub use settings::{FleetLimits, Listen, Resources, Settings, StoreSettings};
@@ -147,7 +147,7 @@
     stranger_seen: Notify,
     is_stranger_seen: Cell<bool>,
     crashes: crashes::Crashes,
-    limits: RefCell<UpstreamLimits>,
+    limits: limits::Limits,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
     metrics: Metrics,
@@ -299,7 +299,7 @@
         stranger_seen: Notify::default(),
         is_stranger_seen: Cell::new(false),
         crashes: crashes::Crashes::default(),
-        limits: RefCell::default(),
+        limits: limits::Limits::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
         random: RefCell::new(random),
@@ -325,6 +325,7 @@
             log_state(&shared);
         }
         shared.pool.close_expired(now_ms);
+        limits::tidy(&shared);
         shared
             .placement
             .borrow_mut()
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,6 +25,7 @@
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
 use crate::upstream_client::UpstreamResponse;
+use crate::upstream_limits::Weight;
 
 use encode::encode;
 use interrupt::{run_until_interrupted, Interrupt};
@@ -113,6 +114,14 @@
     last_event_id: Option<u64>,
 }
 
+/// An upstream that was chosen for an attempt.
+struct Choice {
+    id: CompactString,
+    entry: UpstreamEntry,
+    /// Weight of the request for the limit of the upstream.
+    weight: Weight,
+}
+
 /// Result of one attempt.
 enum AttemptResult {
     /// The response to relay.
@@ -233,10 +242,21 @@
             let refused = Refusal::CrashSuspect;
             return Err(give_up(call, attempts, refused, &refusal.reason));
         }
-        let upstream = match choose_upstream(shared, call, &attempts.tried) {
-            Ok(upstream) => upstream,
-            Err(error) => return Err(placement_failure(call, attempts, error)),
+        let choice = match choose_upstream(shared, call, &attempts.tried) {
+            Ok(choice) => choice,
+            Err(error) => return Err(placement_failure(shared, call, attempts, error)),
         };
+        let permission = limits::acquire(shared, &choice.id, choice.weight);
+        match run_until_interrupted(shared, call, caller, None, permission).await {
+            Ok(true) => {}
+            // The upstream is no candidate for some time, so another one is chosen.
+            Ok(false) => continue,
+            Err(Interrupt::CallerGone) => return Err(Failure::CallerGone),
+            Err(Interrupt::Deadline | Interrupt::AttemptTimeout) => {
+                let reason = "no permission of a limited upstream before the deadline";
+                return Err(give_up(call, attempts, Refusal::TimedOut, reason));
+            }
+        }
         if !attempts.tried.is_empty() && !is_retry_allowed(shared, call, true) {
             return Err(give_up(
                 call,
@@ -245,7 +265,7 @@
                 "the retry limit of the fleet is reached",
             ));
         }
-        let (id, entry) = upstream;
+        let Choice { id, entry, .. } = choice;
         attempts.tried.push(id.clone());
         attempts.expected_ms = {
             let placement = shared.placement.borrow();
@@ -389,7 +409,22 @@
     Failure::Refused(refusal, reason, call.retry_after_ms())
 }
 
-fn placement_failure(call: &Call<'_>, attempts: &Attempts, error: PlacementError) -> Failure {
+fn placement_failure(
+    shared: &Shared,
+    call: &Call<'_>,
+    attempts: &Attempts,
+    error: PlacementError,
+) -> Failure {
+    if let Some(wait_ms) = limited_wait_ms(shared, call) {
+        let reason = "the upstreams of the service take no more requests a second";
+        return match give_up(call, attempts, Refusal::Overloaded, reason) {
+            Failure::Refused(refusal, reason, jitter_ms) => {
+                let retry_after_ms = wait_ms + jitter_ms.unwrap_or_default() / 2;
+                Failure::Refused(refusal, reason, Some(retry_after_ms))
+            }
+            other => other,
+        };
+    }
     match error {
         PlacementError::NoUpstream => give_up(
             call,
@@ -406,6 +441,15 @@
     }
 }
 
+/// Returns the time until an upstream of the service takes a request again, if one with a limit is the first that may.
+fn limited_wait_ms(shared: &Shared, call: &Call<'_>) -> Option<u64> {
+    let directory = shared.directory.borrow();
+    let now_ms = shared.now_ms();
+    let serving = directory.serving(&call.service);
+    let waits = serving.map(|(id, _)| shared.limits.wait_ms(id, now_ms));
+    waits.filter(|wait_ms| *wait_ms > 0).min()
+}
+
 /// Returns this gateway's share of the retries that the fleet allows in addition to the ratio of requests.
 fn retry_slack(shared: &Shared) -> u64 {
     let slack = shared.settings.fleet.retry_slack;
@@ -431,31 +475,41 @@
     shared: &Shared,
     call: &Call<'_>,
     tried: &[CompactString],
-) -> Result<(CompactString, UpstreamEntry), PlacementError> {
+) -> Result<Choice, PlacementError> {
     let directory = shared.directory.borrow();
     let placement = shared.placement.borrow();
     let limit = connection_limit(shared, call);
     let serving: Vec<_> = directory.serving(&call.service).collect();
-    let candidates: Vec<_> = serving
-        .iter()
-        .filter(|(id, _)| placement.open_requests(id) < limit)
-        .map(|(id, entry)| Candidate {
-            id: id.as_str(),
-            slots: entry.slots,
-            is_local: entry.data_centre == shared.settings.data_centre,
-        })
-        .collect();
-    if candidates.is_empty() && !serving.is_empty() {
-        return Err(PlacementError::Full);
-    }
-    let id = placement.choose(
-        &candidates,
-        call.meta.prompt.as_ref(),
-        tried,
-        shared.now_ms(),
-    )?;
+    let now_ms = shared.now_ms();
+    let choose = |weight: Weight| {
+        let candidates: Vec<_> = serving
+            .iter()
+            .filter(|(id, _)| {
+                placement.open_requests(id) < limit && shared.limits.may_ask(id, weight, now_ms)
+            })
+            .map(|(id, entry)| Candidate {
+                id: id.as_str(),
+                slots: entry.slots,
+                is_local: entry.data_centre == shared.settings.data_centre,
+            })
+            .collect();
+        if candidates.is_empty() && !serving.is_empty() {
+            return Err(PlacementError::Full);
+        }
+        placement.choose(&candidates, call.meta.prompt.as_ref(), tried, now_ms)
+    };
+    let weight = placement.weight(call.meta.prompt.as_ref());
+    let (id, weight) = match choose(weight) {
+        // A light request that no other upstream takes counts as a heavy one.
+        Err(_) if weight == Weight::Light => (choose(Weight::Heavy)?, Weight::Heavy),
+        chosen => (chosen?, weight),
+    };
     let entry = directory.get(id).ok_or(PlacementError::NoUpstream)?;
-    Ok((id.into(), entry.clone()))
+    Ok(Choice {
+        id: id.into(),
+        entry: entry.clone(),
+        weight,
+    })
 }
 
 /// Returns the maximum number of connections from this gateway to one upstream.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,13 +20,13 @@
 use prost::Message;
 
 use super::budget::{remote, serving};
-use super::{clock, Shared};
+use super::{clock, limits, Shared};
 use crate::collections::FastMap;
 
 use messages::Datagram;
 pub(super) use messages::{
-    ClockMessage, Content, Handover, HandoverReply, PromptNotice, Reserve, ReserveOutcome,
-    ReserveReply, RightsRequest, Settle, SettleReply,
+    ClockMessage, Content, Handover, HandoverReply, LimitMessage, LimitReply, LimitRequest,
+    PromptNotice, Reserve, ReserveOutcome, ReserveReply, RightsRequest, Settle, SettleReply,
 };
 
 /// Prefill time from which on a prompt is announced as far as the rate limit allows, in milliseconds.
@@ -105,7 +105,12 @@
             session,
             prefill_us: (prefill_ms * 1_000.0) as u64,
         };
-        let content = encode(Content::PromptNotice(notice));
+        self.broadcast(shared, Content::PromptNotice(notice));
+    }
+
+    /// Sends a message to all other gateways.
+    pub(super) fn broadcast(&self, shared: &Shared, content: Content) {
+        let content = encode(content);
         for peer in shared.routers.borrow().peers(&shared.settings.vm) {
             self.send_datagram(content.clone(), peer);
         }
@@ -193,8 +198,8 @@
         socket.ignore(shared, peer, "its content is of an unknown kind");
         return;
     };
-    let concerns_rights = !matches!(content, Content::PromptNotice(_) | Content::Clock(_));
-    if concerns_rights && !shared.routers.borrow().is_member(peer) {
+    let needs_member = !matches!(content, Content::PromptNotice(_) | Content::Clock(_));
+    if needs_member && !shared.routers.borrow().is_member(peer) {
         shared.is_stranger_seen.set(true);
         shared.stranger_seen.notify();
         socket.ignore(shared, peer, "its sender has not reported its presence");
@@ -208,6 +213,9 @@
             let mut placement = shared.placement.borrow_mut();
             placement.record_peer_sent(&notice.upstream, notice.session, prefill_ms, now_ms);
         }
+        Content::Limit(message) => limits::handle_message(shared, &message),
+        Content::LimitRequest(request) => limits::handle_request(shared, &request, peer),
+        Content::LimitReply(reply) => limits::handle_reply(shared, &reply),
         Content::Handover(handover) => socket.accept_handover(shared, &handover, peer),
         Content::Clock(message) => clock::handle_message(shared, &message, peer),
         Content::Reserve(request) => serving::handle_reserve(shared, request, peer),
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct Datagram {
     /// Content of the datagram.
-    #[prost(oneof = "Content", tags = "1, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Content", tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub(super) content: Option<Content>,
 }
 
@@ -32,6 +32,13 @@
     RightsRequest(RightsRequest),
     #[prost(message, tag = "11")]
     HandoverReply(HandoverReply),
+    /// Limit that an upstream has stated.
+    #[prost(message, tag = "12")]
+    Limit(LimitMessage),
+    #[prost(message, tag = "13")]
+    LimitRequest(LimitRequest),
+    #[prost(message, tag = "14")]
+    LimitReply(LimitReply),
 }
 
 /// A request for the wall clock of another gateway, or the response.
@@ -180,3 +187,49 @@
     #[prost(fixed64, tag = "1")]
     pub(in crate::gateway) id: u64,
 }
+
+/// Limit on the rate of requests that an upstream has stated to the sender.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct LimitMessage {
+    /// Id of the upstream.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) upstream: String,
+    /// Requests that it takes from all gateways, in thousandths of a request a second; `None` if it states no limit any
+    /// more.
+    #[prost(uint64, optional, tag = "2")]
+    pub(in crate::gateway) limit_milli_per_s: Option<u64>,
+    /// Time for which the sender has known the limit.
+    #[prost(uint64, tag = "3")]
+    pub(in crate::gateway) known_ms: u64,
+}
+
+/// A request for permission to send one request to an upstream that has stated a limit.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct LimitRequest {
+    /// Random id of the request.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+    /// Id of the upstream.
+    #[prost(string, tag = "2")]
+    pub(in crate::gateway) upstream: String,
+    /// Limit as the sender knows it, in thousandths of a request a second.
+    #[prost(uint64, tag = "3")]
+    pub(in crate::gateway) limit_milli_per_s: u64,
+    /// Time for which the sender has known the limit.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) known_ms: u64,
+    /// Whether the request is light, so that others go first.
+    #[prost(bool, tag = "5")]
+    pub(in crate::gateway) is_light: bool,
+}
+
+/// Reply to a [`LimitRequest`].
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct LimitReply {
+    /// Id of the request.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+    /// Time until the upstream takes the next request; `None` if the request may be sent now.
+    #[prost(uint64, optional, tag = "2")]
+    pub(in crate::gateway) denied_ms: Option<u64>,
+}
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::Shared;
+use super::{limits, Shared};
 use crate::shared_limits::Presence;
 use crate::store::{Changes, Feed, Record, Store};
 
@@ -124,6 +124,8 @@
                 for record in records {
                     apply(&shared, record);
                 }
+                // A change of the fleet can make this gateway the keeper of a limit, or end that.
+                limits::tidy(&shared);
                 let routers = shared.routers.borrow();
                 let mut monitor = shared.peer_monitor.borrow_mut();
                 monitor.retain(|peer| routers.is_member(peer));
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -235,6 +235,7 @@
     shared.pool.close_all(id);
     if change != UpstreamChange::Draining {
         shared.placement.borrow_mut().reset(id);
+        shared.limits.forget(id);
     }
 }
 
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -17,6 +17,7 @@
 use compact_str::CompactString;
 
 use crate::collections::FastMap;
+use crate::upstream_limits::Weight;
 
 /// Age at which a load report no longer counts; its weight decreases linearly until then.
 const REPORT_DECAY_MS: u64 = 2_000;
@@ -36,6 +37,9 @@
 /// Weight of one measurement in the moving average of the prefill time of one token.
 const MS_PER_TOKEN_EWMA_WEIGHT: f64 = 0.05;
 
+/// Weight of one prompt in the moving average of the prefill work.
+const WORK_EWMA_WEIGHT: f64 = 0.02;
+
 /// Prompt length at which attention takes as long as all other computation, in tokens.
 ///
 /// The engines in use, of 70 billion parameters, state 90,000 to 110,000.
@@ -253,6 +257,8 @@
     loads: FastMap<CompactString, UpstreamLoad>,
     /// Moving average of the prefill time of one token over all engines.
     ms_per_token: f64,
+    /// Moving average of the prefill work of prompts.
+    mean_work: f64,
 }
 
 impl Default for Placement {
@@ -260,6 +266,7 @@
         Self {
             loads: FastMap::default(),
             ms_per_token: INITIAL_MS_PER_TOKEN,
+            mean_work: 0.0,
         }
     }
 }
@@ -316,6 +323,18 @@
             .ok_or(PlacementError::NoUpstream)
     }
 
+    /// Returns the weight of a request compared with the others; requests to plain services are alike.
+    pub fn weight(&self, prompt: Option<&Prompt>) -> Weight {
+        let is_light = prompt.is_some_and(|prompt| {
+            prefill_work(prompt, prompt.own_tokens + prompt.shared_tokens) < self.mean_work
+        });
+        if is_light {
+            Weight::Light
+        } else {
+            Weight::Heavy
+        }
+    }
+
     /// Returns the expected time until an engine has prefilled a prompt; 0 without a prompt or for an unknown engine.
     pub fn expected_delay_ms(&self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
         match (self.loads.get(id), prompt) {
@@ -327,6 +346,10 @@
     /// Records that a request is sent; returns the expected prefill time of its prompt in milliseconds.
     pub fn record_sent(&mut self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
         let ms_per_token = self.ms_per_token;
+        if let Some(prompt) = prompt {
+            let work = prefill_work(prompt, prompt.own_tokens + prompt.shared_tokens);
+            self.mean_work += WORK_EWMA_WEIGHT * (work - self.mean_work);
+        }
         let load = self.load(id);
         let prefill_ms = prompt.map_or(0.0, |prompt| {
             let prefill_ms = load.prefill_ms(prompt, ms_per_token, now_ms);
--- a/src/upstream_limits.rs
+++ b/src/upstream_limits.rs
@@ -1,23 +1,32 @@
 //! Limits on the rate of requests that upstreams state in their responses, shared by all routers.
 //!
-//! An upstream in need states how many requests a second it takes from all routers together. A few routers may send to
-//! it then, chosen by rendezvous hashing of the upstream over the active routers, and each gets a part of the limit.
-//! With one part for each router of a large fleet, every part would be too small to be used, and a request that each of
-//! them may send at once would already exceed the limit.
+//! An upstream in need states how many requests a second it takes from all routers together. One router, its keeper,
+//! grants the requests to that upstream, and all others ask it before they send one. A limit that is divided among the
+//! routers instead cannot be used in a large fleet: the part of each is a request in many seconds, and the sessions that
+//! an engine has cached arrive at routers without a part.
 //!
-//! A router that may not send learns the end of the limit from the notices of the others. If these stop, it may send at
-//! an even part of the limit, so that it finds out by itself, and all routers together stay within twice the limit. The
-//! design is in `docs/design.md`, section 10.
+//! The keeper follows from the upstream's id and the active routers. Views of the fleet can differ for some seconds, so
+//! a router that becomes the keeper of a limit that was in force before grants nothing until the grants of its
+//! predecessor no longer count. The design is in `docs/design.md`, section 10.
+
+use std::collections::VecDeque;
 
 use compact_str::CompactString;
 
 use crate::collections::FastMap;
 
-/// Number of millionths in one request, the unit of credit.
-const REQUEST_MICRO: u64 = 1_000_000;
+/// Window in which requests are counted; stated by the platform.
+pub const WINDOW_MS: u64 = 4_000;
+
+/// Requests that an upstream tolerates in a window, in percent of its limit; stated by the platform.
+const TOLERATED_PERCENT: u64 = 150;
 
-/// Time over which unused credit accumulates. Upstreams allow bursts of two seconds above the steady rate.
-const BURST_S: u64 = 2;
+/// Requests that an upstream tolerates in a window beyond that; stated by the platform.
+const TOLERATED_REQUESTS: u64 = 5;
+
+/// Part of the tolerated requests that is granted, in percent; the rest covers requests that take longer on their way
+/// than those before them.
+const GRANTED_PERCENT: u64 = 90;
 
 /// Rate that is assumed for a lower limit, in thousandths of a request a second; without any request nobody would learn
 /// that the limit has ended.
@@ -27,25 +36,40 @@
 /// responses on different connections overtake each other.
 const REORDER_MS: u64 = 500;
 
-/// Time after which a limit that nobody has confirmed is no longer trusted by a router that may not send.
-const CONFIRMATION_TIMEOUT_MS: u64 = 5_000;
-
 /// Interval at which a router tells the others that a limit is still stated.
 const NOTICE_INTERVAL_MS: u64 = 1_000;
 
+/// Time for which a limit that nobody has confirmed is kept. Without requests there are no responses that state it.
+const RETENTION_MS: u64 = 30_000;
+
 /// Change of a limit that the others are told at once, in percent.
 const NOTICED_CHANGE_PERCENT: u64 = 5;
 
-/// Age at which the parts of a limit are computed again, because the request counts of the routers change.
-const PART_REFRESH_MS: u64 = 1_000;
+/// Time after a limit became known within which its keeper has no predecessor.
+const FIRST_KEEPER_MS: u64 = 1_000;
+
+/// Time in which all routers learn that the keeper has changed; until then some ask its predecessor.
+const VIEW_CHANGE_MS: u64 = 2_000;
+
+/// Longest time for which a limit is said to be known.
+const MAX_KNOWN_MS: u64 = 3_600_000;
 
-/// A router that may get a part of a limit.
+/// Longest time for which a refusal of the keeper is remembered; the limit may end meanwhile.
+const MAX_DENIAL_MS: u64 = 1_000;
+
+/// Part of the granted requests that light ones may use, in percent.
+const LIGHT_PERCENT: usize = 60;
+
+/// How much work a request is for its upstream, compared with the others.
+///
+/// A limit counts requests whatever their size, so heavy ones go first: the other upstreams take many light requests in
+/// place of one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Participant<'a> {
-    /// Name of its VM.
-    pub vm: &'a str,
-    /// Requests that it served lately.
-    pub requests: u64,
+pub enum Weight {
+    /// As much as the mean or more.
+    Heavy,
+    /// Less than the mean.
+    Light,
 }
 
 /// What a router tells the others about a limit.
@@ -53,47 +77,45 @@
 pub struct LimitNotice {
     /// The limit, in thousandths of a request a second; `None` if the upstream states none any more.
     pub limit_milli_per_s: Option<u64>,
+    /// Time for which the sender or another router has known the limit.
+    pub known_ms: u64,
+}
+
+/// Answer of the keeper of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// The request may be sent now.
+    Granted,
+    /// The upstream takes the next request after a time.
+    Denied {
+        /// That time.
+        wait_ms: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
 struct LimitState {
     limit_milli_per_s: u64,
+    /// Time at which the limit became known to any router, which may be before the start of this process.
+    known_since_ms: i64,
     /// Time of the newest response or notice that stated the limit.
     confirmed_ms: u64,
-    /// Time at which the others were last told, by this router or another one.
+    /// Time at which the others were last told, by this router or another one, and what.
     noticed_ms: u64,
     noticed_milli_per_s: u64,
-    /// Rate at which this router may send, if it was chosen.
-    part_milli_per_s: Option<u64>,
-    /// Rate at which it may send if the limit is no longer confirmed.
-    even_part_milli_per_s: u64,
-    part_computed_ms: Option<u64>,
-    credit_micro: u64,
-    credited_ms: u64,
+    /// Times of the grants in the window with the ids of the requests, if this router is the keeper.
+    grants: Option<VecDeque<(u64, u64)>>,
+    /// Time until which the keeper is not asked.
+    denied_until_ms: u64,
+    /// Time until which it is not asked for light requests.
+    light_denied_until_ms: u64,
+    /// Time at which the upstream takes the next request, as the keeper has said.
+    next_ms: u64,
 }
 
 impl LimitState {
-    fn rate_milli_per_s(&self, now_ms: u64) -> u64 {
-        match self.part_milli_per_s {
-            Some(part) => part,
-            None if now_ms.saturating_sub(self.confirmed_ms) > CONFIRMATION_TIMEOUT_MS => {
-                self.even_part_milli_per_s
-            }
-            None => 0,
-        }
-    }
-
-    fn credit_micro(&self, now_ms: u64) -> u64 {
-        let rate = self.rate_milli_per_s(now_ms);
-        let elapsed_ms = now_ms.saturating_sub(self.credited_ms);
-        // A thousandth of a request a second is a millionth in a millisecond.
-        let most = REQUEST_MICRO.max(rate * 1_000 * BURST_S);
-        (self.credit_micro + elapsed_ms.saturating_mul(rate)).min(most)
-    }
-
-    fn settle_credit(&mut self, now_ms: u64) {
-        self.credit_micro = self.credit_micro(now_ms);
-        self.credited_ms = now_ms;
+    fn known_ms(&self, now_ms: u64) -> u64 {
+        (now_ms as i64 - self.known_since_ms).max(0) as u64
     }
 }
 
@@ -121,6 +143,12 @@
             .map(|state| state.limit_milli_per_s)
     }
 
+    /// Returns the limit of an upstream, in thousandths of a request a second, and for how long it has been known.
+    pub fn known(&self, upstream: &str, now_ms: u64) -> Option<(u64, u64)> {
+        let state = self.limits.get(upstream)?;
+        Some((state.limit_milli_per_s, state.known_ms(now_ms)))
+    }
+
     /// Records the limit that a response states, if any; returns what the other routers are to be told.
     pub fn record_response(
         &mut self,
@@ -136,9 +164,10 @@
             self.limits.remove(upstream);
             return Some(LimitNotice {
                 limit_milli_per_s: None,
+                known_ms: 0,
             });
         };
-        let state = self.confirm(upstream, limit, now_ms);
+        let state = self.confirm(upstream, limit, 0, now_ms);
         let change = limit.abs_diff(state.noticed_milli_per_s);
         let is_changed = change * 100 > state.noticed_milli_per_s * NOTICED_CHANGE_PERCENT;
         let is_due = now_ms.saturating_sub(state.noticed_ms) >= NOTICE_INTERVAL_MS;
@@ -147,14 +176,17 @@
         }
         state.noticed_ms = now_ms;
         state.noticed_milli_per_s = limit;
-        Some(LimitNotice { limit_milli_per_s })
+        Some(LimitNotice {
+            limit_milli_per_s,
+            known_ms: state.known_ms(now_ms),
+        })
     }
 
     /// Records the notice of another router.
     pub fn record_notice(&mut self, upstream: &str, notice: LimitNotice, now_ms: u64) {
         match notice.limit_milli_per_s {
             Some(limit) => {
-                let state = self.confirm(upstream, limit, now_ms);
+                let state = self.confirm(upstream, limit, notice.known_ms, now_ms);
                 state.noticed_ms = now_ms;
                 state.noticed_milli_per_s = limit;
             }
@@ -167,116 +199,122 @@
         self.limits.remove(upstream);
     }
 
-    /// Returns whether the part of this router is to be computed, before [`UpstreamLimits::allows`] is asked.
-    pub fn needs_part(&self, upstream: &str, now_ms: u64) -> bool {
-        self.limits.get(upstream).is_some_and(|state| {
-            let computed = state.part_computed_ms;
-            computed.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= PART_REFRESH_MS)
-        })
+    /// Forgets limits that nobody has confirmed for long.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.limits
+            .retain(|_, state| now_ms.saturating_sub(state.confirmed_ms) < RETENTION_MS);
     }
 
-    /// Computes the part of the router on `vm` in the limit of an upstream.
-    pub fn compute_part<'a>(
-        &mut self,
-        upstream: &str,
-        vm: &str,
-        participants: impl IntoIterator<Item = Participant<'a>>,
-        now_ms: u64,
-    ) {
-        if let Some(state) = self.limits.get_mut(upstream) {
-            state.settle_credit(now_ms);
-            let limit = state.limit_milli_per_s;
-            let participants: Vec<_> = participants.into_iter().collect();
-            state.even_part_milli_per_s = limit / participants.len().max(1) as u64;
-            state.part_milli_per_s = part_milli_per_s(upstream, limit, vm, participants);
-            state.part_computed_ms = Some(now_ms);
-        }
+    /// Returns whether the keeper may be asked for a request to an upstream.
+    pub fn may_ask(&self, upstream: &str, weight: Weight, now_ms: u64) -> bool {
+        let Some(state) = self.limits.get(upstream) else {
+            return true;
+        };
+        now_ms
+            >= match weight {
+                Weight::Heavy => state.denied_until_ms,
+                Weight::Light => state.light_denied_until_ms,
+            }
     }
 
-    /// Returns whether this router may send a request to an upstream now.
-    pub fn allows(&self, upstream: &str, now_ms: u64) -> bool {
+    /// Returns the time until an upstream takes the next request, as its keeper has said.
+    pub fn wait_ms(&self, upstream: &str, now_ms: u64) -> u64 {
         let state = self.limits.get(upstream);
-        state.is_none_or(|state| state.credit_micro(now_ms) >= REQUEST_MICRO)
+        state.map_or(0, |state| state.next_ms.saturating_sub(now_ms))
     }
 
-    /// Returns the time until this router may send a request to an upstream; `None` if it is not one of those that may.
-    pub fn wait_ms(&self, upstream: &str, now_ms: u64) -> Option<u64> {
-        let Some(state) = self.limits.get(upstream) else {
-            return Some(0);
+    /// Records that the keeper has refused a request to an upstream, or does not respond.
+    pub fn record_denial(&mut self, upstream: &str, weight: Weight, wait_ms: u64, now_ms: u64) {
+        if let Some(state) = self.limits.get_mut(upstream) {
+            let until_ms = now_ms + wait_ms.min(MAX_DENIAL_MS);
+            state.light_denied_until_ms = until_ms;
+            if weight == Weight::Heavy {
+                state.denied_until_ms = until_ms;
+                state.next_ms = now_ms + wait_ms;
+            }
+        }
+    }
+
+    /// Grants or refuses a request to an upstream as the keeper of its limit; a repeated request gets the same grant.
+    pub fn grant(&mut self, upstream: &str, id: u64, weight: Weight, now_ms: u64) -> Grant {
+        let Some(state) = self.limits.get_mut(upstream) else {
+            return Grant::Granted;
         };
-        let missing = REQUEST_MICRO.saturating_sub(state.credit_micro(now_ms));
-        match state.rate_milli_per_s(now_ms) {
-            0 => None,
-            rate => Some(missing.div_ceil(rate)),
+        let most = granted_requests(state.limit_milli_per_s);
+        let is_first = state.known_ms(now_ms) < FIRST_KEEPER_MS;
+        let grants = state.grants.get_or_insert_with(|| {
+            let missed = if is_first { 0 } else { most };
+            std::iter::repeat_n((now_ms + VIEW_CHANGE_MS, 0), missed).collect()
+        });
+        while grants
+            .front()
+            .is_some_and(|(at_ms, _)| now_ms.saturating_sub(*at_ms) >= WINDOW_MS)
+        {
+            grants.pop_front();
+        }
+        if grants.iter().any(|(_, granted)| *granted == id) {
+            return Grant::Granted;
+        }
+        let most = match weight {
+            Weight::Heavy => most,
+            Weight::Light => (most * LIGHT_PERCENT / 100).max(1),
+        };
+        if grants.len() < most {
+            grants.push_back((now_ms, id));
+            return Grant::Granted;
+        }
+        // Several grants must leave the window for a light request, or if the limit was higher before.
+        let next = grants.get(grants.len() - most);
+        let next_ms = next.map_or(now_ms, |(at_ms, _)| at_ms + WINDOW_MS);
+        Grant::Denied {
+            wait_ms: next_ms.saturating_sub(now_ms),
         }
     }
 
-    /// Counts a request that is sent to an upstream.
-    pub fn record_sent(&mut self, upstream: &str, now_ms: u64) {
-        if let Some(state) = self.limits.get_mut(upstream) {
-            state.settle_credit(now_ms);
-            state.credit_micro = state.credit_micro.saturating_sub(REQUEST_MICRO);
+    /// Forgets the grants for all upstreams of which another router is the keeper.
+    ///
+    /// If this router becomes the keeper again, it has missed grants.
+    pub fn retain_grants(&mut self, is_keeper: impl Fn(&str) -> bool) {
+        for (upstream, state) in &mut self.limits {
+            if state.grants.is_some() && !is_keeper(upstream) {
+                state.grants = None;
+            }
         }
     }
 
-    fn confirm(&mut self, upstream: &str, limit_milli_per_s: u64, now_ms: u64) -> &mut LimitState {
-        let limit = limit_milli_per_s.max(MIN_LIMIT_MILLI_PER_S);
+    fn confirm(
+        &mut self,
+        upstream: &str,
+        limit_milli_per_s: u64,
+        known_ms: u64,
+        now_ms: u64,
+    ) -> &mut LimitState {
         let state = self
             .limits
             .entry(upstream.into())
             .or_insert_with(|| LimitState {
-                limit_milli_per_s: limit,
+                limit_milli_per_s,
+                known_since_ms: now_ms as i64,
                 confirmed_ms: now_ms,
                 noticed_ms: 0,
                 noticed_milli_per_s: 0,
-                part_milli_per_s: None,
-                even_part_milli_per_s: 0,
-                part_computed_ms: None,
-                credit_micro: 0,
-                credited_ms: now_ms,
+                grants: None,
+                denied_until_ms: 0,
+                light_denied_until_ms: 0,
+                next_ms: 0,
             });
-        state.settle_credit(now_ms);
-        if state.limit_milli_per_s != limit {
-            state.limit_milli_per_s = limit;
-            state.part_computed_ms = None;
-        }
+        state.limit_milli_per_s = limit_milli_per_s;
+        let known_since_ms = now_ms as i64 - known_ms.min(MAX_KNOWN_MS) as i64;
+        state.known_since_ms = state.known_since_ms.min(known_since_ms);
         state.confirmed_ms = now_ms;
         state
     }
 }
 
-/// Returns the part of the router on `vm` in a limit; `None` if it is not among the routers that may send.
-///
-/// As many routers may send as the limit has whole requests a second. Half of the limit is divided evenly among them and
-/// half in proportion to their requests.
-fn part_milli_per_s(
-    upstream: &str,
-    limit_milli_per_s: u64,
-    vm: &str,
-    participants: Vec<Participant<'_>>,
-) -> Option<u64> {
-    let seed = xxhash_rust::xxh3::xxh3_64(upstream.as_bytes());
-    let mut ranked: Vec<(u64, Participant<'_>)> = participants
-        .into_iter()
-        .map(|participant| {
-            let name = participant.vm.as_bytes();
-            (
-                xxhash_rust::xxh3::xxh3_64_with_seed(name, seed),
-                participant,
-            )
-        })
-        .collect();
-    ranked.sort_unstable_by_key(|(score, participant)| (std::cmp::Reverse(*score), participant.vm));
-    ranked.truncate((limit_milli_per_s / 1_000).max(1) as usize);
-    let (_, own) = ranked
-        .iter()
-        .find(|(_, participant)| participant.vm == vm)?;
-    let half = limit_milli_per_s / 2;
-    let total: u64 = ranked
-        .iter()
-        .map(|(_, participant)| participant.requests)
-        .sum();
-    let even = half / ranked.len() as u64;
-    let by_requests = (half * own.requests).checked_div(total).unwrap_or(even);
-    Some(even + by_requests)
+/// Returns the requests that are granted in a window.
+fn granted_requests(limit_milli_per_s: u64) -> usize {
+    let limit = limit_milli_per_s.max(MIN_LIMIT_MILLI_PER_S);
+    let by_rate = limit * WINDOW_MS / 1_000 * TOLERATED_PERCENT / 100 / 1_000;
+    let granted = (by_rate + TOLERATED_REQUESTS) * GRANTED_PERCENT / 100;
+    granted.max(1) as usize
 }
