--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 //! | sample the wall clocks of other gateways | `clock` |
 //! | relate crashes of upstreams to requests, refuse requests that cause them | `crashes` |
 //! | keep to the limits on requests that upstreams state | `limits` |
+//! | try new versions of services, roll back bad ones | `rollouts` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
 //! | exchange datagrams with other gateways | `peers` |
 //! | answer readiness probes and metric scrapes | `probes` |
@@ -28,7 +29,7 @@
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
 //! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`],
-//! [`crate::upstream_limits`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router. The
+//! [`crate::upstream_limits`], [`crate::version_canary`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router. The
 //! design is in `docs/design.md`, section 10.
 
 mod attempt;
@@ -44,6 +45,7 @@
 mod probes;
 mod relay;
 mod request;
+mod rollouts;
 mod settings;
 mod shutdown;
 mod store_health;
@@ -148,6 +150,7 @@
     is_stranger_seen: Cell<bool>,
     crashes: crashes::Crashes,
     limits: limits::Limits,
+    rollouts: rollouts::Rollouts,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
     metrics: Metrics,
@@ -256,6 +259,8 @@
     monoio::spawn(crashes::watch(Rc::clone(&shared)));
     monoio::spawn(crashes::report(Rc::clone(&shared)));
     monoio::spawn(crashes::judge_suspects(Rc::clone(&shared)));
+    monoio::spawn(rollouts::watch(Rc::clone(&shared)));
+    monoio::spawn(rollouts::report(Rc::clone(&shared)));
     monoio::spawn(presence::watch(Rc::clone(&shared)));
     monoio::spawn(presence::report(Rc::clone(&shared)));
     monoio::spawn(peers::receive(Rc::clone(&shared)));
@@ -300,6 +305,7 @@
         is_stranger_seen: Cell::new(false),
         crashes: crashes::Crashes::default(),
         limits: limits::Limits::default(),
+        rollouts: rollouts::Rollouts::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
         random: RefCell::new(random),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 
 use super::crashes::{self, LostConnection};
 use super::request::Call;
-use super::{limits, pool, Shared};
+use super::{limits, pool, rollouts, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::{Candidate, Outcome, PlacementError, Prompt};
 use crate::platform::headers;
@@ -26,6 +26,7 @@
 use crate::server::Socket;
 use crate::upstream_client::UpstreamResponse;
 use crate::upstream_limits::Weight;
+use crate::version_canary::{Choice as Versions, Response};
 
 use encode::encode;
 use interrupt::{run_until_interrupted, Interrupt};
@@ -144,6 +145,8 @@
     address: SocketAddr,
     /// Start of the upstream's process by its own clock.
     started_ms: Option<u64>,
+    /// Version of the upstream's software.
+    version: CompactString,
     sent_ms: u64,
     outcome: Outcome,
     awaits_first_byte: bool,
@@ -172,6 +175,7 @@
             id: id.into(),
             address: entry.address,
             started_ms: entry.started_ms,
+            version: entry.version.clone(),
             sent_ms: now_ms,
             outcome: Outcome::Neutral,
             awaits_first_byte: true,
@@ -202,6 +206,16 @@
         crashes::record_lost_connection(self.shared, call, lost).await;
     }
 
+    /// Counts the response for the comparison of versions.
+    pub(super) fn record_response(&self, call: &Call<'_>, response: Response) {
+        rollouts::record_response(self.shared, call, &self.version, response);
+    }
+
+    /// Returns the time since the request was sent.
+    pub(super) fn elapsed_ms(&self) -> u64 {
+        self.shared.now_ms().saturating_sub(self.sent_ms)
+    }
+
     /// Sets the outcome that is recorded for the upstream when this value is dropped.
     pub(super) fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -266,6 +280,7 @@
             ));
         }
         let Choice { id, entry, .. } = choice;
+        rollouts::record_sent(shared, &call.service, &entry.version);
         attempts.tried.push(id.clone());
         attempts.expected_ms = {
             let placement = shared.placement.borrow();
@@ -292,6 +307,7 @@
                     return Ok((response, in_flight));
                 }
                 in_flight.set_outcome(Outcome::Failed);
+                in_flight.record_response(call, Response::Failed);
                 let status = response.upstream_response.status();
                 attempts.last = format_compact!("{id}: status {status}");
                 if !may_retry(shared, call, attempts) {
@@ -317,6 +333,7 @@
             AttemptResult::MayHaveRun(reason) => {
                 attempts.runs += 1;
                 in_flight.set_outcome(Outcome::Failed);
+                in_flight.record_response(call, Response::Failed);
                 attempts.last = format_compact!("{id}: {reason}");
                 log::info!(
                     step = "attempt", request_id = call.meta.id.as_str(), upstream = id.as_str();
@@ -481,9 +498,16 @@
     let limit = connection_limit(shared, call);
     let serving: Vec<_> = directory.serving(&call.service).collect();
     let now_ms = shared.now_ms();
-    let choose = |weight: Weight| {
+    let choose_among = |versions: Versions, weight: Weight| {
         let candidates: Vec<_> = serving
             .iter()
+            .filter(|(_, entry)| match versions {
+                Versions::Any => true,
+                Versions::New => rollouts::is_new(shared, &call.service, &entry.version),
+                Versions::Present | Versions::PresentOnly => {
+                    !rollouts::is_new(shared, &call.service, &entry.version)
+                }
+            })
             .filter(|(id, _)| {
                 placement.open_requests(id) < limit && shared.limits.may_ask(id, weight, now_ms)
             })
@@ -498,6 +522,17 @@
         }
         placement.choose(&candidates, call.meta.prompt.as_ref(), tried, now_ms)
     };
+    let versions = rollouts::choose(shared, &call.service, tried.is_empty());
+    let mut entries = serving.iter().map(|(_, entry)| entry);
+    let has_present = entries.any(|entry| !rollouts::is_new(shared, &call.service, &entry.version));
+    let versions = match versions {
+        Versions::Present if !has_present => Versions::Any,
+        other => other,
+    };
+    let choose = |weight: Weight| match (choose_among(versions, weight), versions) {
+        (Err(_), Versions::New) => choose_among(Versions::Present, weight),
+        (chosen, _) => chosen,
+    };
     let weight = placement.weight(call.meta.prompt.as_ref());
     let (id, weight) = match choose(weight) {
         // A light request that no other upstream takes counts as a heavy one.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,13 +20,14 @@
 use prost::Message;
 
 use super::budget::{remote, serving};
-use super::{clock, limits, Shared};
+use super::{clock, limits, rollouts, Shared};
 use crate::collections::FastMap;
 
 use messages::Datagram;
 pub(super) use messages::{
     ClockMessage, Content, Handover, HandoverReply, LimitMessage, LimitReply, LimitRequest,
     PromptNotice, Reserve, ReserveOutcome, ReserveReply, RightsRequest, Settle, SettleReply,
+    VersionReport,
 };
 
 /// Prefill time from which on a prompt is announced as far as the rate limit allows, in milliseconds.
@@ -215,6 +216,7 @@
         }
         Content::Limit(message) => limits::handle_message(shared, &message),
         Content::LimitRequest(request) => limits::handle_request(shared, &request, peer),
+        Content::VersionReport(report) => rollouts::handle_report(shared, &report),
         Content::LimitReply(reply) => limits::handle_reply(shared, &reply),
         Content::Handover(handover) => socket.accept_handover(shared, &handover, peer),
         Content::Clock(message) => clock::handle_message(shared, &message, peer),
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -6,7 +6,10 @@
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct Datagram {
     /// Content of the datagram.
-    #[prost(oneof = "Content", tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(
+        oneof = "Content",
+        tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub(super) content: Option<Content>,
 }
 
@@ -39,6 +42,9 @@
     LimitRequest(LimitRequest),
     #[prost(message, tag = "14")]
     LimitReply(LimitReply),
+    /// Responses of both versions of a service during a rollout.
+    #[prost(message, tag = "15")]
+    VersionReport(VersionReport),
 }
 
 /// A request for the wall clock of another gateway, or the response.
@@ -233,3 +239,29 @@
     #[prost(uint64, optional, tag = "2")]
     pub(in crate::gateway) denied_ms: Option<u64>,
 }
+
+/// Responses of both versions of a service that the sender has counted since the order to move it.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct VersionReport {
+    /// VM of the sender.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) vm: String,
+    /// The service.
+    #[prost(string, tag = "2")]
+    pub(in crate::gateway) service: String,
+    /// The new version.
+    #[prost(string, tag = "3")]
+    pub(in crate::gateway) target: String,
+    /// Responses of the new version.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) new_responses: u64,
+    /// Bad ones among them.
+    #[prost(uint64, tag = "5")]
+    pub(in crate::gateway) new_bad: u64,
+    /// Responses of the present version.
+    #[prost(uint64, tag = "6")]
+    pub(in crate::gateway) old_responses: u64,
+    /// Bad ones among them.
+    #[prost(uint64, tag = "7")]
+    pub(in crate::gateway) old_bad: u64,
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
 use crate::upstream_client::EventSplitter;
+use crate::version_canary::Response;
 
 /// Buffered bytes of one response, for a slow reader, from which on the upstream is no longer read.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -113,6 +114,9 @@
     has_body: bool,
     /// Whether an event of the current response has arrived.
     has_event: bool,
+    /// Time of the first event of the current response, and the number of its events.
+    first_event_ms: u64,
+    response_events: u64,
     is_watching_caller: bool,
 }
 
@@ -149,6 +153,8 @@
         last_event_id: call.meta.last_event_id,
         has_body: false,
         has_event: false,
+        first_event_ms: 0,
+        response_events: 0,
         is_watching_caller: caller.input_len() == 0,
     };
     relay.delivery.status = status;
@@ -167,12 +173,21 @@
                 } else {
                     Outcome::Served
                 });
+                let outcome = if is_failure {
+                    Some(Response::Failed)
+                } else {
+                    relay.timing(&in_flight, is_event_stream)
+                };
+                if let Some(outcome) = outcome {
+                    in_flight.record_response(call, outcome);
+                }
                 return_to_pool(shared, response);
                 relay.delivery.keeps_connection = keep_alive;
                 return relay.delivery;
             }
             End::UpstreamLost(reason) => {
                 in_flight.set_outcome(Outcome::Failed);
+                in_flight.record_response(call, Response::Failed);
                 attempts.last = format_compact!("{}: {reason}", response.upstream);
                 if !relay.has_body {
                     in_flight.record_lost_connection(call, true).await;
@@ -330,13 +345,31 @@
             self.last_event_id = event.index.or(self.last_event_id);
             if !std::mem::replace(&mut self.has_event, true) {
                 crashes::record_served(self.shared, self.call);
+                self.first_event_ms = self.shared.now_ms();
+                self.response_events = 0;
             }
+            self.response_events += 1;
             self.enqueue(&event.raw);
             self.event_ends.push_back(self.queued_bytes);
         }
         Ok(())
     }
 
+    /// Returns the time per unit of work of a complete response: between two events of a stream, or in all. A stream of
+    /// one event has none.
+    fn timing(&self, in_flight: &InFlight<'_>, is_event_stream: bool) -> Option<Response> {
+        let unit_ms = if is_event_stream {
+            let pauses = self
+                .response_events
+                .checked_sub(1)
+                .filter(|pauses| *pauses > 0)?;
+            self.shared.now_ms().saturating_sub(self.first_event_ms) as f64 / pauses as f64
+        } else {
+            in_flight.elapsed_ms() as f64
+        };
+        Some(Response::Served { unit_ms })
+    }
+
     /// Returns whether the stream may end here: after an event, and not before the first one.
     fn is_at_event_end(&self) -> bool {
         self.splitter.pending_bytes() == 0 && (self.has_event || self.last_event_id.is_some())
--- /dev/null
+++ b/src/gateway/rollouts.rs
@@ -0,0 +1,250 @@
+//! Trial of new versions of services: orders and progress in the store, evidence from all gateways.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+
+use super::peers::{Content, VersionReport};
+use super::request::Call;
+use super::watch::FeedReader;
+use super::Shared;
+use crate::collections::FastMap;
+use crate::holders;
+use crate::notify::Notify;
+use crate::platform::documents;
+use crate::store::{Feed, Record, Store};
+use crate::version_canary::{Canary, Choice, Response, RolloutState, VersionCounts};
+
+/// Interval at which gateways report their counts; a bad version is noticed within two of them.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Number of gateways that receive the counts and may decide.
+const DECIDERS: usize = 2;
+
+/// Time for which the store may hold a read of the progress.
+const LONG_POLL_MS: u64 = 1_500;
+
+/// Trials by service.
+#[derive(Default)]
+pub(super) struct Rollouts {
+    canaries: RefCell<FastMap<CompactString, Canary>>,
+    changed: Notify,
+}
+
+/// Applies a record of the operator's feed if it is an order; `is_snapshot` tells that it may be an old one.
+pub(super) fn apply_order(shared: &Shared, record: &Record, is_snapshot: bool) {
+    let Some(service) = documents::rollout_service(&record.key) else {
+        return;
+    };
+    let mut canaries = shared.rollouts.canaries.borrow_mut();
+    let Some(value) = &record.value else {
+        canaries.remove(service);
+        return;
+    };
+    match documents::decode_rollout_order(value) {
+        Ok(order) => {
+            let known = canaries.get(&order.service);
+            if is_snapshot && known.is_some_and(|canary| *canary.target() == order.target) {
+                return;
+            }
+            log::info!(
+                step = "rollout", service = order.service.as_str(), version = order.target.as_str(),
+                at_ms = shared.now_ms();
+                "trying the version with a small share of the requests"
+            );
+            canaries.insert(order.service, Canary::new(order.target));
+            drop(canaries);
+            shared.rollouts.changed.notify();
+        }
+        Err(error) => log::warn!(step = "rollout", service = service; "ignored an order: {error}"),
+    }
+}
+
+/// Returns which version a request may be sent to; the first attempt of a request is counted.
+pub(super) fn choose(shared: &Shared, service: &str, is_first: bool) -> Choice {
+    let mut canaries = shared.rollouts.canaries.borrow_mut();
+    match canaries.get_mut(service) {
+        None => Choice::Any,
+        Some(canary) if is_first => canary.choose(),
+        Some(canary) => canary.choose_again(),
+    }
+}
+
+/// Returns whether an upstream has the version that is tried.
+pub(super) fn is_new(shared: &Shared, service: &str, version: &str) -> bool {
+    let canaries = shared.rollouts.canaries.borrow();
+    let canary = canaries.get(service);
+    canary.is_some_and(|canary| canary.target() == version)
+}
+
+/// Counts a request that was sent to an upstream.
+pub(super) fn record_sent(shared: &Shared, service: &str, version: &str) {
+    let mut canaries = shared.rollouts.canaries.borrow_mut();
+    if let Some(canary) = canaries.get_mut(service) {
+        if canary.target() == version {
+            canary.record_sent_to_new();
+        }
+    }
+}
+
+/// Counts a response for the comparison of the versions.
+pub(super) fn record_response(shared: &Shared, call: &Call<'_>, version: &str, response: Response) {
+    let mut canaries = shared.rollouts.canaries.borrow_mut();
+    if let Some(canary) = canaries.get_mut(&call.service) {
+        let is_new = canary.target() == version;
+        canary.record(&call.route().name, is_new, response);
+    }
+}
+
+/// Reports the counts of this gateway to those that decide, and decides if it is one of them, until the process ends.
+pub(super) async fn report(shared: Rc<Shared>) {
+    let is_active = || {
+        let canaries = shared.rollouts.canaries.borrow();
+        let mut running = canaries.values();
+        let is_running = running.any(|canary| canary.state() == RolloutState::Running);
+        is_running.then_some(())
+    };
+    loop {
+        shared.rollouts.changed.wait_for(is_active).await;
+        monoio::time::sleep(REPORT_INTERVAL).await;
+        let running: Vec<_> = {
+            let canaries = shared.rollouts.canaries.borrow();
+            let running = canaries
+                .iter()
+                .filter(|(_, canary)| canary.state() == RolloutState::Running);
+            running
+                .map(|(service, canary)| {
+                    (service.clone(), canary.target().clone(), canary.counts())
+                })
+                .collect()
+        };
+        for (service, target, counts) in running {
+            if send_report(&shared, &service, &target, counts) {
+                decide(&shared, &service, &target).await;
+            }
+        }
+    }
+}
+
+/// Sends counts to the gateways that decide; returns whether this one is among them.
+fn send_report(shared: &Shared, service: &str, target: &str, counts: VersionCounts) -> bool {
+    let routers = shared.routers.borrow();
+    let ranked = holders::rank(service, routers.candidates());
+    let mut is_decider = ranked.is_empty();
+    for decider in ranked.iter().take(DECIDERS) {
+        if decider.vm == shared.settings.vm {
+            is_decider = true;
+        } else if let Some(peer) = routers.address_of(decider.vm) {
+            let report = VersionReport {
+                vm: shared.settings.vm.to_string(),
+                service: service.into(),
+                target: target.into(),
+                new_responses: counts.new_responses,
+                new_bad: counts.new_bad,
+                old_responses: counts.old_responses,
+                old_bad: counts.old_bad,
+            };
+            let content = Content::VersionReport(report);
+            shared.peer_socket.send(content, peer);
+        }
+    }
+    is_decider
+}
+
+/// Records the counts of another gateway.
+pub(super) fn handle_report(shared: &Shared, report: &VersionReport) {
+    let mut canaries = shared.rollouts.canaries.borrow_mut();
+    let canary = canaries.get_mut(report.service.as_str());
+    if let Some(canary) = canary.filter(|canary| *canary.target() == report.target) {
+        let counts = VersionCounts {
+            new_responses: report.new_responses,
+            new_bad: report.new_bad,
+            old_responses: report.old_responses,
+            old_bad: report.old_bad,
+        };
+        canary.record_report(&report.vm, counts);
+    }
+}
+
+/// Rolls a version back if it is bad.
+async fn decide(shared: &Shared, service: &str, target: &str) {
+    let total = {
+        let canaries = shared.rollouts.canaries.borrow();
+        let canary = canaries.get(service);
+        canary.map(Canary::total).unwrap_or_default()
+    };
+    if !total.is_bad() {
+        return;
+    }
+    log::warn!(
+        step = "rollout", service = service, version = target, at_ms = shared.now_ms(),
+        new_responses = total.new_responses, new_bad = total.new_bad,
+        old_responses = total.old_responses, old_bad = total.old_bad;
+        "rolling back the version, because its responses fail or are several times slower"
+    );
+    let value = documents::encode_rollout_status(service, target, RolloutState::RolledBack);
+    let record = Record {
+        key: documents::rollout_key(service),
+        value: Some(value.into()),
+    };
+    match shared.store.append(Feed::RolloutStatus, None, record).await {
+        Ok(_) => set_state(shared, service, target, RolloutState::RolledBack),
+        Err(error) => {
+            log::warn!(step = "rollout", service = service; "will write the status again: {error}");
+        }
+    }
+}
+
+/// Follows the progress of orders until the process ends.
+pub(super) async fn watch(shared: Rc<Shared>) {
+    let has_canaries = || {
+        let canaries = shared.rollouts.canaries.borrow();
+        (!canaries.is_empty()).then_some(())
+    };
+    let mut reader = FeedReader::new(Feed::RolloutStatus);
+    loop {
+        shared.rollouts.changed.wait_for(has_canaries).await;
+        let started = Instant::now();
+        let Some(batch) = reader.read(&shared, LONG_POLL_MS).await else {
+            continue;
+        };
+        let is_quiet = batch.records.is_empty() && !batch.is_snapshot;
+        for record in &batch.records {
+            apply_status(&shared, record);
+        }
+        if is_quiet {
+            // The store does not hold a read of a topic that has no record yet.
+            let wait = Duration::from_millis(LONG_POLL_MS).saturating_sub(started.elapsed());
+            monoio::time::sleep(wait).await;
+        }
+    }
+}
+
+fn apply_status(shared: &Shared, record: &Record) {
+    let (Some(service), Some(value)) = (documents::rollout_service(&record.key), &record.value)
+    else {
+        return;
+    };
+    match documents::decode_rollout_status(value) {
+        Ok((target, state)) => set_state(shared, service, &target, state),
+        Err(error) => log::warn!(step = "rollout", service = service; "ignored a status: {error}"),
+    }
+}
+
+fn set_state(shared: &Shared, service: &str, target: &str, state: RolloutState) {
+    let mut canaries = shared.rollouts.canaries.borrow_mut();
+    let canary = canaries.get_mut(service);
+    let Some(canary) = canary.filter(|canary| canary.target() == target) else {
+        return;
+    };
+    if canary.state() != state {
+        canary.set_state(state);
+        log::info!(
+            step = "rollout", service = service, version = target,
+            state = documents::rollout_state_name(state), at_ms = shared.now_ms();
+            "progress of the rollout"
+        );
+    }
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::Shared;
+use super::{rollouts, Shared};
 use crate::directory::UpstreamChange;
 use crate::platform::documents::{self, CONFIGURATION_KEY};
 use crate::routing::RoutingTable;
@@ -135,6 +135,8 @@
         for record in &batch.records {
             if record.key == CONFIGURATION_KEY {
                 apply_configuration(&shared, record);
+            } else {
+                rollouts::apply_order(&shared, record, batch.is_snapshot);
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod upstream_client;
 pub mod upstream_limits;
 pub mod validation;
+pub mod version_canary;
 pub mod vm_list;
 
 pub use fleet_state::FleetState;
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -6,14 +6,18 @@
 
 use compact_str::CompactString;
 use quick_error::quick_error;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::directory::UpstreamEntry;
 use crate::routing::{CallerLimits, RetrySemantics, Route, RoutingConfiguration, Service, Team};
+use crate::version_canary::{RolloutOrder, RolloutState};
 
 /// Key of the configuration in the feed of the operator.
 pub const CONFIGURATION_KEY: &str = "config";
 
+/// Prefix of the keys of orders to move a service to a version, and of their progress.
+const ROLLOUT_PREFIX: &str = "rollout/";
+
 quick_error! {
     /// Why a document cannot be decoded.
     #[derive(Debug)]
@@ -213,3 +217,84 @@
         started_ms: document.born,
     })
 }
+
+#[derive(Deserialize)]
+struct RolloutOrderDocument {
+    service: CompactString,
+    target: CompactString,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RolloutStatusDocument {
+    #[serde(default)]
+    service: CompactString,
+    target: CompactString,
+    state: CompactString,
+}
+
+/// Returns the service in the key of an order or its progress; `None` for other keys.
+pub fn rollout_service(key: &str) -> Option<&str> {
+    key.strip_prefix(ROLLOUT_PREFIX)
+}
+
+/// Returns the key of the progress of an order.
+pub fn rollout_key(service: &str) -> CompactString {
+    compact_str::format_compact!("{ROLLOUT_PREFIX}{service}")
+}
+
+/// Returns the name by which operators know a state.
+pub fn rollout_state_name(state: RolloutState) -> &'static str {
+    match state {
+        RolloutState::Running => "running",
+        RolloutState::Completed => "completed",
+        RolloutState::RolledBack => "rolled_back",
+    }
+}
+
+/// Decodes an order to move a service to a version.
+///
+/// # Errors
+///
+/// Returns an error that names the first field that is missing or has another type.
+pub fn decode_rollout_order(bytes: &[u8]) -> Result<RolloutOrder, Error> {
+    let document: RolloutOrderDocument = serde_json::from_slice(bytes)
+        .map_err(|error| Error::Syntax("rollout order", error.to_string()))?;
+    Ok(RolloutOrder {
+        service: document.service,
+        target: document.target,
+    })
+}
+
+/// Encodes the progress of an order.
+pub fn encode_rollout_status(service: &str, target: &str, state: RolloutState) -> Vec<u8> {
+    let document = RolloutStatusDocument {
+        service: service.into(),
+        target: target.into(),
+        state: rollout_state_name(state).into(),
+    };
+    // A document of strings always serialises.
+    serde_json::to_vec(&document).unwrap_or_default()
+}
+
+/// Decodes the progress of an order; returns the version and the state.
+///
+/// # Errors
+///
+/// Returns an error that names the first field that is missing, has another type or an unknown value.
+pub fn decode_rollout_status(bytes: &[u8]) -> Result<(CompactString, RolloutState), Error> {
+    const STEP: &str = "rollout status";
+    let document: RolloutStatusDocument =
+        serde_json::from_slice(bytes).map_err(|error| Error::Syntax(STEP, error.to_string()))?;
+    let states = [
+        RolloutState::Running,
+        RolloutState::Completed,
+        RolloutState::RolledBack,
+    ];
+    let state = states
+        .into_iter()
+        .find(|state| rollout_state_name(*state) == document.state);
+    match state {
+        Some(state) => Ok((document.target, state)),
+        None => Err(Error::Value(STEP, "state", document.state.into())),
+    }
+}
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -201,6 +201,15 @@
         self.put("keyed.op", "config", configuration.to_string().as_bytes());
     }
 
+    /// Returns the newest record of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.0.lock().unwrap();
+        let partition = state.partitions.get(&format!("{topic}/0"))?;
+        let mut newest_first = partition.records.iter().rev();
+        let found = newest_first.find(|(known, _)| known == key);
+        found.map(|(_, value)| value.clone())
+    }
+
     /// Drops the history of a topic but keeps the newest record of each key.
     pub fn drop_history(&self, topic: &str) {
         let mut state = self.state.0.lock().unwrap();
--- /dev/null
+++ b/tests/version_canary.rs
@@ -0,0 +1,150 @@
+//! Trial of a new version of a service.
+
+use monsoonfield::version_canary::{Canary, Choice, Response, RolloutState, VersionCounts};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const ROUTE: &str = "chat";
+
+fn canary() -> Canary {
+    Canary::new("v2".into())
+}
+
+fn served(unit_ms: f64) -> Response {
+    Response::Served { unit_ms }
+}
+
+/// Guards against a new version that gets more than a tenth of the requests of a service, summed over all routers.
+#[test]
+fn all_routers_together_keep_to_the_share_of_a_new_version() {
+    for routers in [1, 6, 95, 300] {
+        let mut random = Pcg64Mcg::seed_from_u64(routers);
+        let mut canaries: Vec<Canary> = (0..routers).map(|_| canary()).collect();
+        let mut new = 0;
+        for request in 1..=20_000 {
+            // Callers reach the routers unevenly.
+            let router = random
+                .random_range(0..routers)
+                .min(random.random_range(0..routers));
+            let canary = &mut canaries[router as usize];
+            if canary.choose() == Choice::New {
+                canary.record_sent_to_new();
+                new += 1;
+            }
+            assert!(new * 10 <= request, "{routers} routers: {new} of {request}");
+        }
+        assert!(
+            new * 100 >= 20_000 * 3,
+            "{routers} routers: {new} are too few to judge"
+        );
+    }
+}
+
+/// Guards against completing and keeping a version whose responses are several times slower: half of them are, and
+/// they are spread over many routers.
+#[test]
+fn a_version_that_is_several_times_slower_is_found_after_a_few_responses() {
+    for routers in [1_u64, 6, 95] {
+        let mut random = Pcg64Mcg::seed_from_u64(routers);
+        let mut canaries: Vec<Canary> = (0..routers).map(|_| canary()).collect();
+        let mut bad = 0;
+        for _ in 0..20_000 {
+            let router = random.random_range(0..routers) as usize;
+            let noise = random.random_range(0.7..1.6);
+            if random.random_range(0..14) == 0 {
+                let is_slow = random.random_bool(0.5);
+                bad += u64::from(is_slow);
+                let factor = if is_slow { 5.0 } else { 1.0 };
+                canaries[router].record(ROUTE, true, served(20.0 * noise * factor));
+            } else {
+                canaries[router].record(ROUTE, false, served(20.0 * noise));
+            }
+            if pooled(&canaries).is_bad() {
+                break;
+            }
+        }
+        assert!(pooled(&canaries).is_bad(), "{routers} routers");
+        assert!(bad < 50, "{routers} routers: {bad} bad responses");
+    }
+}
+
+fn pooled(canaries: &[Canary]) -> VersionCounts {
+    let mut total = VersionCounts::default();
+    for canary in canaries {
+        total.add(&canary.counts());
+    }
+    total
+}
+
+/// Guards against rolling back a good version because some of its responses are slow or fail, as those of the present
+/// one do.
+#[test]
+fn a_good_version_is_not_rolled_back() {
+    for seed in 0..50 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut canary = canary();
+        for _ in 0..10_000 {
+            let is_new = random.random_range(0..14) == 0;
+            let response = match random.random_range(0..100) {
+                0..=3 => Response::Failed,
+                4..=6 => served(90.0),
+                _ => served(random.random_range(14.0..32.0)),
+            };
+            canary.record(ROUTE, is_new, response);
+        }
+        assert!(
+            !canary.counts().is_bad(),
+            "seed {seed}: {:?}",
+            canary.counts()
+        );
+    }
+}
+
+/// Guards against judging a version by another kind of request, which takes longer by nature.
+#[test]
+fn responses_are_compared_on_the_same_route() {
+    let mut canary = canary();
+    for _ in 0..100 {
+        canary.record("short", false, served(5.0));
+        canary.record("long", false, served(80.0));
+        canary.record("long", true, served(85.0));
+    }
+    assert!(!canary.counts().is_bad());
+    canary.record("unknown", true, served(500.0));
+    assert_eq!(canary.counts().new_bad, 0, "nothing to compare with");
+}
+
+/// Guards against requests at a version that was rolled back, also repeated ones, and against a service without any
+/// upstream while its version is tried.
+#[test]
+fn a_version_that_was_rolled_back_gets_no_request() {
+    let mut canary = canary();
+    assert_eq!(canary.choose_again(), Choice::Present);
+    canary.set_state(RolloutState::RolledBack);
+    let first = (0..1_000).map(|_| canary.choose());
+    assert!(first
+        .collect::<Vec<_>>()
+        .iter()
+        .all(|choice| *choice == Choice::PresentOnly));
+    assert_eq!(canary.choose_again(), Choice::PresentOnly);
+    canary.set_state(RolloutState::Completed);
+    assert_eq!(canary.choose(), Choice::Any);
+}
+
+/// Guards against counts that add up with each report of a router, which holds all its responses.
+#[test]
+fn a_report_replaces_the_earlier_one_of_the_same_router() {
+    let mut canary = canary();
+    let counts = VersionCounts {
+        new_responses: 10,
+        new_bad: 4,
+        old_responses: 100,
+        old_bad: 1,
+    };
+    canary.record_report("edge-1", counts);
+    canary.record_report("edge-1", counts);
+    assert_eq!(canary.total(), counts);
+    assert!(!canary.total().is_bad());
+    canary.record_report("edge-2", counts);
+    assert!(canary.total().is_bad());
+}
