Split the choice of upstreams and requests in flight from the attempts

The version that a request may be sent to is chosen once for a request, so that a request which a limited upstream does not take is not counted again. Reads that the store holds are paced in one place.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,33 +5,35 @@
 //! not run may always be sent to another upstream; requests that may have run are repeated only if their route allows
 //! it.
 
+mod choice;
 mod encode;
+mod in_flight;
 mod interrupt;
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::{format_compact, CompactString};
 
-use super::crashes::{self, LostConnection};
+use super::crashes;
 use super::request::Call;
 use super::{limits, pool, rollouts, Shared};
 use crate::directory::UpstreamEntry;
-use crate::placement::{Candidate, Outcome, PlacementError, Prompt};
+use crate::placement::{Outcome, PlacementError};
 use crate::platform::headers;
 use crate::refusal::Refusal;
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
 use crate::upstream_client::UpstreamResponse;
-use crate::upstream_limits::Weight;
-use crate::version_canary::{Choice as Versions, Response};
+use crate::version_canary::Response;
 
+use choice::{choose_upstream, limited_wait_ms, Choice};
 use encode::encode;
 use interrupt::{run_until_interrupted, Interrupt};
 
 pub(super) use encode::put_fields;
+pub(super) use in_flight::InFlight;
 
 /// Longest time for which a pooled connection may have been idle to carry a request that may run only once. If the
 /// upstream closed the connection unnoticed, it would be unknown whether such a request ran.
@@ -115,14 +117,6 @@
     last_event_id: Option<u64>,
 }
 
-/// An upstream that was chosen for an attempt.
-struct Choice {
-    id: CompactString,
-    entry: UpstreamEntry,
-    /// Weight of the request for the limit of the upstream.
-    weight: Weight,
-}
-
 /// Result of one attempt.
 enum AttemptResult {
     /// The response to relay.
@@ -137,100 +131,6 @@
     Interrupted(Interrupt),
 }
 
-/// A request in flight at an upstream. [`crate::placement::Placement`] counts it until this value is
-/// dropped, so it is uncounted even if the future of the request is cancelled.
-pub(super) struct InFlight<'a> {
-    shared: &'a Shared,
-    id: CompactString,
-    address: SocketAddr,
-    /// Start of the upstream's process by its own clock.
-    started_ms: Option<u64>,
-    /// Version of the upstream's software.
-    version: CompactString,
-    sent_ms: u64,
-    outcome: Outcome,
-    awaits_first_byte: bool,
-    /// Prefill work of the request, if the engine was idle; see [`crate::placement::Placement::idle_prefill_work`].
-    idle_prefill_work: Option<f64>,
-}
-
-impl<'a> InFlight<'a> {
-    fn new(shared: &'a Shared, id: &str, entry: &UpstreamEntry, prompt: Option<&Prompt>) -> Self {
-        let now_ms = shared.now_ms();
-        let idle_prefill_work = prompt.and_then(|prompt| {
-            let placement = shared.placement.borrow();
-            placement.idle_prefill_work(id, prompt, now_ms)
-        });
-        let prefill_ms = shared
-            .placement
-            .borrow_mut()
-            .record_sent(id, prompt, now_ms);
-        if let Some(prompt) = prompt {
-            shared
-                .peer_socket
-                .send_notice(shared, id, prompt.session, prefill_ms);
-        }
-        Self {
-            shared,
-            id: id.into(),
-            address: entry.address,
-            started_ms: entry.started_ms,
-            version: entry.version.clone(),
-            sent_ms: now_ms,
-            outcome: Outcome::Neutral,
-            awaits_first_byte: true,
-            idle_prefill_work,
-        }
-    }
-
-    /// Records that the request no longer waits for its first byte.
-    fn end_first_byte_wait(&mut self) {
-        if std::mem::take(&mut self.awaits_first_byte) {
-            self.shared
-                .placement
-                .borrow_mut()
-                .end_first_byte_wait(&self.id);
-        }
-    }
-
-    /// Records that the connection was lost before any part of the body arrived; `has_begun` tells whether the head of
-    /// the response had.
-    pub(super) async fn record_lost_connection(&self, call: &Call<'_>, has_begun: bool) {
-        let lost = LostConnection {
-            upstream: &self.id,
-            address: self.address,
-            started_ms: self.started_ms,
-            sent_ms: self.sent_ms,
-            has_begun,
-        };
-        crashes::record_lost_connection(self.shared, call, lost).await;
-    }
-
-    /// Counts the response for the comparison of versions.
-    pub(super) fn record_response(&self, call: &Call<'_>, response: Response) {
-        rollouts::record_response(self.shared, call, &self.version, response);
-    }
-
-    /// Returns the time since the request was sent.
-    pub(super) fn elapsed_ms(&self) -> u64 {
-        self.shared.now_ms().saturating_sub(self.sent_ms)
-    }
-
-    /// Sets the outcome that is recorded for the upstream when this value is dropped.
-    pub(super) fn set_outcome(&mut self, outcome: Outcome) {
-        self.outcome = outcome;
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.end_first_byte_wait();
-        let now_ms = self.shared.now_ms();
-        let mut placement = self.shared.placement.borrow_mut();
-        placement.record_finished(&self.id, self.outcome, now_ms);
-    }
-}
-
 /// Sends a request until an upstream responds with a head that can be relayed.
 ///
 /// # Errors
@@ -243,6 +143,8 @@
     attempts: &mut Attempts,
     last_event_id: Option<u64>,
 ) -> Result<(StartedResponse, InFlight<'a>), Failure> {
+    let is_first = attempts.tried.is_empty();
+    let first_versions = is_first.then(|| rollouts::choose(shared, &call.service));
     loop {
         if call.remaining_ms(shared) < MIN_REMAINING_MS {
             return Err(give_up(
@@ -256,7 +158,11 @@
             let refused = Refusal::CrashSuspect;
             return Err(give_up(call, attempts, refused, &refusal.reason));
         }
-        let choice = match choose_upstream(shared, call, &attempts.tried) {
+        let versions = match first_versions.filter(|_| attempts.tried.is_empty()) {
+            Some(versions) => versions,
+            None => rollouts::choose_again(shared, &call.service),
+        };
+        let choice = match choose_upstream(shared, call, &attempts.tried, versions) {
             Ok(choice) => choice,
             Err(error) => return Err(placement_failure(shared, call, attempts, error)),
         };
@@ -407,8 +313,9 @@
 
 /// Returns whether a retry is possible: time remains, an upstream is available and the retry limit is not used up.
 fn may_retry(shared: &Shared, call: &Call<'_>, attempts: &Attempts) -> bool {
+    let versions = rollouts::choose_again(shared, &call.service);
     call.remaining_ms(shared) > MIN_REMAINING_MS
-        && choose_upstream(shared, call, &attempts.tried).is_ok()
+        && choose_upstream(shared, call, &attempts.tried, versions).is_ok()
         && is_retry_allowed(shared, call, false)
 }
 
@@ -458,15 +365,6 @@
     }
 }
 
-/// Returns the time until an upstream of the service takes a request again, if one with a limit is the first that may.
-fn limited_wait_ms(shared: &Shared, call: &Call<'_>) -> Option<u64> {
-    let directory = shared.directory.borrow();
-    let now_ms = shared.now_ms();
-    let serving = directory.serving(&call.service);
-    let waits = serving.map(|(id, _)| shared.limits.wait_ms(id, now_ms));
-    waits.filter(|wait_ms| *wait_ms > 0).min()
-}
-
 /// Returns this gateway's share of the retries that the fleet allows in addition to the ratio of requests.
 fn retry_slack(shared: &Shared) -> u64 {
     let slack = shared.settings.fleet.retry_slack;
@@ -487,81 +385,6 @@
     }
 }
 
-/// Chooses an upstream to which this gateway may open another connection.
-fn choose_upstream(
-    shared: &Shared,
-    call: &Call<'_>,
-    tried: &[CompactString],
-) -> Result<Choice, PlacementError> {
-    let directory = shared.directory.borrow();
-    let placement = shared.placement.borrow();
-    let limit = connection_limit(shared, call);
-    let serving: Vec<_> = directory.serving(&call.service).collect();
-    let now_ms = shared.now_ms();
-    let choose_among = |versions: Versions, weight: Weight| {
-        let candidates: Vec<_> = serving
-            .iter()
-            .filter(|(_, entry)| match versions {
-                Versions::Any => true,
-                Versions::New => rollouts::is_new(shared, &call.service, &entry.version),
-                Versions::Present | Versions::PresentOnly => {
-                    !rollouts::is_new(shared, &call.service, &entry.version)
-                }
-            })
-            .filter(|(id, _)| {
-                placement.open_requests(id) < limit && shared.limits.may_ask(id, weight, now_ms)
-            })
-            .map(|(id, entry)| Candidate {
-                id: id.as_str(),
-                slots: entry.slots,
-                is_local: entry.data_centre == shared.settings.data_centre,
-            })
-            .collect();
-        if candidates.is_empty() && !serving.is_empty() {
-            return Err(PlacementError::Full);
-        }
-        placement.choose(&candidates, call.meta.prompt.as_ref(), tried, now_ms)
-    };
-    let versions = rollouts::choose(shared, &call.service, tried.is_empty());
-    let mut entries = serving.iter().map(|(_, entry)| entry);
-    let has_present = entries.any(|entry| !rollouts::is_new(shared, &call.service, &entry.version));
-    let versions = match versions {
-        Versions::Present if !has_present => Versions::Any,
-        other => other,
-    };
-    let choose = |weight: Weight| match (choose_among(versions, weight), versions) {
-        (Err(_), Versions::New) => choose_among(Versions::Present, weight),
-        (chosen, _) => chosen,
-    };
-    let weight = placement.weight(call.meta.prompt.as_ref());
-    let (id, weight) = match choose(weight) {
-        // A light request that no other upstream takes counts as a heavy one.
-        Err(_) if weight == Weight::Light => (choose(Weight::Heavy)?, Weight::Heavy),
-        chosen => (chosen?, weight),
-    };
-    let entry = directory.get(id).ok_or(PlacementError::NoUpstream)?;
-    Ok(Choice {
-        id: id.into(),
-        entry: entry.clone(),
-        weight,
-    })
-}
-
-/// Returns the maximum number of connections from this gateway to one upstream.
-fn connection_limit(shared: &Shared, call: &Call<'_>) -> u32 {
-    /// Lower bound of the share, so that a gateway of a large fleet can serve at all.
-    const MIN_CONNECTIONS: u64 = 2;
-    let total = call
-        .table
-        .service(&call.service)
-        .map_or(u32::MAX, |service| service.max_connections);
-    let part = shared
-        .routers
-        .borrow()
-        .share(&shared.settings.vm, u64::from(total));
-    part.max(MIN_CONNECTIONS) as u32
-}
-
 async fn attempt(
     shared: &Shared,
     call: &Call<'_>,
--- /dev/null
+++ b/src/gateway/attempt/choice.rs
@@ -0,0 +1,102 @@
+//! Choice of the upstream for an attempt, within the limits that the fleet shares.
+
+use compact_str::CompactString;
+
+use crate::directory::UpstreamEntry;
+use crate::gateway::request::Call;
+use crate::gateway::{rollouts, Shared};
+use crate::placement::{Candidate, PlacementError};
+use crate::upstream_limits::Weight;
+use crate::version_canary::Choice as Versions;
+
+/// An upstream that was chosen for an attempt.
+pub(super) struct Choice {
+    pub(super) id: CompactString,
+    pub(super) entry: UpstreamEntry,
+    /// Weight of the request for the limit of the upstream.
+    pub(super) weight: Weight,
+}
+
+/// Chooses an upstream to which this gateway may open another connection.
+pub(super) fn choose_upstream(
+    shared: &Shared,
+    call: &Call<'_>,
+    tried: &[CompactString],
+    versions: Versions,
+) -> Result<Choice, PlacementError> {
+    let directory = shared.directory.borrow();
+    let placement = shared.placement.borrow();
+    let limit = connection_limit(shared, call);
+    let serving: Vec<_> = directory.serving(&call.service).collect();
+    let now_ms = shared.now_ms();
+    let choose_among = |versions: Versions, weight: Weight| {
+        let candidates: Vec<_> = serving
+            .iter()
+            .filter(|(_, entry)| match versions {
+                Versions::Any => true,
+                Versions::New => rollouts::is_new(shared, &call.service, &entry.version),
+                Versions::Present | Versions::PresentOnly => {
+                    !rollouts::is_new(shared, &call.service, &entry.version)
+                }
+            })
+            .filter(|(id, _)| {
+                placement.open_requests(id) < limit && shared.limits.may_ask(id, weight, now_ms)
+            })
+            .map(|(id, entry)| Candidate {
+                id: id.as_str(),
+                slots: entry.slots,
+                is_local: entry.data_centre == shared.settings.data_centre,
+            })
+            .collect();
+        if candidates.is_empty() && !serving.is_empty() {
+            return Err(PlacementError::Full);
+        }
+        placement.choose(&candidates, call.meta.prompt.as_ref(), tried, now_ms)
+    };
+    let mut entries = serving.iter().map(|(_, entry)| entry);
+    let has_present = entries.any(|entry| !rollouts::is_new(shared, &call.service, &entry.version));
+    let versions = match versions {
+        Versions::Present if !has_present => Versions::Any,
+        other => other,
+    };
+    let choose = |weight: Weight| match (choose_among(versions, weight), versions) {
+        (Err(_), Versions::New) => choose_among(Versions::Present, weight),
+        (chosen, _) => chosen,
+    };
+    let weight = placement.weight(call.meta.prompt.as_ref());
+    let (id, weight) = match choose(weight) {
+        // A light request that no other upstream takes counts as a heavy one.
+        Err(_) if weight == Weight::Light => (choose(Weight::Heavy)?, Weight::Heavy),
+        chosen => (chosen?, weight),
+    };
+    let entry = directory.get(id).ok_or(PlacementError::NoUpstream)?;
+    Ok(Choice {
+        id: id.into(),
+        entry: entry.clone(),
+        weight,
+    })
+}
+
+/// Returns the maximum number of connections from this gateway to one upstream.
+fn connection_limit(shared: &Shared, call: &Call<'_>) -> u32 {
+    /// Lower bound of the share, so that a gateway of a large fleet can serve at all.
+    const MIN_CONNECTIONS: u64 = 2;
+    let total = call
+        .table
+        .service(&call.service)
+        .map_or(u32::MAX, |service| service.max_connections);
+    let part = shared
+        .routers
+        .borrow()
+        .share(&shared.settings.vm, u64::from(total));
+    part.max(MIN_CONNECTIONS) as u32
+}
+
+/// Returns the time until an upstream of the service takes a request again, if one with a limit is the first that may.
+pub(super) fn limited_wait_ms(shared: &Shared, call: &Call<'_>) -> Option<u64> {
+    let directory = shared.directory.borrow();
+    let now_ms = shared.now_ms();
+    let serving = directory.serving(&call.service);
+    let waits = serving.map(|(id, _)| shared.limits.wait_ms(id, now_ms));
+    waits.filter(|wait_ms| *wait_ms > 0).min()
+}
--- /dev/null
+++ b/src/gateway/attempt/in_flight.rs
@@ -0,0 +1,115 @@
+//! Requests in flight at upstreams, and what their ends tell about the upstreams.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+
+use crate::directory::UpstreamEntry;
+use crate::gateway::crashes::{self, LostConnection};
+use crate::gateway::request::Call;
+use crate::gateway::{rollouts, Shared};
+use crate::placement::{Outcome, Prompt};
+use crate::version_canary::Response;
+
+/// A request in flight at an upstream. [`crate::placement::Placement`] counts it until this value is
+/// dropped, so it is uncounted even if the future of the request is cancelled.
+pub(in crate::gateway) struct InFlight<'a> {
+    shared: &'a Shared,
+    id: CompactString,
+    address: SocketAddr,
+    /// Start of the upstream's process by its own clock.
+    started_ms: Option<u64>,
+    /// Version of the upstream's software.
+    version: CompactString,
+    sent_ms: u64,
+    outcome: Outcome,
+    awaits_first_byte: bool,
+    /// Prefill work of the request, if the engine was idle; see [`crate::placement::Placement::idle_prefill_work`].
+    pub(super) idle_prefill_work: Option<f64>,
+}
+
+impl<'a> InFlight<'a> {
+    pub(super) fn new(
+        shared: &'a Shared,
+        id: &str,
+        entry: &UpstreamEntry,
+        prompt: Option<&Prompt>,
+    ) -> Self {
+        let now_ms = shared.now_ms();
+        let idle_prefill_work = prompt.and_then(|prompt| {
+            let placement = shared.placement.borrow();
+            placement.idle_prefill_work(id, prompt, now_ms)
+        });
+        let prefill_ms = shared
+            .placement
+            .borrow_mut()
+            .record_sent(id, prompt, now_ms);
+        if let Some(prompt) = prompt {
+            shared
+                .peer_socket
+                .send_notice(shared, id, prompt.session, prefill_ms);
+        }
+        Self {
+            shared,
+            id: id.into(),
+            address: entry.address,
+            started_ms: entry.started_ms,
+            version: entry.version.clone(),
+            sent_ms: now_ms,
+            outcome: Outcome::Neutral,
+            awaits_first_byte: true,
+            idle_prefill_work,
+        }
+    }
+
+    /// Records that the request no longer waits for its first byte.
+    pub(super) fn end_first_byte_wait(&mut self) {
+        if std::mem::take(&mut self.awaits_first_byte) {
+            self.shared
+                .placement
+                .borrow_mut()
+                .end_first_byte_wait(&self.id);
+        }
+    }
+
+    /// Records that the connection was lost before any part of the body arrived; `has_begun` tells whether the head of
+    /// the response had.
+    pub(in crate::gateway) async fn record_lost_connection(
+        &self,
+        call: &Call<'_>,
+        has_begun: bool,
+    ) {
+        let lost = LostConnection {
+            upstream: &self.id,
+            address: self.address,
+            started_ms: self.started_ms,
+            sent_ms: self.sent_ms,
+            has_begun,
+        };
+        crashes::record_lost_connection(self.shared, call, lost).await;
+    }
+
+    /// Counts the response for the comparison of versions.
+    pub(in crate::gateway) fn record_response(&self, call: &Call<'_>, response: Response) {
+        rollouts::record_response(self.shared, call, &self.version, response);
+    }
+
+    /// Returns the time since the request was sent.
+    pub(in crate::gateway) fn elapsed_ms(&self) -> u64 {
+        self.shared.now_ms().saturating_sub(self.sent_ms)
+    }
+
+    /// Sets the outcome that is recorded for the upstream when this value is dropped.
+    pub(in crate::gateway) fn set_outcome(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.end_first_byte_wait();
+        let now_ms = self.shared.now_ms();
+        let mut placement = self.shared.placement.borrow_mut();
+        placement.record_finished(&self.id, self.outcome, now_ms);
+    }
+}
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -10,7 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compact_str::{format_compact, CompactString};
 use prost::Message;
@@ -295,23 +295,15 @@
 pub(super) async fn watch(shared: Rc<Shared>) {
     let mut reader = FeedReader::new(Feed::Crashes);
     loop {
-        let started = Instant::now();
-        let Some(batch) = reader.read(&shared, LONG_POLL_MS).await else {
+        let Some(batch) = reader.read_held(&shared, LONG_POLL_MS).await else {
             continue;
         };
-        let is_snapshot = batch.is_snapshot;
-        let is_quiet = batch.records.is_empty();
         for record in batch.records {
             merge(&shared, &record);
         }
         shared.crashes.is_loaded.set(true);
         shared.crashes.changed.notify();
         expire(&shared);
-        if is_quiet && !is_snapshot {
-            // The store does not hold a read of a topic that has no record yet.
-            let elapsed = started.elapsed();
-            monoio::time::sleep(Duration::from_millis(LONG_POLL_MS).saturating_sub(elapsed)).await;
-        }
     }
 }
 
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compact_str::CompactString;
 
@@ -62,14 +62,18 @@
     }
 }
 
-/// Returns which version a request may be sent to; the first attempt of a request is counted.
-pub(super) fn choose(shared: &Shared, service: &str, is_first: bool) -> Choice {
+/// Counts a request and returns which version it may be sent to.
+pub(super) fn choose(shared: &Shared, service: &str) -> Choice {
     let mut canaries = shared.rollouts.canaries.borrow_mut();
-    match canaries.get_mut(service) {
-        None => Choice::Any,
-        Some(canary) if is_first => canary.choose(),
-        Some(canary) => canary.choose_again(),
-    }
+    let canary = canaries.get_mut(service);
+    canary.map_or(Choice::Any, Canary::choose)
+}
+
+/// Returns which version a repeated request may be sent to.
+pub(super) fn choose_again(shared: &Shared, service: &str) -> Choice {
+    let canaries = shared.rollouts.canaries.borrow();
+    let canary = canaries.get(service);
+    canary.map_or(Choice::Any, Canary::choose_again)
 }
 
 /// Returns whether an upstream has the version that is tried.
@@ -206,19 +210,12 @@
     let mut reader = FeedReader::new(Feed::RolloutStatus);
     loop {
         shared.rollouts.changed.wait_for(has_canaries).await;
-        let started = Instant::now();
-        let Some(batch) = reader.read(&shared, LONG_POLL_MS).await else {
+        let Some(batch) = reader.read_held(&shared, LONG_POLL_MS).await else {
             continue;
         };
-        let is_quiet = batch.records.is_empty() && !batch.is_snapshot;
         for record in &batch.records {
             apply_status(&shared, record);
         }
-        if is_quiet {
-            // The store does not hold a read of a topic that has no record yet.
-            let wait = Duration::from_millis(LONG_POLL_MS).saturating_sub(started.elapsed());
-            monoio::time::sleep(wait).await;
-        }
     }
 }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -4,7 +4,7 @@
 //! all the time, so their feed is polled at intervals.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::{rollouts, Shared};
 use crate::directory::UpstreamChange;
@@ -101,6 +101,18 @@
         }
     }
 
+    /// Reads the snapshot or the next changes like [`FeedReader::read`], but not before `wait_ms` have passed if there
+    /// are no changes: the store does not hold a read of a topic that has no record yet.
+    pub(super) async fn read_held(&mut self, shared: &Shared, wait_ms: u64) -> Option<Batch> {
+        let started = Instant::now();
+        let batch = self.read(shared, wait_ms).await?;
+        if batch.records.is_empty() && !batch.is_snapshot {
+            let wait = Duration::from_millis(wait_ms).saturating_sub(started.elapsed());
+            monoio::time::sleep(wait).await;
+        }
+        Some(batch)
+    }
+
     fn record_success(&mut self, shared: &Shared) -> bool {
         let now_ms = shared.now_ms();
         let age_ms = now_ms.saturating_sub(self.read_ms);
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -65,6 +65,16 @@
     (store, gateways)
 }
 
+/// Sends requests until every gateway knows of a limit.
+fn wait_for_limit(gateways: &[Gateway]) {
+    for gateway in gateways {
+        wait_for("the limit", || {
+            CallerRequest::default().send(gateway);
+            !gateway.log_lines_with_step("upstream_limit").is_empty()
+        });
+    }
+}
+
 /// Sends requests to all gateways in turn for a time; returns the number of successes.
 fn send_for(gateways: &[Gateway], time: Duration) -> usize {
     let started = Instant::now();
@@ -97,12 +107,7 @@
     let other =
         UpstreamStub::start(|request, _| Action::Write(signed_response(request, 200, "ok")));
     let (store, gateways) = start_gateways(&[&limited.stub], 3);
-    for gateway in &gateways {
-        wait_for("the limit", || {
-            CallerRequest::default().send(gateway);
-            !gateway.log_lines_with_step("upstream_limit").is_empty()
-        });
-    }
+    wait_for_limit(&gateways);
     let before = limited.arrivals.lock().unwrap().len();
     send_for(&gateways, 2 * WINDOW);
     let arrivals = limited.arrivals.lock().unwrap()[before..].to_vec();
@@ -135,12 +140,7 @@
 fn all_gateways_learn_the_end_of_a_limit() {
     let limited = start_limited_upstream();
     let (_store, gateways) = start_gateways(&[&limited.stub], 3);
-    for gateway in &gateways {
-        wait_for("the limit", || {
-            CallerRequest::default().send(gateway);
-            !gateway.log_lines_with_step("upstream_limit").is_empty()
-        });
-    }
+    wait_for_limit(&gateways);
     limited.is_limited.store(false, Ordering::SeqCst);
     for gateway in &gateways {
         wait_for("the end of the limit", || {
