Say that a budget is exhausted once only its last part is left

Callers of a team whose budget ran out were told 503 and a time, came back and were refused again, up to 280 times in two seconds: the requests in progress had reserved what was left, so no holder could grant any of it, but it still counted as unspent. The quarantine was ruled out by the reasons in the log: 2,188 to 2,520 refusals were budget_unavailable, and the crash refusals had the crashing part.

If all holders answer that they hold too few tokens, and a recent record shows less than the request and the last 3% of the budget, on which operators do not count either, the answer is 402.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -45,6 +45,9 @@
 /// Share of the unspent budget, per mille, that all holders together hold for a team without recent requests.
 const IDLE_HELD_PERMILLE: u64 = 30;
 
+/// Part of a budget on which callers cannot count, in percent; stated by the platform.
+const LAST_PART_PERCENT: u64 = 3;
+
 /// Spending rate below which a router counts as idle.
 const IDLE_TOKENS_PER_S: f64 = 1.0;
 
@@ -604,6 +607,15 @@
         Some(self.unspent_or_used_here?.saturating_sub(used_here))
     }
 
+    /// Returns whether a request would use the last part of the budget, on which callers cannot count.
+    ///
+    /// What is left then is reserved by requests in progress or spread over routers in parts that are too small.
+    pub fn is_nearly_spent(&self, need_tokens: u64, prepaid: u64) -> bool {
+        let last_part = prepaid / 100 * LAST_PART_PERCENT;
+        let unspent = self.team_unspent_tokens();
+        unspent.is_some_and(|unspent| unspent < need_tokens.saturating_add(last_part))
+    }
+
     /// Returns the largest need of one request so far.
     pub fn largest_need_tokens(&self) -> u64 {
         self.largest_need_tokens
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -170,6 +170,8 @@
     soonest: Option<(u64, Holder)>,
     /// Number of holders that did not respond.
     silent: usize,
+    /// Number of holders that serve no reservations.
+    unavailable: usize,
 }
 
 impl Default for Inquiry {
@@ -179,6 +181,7 @@
             retry_after_ms: EXHAUSTED_RETRY_AFTER_MS,
             soonest: None,
             silent: 0,
+            unavailable: 0,
         }
     }
 }
@@ -210,11 +213,17 @@
                 }
             }
             Answer::Silent => self.silent += 1,
-            Answer::Granted(_) | Answer::Unavailable => {}
+            Answer::Unavailable => self.unavailable += 1,
+            Answer::Granted(_) => {}
         }
         Ok(())
     }
 
+    /// Returns whether all holders have answered that they hold too few tokens.
+    fn is_not_held_everywhere(&self) -> bool {
+        self.silent == 0 && self.unavailable == 0
+    }
+
     fn into_shortage(self, error: ReserveError) -> Shortage {
         Shortage {
             error,
@@ -333,7 +342,14 @@
                 Err(answer) => inquiry.record(shared, &holder, answer)?,
             }
         }
-        Err(inquiry.into_shortage(ReserveError::NotHeld))
+        // Callers that came back for the last part of a budget would be refused again.
+        let is_exhausted =
+            inquiry.is_not_held_everywhere() && team.is_nearly_spent(shared, need.tokens);
+        Err(inquiry.into_shortage(if is_exhausted {
+            ReserveError::Exhausted
+        } else {
+            ReserveError::NotHeld
+        }))
     }
 
     /// Asks one holder for tokens; with `wait_ms` it may wait for rights about that long.
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -16,6 +16,9 @@
 use crate::reservations::{ReservationBook, Settled};
 use crate::store::{AppendOutcome, Error, Feed, Record, Store};
 
+/// Age up to which a record tells whether the budget is nearly spent.
+const MAX_RECORD_AGE_MS: u64 = 1_000;
+
 /// Number of slots over which the records of teams are spread.
 const FEED_SLOTS: u64 = 48;
 
@@ -374,6 +377,13 @@
         }
     }
 
+    /// Returns whether a request would use the last part of the budget, according to a recent record.
+    pub(super) fn is_nearly_spent(&self, shared: &Shared, tokens: u64) -> bool {
+        let age_ms = shared.now_ms().saturating_sub(self.read_ms.get());
+        let account = self.account.borrow();
+        age_ms < MAX_RECORD_AGE_MS && account.is_nearly_spent(tokens, self.prepaid_tokens.get())
+    }
+
     /// Returns the figures of the budget as this gateway knows them.
     pub(super) fn summary(&self) -> BudgetSummary {
         let account = self.account.borrow();
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -850,6 +850,34 @@
     assert_eq!(other.reserve(500, 0), Err(ReserveError::NotHeld));
 }
 
+/// Guards against sending callers away to come back for the last part of a budget, which requests in progress have
+/// reserved, and against calling a budget spent while callers can count on it.
+#[test]
+fn a_budget_is_nearly_spent_in_its_last_part_only() {
+    let mut record = BudgetRecord::default();
+    let mut busy = TeamAccount::default();
+    busy.add_demand(PREPAID);
+    sync(&mut busy, &mut record, 1);
+    busy.remove_demand(PREPAID);
+    let need = PREPAID / 100;
+    assert!(
+        !TeamAccount::default().is_nearly_spent(need, PREPAID),
+        "no record was read"
+    );
+    for spent_percent in [50, 90, 95, 97, 99] {
+        let spend = PREPAID / 100 * spent_percent - busy.spent_tokens();
+        assert_eq!(busy.reserve(spend, 0), Ok(()));
+        busy.settle(spend, spend);
+        sync(&mut busy, &mut record, 1);
+        let is_nearly_spent = busy.is_nearly_spent(need, PREPAID);
+        assert_eq!(
+            is_nearly_spent,
+            spent_percent > 96,
+            "{spent_percent}% spent"
+        );
+    }
+}
+
 /// Guards against losing the tokens of killed routers of a large fleet: the grants of their successors evicted theirs
 /// from the record before they were reclaimed.
 #[test]
