--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,9 +28,10 @@
 //! | shut down without cutting off requests | `shutdown` |
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
-//! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`], [`crate::fleet_clock`], [`crate::congestion`],
-//! [`crate::upstream_limits`], [`crate::version_canary`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router. The
-//! design is in `docs/design.md`, section 10.
+//! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`],
+//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::upstream_limits`], [`crate::version_canary`] and
+//! [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router.
+//! The design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod budget;
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -22,7 +22,7 @@
 /// Number of times that such a request is sent.
 const MAX_SENDS: u32 = 3;
 
-/// Time for which an upstream is not chosen if its keeper does not reply.
+/// Time for which an upstream is not chosen if its coordinator does not reply.
 const NO_REPLY_DENIAL_MS: u64 = 250;
 
 /// Limits of upstreams, with the requests for permission that await a reply.
@@ -34,18 +34,18 @@
 }
 
 /// The gateway that grants the requests to an upstream.
-enum Keeper {
+enum Coordinator {
     Own,
     Peer(SocketAddr),
 }
 
 impl Limits {
-    /// Returns whether the keeper of the upstream's limit, if there is one, may be asked for permission.
+    /// Returns whether the coordinator of the upstream's limit, if there is one, may be asked for permission.
     pub(super) fn may_ask(&self, upstream: &str, weight: Weight, now_ms: u64) -> bool {
         self.state.borrow().may_ask(upstream, weight, now_ms)
     }
 
-    /// Returns the time until the keeper of the upstream's limit may be asked.
+    /// Returns the time until the coordinator of the upstream's limit may be asked.
     pub(super) fn wait_ms(&self, upstream: &str, now_ms: u64) -> u64 {
         self.state.borrow().wait_ms(upstream, now_ms)
     }
@@ -61,7 +61,9 @@
     let mut limits = shared.limits.state.borrow_mut();
     if !limits.is_empty() {
         limits.expire(shared.now_ms());
-        limits.retain_grants(|upstream| matches!(find_keeper(shared, upstream), Keeper::Own));
+        limits.retain_grants(|upstream| {
+            matches!(find_coordinator(shared, upstream), Coordinator::Own)
+        });
     }
 }
 
@@ -124,7 +126,7 @@
     result
 }
 
-/// Returns whether a request may be sent to an upstream without exceeding its limit; asks the keeper of the limit.
+/// Returns whether a request may be sent to an upstream without exceeding its limit; asks the coordinator of the limit.
 pub(super) async fn acquire(shared: &Shared, upstream: &str, weight: Weight) -> bool {
     let now_ms = shared.now_ms();
     let known = shared.limits.state.borrow().known(upstream, now_ms);
@@ -132,9 +134,9 @@
         return true;
     };
     let id = shared.random.borrow_mut().random();
-    let (grant, keeper) = match find_keeper(shared, upstream) {
-        Keeper::Own => (grant_as_keeper(shared, upstream, id, weight), None),
-        Keeper::Peer(peer) => {
+    let (grant, coordinator) = match find_coordinator(shared, upstream) {
+        Coordinator::Own => (grant_as_coordinator(shared, upstream, id, weight), None),
+        Coordinator::Peer(peer) => {
             let request = LimitRequest {
                 id,
                 upstream: upstream.into(),
@@ -155,35 +157,35 @@
     log::debug!(
         step = "limit", upstream = upstream, limit_milli_per_s = limit_milli_per_s,
         wait_ms = wait_ms, at_ms = now_ms,
-        keeper = keeper.map(|peer| peer.to_string()).unwrap_or_default().as_str();
+        coordinator = coordinator.map(|peer| peer.to_string()).unwrap_or_default().as_str();
         "the upstream takes no further request now"
     );
     false
 }
 
-/// Returns the keeper of the limit of an upstream.
+/// Returns the coordinator of the limit of an upstream.
 ///
-/// A keeper that does not respond is not replaced before its presence has expired, because it may still grant requests
-/// to others.
-fn find_keeper(shared: &Shared, upstream: &str) -> Keeper {
+/// A coordinator that does not respond is not replaced before its presence has expired, because it may still grant
+/// requests to others.
+fn find_coordinator(shared: &Shared, upstream: &str) -> Coordinator {
     let routers = shared.routers.borrow();
     let ranked = holders::rank(upstream, routers.candidates());
-    let keeper = ranked
+    let coordinator = ranked
         .first()
-        .filter(|keeper| keeper.vm != shared.settings.vm);
-    match keeper.and_then(|keeper| routers.address_of(keeper.vm)) {
-        Some(peer) => Keeper::Peer(peer),
-        None => Keeper::Own,
+        .filter(|coordinator| coordinator.vm != shared.settings.vm);
+    match coordinator.and_then(|coordinator| routers.address_of(coordinator.vm)) {
+        Some(peer) => Coordinator::Peer(peer),
+        None => Coordinator::Own,
     }
 }
 
-fn grant_as_keeper(shared: &Shared, upstream: &str, id: u64, weight: Weight) -> Grant {
+fn grant_as_coordinator(shared: &Shared, upstream: &str, id: u64, weight: Weight) -> Grant {
     let now_ms = shared.now_ms();
     let mut limits = shared.limits.state.borrow_mut();
     limits.grant(upstream, id, weight, now_ms)
 }
 
-/// Asks the keeper of a limit for permission to send one request.
+/// Asks the coordinator of a limit for permission to send one request.
 async fn ask(shared: &Shared, request: LimitRequest, peer: SocketAddr) -> Grant {
     let limits = &shared.limits;
     let id = request.id;
@@ -205,7 +207,7 @@
         log::info!(
             step = "limit", upstream = request.upstream.as_str(), peer = peer.to_string().as_str(),
             at_ms = shared.now_ms();
-            "the keeper of the limit does not reply"
+            "the coordinator of the limit does not reply"
         );
         Grant::Denied {
             wait_ms: NO_REPLY_DENIAL_MS,
@@ -226,7 +228,7 @@
     } else {
         Weight::Heavy
     };
-    let grant = grant_as_keeper(shared, &request.upstream, request.id, weight);
+    let grant = grant_as_coordinator(shared, &request.upstream, request.id, weight);
     let denied_ms = match grant {
         Grant::Granted => None,
         Grant::Denied { wait_ms } => Some(wait_ms),
@@ -238,7 +240,7 @@
     shared.peer_socket.send(Content::LimitReply(reply), peer);
 }
 
-/// Passes the reply of a keeper to the request that awaits it.
+/// Passes the reply of a coordinator to the request that awaits it.
 pub(super) fn handle_reply(shared: &Shared, reply: &LimitReply) {
     let grant = match reply.denied_ms {
         None => Grant::Granted,
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -124,7 +124,7 @@
                 for record in records {
                     apply(&shared, record);
                 }
-                // A change of the fleet can make this gateway the keeper of a limit, or end that.
+                // A change of the fleet can make this gateway the coordinator of a limit, or end that.
                 limits::tidy(&shared);
                 let routers = shared.routers.borrow();
                 let mut monitor = shared.peer_monitor.borrow_mut();
--- a/src/upstream_limits.rs
+++ b/src/upstream_limits.rs
@@ -1,13 +1,13 @@
 //! Limits on the rate of requests that upstreams state in their responses, shared by all routers.
 //!
-//! An upstream in need states how many requests a second it takes from all routers together. One router, its keeper,
-//! grants the requests to that upstream, and all others ask it before they send one. A limit that is divided among the
-//! routers instead cannot be used in a large fleet: the part of each is a request in many seconds, and the sessions that
-//! an engine has cached arrive at routers without a part.
+//! An upstream in need states how many requests a second it takes from all routers together. One router, its
+//! coordinator, grants the requests to that upstream, and all others ask it before they send one. A limit that is
+//! divided among the routers instead cannot be used in a large fleet: the part of each is a request in many seconds,
+//! and the sessions that an engine has cached arrive at routers without a part.
 //!
-//! The keeper follows from the upstream's id and the active routers. Views of the fleet can differ for some seconds, so
-//! a router that becomes the keeper of a limit that was in force before grants nothing until the grants of its
-//! predecessor no longer count. The design is in `docs/design.md`, section 10.
+//! The coordinator follows from the upstream's id and the active routers. Views of the fleet can differ for some
+//! seconds, so a router that becomes the coordinator of a limit that was in force before grants nothing until the
+//! grants of its predecessor no longer count. The design is in `docs/design.md`, section 10.
 
 use std::collections::VecDeque;
 
@@ -45,16 +45,16 @@
 /// Change of a limit that the others are told at once, in percent.
 const NOTICED_CHANGE_PERCENT: u64 = 5;
 
-/// Time after a limit became known within which its keeper has no predecessor.
-const FIRST_KEEPER_MS: u64 = 1_000;
+/// Time after a limit became known within which its coordinator has no predecessor.
+const FIRST_COORDINATOR_MS: u64 = 1_000;
 
-/// Time in which all routers learn that the keeper has changed; until then some ask its predecessor.
+/// Time in which all routers learn that the coordinator has changed; until then some ask its predecessor.
 const VIEW_CHANGE_MS: u64 = 2_000;
 
 /// Longest time for which a limit is said to be known.
 const MAX_KNOWN_MS: u64 = 3_600_000;
 
-/// Longest time for which a refusal of the keeper is remembered; the limit may end meanwhile.
+/// Longest time for which a refusal of the coordinator is remembered; the limit may end meanwhile.
 const MAX_DENIAL_MS: u64 = 1_000;
 
 /// Part of the granted requests that light ones may use, in percent.
@@ -81,7 +81,7 @@
     pub known_ms: u64,
 }
 
-/// Answer of the keeper of a limit.
+/// Answer of the coordinator of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Grant {
     /// The request may be sent now.
@@ -103,13 +103,13 @@
     /// Time at which the others were last told, by this router or another one, and what.
     noticed_ms: u64,
     noticed_milli_per_s: u64,
-    /// Times of the grants in the window with the ids of the requests, if this router is the keeper.
+    /// Times of the grants in the window with the ids of the requests, if this router is the coordinator.
     grants: Option<VecDeque<(u64, u64)>>,
-    /// Time until which the keeper is not asked.
+    /// Time until which the coordinator is not asked.
     denied_until_ms: u64,
     /// Time until which it is not asked for light requests.
     light_denied_until_ms: u64,
-    /// Time at which the upstream takes the next request, as the keeper has said.
+    /// Time at which the upstream takes the next request, as the coordinator has said.
     next_ms: u64,
 }
 
@@ -205,7 +205,7 @@
             .retain(|_, state| now_ms.saturating_sub(state.confirmed_ms) < RETENTION_MS);
     }
 
-    /// Returns whether the keeper may be asked for a request to an upstream.
+    /// Returns whether the coordinator may be asked for a request to an upstream.
     pub fn may_ask(&self, upstream: &str, weight: Weight, now_ms: u64) -> bool {
         let Some(state) = self.limits.get(upstream) else {
             return true;
@@ -217,13 +217,13 @@
             }
     }
 
-    /// Returns the time until an upstream takes the next request, as its keeper has said.
+    /// Returns the time until an upstream takes the next request, as its coordinator has said.
     pub fn wait_ms(&self, upstream: &str, now_ms: u64) -> u64 {
         let state = self.limits.get(upstream);
         state.map_or(0, |state| state.next_ms.saturating_sub(now_ms))
     }
 
-    /// Records that the keeper has refused a request to an upstream, or does not respond.
+    /// Records that the coordinator has refused a request to an upstream, or does not respond.
     pub fn record_denial(&mut self, upstream: &str, weight: Weight, wait_ms: u64, now_ms: u64) {
         if let Some(state) = self.limits.get_mut(upstream) {
             let until_ms = now_ms + wait_ms.min(MAX_DENIAL_MS);
@@ -235,13 +235,14 @@
         }
     }
 
-    /// Grants or refuses a request to an upstream as the keeper of its limit; a repeated request gets the same grant.
+    /// Grants or refuses a request to an upstream as the coordinator of its limit; a repeated request gets the same
+    /// grant.
     pub fn grant(&mut self, upstream: &str, id: u64, weight: Weight, now_ms: u64) -> Grant {
         let Some(state) = self.limits.get_mut(upstream) else {
             return Grant::Granted;
         };
         let most = granted_requests(state.limit_milli_per_s);
-        let is_first = state.known_ms(now_ms) < FIRST_KEEPER_MS;
+        let is_first = state.known_ms(now_ms) < FIRST_COORDINATOR_MS;
         let grants = state.grants.get_or_insert_with(|| {
             let missed = if is_first { 0 } else { most };
             std::iter::repeat_n((now_ms + VIEW_CHANGE_MS, 0), missed).collect()
@@ -271,12 +272,12 @@
         }
     }
 
-    /// Forgets the grants for all upstreams of which another router is the keeper.
+    /// Forgets the grants for all upstreams of which another router is the coordinator.
     ///
-    /// If this router becomes the keeper again, it has missed grants.
-    pub fn retain_grants(&mut self, is_keeper: impl Fn(&str) -> bool) {
+    /// If this router becomes the coordinator again, it has missed grants.
+    pub fn retain_grants(&mut self, is_coordinator: impl Fn(&str) -> bool) {
         for (upstream, state) in &mut self.limits {
-            if state.grants.is_some() && !is_keeper(upstream) {
+            if state.grants.is_some() && !is_coordinator(upstream) {
                 state.grants = None;
             }
         }
--- a/tests/upstream_limits.rs
+++ b/tests/upstream_limits.rs
@@ -1,4 +1,4 @@
-//! Limits on the rate of requests that upstreams state, and their keepers.
+//! Limits on the rate of requests that upstreams state, and their coordinators.
 
 use monsoonfield::upstream_limits::{Grant, LimitNotice, UpstreamLimits, Weight, WINDOW_MS};
 use rand::{Rng, SeedableRng};
@@ -42,7 +42,7 @@
 /// Guards against more requests than an upstream tolerates, however the requests of the fleet arrive, and against using
 /// much less than it takes.
 #[test]
-fn a_keeper_grants_what_the_upstream_tolerates_and_hardly_less() {
+fn a_coordinator_grants_what_the_upstream_tolerates_and_hardly_less() {
     for limit_milli_per_s in [200, 1_100, LIMIT_MILLI_PER_S, 30_000] {
         let mut random = Pcg64Mcg::seed_from_u64(limit_milli_per_s);
         let mut limits = UpstreamLimits::default();
@@ -69,18 +69,18 @@
     }
 }
 
-/// Guards against a second set of requests in the same window when another router becomes the keeper: it restarted, or
-/// the views of the fleet differ.
+/// Guards against a second set of requests in the same window when another router becomes the coordinator: it
+/// restarted, or the views of the fleet differ.
 #[test]
-fn two_keepers_in_turn_grant_no_more_than_one() {
+fn two_coordinators_in_turn_grant_no_more_than_one() {
     let mut old = limits_known_since(0, 0);
     let mut new = limits_known_since(0, 0);
     let mut grants_ms = Vec::new();
     for now_ms in 0..20_000 {
-        // From 8 s on the first routers ask the new keeper, and up to 10 s the last ones ask the old one.
+        // From 8 s on the first routers ask the new coordinator, and up to 10 s the last ones ask the old one.
         let asks_old = now_ms < 8_000 || (now_ms < 10_000 && now_ms % 2 == 0);
-        let keeper = if asks_old { &mut old } else { &mut new };
-        if is_granted(keeper, now_ms + 1, now_ms) {
+        let coordinator = if asks_old { &mut old } else { &mut new };
+        if is_granted(coordinator, now_ms + 1, now_ms) {
             grants_ms.push(now_ms);
         }
     }
@@ -88,14 +88,14 @@
     assert!(busiest <= tolerated(LIMIT_MILLI_PER_S), "{busiest}");
     assert!(
         grants_ms.iter().any(|at_ms| *at_ms > 10_000),
-        "the new keeper grants"
+        "the new coordinator grants"
     );
 }
 
-/// Guards against a restarted keeper that forgets what its predecessor granted, and against an upstream that gets
+/// Guards against a restarted coordinator that forgets what its predecessor granted, and against an upstream that gets
 /// nothing for seconds after it named its limit.
 #[test]
-fn only_a_keeper_without_predecessor_grants_at_once() {
+fn only_a_coordinator_without_predecessor_grants_at_once() {
     let mut first = limits_known_since(20, 50_000);
     assert!(is_granted(&mut first, 1, 50_010));
     let mut restarted = limits_known_since(6_000, 700);
@@ -177,9 +177,9 @@
     assert_eq!(limits.len(), 0);
 }
 
-/// Guards against a gateway that was the keeper earlier, becomes it again and grants as if nobody had in between.
+/// Guards against a gateway that was the coordinator earlier, becomes it again and grants as if nobody had in between.
 #[test]
-fn a_keeper_that_was_replaced_in_between_has_missed_grants() {
+fn a_coordinator_that_was_replaced_in_between_has_missed_grants() {
     let mut limits = limits_known_since(0, 0);
     assert!(is_granted(&mut limits, 1, 10));
     limits.retain_grants(|_| true);
