Drop unused derives of the version counts, and share a check of the limit tests

Found by reading the whole change: VersionCounts is sent as a protobuf message and never serialised by serde; two tests of limits repeated the same loop and assertion, which stay as they were; one comment ran past 120 columns; the module page of version_canary spoke of one router that decides, there are two. Behaviour is unchanged.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -321,8 +321,9 @@
 
 fn give_up(call: &Call<'_>, attempts: &Attempts, refusal: Refusal, reason: &str) -> Failure {
     let reason = format_compact!("{reason}; last attempt: {}", attempts.last);
-    // `NoUpstream`, `Overloaded` and `CrashSuspect` state that the request did not run, which is false or uncertain once an attempt may
-    // have run. `TimedOut` states that it may have run, which is false as long as no attempt may have.
+    // `NoUpstream`, `Overloaded` and `CrashSuspect` state that the request did not run, which is false or uncertain
+    // once an attempt may have run. `TimedOut` states that it may have run, which is false as long as no attempt may
+    // have.
     let refusal = match refusal {
         Refusal::NoUpstream | Refusal::Overloaded | Refusal::CrashSuspect if attempts.runs > 0 => {
             Refusal::UpstreamFailed
--- a/src/version_canary.rs
+++ b/src/version_canary.rs
@@ -2,12 +2,11 @@
 //!
 //! Operators order that a service moves to another version. Until the order is decided, the upstreams of the new version
 //! get a small share of the requests, and each response is compared with those of the present version on the same
-//! route. A response is bad if it is a failure or several times slower. All routers report their counts to the one that
-//! decides, so that a bad version is found after a few bad responses in the whole fleet. See
+//! route. A response is bad if it is a failure or several times slower. All routers report their counts to those that
+//! decide, so that a bad version is found after a few bad responses in the whole fleet. See
 //! `docs/policies/rollout.md`.
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
 
 use crate::collections::FastMap;
 
@@ -54,7 +53,7 @@
 }
 
 /// Counts of responses of both versions.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct VersionCounts {
     /// Responses of the new version.
     pub new_responses: u64,
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -88,6 +88,15 @@
     successes
 }
 
+/// Sends this number of requests to the gateways in turn, all of which must succeed.
+fn assert_all_served(gateways: &[Gateway], requests: usize) {
+    let senders = gateways.iter().cycle().take(requests);
+    let statuses: Vec<u16> = senders
+        .map(|gateway| CallerRequest::default().send(gateway).status())
+        .collect();
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
 /// Returns the most requests that arrived within a window.
 fn busiest_window(arrivals: &[Instant]) -> usize {
     let counts = arrivals.iter().map(|start| {
@@ -125,14 +134,7 @@
                 .any(|line| line["upstream"] == other.id.as_str())
         });
     }
-    let statuses: Vec<u16> = (0..200)
-        .map(|number| {
-            CallerRequest::default()
-                .send(&gateways[number % 3])
-                .status()
-        })
-        .collect();
-    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert_all_served(&gateways, 200);
 }
 
 /// Guards against an upstream that gets few requests for ever because only some gateways learn that its limit ended.
@@ -152,14 +154,7 @@
             lines.iter().any(|line| line["limit_milli_per_s"] == 0)
         });
     }
-    let statuses: Vec<u16> = (0..60)
-        .map(|number| {
-            CallerRequest::default()
-                .send(&gateways[number % 3])
-                .status()
-        })
-        .collect();
-    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert_all_served(&gateways, 60);
 }
 
 /// Guards against a refusal that tells callers to come back long before or after the upstream takes another request.
