--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -283,9 +283,9 @@
 
 /// Returns a loopback address on which the fixed ports of the template are free.
 fn free_address(index: u32) -> String {
-    let seed = u64::from(std::process::id()) << 8 | u64::from(index);
+    let seed = u64::from(std::process::id()) << 20 | u64::from(index);
     for attempt in 0..1_000 {
-        let draw = mix(seed + (attempt << 40));
+        let draw = mix(seed ^ (attempt << 48));
         let ip = format!("127.{}.{}.{}", 1 + draw % 250, (draw >> 8) % 250, 1 + (draw >> 16) % 250);
         let is_free = TcpListener::bind(format!("{ip}:9105")).is_ok()
             && std::net::UdpSocket::bind(format!("{ip}:7340")).is_ok();
--- a/review/standins/large_bodies.rs
+++ b/review/standins/large_bodies.rs
@@ -101,6 +101,7 @@
                     std::thread::sleep(Duration::from_millis(200));
                     continue;
                 };
+                let mut answers = 0;
                 while !is_over.load(Ordering::SeqCst) {
                     number += 1;
                     let id = format!("c{client:02}-{number}");
@@ -115,6 +116,7 @@
                     match ending {
                         Ending::Answer(answer) => {
                             record.write(&format!("client: {id} answer {} after {took_ms} ms", answer.status()));
+                            answers += 1;
                             served.fetch_add(u64::from(answer.status() == 200), Ordering::SeqCst);
                             if answer.closes() {
                                 break;
@@ -123,8 +125,11 @@
                         Ending::Cut(_) | Ending::NoAnswer(_) => {
                             let was_passed_on = arrived.lock().unwrap().contains(&id);
                             let note = if was_passed_on { ", had been passed on" } else { "" };
-                            record.write(&format!("client: {id} no answer after {took_ms} ms{note}"));
-                            if was_passed_on {
+                            record.write(&format!(
+                                "client: {id} no answer after {took_ms} ms{note}; {answers} answers before on the connection"
+                            ));
+                            // Judged are kept connections: those that have carried a request before.
+                            if was_passed_on && answers > 0 {
                                 lost.lock().unwrap().push(id);
                             }
                             break;
@@ -143,8 +148,8 @@
     let (served, kills) = (served.load(Ordering::SeqCst), kills.load(Ordering::SeqCst));
     let lost = lost.lock().unwrap();
     record.say(&format!(
-        "{served} requests were served; peak memory {} MB of {} MB; {kills} kills for memory; {} requests passed on to a \
-         sound worker were closed without an answer",
+        "{served} requests were served; peak memory {} MB of {} MB; {kills} kills for memory; {} requests of kept \
+         connections were passed on to a sound worker and closed without an answer",
         peak_mb.load(Ordering::SeqCst),
         machine.memory_mb,
         lost.len()
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -37,7 +37,8 @@
     let scratch = scratch_folder();
     record.say(&format!("case {case}, with{} the disruption", if has_trouble { "" } else { "out" }));
     let play = || match case.as_str() {
-        "restored-kill" => restored_kill::run(&scratch, &record, has_trouble),
+        "restored-kill-most" => restored_kill::run_most(&scratch, &record, has_trouble),
+        "restored-kill-all" => restored_kill::run_all(&scratch, &record, has_trouble),
         "large-bodies" => large_bodies::run(&scratch, &record, has_trouble),
         other => Verdict::Unable(format!("there is no case {other}")),
     };
--- a/review/standins/restored_kill.rs
+++ b/review/standins/restored_kill.rs
@@ -1,4 +1,7 @@
-//! The store returns from an older copy while most gateways are killed: tenants that were added since the copy.
+//! The store returns from an older copy while most or all gateways are killed.
+//!
+//! `most`: tenants that the operator added since the copy, one gateway outlasts the loss. `all`: tenants that were there
+//! from the start, no gateway outlasts it.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -18,9 +21,10 @@
 const ZONES: [&str; 3] = ["kv-a", "kv-b", "kv-c"];
 const MACHINES_PER_ZONE: u32 = 2;
 
-/// Tenants that the operator adds, and the budget of each.
-const NEW_TENANTS: u32 = 10;
-const PREPAID: u64 = 32_000;
+/// Tenants, as many as on the sheets, and the budget of each: little for those that are added, much for the others.
+const TENANTS: u32 = 10;
+const SMALL_BUDGET: u64 = 32_000;
+const LARGE_BUDGET: u64 = 1_000_000;
 
 /// A request: tokens of its prompt, events of its answer, tokens of an event.
 const INPUT_TOKENS: u64 = 1_000;
@@ -38,7 +42,81 @@
 const RESTART_AT: Duration = Duration::from_secs(22);
 const END_AT: Duration = Duration::from_secs(45);
 
-pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> Verdict {
+/// `recover_s` of the sheets: requests that are sent later than this after the machines are back are judged.
+const RECOVER: Duration = Duration::from_secs(12);
+
+/// What a client counts.
+#[derive(Default)]
+struct Counts {
+    /// Tokens in whole answers by tenant.
+    spent: BTreeMap<String, u64>,
+    /// Requests before the loss and later than [`RECOVER`] after it: sent, and answered with success.
+    before: (u64, u64),
+    after: (u64, u64),
+}
+
+/// Plays the loss of all machines but one, for tenants that were added after the copy; judges BUDGET.
+pub fn run_most(folder: &Path, record: &Record, has_trouble: bool) -> Verdict {
+    match play(folder, record, has_trouble, 1) {
+        Err(reason) => Verdict::Unable(reason),
+        Ok((tenants, counts)) => judge_budgets(record, &tenants, &counts),
+    }
+}
+
+/// Plays the loss of all machines; judges RECOVER.
+pub fn run_all(folder: &Path, record: &Record, has_trouble: bool) -> Verdict {
+    match play(folder, record, has_trouble, 0) {
+        Err(reason) => Verdict::Unable(reason),
+        Ok((_, counts)) => judge_recovery(record, &counts),
+    }
+}
+
+fn judge_budgets(record: &Record, tenants: &[Tenant], counts: &Counts) -> Verdict {
+    let over: Vec<String> = tenants
+        .iter()
+        .filter(|tenant| counts.spent.get(&tenant.name).is_some_and(|spent| *spent > tenant.prepaid))
+        .map(|tenant| format!("{} got {} of {}", tenant.name, counts.spent[&tenant.name], tenant.prepaid))
+        .collect();
+    record.say(&format!("tenants that got more than they prepaid: {}", over.len()));
+    for line in &over {
+        record.say(&format!("over: {line}"));
+    }
+    if tenants.iter().any(|tenant| !counts.spent.contains_key(&tenant.name)) {
+        return Verdict::Unable("a tenant was not served at all".into());
+    }
+    if over.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
+
+fn judge_recovery(record: &Record, counts: &Counts) -> Verdict {
+    let is_quarter = |(sent, served): (u64, u64)| served * 4 >= sent;
+    let ((sent, served), (sent_after, served_after)) = (counts.before, counts.after);
+    record.say(&format!("before the loss, {served} of {sent} requests were served"));
+    record.say(&format!(
+        "later than {} s after the machines were back, {served_after} of {sent_after} requests were served",
+        RECOVER.as_secs()
+    ));
+    if sent == 0 || sent_after == 0 || !is_quarter(counts.before) {
+        return Verdict::Unable("too little was served before the loss".into());
+    }
+    if is_quarter(counts.after) {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
+
+/// Plays one day; returns the tenants and what their clients counted.
+fn play(
+    folder: &Path,
+    record: &Record,
+    has_trouble: bool,
+    survivors: usize,
+) -> Result<(Vec<Tenant>, Counts), String> {
+    let adds_tenants = survivors > 0;
     let store = Store::start();
     let routes = [Route {
         name: "chat-reply",
@@ -50,8 +128,10 @@
         resumable: true,
     }];
     let services = [Service { name: "cobbler", max_conns: 370, stride: Some(EVENT_TOKENS as u32) }];
-    let first_tenant = Tenant::new("hule930", 5_000_000);
-    let mut tenants = vec![first_tenant.clone()];
+    let mut tenants = vec![Tenant::new("hule930", 5_000_000)];
+    if !adds_tenants {
+        tenants = (1..=TENANTS).map(|number| Tenant::new(&format!("old{number:02}"), LARGE_BUDGET)).collect();
+    }
     store.put("keyed.op", "config", &document(1, &routes, &services, &tenants));
     for number in 1..=3 {
         let record = record.clone();
@@ -71,35 +151,59 @@
     };
     let platform = Arc::new(Platform { zones: ZONES.iter().map(zone).collect() });
     if !platform.start() {
-        return Verdict::Unable("the gateways do not become ready".into());
+        return Err("the gateways do not become ready".into());
     }
     let started = record.now();
     let wait_until = |at: Duration| std::thread::sleep((started + at).saturating_sub(record.now()));
     record.say("traffic starts");
     let is_over = Arc::new(AtomicBool::new(false));
-    let spent: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
-    let mut clients = vec![start_client(0, &first_tenant, &platform, &is_over, &spent, record)];
+    let counts: Arc<Mutex<Counts>> = Arc::default();
+    let start_client = |number: usize, tenant: &Tenant| {
+        let client = Client {
+            number: number as u64,
+            tenant: tenant.clone(),
+            platform: Arc::clone(&platform),
+            is_over: Arc::clone(&is_over),
+            counts: Arc::clone(&counts),
+            record: record.clone(),
+            before: started + AWAY_AT,
+            after: started + RESTART_AT + RECOVER,
+        };
+        std::thread::spawn(move || client.run())
+    };
+    let mut clients: Vec<_> =
+        tenants.iter().enumerate().map(|(number, tenant)| start_client(number, tenant)).collect();
     wait_until(COPY_AT);
     store.take_copy();
-    wait_until(TENANTS_AT);
-    tenants.extend((1..=NEW_TENANTS).map(|number| Tenant::new(&format!("new{number:02}"), PREPAID)));
-    store.put("keyed.op", "config", &document(2, &routes, &services, &tenants));
-    record.say(&format!("operator: adds {NEW_TENANTS} tenants, each with {PREPAID} tokens prepaid"));
-    // A new configuration is in force within two seconds.
-    std::thread::sleep(Duration::from_secs(1));
-    for (number, tenant) in tenants.iter().enumerate().skip(1) {
-        clients.push(start_client(number as u64, tenant, &platform, &is_over, &spent, record));
+    if adds_tenants {
+        wait_until(TENANTS_AT);
+        tenants.extend((1..=TENANTS).map(|number| Tenant::new(&format!("new{number:02}"), SMALL_BUDGET)));
+        store.put("keyed.op", "config", &document(2, &routes, &services, &tenants));
+        record.say(&format!("operator: adds {TENANTS} tenants, each with {SMALL_BUDGET} tokens prepaid"));
+        // A new configuration is in force within two seconds.
+        std::thread::sleep(Duration::from_secs(1));
+        for (number, tenant) in tenants.iter().enumerate().skip(1) {
+            clients.push(start_client(number, tenant));
+        }
     }
     if has_trouble {
         wait_until(AWAY_AT);
         let all: Vec<_> = platform.all().cloned().collect();
-        let (survivor, killed) = all.split_last().expect("machines");
+        let (killed, outlasting) = all.split_at(all.len() - survivors);
+        // A loss of all machines strikes right after a change was acknowledged.
+        store.put("keyed.op", "config", &document(3, &routes, &services, &tenants));
         store.go_away();
         for gateway in killed {
             gateway.signal(SIGKILL);
         }
-        record.say(&format!("platform: the store is away, all machines but {} are killed", survivor.node));
-        say_spent(record, &spent);
+        let names: Vec<&str> = outlasting.iter().map(|gateway| gateway.node.as_str()).collect();
+        record.say(&format!(
+            "platform: the store is away; {} machines are killed, {} not: {}",
+            killed.len(),
+            outlasting.len(),
+            names.join(" ")
+        ));
+        say_spent(record, &counts);
         for gateway in killed {
             while !gateway.has_ended() {
                 std::thread::sleep(Duration::from_millis(5));
@@ -121,78 +225,84 @@
         let _ = client.join();
     }
     platform.stop();
-    say_spent(record, &spent);
-    let spent = spent.lock().unwrap();
-    let over: Vec<String> = tenants
-        .iter()
-        .filter(|tenant| spent.get(&tenant.name).is_some_and(|spent| *spent > tenant.prepaid))
-        .map(|tenant| format!("{} got {} of {}", tenant.name, spent[&tenant.name], tenant.prepaid))
-        .collect();
-    record.say(&format!("tenants that got more than they prepaid: {}", over.len()));
-    for line in &over {
-        record.say(&format!("over: {line}"));
-    }
-    if tenants.iter().any(|tenant| !spent.contains_key(&tenant.name)) {
-        return Verdict::Unable("a tenant was not served at all".into());
-    }
-    if over.is_empty() {
-        Verdict::Held
-    } else {
-        Verdict::Broken
-    }
+    say_spent(record, &counts);
+    let counts = std::mem::take(&mut *counts.lock().unwrap());
+    Ok((tenants, counts))
 }
 
-fn say_spent(record: &Record, spent: &Mutex<BTreeMap<String, u64>>) {
-    let spent = spent.lock().unwrap();
-    let parts: Vec<String> = spent.iter().map(|(tenant, tokens)| format!("{tenant} {tokens}")).collect();
+fn say_spent(record: &Record, counts: &Mutex<Counts>) {
+    let counts = counts.lock().unwrap();
+    let parts = counts.spent.iter().map(|(tenant, tokens)| format!("{tenant} {tokens}"));
+    let parts: Vec<String> = parts.collect();
     record.say(&format!("tokens in whole answers so far: {}", parts.join(", ")));
 }
 
-/// Starts a client that sends one request after the other, each on a new connection.
-///
-/// Only requests whose whole answer arrived are counted: their prompts, and their events.
-fn start_client(
+/// A client that sends one request after the other, each on a new connection.
+struct Client {
     number: u64,
-    tenant: &Tenant,
-    platform: &Arc<Platform>,
-    is_over: &Arc<AtomicBool>,
-    spent: &Arc<Mutex<BTreeMap<String, u64>>>,
-    record: &Record,
-) -> std::thread::JoinHandle<()> {
-    let (tenant, platform, is_over) = (tenant.clone(), Arc::clone(platform), Arc::clone(is_over));
-    let (spent, record) = (Arc::clone(spent), record.clone());
-    std::thread::spawn(move || {
+    tenant: Tenant,
+    platform: Arc<Platform>,
+    is_over: Arc<AtomicBool>,
+    counts: Arc<Mutex<Counts>>,
+    record: Record,
+    /// Requests that are sent before the one time or after the other are counted for the recovery.
+    before: Duration,
+    after: Duration,
+}
+
+impl Client {
+    fn run(&self) {
         let mut count = 0;
-        while !is_over.load(Ordering::SeqCst) {
+        while !self.is_over.load(Ordering::SeqCst) {
             std::thread::sleep(PAUSE);
             count += 1;
-            let id = format!("{}-{count}", tenant.name);
-            let gateway = platform.forward(number as usize % ZONES.len(), number << 16 | count);
-            let request = format!(
-                "POST /chat/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
-                 X-Token-Count: {INPUT_TOKENS},{}\r\nX-Prompt-Prefix: 5c1e07a2:200,{number:x}0{count:x}:800\r\n\
-                 X-Deadline-Ms: 10000\r\nAuthorization: Bearer {}\r\nContent-Length: 3\r\n\r\nabc",
-                u64::from(EVENTS) * EVENT_TOKENS,
-                tenant.key
-            );
-            record.write(&format!("client: {id} sent to {}", gateway.node));
-            let Ok(mut stream) = connect(&gateway.front) else {
-                record.write(&format!("client: {id} finds no connection"));
-                continue;
+            let sent_at = self.record.now();
+            let tokens = self.send(count);
+            let mut counts = self.counts.lock().unwrap();
+            let judged = if sent_at < self.before {
+                Some(&mut counts.before)
+            } else if sent_at > self.after {
+                Some(&mut counts.after)
+            } else {
+                None
             };
-            match exchange(&mut stream, request.as_bytes()) {
-                Ending::Answer(answer) if answer.status() == 200 => {
-                    let events = answer.body.windows(5).filter(|bytes| bytes == b"data:").count();
-                    let tokens = INPUT_TOKENS + events as u64 * EVENT_TOKENS;
-                    record.write(&format!("client: {id} answer 200 with {events} events"));
-                    *spent.lock().unwrap().entry(tenant.name.clone()).or_default() += tokens;
-                }
-                Ending::Answer(answer) => {
-                    record.write(&format!("client: {id} answer {}", answer.status()));
-                }
-                Ending::Cut(_) => record.write(&format!("client: {id} cut in the answer")),
-                Ending::NoAnswer(reason) => record.write(&format!("client: {id} no answer: {reason}")),
+            if let Some((sent, served)) = judged {
+                *sent += 1;
+                *served += u64::from(tokens.is_some());
+            }
+            if let Some(tokens) = tokens {
+                *counts.spent.entry(self.tenant.name.clone()).or_default() += tokens;
             }
         }
-    })
+    }
+
+    /// Sends one request; returns the tokens of its prompt and its events if the whole answer arrived.
+    fn send(&self, count: u64) -> Option<u64> {
+        let (number, tenant, record) = (self.number, &self.tenant, &self.record);
+        let id = format!("{}-{count}", tenant.name);
+        let gateway = self.platform.forward(number as usize % ZONES.len(), number << 16 | count);
+        let request = format!(
+            "POST /chat/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
+             X-Token-Count: {INPUT_TOKENS},{}\r\nX-Prompt-Prefix: 5c1e07a2:200,{number:x}0{count:x}:800\r\n\
+             X-Deadline-Ms: 10000\r\nAuthorization: Bearer {}\r\nContent-Length: 3\r\n\r\nabc",
+            u64::from(EVENTS) * EVENT_TOKENS,
+            tenant.key
+        );
+        record.write(&format!("client: {id} sent to {}", gateway.node));
+        let Ok(mut stream) = connect(&gateway.front) else {
+            record.write(&format!("client: {id} finds no connection"));
+            return None;
+        };
+        match exchange(&mut stream, request.as_bytes()) {
+            Ending::Answer(answer) if answer.status() == 200 => {
+                let events = answer.body.windows(5).filter(|bytes| bytes == b"data:").count();
+                record.write(&format!("client: {id} answer 200 with {events} events"));
+                return Some(INPUT_TOKENS + events as u64 * EVENT_TOKENS);
+            }
+            Ending::Answer(answer) => record.write(&format!("client: {id} answer {}", answer.status())),
+            Ending::Cut(_) => record.write(&format!("client: {id} cut in the answer")),
+            Ending::NoAnswer(reason) => record.write(&format!("client: {id} no answer: {reason}")),
+        }
+        None
+    }
 }
