--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -39,6 +39,7 @@
     let play = || match case.as_str() {
         "restored-kill-most" => restored_kill::run_most(&scratch, &record, has_trouble),
         "restored-kill-all" => restored_kill::run_all(&scratch, &record, has_trouble),
+        "outage-kill-all" => restored_kill::run_outage(&scratch, &record, has_trouble),
         "large-bodies" => large_bodies::run(&scratch, &record, has_trouble),
         other => Verdict::Unable(format!("there is no case {other}")),
     };
--- a/review/standins/restored_kill.rs
+++ b/review/standins/restored_kill.rs
@@ -1,7 +1,8 @@
-//! The store returns from an older copy while most or all gateways are killed.
+//! The store is out of reach, and most or all gateways are killed meanwhile.
 //!
-//! `most`: tenants that the operator added since the copy, one gateway outlasts the loss. `all`: tenants that were there
-//! from the start, no gateway outlasts it.
+//! `most`: the store returns from an older copy; tenants that the operator added since, and one gateway outlasts the loss.
+//! `all`: the same with tenants that were there from the start, and no gateway outlasts it. `outage`: as `all`, but the
+//! store comes back with all that it had.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -13,7 +14,7 @@
 use crate::config::{document, Route, Service, Tenant, HOST};
 use crate::fleet::{Gateway, Machine, Platform, SIGKILL};
 use crate::record::Record;
-use crate::store::Store;
+use crate::store::{Access, Store};
 use crate::worker::Worker;
 use crate::Verdict;
 
@@ -21,10 +22,8 @@
 const ZONES: [&str; 3] = ["kv-a", "kv-b", "kv-c"];
 const MACHINES_PER_ZONE: u32 = 2;
 
-/// Tenants, as many as on the sheets, and the budget of each: little for those that are added, much for the others.
+/// Tenants, as many as on the sheets.
 const TENANTS: u32 = 10;
-const SMALL_BUDGET: u64 = 32_000;
-const LARGE_BUDGET: u64 = 1_000_000;
 
 /// A request: tokens of its prompt, events of its answer, tokens of an event.
 const INPUT_TOKENS: u64 = 1_000;
@@ -34,13 +33,51 @@
 /// Pause of a tenant's client between two requests.
 const PAUSE: Duration = Duration::from_millis(130);
 
-/// Times since the start of traffic.
-const COPY_AT: Duration = Duration::from_secs(12);
-const TENANTS_AT: Duration = Duration::from_millis(12_500);
-const AWAY_AT: Duration = Duration::from_secs(19);
-const RETURN_AT: Duration = Duration::from_secs(21);
-const RESTART_AT: Duration = Duration::from_secs(22);
-const END_AT: Duration = Duration::from_secs(45);
+/// What happens, with times since the start of traffic.
+struct Plan {
+    /// Budget of each tenant.
+    prepaid: u64,
+    /// Most tokens of output that a request states; its answer has [`EVENTS`] events.
+    max_output: u64,
+    /// Whether the tenants are added shortly after the copy; otherwise they are there from the start.
+    adds_tenants: bool,
+    /// Machines that are not killed.
+    survivors: usize,
+    /// When the copy is taken from which the store returns; `None` if it loses nothing.
+    copy_at: Option<Duration>,
+    away_at: Duration,
+    kill_at: Duration,
+    return_at: Duration,
+    restart_at: Duration,
+    end_at: Duration,
+}
+
+const MOST: Plan = Plan {
+    prepaid: 32_000,
+    max_output: EVENTS as u64 * EVENT_TOKENS,
+    adds_tenants: true,
+    survivors: 1,
+    copy_at: Some(Duration::from_secs(12)),
+    away_at: Duration::from_secs(19),
+    kill_at: Duration::from_secs(19),
+    return_at: Duration::from_secs(21),
+    restart_at: Duration::from_secs(22),
+    end_at: Duration::from_secs(45),
+};
+
+const ALL: Plan = Plan { prepaid: 1_000_000, adds_tenants: false, survivors: 0, ..MOST };
+
+const OUTAGE: Plan = Plan {
+    prepaid: 145_000,
+    max_output: 1_500,
+    copy_at: None,
+    away_at: Duration::from_millis(6_200),
+    kill_at: Duration::from_millis(10_900),
+    return_at: Duration::from_secs(11),
+    restart_at: Duration::from_secs(12),
+    end_at: Duration::from_secs(32),
+    ..ALL
+};
 
 /// `recover_s` of the sheets: requests that are sent later than this after the machines are back are judged.
 const RECOVER: Duration = Duration::from_secs(12);
@@ -57,7 +94,7 @@
 
 /// Plays the loss of all machines but one, for tenants that were added after the copy; judges BUDGET.
 pub fn run_most(folder: &Path, record: &Record, has_trouble: bool) -> Verdict {
-    match play(folder, record, has_trouble, 1) {
+    match play(folder, record, has_trouble, &MOST) {
         Err(reason) => Verdict::Unable(reason),
         Ok((tenants, counts)) => judge_budgets(record, &tenants, &counts),
     }
@@ -65,7 +102,15 @@
 
 /// Plays the loss of all machines; judges RECOVER.
 pub fn run_all(folder: &Path, record: &Record, has_trouble: bool) -> Verdict {
-    match play(folder, record, has_trouble, 0) {
+    match play(folder, record, has_trouble, &ALL) {
+        Err(reason) => Verdict::Unable(reason),
+        Ok((_, counts)) => judge_recovery(record, &counts),
+    }
+}
+
+/// Plays an outage of the store at whose end all machines are killed; judges RECOVER.
+pub fn run_outage(folder: &Path, record: &Record, has_trouble: bool) -> Verdict {
+    match play(folder, record, has_trouble, &OUTAGE) {
         Err(reason) => Verdict::Unable(reason),
         Ok((_, counts)) => judge_recovery(record, &counts),
     }
@@ -114,9 +159,8 @@
     folder: &Path,
     record: &Record,
     has_trouble: bool,
-    survivors: usize,
+    plan: &Plan,
 ) -> Result<(Vec<Tenant>, Counts), String> {
-    let adds_tenants = survivors > 0;
     let store = Store::start();
     let routes = [Route {
         name: "chat-reply",
@@ -129,8 +173,8 @@
     }];
     let services = [Service { name: "cobbler", max_conns: 370, stride: Some(EVENT_TOKENS as u32) }];
     let mut tenants = vec![Tenant::new("hule930", 5_000_000)];
-    if !adds_tenants {
-        tenants = (1..=TENANTS).map(|number| Tenant::new(&format!("old{number:02}"), LARGE_BUDGET)).collect();
+    if !plan.adds_tenants {
+        tenants = (1..=TENANTS).map(|number| Tenant::new(&format!("old{number:02}"), plan.prepaid)).collect();
     }
     store.put("keyed.op", "config", &document(1, &routes, &services, &tenants));
     for number in 1..=3 {
@@ -162,24 +206,27 @@
         let client = Client {
             number: number as u64,
             tenant: tenant.clone(),
+            max_output: plan.max_output,
             platform: Arc::clone(&platform),
             is_over: Arc::clone(&is_over),
             counts: Arc::clone(&counts),
             record: record.clone(),
-            before: started + AWAY_AT,
-            after: started + RESTART_AT + RECOVER,
+            before: started + plan.away_at,
+            after: started + plan.restart_at + RECOVER,
         };
         std::thread::spawn(move || client.run())
     };
     let mut clients: Vec<_> =
         tenants.iter().enumerate().map(|(number, tenant)| start_client(number, tenant)).collect();
-    wait_until(COPY_AT);
-    store.take_copy();
-    if adds_tenants {
-        wait_until(TENANTS_AT);
-        tenants.extend((1..=TENANTS).map(|number| Tenant::new(&format!("new{number:02}"), SMALL_BUDGET)));
+    if let Some(copy_at) = plan.copy_at {
+        wait_until(copy_at);
+        store.take_copy();
+    }
+    if plan.adds_tenants {
+        std::thread::sleep(Duration::from_millis(500));
+        tenants.extend((1..=TENANTS).map(|number| Tenant::new(&format!("new{number:02}"), plan.prepaid)));
         store.put("keyed.op", "config", &document(2, &routes, &services, &tenants));
-        record.say(&format!("operator: adds {TENANTS} tenants, each with {SMALL_BUDGET} tokens prepaid"));
+        record.say(&format!("operator: adds {TENANTS} tenants, each with {} tokens prepaid", plan.prepaid));
         // A new configuration is in force within two seconds.
         std::thread::sleep(Duration::from_secs(1));
         for (number, tenant) in tenants.iter().enumerate().skip(1) {
@@ -187,18 +234,23 @@
         }
     }
     if has_trouble {
-        wait_until(AWAY_AT);
+        wait_until(plan.away_at);
         let all: Vec<_> = platform.all().cloned().collect();
-        let (killed, outlasting) = all.split_at(all.len() - survivors);
-        // A loss of all machines strikes right after a change was acknowledged.
+        let (killed, outlasting) = all.split_at(all.len() - plan.survivors);
+        // A loss of all machines may strike right after a change was acknowledged.
         store.put("keyed.op", "config", &document(3, &routes, &services, &tenants));
-        store.go_away();
+        match plan.copy_at {
+            Some(_) => store.set_access(Access::Away),
+            None => store.set_access(Access::Busy),
+        }
+        record.say("platform: the store is out of reach");
+        wait_until(plan.kill_at);
         for gateway in killed {
             gateway.signal(SIGKILL);
         }
         let names: Vec<&str> = outlasting.iter().map(|gateway| gateway.node.as_str()).collect();
         record.say(&format!(
-            "platform: the store is away; {} machines are killed, {} not: {}",
+            "platform: {} machines are killed, {} not: {}",
             killed.len(),
             outlasting.len(),
             names.join(" ")
@@ -209,17 +261,25 @@
                 std::thread::sleep(Duration::from_millis(5));
             }
         }
-        wait_until(RETURN_AT);
-        store.return_from_copy();
-        let age = RETURN_AT - COPY_AT;
-        record.say(&format!("platform: the store is back, from a copy that is {} s old", age.as_secs()));
-        wait_until(RESTART_AT);
+        wait_until(plan.return_at);
+        match plan.copy_at {
+            Some(copy_at) => {
+                store.return_from_copy();
+                let age = plan.return_at - copy_at;
+                record.say(&format!("platform: the store is back, from a copy that is {} s old", age.as_secs()));
+            }
+            None => {
+                store.set_access(Access::Open);
+                record.say("platform: the store is back with all that it had");
+            }
+        }
+        wait_until(plan.restart_at);
         for gateway in killed {
             gateway.start();
         }
         record.say("platform: the killed machines start again");
     }
-    wait_until(END_AT);
+    wait_until(plan.end_at);
     is_over.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
@@ -241,6 +301,7 @@
 struct Client {
     number: u64,
     tenant: Tenant,
+    max_output: u64,
     platform: Arc<Platform>,
     is_over: Arc<AtomicBool>,
     counts: Arc<Mutex<Counts>>,
@@ -285,7 +346,7 @@
             "POST /chat/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
              X-Token-Count: {INPUT_TOKENS},{}\r\nX-Prompt-Prefix: 5c1e07a2:200,{number:x}0{count:x}:800\r\n\
              X-Deadline-Ms: 10000\r\nAuthorization: Bearer {}\r\nContent-Length: 3\r\n\r\nabc",
-            u64::from(EVENTS) * EVENT_TOKENS,
+            self.max_output,
             tenant.key
         );
         record.write(&format!("client: {id} sent to {}", gateway.node));
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -14,13 +14,23 @@
 type Partition = Vec<(String, Vec<u8>)>;
 type Partitions = BTreeMap<String, Partition>;
 
+/// How the store treats calls.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub enum Access {
+    #[default]
+    Open,
+    /// Connections end without an answer, and nothing is done.
+    Away,
+    /// Calls are answered 503, and nothing is done.
+    Busy,
+}
+
 #[derive(Default)]
 struct State {
     partitions: Partitions,
     /// Copy to which the store returns.
     copy: Partitions,
-    /// Whether the store is away: calls get no answer and do nothing.
-    is_away: bool,
+    access: Access,
     /// Number of returns from a copy.
     returns: u64,
 }
@@ -61,9 +71,9 @@
         state.copy = state.partitions.clone();
     }
 
-    /// Goes away: connections end without an answer.
-    pub fn go_away(&self) {
-        self.state.0.lock().unwrap().is_away = true;
+    /// Sets how calls are treated from now on; held calls end.
+    pub fn set_access(&self, access: Access) {
+        self.state.0.lock().unwrap().access = access;
         self.state.1.notify_all();
     }
 
@@ -77,7 +87,7 @@
             state.partitions.entry(topic.into()).or_default().extend(newest);
         }
         state.returns += 1;
-        state.is_away = false;
+        state.access = Access::Open;
         self.state.1.notify_all();
     }
 
@@ -100,17 +110,19 @@
         }
     }
 
-    /// Returns the status, the body and the era of an answer; `None` while the store is away.
+    /// Returns the status, the body and the era of an answer; `None` if there is none.
     fn answer(&self, call: &Message) -> Option<(u16, Vec<u8>, u64)> {
         let mut state = self.state.0.lock().unwrap();
         let era = 1 + state.returns;
-        if state.is_away {
-            return None;
+        match state.access {
+            Access::Open => {}
+            Access::Away => return None,
+            Access::Busy => return Some((503, Vec::new(), era)),
         }
         let (status, body);
         (state, status, body) = self.execute(state, call);
         // A held read that the loss ended has no answer.
-        (!state.is_away && 1 + state.returns == era).then_some((status, body, era))
+        (state.access != Access::Away && 1 + state.returns == era).then_some((status, body, era))
     }
 
     fn execute<'s>(
@@ -171,7 +183,7 @@
                     if from < partition.len() || left.is_zero() {
                         break (200, encode(partition, from));
                     }
-                    if state.is_away || state.returns != returns {
+                    if state.access != Access::Open || state.returns != returns {
                         break (503, Vec::new());
                     }
                     state = self.state.1.wait_timeout(state, left).unwrap().0;
