Log what the reclaim of an ended process leaves as spent

A reclaim logged only the tokens that it returned. The entry now states what was charged and reserved when it was made; the reclaim logs both with the limit, the grant and what the record said was spent.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -539,6 +539,11 @@
         self.spent_tokens
     }
 
+    /// Returns the tokens that are reserved for open requests.
+    pub fn reserved_tokens(&self) -> u64 {
+        self.reserved_tokens
+    }
+
     /// Returns the tokens that the record shows as granted to this router.
     pub fn granted_tokens(&self) -> u64 {
         self.granted_tokens
--- a/src/allowance/journal.rs
+++ b/src/allowance/journal.rs
@@ -98,6 +98,13 @@
     /// The same once the entry is old enough to unlock all held tokens.
     #[prost(uint64, tag = "3")]
     pub held_tokens: u64,
+    /// Tokens that the process had charged when the entry was made. With the reserved ones it tells what a reclaim
+    /// leaves to the ended process beyond its actual use; the limit does not depend on either.
+    #[prost(uint64, tag = "4")]
+    pub spent_tokens: u64,
+    /// Tokens that were reserved for open requests then.
+    #[prost(uint64, tag = "5")]
+    pub reserved_tokens: u64,
 }
 
 impl TeamLimit {
@@ -107,6 +114,7 @@
             team: team.into(),
             open_tokens: limit.open_tokens,
             held_tokens: limit.held_tokens,
+            ..Self::default()
         }
     }
 
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -95,12 +95,13 @@
     predecessor: RefCell<Option<Predecessor>>,
 }
 
-/// Previous process on this VM, with an upper bound of what it can have used of each team's rights.
+/// Previous process on this VM, with what bounds its use of each team's rights.
 struct Predecessor {
     router: u64,
-    limits_tokens: FastMap<CompactString, u64>,
-    /// The same for teams that its last entry does not name.
-    other_limit_tokens: u64,
+    /// What its last entry says of each team.
+    limits: FastMap<CompactString, TeamLimit>,
+    /// Upper bound of the age of that entry; `None` if it is unknown, and then nothing is reclaimed.
+    age_ms: Option<u64>,
     vm: CompactString,
     /// Time from which its rights are reclaimed.
     from_ms: u64,
@@ -114,14 +115,6 @@
     pub(super) age_ms: Option<u64>,
 }
 
-impl LastEntry<'_> {
-    /// Returns an upper bound of what the process can have used of a team's rights.
-    fn used_limit(&self, stored: &TeamLimit) -> u64 {
-        self.age_ms
-            .map_or(u64::MAX, |age_ms| stored.limit().at(age_ms))
-    }
-}
-
 /// Where the tokens of a request are reserved.
 enum ReservedAt {
     /// In the account of this gateway.
@@ -478,9 +471,15 @@
     /// Returns the spending limits for the next journal entry.
     pub(super) fn begin_entry(&self) -> Vec<TeamLimit> {
         let teams = self.teams.borrow();
-        let limits = teams
-            .values()
-            .map(|team| TeamLimit::new(&team.name, team.account.borrow_mut().begin_entry()));
+        let limits = teams.values().map(|team| {
+            let mut account = team.account.borrow_mut();
+            let limit = account.begin_entry();
+            TeamLimit {
+                spent_tokens: account.spent_tokens(),
+                reserved_tokens: account.reserved_tokens(),
+                ..TeamLimit::new(&team.name, limit)
+            }
+        });
         limits.filter(|stored| stored.held_tokens > 0).collect()
     }
 
@@ -522,12 +521,11 @@
         let limits = last
             .limits
             .iter()
-            .map(|stored| (stored.team.as_str().into(), last.used_limit(stored)));
+            .map(|stored| (stored.team.as_str().into(), stored.clone()));
         *self.predecessor.borrow_mut() = Some(Predecessor {
             router: last.router,
-            limits_tokens: limits.collect(),
-            // Without a known age nothing is reclaimed, and the grants are only closed.
-            other_limit_tokens: last.age_ms.map_or(u64::MAX, |_| 0),
+            limits: limits.collect(),
+            age_ms: last.age_ms,
             vm: shared.settings.vm.clone(),
             from_ms: shared.now_ms(),
         });
@@ -556,18 +554,24 @@
     fn reclaim_for(&self, team: &str) -> Option<Reclaim> {
         let predecessor = self.predecessor.borrow();
         let predecessor = predecessor.as_ref()?;
-        let limit_tokens = predecessor.limits_tokens.get(team).copied();
+        let stored = predecessor.limits.get(team);
         let seed = xxhash_rust::xxh3::xxh3_64(team.as_bytes());
         let hash = xxhash_rust::xxh3::xxh3_64_with_seed(predecessor.vm.as_bytes(), seed);
         let round_ms = RECLAIM_TURN_MS * (HOLDERS_PER_TEAM as u64 + 1);
-        let delay_ms = match limit_tokens {
+        let delay_ms = match stored {
             Some(_) => hash % round_ms / RECLAIM_TURN_MS * RECLAIM_TURN_MS,
             None => hash % LATE_RECLAIM_MS,
         };
         Some(Reclaim {
             router: predecessor.router,
-            limit_tokens: limit_tokens.unwrap_or(predecessor.other_limit_tokens),
-            is_in_entry: limit_tokens.is_some(),
+            limit_tokens: match predecessor.age_ms {
+                Some(age_ms) => stored.map_or(0, |stored| stored.limit().at(age_ms)),
+                // Without a known age nothing is reclaimed, and the grants are only closed.
+                None => u64::MAX,
+            },
+            entry_spent_tokens: stored.map_or(0, |stored| stored.spent_tokens),
+            entry_reserved_tokens: stored.map_or(0, |stored| stored.reserved_tokens),
+            is_in_entry: stored.is_some(),
             from_ms: predecessor.from_ms + delay_ms,
             round_ms,
         })
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -98,6 +98,9 @@
     pub(super) router: u64,
     /// Upper bound of what it can have used.
     pub(super) limit_tokens: u64,
+    /// Tokens that it had charged, and those that it had reserved, when it made its last entry.
+    pub(super) entry_spent_tokens: u64,
+    pub(super) entry_reserved_tokens: u64,
     /// Whether the last journal entry of the predecessor names the team.
     pub(super) is_in_entry: bool,
     /// Start of this gateway's next turn.
--- a/src/gateway/budget/team_record.rs
+++ b/src/gateway/budget/team_record.rs
@@ -85,9 +85,15 @@
             value: Some(planned.encode_to_vec().into()),
         };
         let result = shared.store.append(self.feed(), Some(end), append).await;
+        let held = record.grant_of(router);
         log::info!(
             step = "reclaim", team = self.name.as_str(), predecessor = router,
             reclaimed_tokens = record.granted_tokens.saturating_sub(planned.granted_tokens),
+            granted_tokens = held.map_or(0, |grant| grant.granted_tokens),
+            recorded_spent_tokens = held.map_or(0, |grant| grant.spent_tokens),
+            entry_spent_tokens = reclaim.entry_spent_tokens,
+            entry_reserved_tokens = reclaim.entry_reserved_tokens,
+            limit_tokens = reclaim.limit_tokens, prepaid_tokens = self.prepaid_tokens.get(),
             outcome = format!("{result:?}").as_str(), at_ms = shared.now_ms();
             "reclaiming the rights of the previous process"
         );
