Log what each crash of an upstream counts, and what resets a count

The logs named a feature only once it had reached the limit. Whether a crash was left out because its request was under way before the previous crash was known, whether a response had reset the count, or whether copies of a request had different hashes could not be told apart.

lost_connection now has the hash of the request and the time at which it was sent; crash_count has the counts before and after each judged suspect, or that another request explains the crash; crash_reset names what was reset.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -51,6 +51,7 @@
 /// A request that waited for its response when its upstream crashed.
 struct PendingSuspect {
     request_id: CompactString,
+    upstream: CompactString,
     features: Vec<Feature>,
     crash: CrashId,
     sent_ms: u64,
@@ -174,6 +175,11 @@
         .borrow_mut()
         .record_success(call.features(), clocks);
     if is_changed {
+        log::info!(
+            step = "crash_reset", request_id = call.meta.id.as_str(),
+            whole = whole(call.features()).as_str(), at_ms = clocks.now_ms;
+            "the crash counts of the features of this request start again, because its response has begun"
+        );
         let after = crashes.attribution.borrow().refused_count();
         if after < before {
             log::warn!(
@@ -204,7 +210,7 @@
     log::info!(
         step = "lost_connection", request_id = call.meta.id.as_str(), upstream = lost.upstream,
         is_crash = is_crash, has_begun = lost.has_begun, parts = parts.join(",").as_str(),
-        at_ms = shared.now_ms();
+        whole = whole(features).as_str(), sent_ms = lost.sent_ms, at_ms = shared.now_ms();
         "{}", if is_crash {
             "the upstream crashed before the first part of its response"
         } else {
@@ -223,13 +229,14 @@
             .attribution
             .borrow_mut()
             .explain(crash, now_ms);
-        count_crash(shared, &call.meta.id, features, lost.sent_ms);
+        count_crash(shared, &call.meta.id, lost.upstream, features, lost.sent_ms);
         return;
     }
     let mut pending = shared.crashes.pending.borrow_mut();
     if pending.len() < MAX_PENDING_SUSPECTS {
         pending.push(PendingSuspect {
             request_id: call.meta.id.clone(),
+            upstream: lost.upstream.into(),
             features: features.to_vec(),
             crash,
             sent_ms: lost.sent_ms,
@@ -239,10 +246,25 @@
     shared.crashes.changed.notify();
 }
 
-fn count_crash(shared: &Shared, request_id: &str, features: &[Feature], sent_ms: u64) {
+fn count_crash(
+    shared: &Shared,
+    request_id: &str,
+    upstream: &str,
+    features: &[Feature],
+    sent_ms: u64,
+) {
     let clocks = clocks(shared);
     let mut attribution = shared.crashes.attribution.borrow_mut();
+    let counts_before = counts(&attribution, features);
     let reached = attribution.record_crash(features, sent_ms, clocks);
+    log::info!(
+        step = "crash_count", request_id = request_id, upstream = upstream,
+        whole = whole(features).as_str(), sent_ms = sent_ms,
+        before = counts_before.as_str(), after = counts(&attribution, features).as_str(),
+        at_ms = clocks.now_ms;
+        "counted a crash for the features of a request; those whose previous crash became known after it was sent \
+         keep their count"
+    );
     for feature in reached {
         log::warn!(
             step = "crash_limit", request_id = request_id, feature = hex(feature).as_str(),
@@ -283,9 +305,17 @@
                 count_crash(
                     &shared,
                     &suspect.request_id,
+                    &suspect.upstream,
                     &suspect.features,
                     suspect.sent_ms,
                 );
+            } else {
+                log::info!(
+                    step = "crash_count", request_id = suspect.request_id.as_str(),
+                    upstream = suspect.upstream.as_str(), whole = whole(&suspect.features).as_str(),
+                    at_ms = shared.now_ms();
+                    "not counted, another request is known to have caused the crash"
+                );
             }
         }
     }
@@ -404,6 +434,18 @@
     ))
 }
 
+/// Returns the hash of the request as a whole, its last feature, for the log.
+fn whole(features: &[Feature]) -> String {
+    features.last().copied().map(hex).unwrap_or_default()
+}
+
+/// Returns the crash counts of the features of a request in their order, for the log.
+fn counts(attribution: &CrashAttribution, features: &[Feature]) -> String {
+    let counts = features.iter().map(|feature| attribution.crashes(*feature));
+    let counts: Vec<String> = counts.map(|count| count.to_string()).collect();
+    counts.join(",")
+}
+
 fn hex(feature: Feature) -> String {
     format!("{:016x}", feature.0)
 }
