Test: copies of a request that ended all upstreams are sent together when these return

Three gateways, three upstreams that all end while each runs a copy; when they return, all 12 copies reach them, where the platform allows three.

--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -2,6 +2,9 @@
 
 mod gateway_common;
 
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use gateway_common::*;
@@ -276,3 +279,172 @@
     );
     assert_ne!(status, 503, "the request has run");
 }
+
+/// Time for which the upstreams of a service that end together stay down; a restart takes the platform about as long.
+const RESTART: Duration = Duration::from_secs(3);
+
+/// Time that a copy of a request runs before it crashes its upstream.
+const RUN_TIME: Duration = Duration::from_millis(50);
+
+/// Target of the requests that are alike.
+const COPIED: &str = "/read/copied";
+
+/// Upstreams of one service, all of which end together once each of them has a copy of one request.
+struct CopyCrashes {
+    state: Mutex<CopyState>,
+    changed: Condvar,
+    /// Whether copies crash the upstreams again after that.
+    is_deadly: bool,
+}
+
+#[derive(Default)]
+struct CopyState {
+    /// Upstreams that have received a copy.
+    reached: BTreeSet<usize>,
+    /// Upstreams that run the copy which crashes them.
+    crashing: BTreeSet<usize>,
+    has_ended: bool,
+}
+
+impl CopyCrashes {
+    const UPSTREAMS: usize = 3;
+
+    fn start(is_deadly: bool) -> (Arc<Self>, Vec<UpstreamStub>) {
+        let crashes = Arc::new(Self {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            is_deadly,
+        });
+        let start = |number| {
+            let crashes = Arc::clone(&crashes);
+            UpstreamStub::start(move |request, _| crashes.react(number, request))
+        };
+        let upstreams = (0..Self::UPSTREAMS).map(start).collect();
+        (crashes, upstreams)
+    }
+
+    fn is_copy(request: &Message) -> bool {
+        request.start.contains(COPIED)
+    }
+
+    fn react(&self, upstream: usize, request: &Message) -> Action {
+        if !Self::is_copy(request) {
+            return Action::Write(signed_response(request, 200, "sound"));
+        }
+        let mut state = self.state.lock().unwrap();
+        if state.has_ended && !self.is_deadly {
+            return Action::Write(signed_response(request, 200, "copied"));
+        }
+        state.reached.insert(upstream);
+        self.changed.notify_all();
+        if !state.crashing.insert(upstream) {
+            return Action::Silent;
+        }
+        if state.has_ended {
+            drop(state);
+            std::thread::sleep(RUN_TIME);
+            self.state.lock().unwrap().crashing.remove(&upstream);
+        } else {
+            let (mut ended, _) = self
+                .changed
+                .wait_timeout_while(state, TEST_TIMEOUT, |state| {
+                    state.reached.len() < Self::UPSTREAMS
+                })
+                .unwrap();
+            ended.has_ended = true;
+            ended.crashing.remove(&upstream);
+        }
+        let first = Vec::new();
+        Action::Crash {
+            first,
+            down: RESTART,
+        }
+    }
+
+    /// Sends copies at all gateways until all upstreams have ended under them.
+    fn end_all_upstreams(&self, fleet: &Fleet) {
+        std::thread::scope(|scope| {
+            for number in 0..10 * Self::UPSTREAMS {
+                let state = self.state.lock().unwrap();
+                let wait = Duration::from_millis(100);
+                let (state, _) = self
+                    .changed
+                    .wait_timeout_while(state, wait, |state| state.reached.len() <= number)
+                    .unwrap();
+                if state.reached.len() == Self::UPSTREAMS {
+                    break;
+                }
+                drop(state);
+                let gateway = &fleet.gateways[number % fleet.gateways.len()];
+                scope.spawn(move || send_copy(gateway, number));
+            }
+        });
+        wait_for("the end of all upstreams", || {
+            let crashes = fleet.upstreams.iter().map(|upstream| &upstream.crashes);
+            crashes
+                .map(|crashes| crashes.load(Ordering::SeqCst))
+                .all(|crashes| crashes > 0)
+        });
+    }
+}
+
+/// Sends one of the requests that are alike; the number is part of its id only.
+fn send_copy(gateway: &Gateway, number: usize) -> Message {
+    let id = format!("r-copy-{number}");
+    let request = CallerRequest {
+        path: COPIED,
+        id: &id,
+        ..CallerRequest::default()
+    };
+    request.send(gateway)
+}
+
+/// Waits until an upstream of the service is back at each gateway.
+fn wait_restarted(fleet: &Fleet) {
+    for (number, gateway) in fleet.gateways.iter().enumerate() {
+        wait_for("an upstream that is back", || {
+            let id = format!("r-sound-{number}");
+            let request = CallerRequest {
+                path: "/read/sound",
+                id: &id,
+                ..CallerRequest::default()
+            };
+            request.send(gateway).status() == 200
+        });
+    }
+}
+
+fn copies_received(fleet: &Fleet) -> usize {
+    let received = fleet.upstreams.iter().map(UpstreamStub::requests);
+    received
+        .map(|requests| requests.iter().filter(|r| CopyCrashes::is_copy(r)).count())
+        .sum()
+}
+
+/// Guards against incident "copies of one request crash all upstreams of a service twice": the crashes of the first
+/// round count once, and all copies are sent again when the upstreams return.
+#[test]
+fn copies_of_a_request_that_ended_all_upstreams_are_not_sent_together_when_they_return() {
+    let (crashes, upstreams) = CopyCrashes::start(true);
+    let fleet = start_fleet_of(3, upstreams);
+    crashes.end_all_upstreams(&fleet);
+    let sent_before = copies_received(&fleet);
+    wait_restarted(&fleet);
+
+    std::thread::scope(|scope| {
+        for number in 100..112 {
+            let gateway = &fleet.gateways[number % fleet.gateways.len()];
+            scope.spawn(move || send_copy(gateway, number));
+        }
+    });
+    for number in 200..212 {
+        send_copy(&fleet.gateways[number % fleet.gateways.len()], number);
+    }
+
+    let sent_again = copies_received(&fleet) - sent_before;
+    assert!(
+        sent_again <= MAX_FURTHER_REQUESTS,
+        "{sent_again} copies reached upstreams after their return"
+    );
+    wait_restarted(&fleet);
+}
