--- a/src/crash_attribution.rs
+++ b/src/crash_attribution.rs
@@ -10,16 +10,26 @@
 //! - A feature keeps the features that were present in all its crashes. A request is refused only if it has all of
 //!   them, so that a harmless part which has only been seen beside a harmful one is still served.
 //!
+//! Copies of one request can end all upstreams of a small service before the first crash is known, which counts once and
+//! looks like upstreams that end together. Therefore a feature also keeps which processes ended under it. From
+//! [`CRASH_LIMIT`] processes on it is suspended: one request with it is tried at a time in the whole fleet. A response to
+//! that request releases the feature, and a crash refuses it.
+//!
 //! The counts of all routers are merged. A merge is commutative, associative and idempotent, so reports may be late,
 //! repeated or lost as long as a later one arrives. The policy is described in `docs/policies/quarantine.md`.
 
+mod entry;
+
 use std::cmp::Ordering;
 
 use prost::Message;
 
 use crate::collections::FastMap;
 
-/// Number of crashes without a response in between from which requests with a feature are refused.
+use entry::{Entry, State};
+
+/// Number of crashes without a response in between from which requests with a feature are refused, and of ended processes
+/// from which they are tried one at a time.
 ///
 /// A request that waits at an upstream when it crashes for another reason is a suspect too, and the caller's retry can
 /// meet a second crash of a series; the third one is unlikely to be a coincidence.
@@ -44,9 +54,14 @@
 /// [`TRIAL_DELAY_FACTOR`].
 const TRIAL_DELAY_MS: u64 = 60_000;
 
-/// Growth of the delay between trials: three requests at most are tried within eight hours.
+/// Growth of the delay between trials: three requests at most are tried within eight hours, or one more right after the
+/// crashes of a suspended feature.
 const TRIAL_DELAY_FACTOR: u64 = 8;
 
+/// Time after which the result of a trial is not expected any more, because the router that made it may have ended. A
+/// stream of a loaded engine begins within some seconds.
+const TRIAL_TIMEOUT_MS: u64 = 10_000;
+
 /// Time for which a crash with a known cause exonerates the other requests that waited at the upstream.
 const EXPLANATION_RETENTION_MS: u64 = 10_000;
 
@@ -90,6 +105,29 @@
     /// Features that were present in all crashes.
     #[prost(message, repeated, tag = "5")]
     pub companions: Vec<Companion>,
+    /// Processes that ended in this generation, up to [`CRASH_LIMIT`] of them.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub processes: Vec<u64>,
+    /// Number of trials that have begun in this generation.
+    #[prost(uint32, tag = "7")]
+    pub trials: u32,
+    /// Number of the newest trial whose result is known.
+    #[prost(uint32, tag = "8")]
+    pub ended_trials: u32,
+}
+
+impl FeatureCount {
+    /// Returns what the count says, without its features and times.
+    fn state(&self) -> State {
+        State {
+            generation: self.generation,
+            crashes: self.crashes,
+            processes: self.processes.len(),
+            companions: self.companions.len(),
+            trials: self.trials,
+            ended_trials: self.ended_trials,
+        }
+    }
 }
 
 /// A feature that was present in all crashes of another one.
@@ -126,45 +164,11 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
-    generation: u32,
-    crashes: u32,
-    companions: Vec<Companion>,
-    /// Time at which the newest change became known here.
-    changed_ms: u64,
-    counted_at_s: u64,
-    /// Generation, crashes and number of companions that the reports of any router have shown.
-    published: (u32, u32, usize),
-    /// Whether the report of this router contains the feature.
-    is_reported: bool,
-    /// Whether reports had shown this state, but may have been forgotten since.
-    is_forgotten: bool,
-}
-
-impl Entry {
-    fn state(&self) -> (u32, u32, usize) {
-        (self.generation, self.crashes, self.companions.len())
-    }
-
-    /// Returns the order in which entries are evicted: lower counts first, then older ones.
-    fn eviction_order(&self) -> (u32, u64) {
-        (self.crashes.min(CRASH_LIMIT), self.changed_ms)
-    }
-
-    fn trial_due_ms(&self) -> u64 {
-        let failed_trials = self.crashes.saturating_sub(CRASH_LIMIT);
-        let factor = TRIAL_DELAY_FACTOR.saturating_pow(failed_trials);
-        self.changed_ms
-            .saturating_add(TRIAL_DELAY_MS.saturating_mul(factor))
-    }
-}
-
 /// Crash counts of features, as this router knows them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashAttribution {
     entries: FastMap<Feature, Entry>,
-    /// Number of features at the limit.
+    /// Number of features that are refused or suspended.
     refused_count: usize,
     /// Crashes with a known cause, with the time at which that became known here.
     explained: FastMap<CrashId, u64>,
@@ -186,14 +190,14 @@
         self.entries.len()
     }
 
-    /// Returns the number of features whose requests are refused.
+    /// Returns the number of features whose requests are refused, or tried one at a time.
     pub fn refused_count(&self) -> usize {
         self.refused_count
     }
 
     fn update_refused_count(&mut self) {
         let entries = self.entries.values();
-        self.refused_count = entries.filter(|entry| entry.crashes >= CRASH_LIMIT).count();
+        self.refused_count = entries.filter(|entry| entry.is_limited()).count();
     }
 
     /// Returns the number of crashes that count against a feature.
@@ -201,8 +205,20 @@
         self.entries.get(&feature).map_or(0, |entry| entry.crashes)
     }
 
-    /// Returns whether a request with these features may be sent.
+    /// Returns whether a feature is suspended: its requests are tried one at a time, without a delay.
+    pub fn is_suspended(&self, feature: Feature) -> bool {
+        let entry = self.entries.get(&feature);
+        entry.is_some_and(|entry| entry.is_limited() && entry.crashes < CRASH_LIMIT)
+    }
+
+    fn is_limited(&self, feature: Feature) -> bool {
+        self.entries.get(&feature).is_some_and(Entry::is_limited)
+    }
+
+    /// Returns whether a request with these features may be sent; of several reasons to refuse it, the longest one.
     pub fn admission(&self, features: &[Feature], now_ms: u64) -> Admission {
+        let mut admission = Admission::Allowed;
+        let mut longest_ms = 0;
         for feature in features {
             let Some(entry) = self.entries.get(feature) else {
                 continue;
@@ -213,29 +229,72 @@
                     features.contains(&Feature(other.feature)) || !self.is_suspected(other)
                 })
             };
-            if entry.crashes >= CRASH_LIMIT && has_all() {
-                return Admission::Refused {
+            if !entry.is_limited() || !has_all() {
+                continue;
+            }
+            let trial_in_ms = entry.trial_due_ms(now_ms).saturating_sub(now_ms);
+            if admission == Admission::Allowed || trial_in_ms > longest_ms {
+                longest_ms = trial_in_ms;
+                admission = Admission::Refused {
                     feature: *feature,
-                    trial_in_ms: entry.trial_due_ms().saturating_sub(now_ms),
+                    trial_in_ms,
                 };
             }
         }
-        Admission::Allowed
+        admission
     }
 
     /// Records that one request with a refused feature is sent to find out whether it still crashes upstreams.
     pub fn begin_trial(&mut self, features: &[Feature], now_ms: u64) {
         for feature in features {
             if let Some(entry) = self.entries.get_mut(feature) {
-                entry.changed_ms = now_ms;
+                if entry.is_limited() {
+                    entry.begin_trial(entry.trials.saturating_add(1), now_ms);
+                }
             }
         }
     }
 
-    /// Counts a crash for a request that was sent at `sent_ms`; returns the features that reached the limit by it.
+    /// Returns the report with which this router claims the next trial of the refused features of a request.
+    ///
+    /// The claim is valid if the report is written on the condition that no other one has been written since this router
+    /// read them all. It takes effect when the report is merged. Returns `None` if a report has no room for it.
+    pub fn claim_trial(&mut self, features: &[Feature]) -> Option<CrashReport> {
+        for feature in features {
+            if let Some(entry) = self.entries.get_mut(feature) {
+                entry.is_reported |= entry.is_limited();
+            }
+        }
+        let mut report = self.report();
+        let mut claimed = 0;
+        for count in &mut report.counts {
+            let feature = Feature(count.feature);
+            if features.contains(&feature) && self.is_limited(feature) {
+                count.trials = count.trials.saturating_add(1);
+                claimed += 1;
+            }
+        }
+        let limited = features.iter().filter(|feature| self.is_limited(**feature));
+        (claimed == limited.count()).then_some(report)
+    }
+
+    /// Records that a trial has ended without a result, so that the next one may begin.
+    pub fn end_trial(&mut self, features: &[Feature]) {
+        for feature in features {
+            if let Some(entry) = self.entries.get_mut(feature) {
+                if entry.ended_trials < entry.trials {
+                    entry.ended_trials = entry.trials;
+                    entry.is_urgent = true;
+                }
+            }
+        }
+    }
+
+    /// Counts a crash for a request that was sent at `sent_ms`; returns the features that reached a limit by it.
     pub fn record_crash(
         &mut self,
         features: &[Feature],
+        crash: CrashId,
         sent_ms: u64,
         clocks: Clocks,
     ) -> Vec<Feature> {
@@ -250,36 +309,15 @@
         let present: Vec<Companion> = present.collect();
         let mut reached = Vec::new();
         for feature in features {
-            match self.entries.get_mut(feature) {
-                Some(entry) if sent_ms < entry.changed_ms => {}
-                Some(entry) => {
-                    if entry.crashes == 0 {
-                        entry.companions = present.clone();
-                    } else {
-                        entry.companions.retain(|other| present.contains(other));
-                    }
-                    entry.crashes = entry.crashes.saturating_add(1);
-                    entry.changed_ms = clocks.now_ms;
-                    entry.counted_at_s = clocks.wall_s;
-                    entry.is_forgotten = false;
-                    if entry.crashes == CRASH_LIMIT {
-                        reached.push(*feature);
-                    }
-                }
-                None => {
-                    self.make_room();
-                    let entry = Entry {
-                        generation: 0,
-                        crashes: 1,
-                        companions: present.clone(),
-                        changed_ms: clocks.now_ms,
-                        counted_at_s: clocks.wall_s,
-                        published: (0, 0, 0),
-                        is_reported: false,
-                        is_forgotten: false,
-                    };
-                    self.entries.insert(*feature, entry);
-                }
+            if !self.entries.contains_key(feature) {
+                self.make_room();
+            }
+            let entry = self
+                .entries
+                .entry(*feature)
+                .or_insert_with(|| Entry::new(0, sent_ms, clocks.wall_s));
+            if entry.record_crash(crash, sent_ms, clocks, &present) {
+                reached.push(*feature);
             }
         }
         self.update_refused_count();
@@ -294,11 +332,7 @@
                 continue;
             };
             if entry.crashes > 0 {
-                entry.generation = entry.generation.saturating_add(1);
-                entry.crashes = 0;
-                entry.companions.clear();
-                entry.changed_ms = clocks.now_ms;
-                entry.counted_at_s = clocks.wall_s;
+                entry.record_success(clocks);
                 self.remove_companion(*feature);
                 is_changed = true;
             }
@@ -337,9 +371,12 @@
         let mut changed = Vec::new();
         for count in report.counts.iter().take(MAX_REPORTED_FEATURES) {
             let feature = Feature(count.feature);
-            let was_refused = self.crashes(feature) >= CRASH_LIMIT;
+            let was_limited = self.is_limited(feature);
+            let was_suspended = self.is_suspended(feature);
             self.merge_count(feature, count, is_own, clocks);
-            if was_refused != (self.crashes(feature) >= CRASH_LIMIT) {
+            if was_limited != self.is_limited(feature)
+                || was_suspended != self.is_suspended(feature)
+            {
                 changed.push(feature);
             }
         }
@@ -354,7 +391,7 @@
         is_own: bool,
         clocks: Clocks,
     ) {
-        let retention_ms = retention_ms(count.crashes);
+        let retention_ms = retention_ms(count.state().is_limited());
         let age_ms = clocks.wall_s.saturating_sub(count.counted_at_s) * 1_000;
         if !self.entries.contains_key(&feature) {
             if age_ms > retention_ms {
@@ -366,16 +403,10 @@
         let companions: Vec<Companion> = companions
             .filter(|other| self.is_suspected(other))
             .collect();
-        let entry = self.entries.entry(feature).or_insert_with(|| Entry {
-            generation: count.generation,
-            crashes: 0,
-            companions: Vec::new(),
-            changed_ms: clocks.now_ms,
-            counted_at_s: count.counted_at_s,
-            published: (0, 0, 0),
-            is_reported: false,
-            is_forgotten: false,
-        });
+        let entry = self
+            .entries
+            .entry(feature)
+            .or_insert_with(|| Entry::new(count.generation, clocks.now_ms, count.counted_at_s));
         entry.is_reported |= is_own;
         let mut is_exonerated = false;
         match count.generation.cmp(&entry.generation) {
@@ -385,30 +416,12 @@
             }
             Ordering::Greater => {
                 is_exonerated = true;
-                self.is_report_outdated |= entry.is_reported && entry.crashes >= CRASH_LIMIT;
-                entry.generation = count.generation;
-                entry.crashes = count.crashes;
-                entry.companions = companions;
-                entry.changed_ms = clocks.now_ms;
-                entry.counted_at_s = count.counted_at_s;
-            }
-            Ordering::Equal => {
-                if count.crashes > 0 && entry.crashes == 0 {
-                    entry.companions = companions;
-                } else if count.crashes > 0 {
-                    entry.companions.retain(|other| companions.contains(other));
-                }
-                if count.crashes > entry.crashes {
-                    entry.crashes = count.crashes;
-                    entry.changed_ms = clocks.now_ms;
-                    entry.counted_at_s = count.counted_at_s;
-                }
+                self.is_report_outdated |= entry.is_reported && entry.is_limited();
+                entry.replace(count, companions, clocks.now_ms);
             }
+            Ordering::Equal => entry.merge(count, companions, clocks.now_ms),
         }
-        let seen = (count.generation, count.crashes, count.companions.len());
-        if is_newer(seen, entry.published) {
-            entry.published = seen;
-        }
+        entry.published = entry.published.merged(count.state());
         if is_exonerated {
             self.remove_companion(feature);
         }
@@ -419,25 +432,26 @@
         let mut entries = self.entries.values();
         self.has_unpublished_explanation
             || self.is_report_outdated
-            || entries.any(|entry| is_newer(entry.state(), entry.published))
+            || entries.any(Entry::is_unpublished)
     }
 
     /// Treats all counts and explanations as unpublished, because the store may have forgotten the reports.
     pub fn forget_published(&mut self) {
         for entry in self.entries.values_mut() {
-            entry.is_forgotten |= !is_newer(entry.state(), entry.published);
-            entry.published = (0, 0, 0);
+            entry.is_forgotten |= !entry.is_unpublished();
+            entry.published = State::default();
         }
         self.has_unpublished_explanation = !self.own_explained.is_empty();
     }
 
-    /// Returns whether this router knows of a crash that no report has shown, so that the others must learn it at once.
-    pub fn has_unreported_crash(&self) -> bool {
+    /// Returns whether this router knows of a crash that no report has shown, or of the result of a trial, so that the
+    /// others must learn it at once.
+    pub fn has_urgent_report(&self) -> bool {
         let mut entries = self.entries.values();
         self.has_unpublished_explanation
             || entries.any(|entry| {
-                let is_unknown = is_newer(entry.state(), entry.published) && !entry.is_forgotten;
-                is_unknown && entry.crashes > 0
+                let is_unknown = entry.is_unpublished() && !entry.is_forgotten;
+                is_unknown && (entry.crashes > 0 || entry.is_urgent)
             })
     }
 
@@ -446,20 +460,14 @@
         let mut own: Vec<(&Feature, &mut Entry)> = self
             .entries
             .iter_mut()
-            .filter(|(_, entry)| entry.is_reported || is_newer(entry.state(), entry.published))
+            .filter(|(_, entry)| entry.is_reported || entry.is_unpublished())
             .collect();
         own.sort_by_key(|(feature, entry)| (std::cmp::Reverse(entry.eviction_order()), **feature));
         let mut counts = Vec::with_capacity(own.len().min(MAX_REPORTED_FEATURES));
         for (position, (feature, entry)) in own.into_iter().enumerate() {
             entry.is_reported = position < MAX_REPORTED_FEATURES;
             if entry.is_reported {
-                counts.push(FeatureCount {
-                    feature: feature.0,
-                    generation: entry.generation,
-                    crashes: entry.crashes,
-                    counted_at_s: entry.counted_at_s,
-                    companions: entry.companions.clone(),
-                });
+                counts.push(entry.count(*feature));
             }
         }
         CrashReport {
@@ -471,11 +479,9 @@
     /// Records that a report of this router was written.
     pub fn record_published(&mut self, report: &CrashReport) {
         for count in &report.counts {
-            let seen = (count.generation, count.crashes, count.companions.len());
             if let Some(entry) = self.entries.get_mut(&Feature(count.feature)) {
-                if is_newer(seen, entry.published) {
-                    entry.published = seen;
-                }
+                entry.published = entry.published.merged(count.state());
+                entry.is_urgent &= entry.is_unpublished();
             }
         }
         let own = self.own_explained.iter();
@@ -487,7 +493,7 @@
     /// Forgets counts and explanations that are too old.
     pub fn expire(&mut self, now_ms: u64) {
         self.entries.retain(|_, entry| {
-            now_ms.saturating_sub(entry.changed_ms) < retention_ms(entry.crashes)
+            now_ms.saturating_sub(entry.changed_ms) < retention_ms(entry.is_limited())
         });
         self.update_refused_count();
         let explained = &mut self.explained;
@@ -531,25 +537,10 @@
     }
 }
 
-fn retention_ms(crashes: u32) -> u64 {
-    if crashes >= CRASH_LIMIT {
+fn retention_ms(is_limited: bool) -> u64 {
+    if is_limited {
         QUARANTINE_RETENTION_MS
     } else {
         SUSPICION_RETENTION_MS
     }
 }
-
-/// Returns whether a state of a feature tells more than another one: a higher generation, more crashes, or fewer
-/// companions.
-fn is_newer(state: (u32, u32, usize), other: (u32, u32, usize)) -> bool {
-    let (generation, crashes, companions) = state;
-    let (other_generation, other_crashes, other_companions) = other;
-    match generation.cmp(&other_generation) {
-        Ordering::Greater => true,
-        Ordering::Less => false,
-        Ordering::Equal => {
-            crashes > other_crashes
-                || (crashes == other_crashes && crashes > 0 && companions < other_companions)
-        }
-    }
-}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 
 use compact_str::{format_compact, CompactString};
 
-use super::crashes;
+use super::crashes::{self, CrashRefusal};
 use super::request::Call;
 use super::{availability, limits, pool, rollouts, Shared};
 use crate::directory::UpstreamEntry;
@@ -229,8 +229,7 @@
             ));
         }
         if let Err(refusal) = crashes::admit(shared, call) {
-            let refused = Refusal::CrashSuspect;
-            return Err(give_up(call, attempts, refused, &refusal.reason));
+            return Err(crash_refusal(call, attempts, &refusal));
         }
         let versions = match first_versions.filter(|_| attempts.tried.is_empty()) {
             Some(versions) => versions,
@@ -264,9 +263,16 @@
             Ok(Ok(socket)) => {
                 // The upstream may have stated that while the request waited for permission or for the connection.
                 if !availability::is_available(shared, &choice.id, &choice.entry) {
-                    attempts.withdraw_last(call);
+                    let reason = "the upstream has stated meanwhile that it takes no new requests";
+                    attempts.withdraw_last(call, reason);
                     continue;
                 }
+                if let Err(failure) = authorise(shared, call, caller, attempts).await {
+                    attempts.withdraw_last(call, "requests like it crashed upstreams meanwhile");
+                    let now_ms = shared.now_ms();
+                    shared.pool.put(&choice.id, socket, None, now_ms);
+                    return Err(failure);
+                }
                 let target = Target {
                     id: &choice.id,
                     entry: &choice.entry,
@@ -289,6 +295,29 @@
     }
 }
 
+/// Checks, right before a request is sent, that it is not refused for crashes which became known while it waited.
+///
+/// # Errors
+///
+/// Returns how the request ends if it may not be sent.
+async fn authorise(
+    shared: &Shared,
+    call: &Call<'_>,
+    caller: &mut Socket,
+    attempts: &Attempts,
+) -> Result<(), Failure> {
+    let authorised = crashes::authorise(shared, call);
+    match run_until_interrupted(shared, call, caller, authorised).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(refusal)) => Err(crash_refusal(call, attempts, &refusal)),
+        Err(Interrupt::CallerGone) => Err(Failure::CallerGone),
+        Err(Interrupt::Deadline) => {
+            let reason = "no permission to try a suspected request before the deadline";
+            Err(give_up(call, attempts, Refusal::TimedOut, reason))
+        }
+    }
+}
+
 /// Gives up a request that too many upstreams did not run.
 fn check_not_run(shared: &Shared, call: &Call<'_>, attempts: &Attempts) -> Result<(), Failure> {
     if attempts.not_run < MAX_NOT_RUN {
@@ -343,6 +372,12 @@
     Failure::Refused(refusal, reason, call.retry_after_ms())
 }
 
+/// Refuses a request that has the features of requests that crashed upstreams.
+fn crash_refusal(call: &Call<'_>, attempts: &Attempts, refusal: &CrashRefusal) -> Failure {
+    let failure = give_up(call, attempts, Refusal::CrashSuspect, &refusal.reason);
+    retry_after_wait(failure, refusal.retry_after_ms)
+}
+
 fn placement_failure(
     shared: &Shared,
     call: &Call<'_>,
@@ -375,7 +410,7 @@
     }
 }
 
-/// Sets the retry delay of a refusal to the time until an upstream takes a request again, with half of the jitter.
+/// Sets the retry delay of a refusal to the time until a request may be served again, with half of the jitter.
 fn retry_after_wait(failure: Failure, wait_ms: u64) -> Failure {
     match failure {
         Failure::Refused(refusal, reason, jitter_ms) => {
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -77,7 +77,7 @@
 /// Chooses another upstream and connects to it; counts the attempt in the fleet's retry limit.
 async fn prepare(shared: &Shared, call: &Call<'_>, tried: &[CompactString]) -> Option<Successor> {
     let is_possible = call.remaining_ms(shared) >= MIN_REMAINING_MS
-        && crashes::admit(shared, call).is_ok()
+        && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, false);
     if !is_possible {
         return None;
@@ -104,6 +104,7 @@
     };
     let is_allowed = limits::acquire(shared, &choice.id, choice.weight).await
         && availability::is_available(shared, &choice.id, &choice.entry)
+        && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, true);
     if !is_allowed {
         shared.pool.put(&choice.id, socket, None, shared.now_ms());
@@ -254,12 +255,12 @@
         );
     }
 
-    /// Withdraws the last attempt, because nothing was sent and the upstream takes no new requests now.
-    pub(super) fn withdraw_last(&mut self, call: &Call<'_>) {
+    /// Withdraws the last attempt, of which nothing was sent.
+    pub(super) fn withdraw_last(&mut self, call: &Call<'_>, reason: &str) {
         let id = self.tried.pop().unwrap_or_default();
         log::info!(
             step = "attempt", request_id = call.meta.id.as_str(), upstream = id.as_str();
-            "not sent, the upstream has stated meanwhile that it takes no new requests"
+            "not sent: {reason}"
         );
     }
 
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -4,8 +4,9 @@
 //! this connection alone. The host of a crashed upstream refuses connections until the upstream has been restarted.
 //!
 //! A request whose response had begun is the cause of the crash. A request that waited for its response is a suspect
-//! only if no gateway reports such a cause within [`EXPLANATION_DELAY_MS`]. [`crate::crash_attribution`] decides; this
-//! module exchanges the counts through the store, so that they survive restarts.
+//! only if no gateway reports such a cause within [`EXPLANATION_DELAY_MS`], and only by those of its features to which no
+//! response begins here in that time. [`crate::crash_attribution`] decides; this module exchanges the counts through the
+//! store, so that they survive restarts, and claims trials there, so that the fleet makes one at a time.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -17,18 +18,21 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::request::Call;
-use super::watch::FeedReader;
+use super::watch::{FeedPosition, FeedReader};
 use super::{clock, pool, Shared};
 use crate::crash_attribution::{
-    Admission, Clocks, CrashAttribution, CrashId, CrashReport, Feature, MAX_REQUEST_FEATURES,
+    Admission, Clocks, CrashAttribution, CrashId, CrashReport, Feature, CRASH_LIMIT,
+    MAX_REQUEST_FEATURES,
 };
-use crate::holders;
 use crate::notify::Notify;
-use crate::store::{Feed, Record, Store};
+use crate::store::{AppendOutcome, Feed, Record, Store};
 
 /// Time for which the store may hold a read; a crash of which another gateway reports arrives at once.
 const LONG_POLL_MS: u64 = 1_500;
 
+/// Least time after which a caller comes again with a request whose features are refused for long.
+const MIN_RETRY_AFTER_MS: u64 = 1_500;
+
 /// Time within which the cause of a crash is known from other gateways: a write and a read of the store.
 const EXPLANATION_DELAY_MS: u64 = 60;
 
@@ -55,6 +59,8 @@
     features: Vec<Feature>,
     crash: CrashId,
     sent_ms: u64,
+    /// Whether the request was a trial.
+    is_trial: bool,
     due_ms: u64,
 }
 
@@ -65,6 +71,9 @@
     pending: RefCell<Vec<PendingSuspect>>,
     /// Whether the counts of all gateways have been read; a report before that could lose those of a predecessor.
     is_loaded: Cell<bool>,
+    /// Position up to which the reports have been read.
+    position: Cell<Option<FeedPosition>>,
+    is_claiming: Cell<bool>,
     changed: Notify,
 }
 
@@ -109,65 +118,181 @@
     features
 }
 
-/// Checks that a request does not have the features of requests that crashed upstreams.
+/// Checks that a request does not have the features of requests that crashed upstreams, or may be tried.
 ///
 /// # Errors
 ///
 /// Returns why the request is refused.
 pub(super) fn admit(shared: &Shared, call: &Call<'_>) -> Result<(), CrashRefusal> {
+    match admission(shared, call) {
+        Admission::Allowed | Admission::Refused { trial_in_ms: 0, .. } => Ok(()),
+        Admission::Refused {
+            feature,
+            trial_in_ms,
+        } => Err(refuse(shared, call, feature, trial_in_ms)),
+    }
+}
+
+/// Returns whether a request may be sent without being a trial.
+pub(super) fn is_allowed(shared: &Shared, call: &Call<'_>) -> bool {
+    admission(shared, call) == Admission::Allowed
+}
+
+/// Authorises a request to be sent at once; one with refused features only if no other trial of them is under way in the
+/// fleet.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
+pub(super) async fn authorise(shared: &Shared, call: &Call<'_>) -> Result<(), CrashRefusal> {
+    match admission(shared, call) {
+        Admission::Allowed => Ok(()),
+        Admission::Refused {
+            feature,
+            trial_in_ms: 0,
+        } => {
+            let is_trial = claim_trial(shared, call).await;
+            log::warn!(
+                step = "crash_trial", request_id = call.meta.id.as_str(), feature = hex(feature).as_str(),
+                crashes = shared.crashes.attribution.borrow().crashes(feature), is_claimed = is_trial,
+                at_ms = shared.now_ms();
+                "{}", if is_trial {
+                    "sending one request with a feature of requests that crashed upstreams"
+                } else {
+                    "another gateway may be trying a request with this feature"
+                }
+            );
+            if !is_trial {
+                return Err(refuse(shared, call, feature, 0));
+            }
+            call.is_trial.set(true);
+            Ok(())
+        }
+        Admission::Refused {
+            feature,
+            trial_in_ms,
+        } => Err(refuse(shared, call, feature, trial_in_ms)),
+    }
+}
+
+fn admission(shared: &Shared, call: &Call<'_>) -> Admission {
     let attribution = shared.crashes.attribution.borrow();
     if attribution.refused_count() == 0 {
-        return Ok(());
+        return Admission::Allowed;
     }
-    let now_ms = shared.now_ms();
-    let features = call.features();
-    let Admission::Refused {
-        feature,
-        trial_in_ms,
-    } = attribution.admission(features, now_ms)
-    else {
-        return Ok(());
-    };
+    attribution.admission(call.features(), shared.now_ms())
+}
+
+fn refuse(shared: &Shared, call: &Call<'_>, feature: Feature, trial_in_ms: u64) -> CrashRefusal {
+    let attribution = shared.crashes.attribution.borrow();
     let crashes = attribution.crashes(feature);
+    let is_suspended = attribution.is_suspended(feature);
     drop(attribution);
-    if trial_in_ms == 0 && is_trial_gateway(shared, feature) {
-        shared
-            .crashes
-            .attribution
-            .borrow_mut()
-            .begin_trial(features, now_ms);
-        log::warn!(
-            step = "crash_trial", request_id = call.meta.id.as_str(), feature = hex(feature).as_str(),
-            crashes = crashes, at_ms = now_ms;
-            "sending one request with a feature of requests that crashed upstreams"
-        );
-        return Ok(());
-    }
     shared.metrics.add("crash_refusals", 1);
     let feature = hex(feature);
-    Err(CrashRefusal {
-        reason: format_compact!(
-            "upstreams crashed {crashes} times on requests with feature {feature}"
-        ),
-        retry_after_ms: trial_in_ms.max(LONG_POLL_MS),
-    })
+    // The result of a trial is soon known, and the callers of a sound request come back to an upstream that serves it.
+    let (reason, retry_after_ms) = if is_suspended {
+        (
+            format_compact!(
+                "several upstreams ended on requests with feature {feature}, one is tried at a time"
+            ),
+            call.retry_after_ms(),
+        )
+    } else {
+        (
+            format_compact!("upstreams crashed {crashes} times on requests with feature {feature}"),
+            Some(trial_in_ms.max(MIN_RETRY_AFTER_MS)),
+        )
+    };
+    CrashRefusal {
+        reason,
+        retry_after_ms: retry_after_ms.unwrap_or(MIN_RETRY_AFTER_MS),
+    }
+}
+
+/// Resets a flag when it is dropped, also if the task that set it is cancelled.
+struct ResetOnDrop<'a>(&'a Cell<bool>);
+
+impl Drop for ResetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
+/// Claims the next trial of the refused features of a request for this gateway; returns whether it has it.
+///
+/// Without the store nobody can be asked, so each gateway then makes trials of its own, one at a time.
+async fn claim_trial(shared: &Shared, call: &Call<'_>) -> bool {
+    let crashes = &shared.crashes;
+    let features = call.features();
+    let begin_alone = || {
+        let mut attribution = crashes.attribution.borrow_mut();
+        attribution.begin_trial(features, shared.now_ms());
+        true
+    };
+    if !shared.store.is_responsive() {
+        return begin_alone();
+    }
+    let position = crashes.position.get();
+    let Some(position) = position.filter(|read| read.epoch == shared.store.epoch()) else {
+        return false;
+    };
+    if crashes.is_claiming.replace(true) {
+        return false;
+    }
+    let _claiming = ResetOnDrop(&crashes.is_claiming);
+    let Some(report) = crashes.attribution.borrow_mut().claim_trial(features) else {
+        return false;
+    };
+    let record = record_of(shared, &report);
+    let append = shared
+        .store
+        .append(Feed::Crashes, Some(position.end), record);
+    match append.await {
+        Ok(AppendOutcome::Written) => {
+            let mut attribution = crashes.attribution.borrow_mut();
+            attribution.merge(&report, true, clocks(shared));
+            attribution.record_published(&report);
+            true
+        }
+        Ok(AppendOutcome::Moved) => false,
+        Err(error) => {
+            log::info!(step = "claim trial", at_ms = shared.now_ms(); "no claim: {error}");
+            !shared.store.is_responsive() && begin_alone()
+        }
+    }
 }
 
-/// Returns whether this gateway is the one that tries requests with a feature again.
-fn is_trial_gateway(shared: &Shared, feature: Feature) -> bool {
-    let routers = shared.routers.borrow();
-    let ranked = holders::rank(&hex(feature), routers.candidates());
-    ranked
-        .first()
-        .is_some_and(|first| first.vm == shared.settings.vm)
+/// Records that a request has ended, so that the next trial may begin if this one had no result.
+///
+/// A crash under the request is judged first, see [`judge_suspects`].
+pub(super) fn record_end(shared: &Shared, call: &Call<'_>) {
+    if !call.is_trial.get() {
+        return;
+    }
+    let crashes = &shared.crashes;
+    let is_suspect =
+        |suspect: &PendingSuspect| suspect.is_trial && suspect.request_id == call.meta.id;
+    if crashes.pending.borrow().iter().any(is_suspect) {
+        return;
+    }
+    crashes.attribution.borrow_mut().end_trial(call.features());
+    crashes.changed.notify();
 }
 
 /// Records that a response to a request has begun.
 pub(super) fn record_served(shared: &Shared, call: &Call<'_>) {
     let crashes = &shared.crashes;
-    if crashes.attribution.borrow().is_empty() {
+    let has_pending = !crashes.pending.borrow().is_empty();
+    if crashes.attribution.borrow().is_empty() && !has_pending {
         return;
     }
+    if has_pending {
+        let served = call.features();
+        for suspect in crashes.pending.borrow_mut().iter_mut() {
+            suspect.features.retain(|feature| !served.contains(feature));
+        }
+    }
     let clocks = clocks(shared);
     let before = crashes.attribution.borrow().refused_count();
     let is_changed = crashes
@@ -229,53 +354,79 @@
             .attribution
             .borrow_mut()
             .explain(crash, now_ms);
-        count_crash(shared, &call.meta.id, lost.upstream, features, lost.sent_ms);
+        let suspect = suspect(shared, call, &lost, crash);
+        count_crash(shared, &suspect);
         return;
     }
     let mut pending = shared.crashes.pending.borrow_mut();
     if pending.len() < MAX_PENDING_SUSPECTS {
-        pending.push(PendingSuspect {
-            request_id: call.meta.id.clone(),
-            upstream: lost.upstream.into(),
-            features: features.to_vec(),
-            crash,
-            sent_ms: lost.sent_ms,
-            due_ms: shared.now_ms() + EXPLANATION_DELAY_MS,
-        });
+        pending.push(suspect(shared, call, &lost, crash));
     }
+    drop(pending);
     shared.crashes.changed.notify();
 }
 
-fn count_crash(
+fn suspect(
     shared: &Shared,
-    request_id: &str,
-    upstream: &str,
-    features: &[Feature],
-    sent_ms: u64,
-) {
+    call: &Call<'_>,
+    lost: &LostConnection<'_>,
+    crash: CrashId,
+) -> PendingSuspect {
+    PendingSuspect {
+        request_id: call.meta.id.clone(),
+        upstream: lost.upstream.into(),
+        features: call.features().to_vec(),
+        crash,
+        sent_ms: lost.sent_ms,
+        is_trial: call.is_trial.get(),
+        due_ms: shared.now_ms() + EXPLANATION_DELAY_MS,
+    }
+}
+
+fn count_crash(shared: &Shared, suspect: &PendingSuspect) {
     let clocks = clocks(shared);
+    let features = suspect.features.as_slice();
     let mut attribution = shared.crashes.attribution.borrow_mut();
     let counts_before = counts(&attribution, features);
-    let reached = attribution.record_crash(features, sent_ms, clocks);
+    let reached = attribution.record_crash(features, suspect.crash, suspect.sent_ms, clocks);
     log::info!(
-        step = "crash_count", request_id = request_id, upstream = upstream,
-        whole = whole(features).as_str(), sent_ms = sent_ms,
-        before = counts_before.as_str(), after = counts(&attribution, features).as_str(),
-        at_ms = clocks.now_ms;
+        step = "crash_count", request_id = suspect.request_id.as_str(),
+        upstream = suspect.upstream.as_str(), whole = whole(features).as_str(),
+        sent_ms = suspect.sent_ms, before = counts_before.as_str(),
+        after = counts(&attribution, features).as_str(), at_ms = clocks.now_ms;
         "counted a crash for the features of a request; those whose previous crash became known after it was sent \
          keep their count"
     );
     for feature in reached {
-        log::warn!(
-            step = "crash_limit", request_id = request_id, feature = hex(feature).as_str(),
-            crashes = attribution.crashes(feature), at_ms = clocks.now_ms;
-            "refusing requests with this feature, because upstreams crashed on them"
-        );
+        log_limit(&attribution, feature, &suspect.request_id, "", clocks);
     }
     drop(attribution);
     shared.crashes.changed.notify();
 }
 
+/// Logs whether requests with a feature are refused, after a request of this gateway or a report of a peer changed that.
+fn log_limit(
+    attribution: &CrashAttribution,
+    feature: Feature,
+    request_id: &str,
+    peer: &str,
+    clocks: Clocks,
+) {
+    let crashes = attribution.crashes(feature);
+    let message = if attribution.is_suspended(feature) {
+        "trying requests with this feature one at a time, because several upstreams ended on them"
+    } else if crashes >= CRASH_LIMIT {
+        "refusing requests with this feature, because upstreams crashed on them"
+    } else {
+        "requests with this feature are no longer refused, because a response to one has begun"
+    };
+    log::warn!(
+        step = "crash_limit", request_id = request_id, peer = peer, feature = hex(feature).as_str(),
+        crashes = crashes, is_suspended = attribution.is_suspended(feature), at_ms = clocks.now_ms;
+        "{message}"
+    );
+}
+
 /// Counts the suspects of crashes that nobody explained in time, until the process ends.
 pub(super) async fn judge_suspects(shared: Rc<Shared>) {
     loop {
@@ -296,19 +447,10 @@
             due
         };
         for suspect in due {
-            let is_explained = shared
-                .crashes
-                .attribution
-                .borrow()
-                .is_explained(suspect.crash);
+            let attribution = &shared.crashes.attribution;
+            let is_explained = attribution.borrow().is_explained(suspect.crash);
             if !is_explained {
-                count_crash(
-                    &shared,
-                    &suspect.request_id,
-                    &suspect.upstream,
-                    &suspect.features,
-                    suspect.sent_ms,
-                );
+                count_crash(&shared, &suspect);
             } else {
                 log::info!(
                     step = "crash_count", request_id = suspect.request_id.as_str(),
@@ -317,6 +459,9 @@
                     "not counted, another request is known to have caused the crash"
                 );
             }
+            if suspect.is_trial {
+                attribution.borrow_mut().end_trial(&suspect.features);
+            }
         }
     }
 }
@@ -335,6 +480,7 @@
         for record in batch.records {
             merge(&shared, &record);
         }
+        shared.crashes.position.set(reader.position());
         shared.crashes.is_loaded.set(true);
         shared.crashes.changed.notify();
         expire(&shared);
@@ -359,11 +505,7 @@
     let is_own = record.key == shared.settings.vm;
     let mut attribution = shared.crashes.attribution.borrow_mut();
     for feature in attribution.merge(&report, is_own, clocks) {
-        log::warn!(
-            step = "crash_limit", peer = record.key.as_str(), feature = hex(feature).as_str(),
-            crashes = attribution.crashes(feature), at_ms = clocks.now_ms;
-            "another gateway changed whether requests with this feature are refused"
-        );
+        log_limit(&attribution, feature, "", record.key.as_str(), clocks);
     }
 }
 
@@ -381,7 +523,7 @@
 /// Writes what this gateway has found out, until the process ends.
 pub(super) async fn report(shared: Rc<Shared>) {
     let crashes = &shared.crashes;
-    let has_crash = || crashes.attribution.borrow().has_unreported_crash();
+    let is_urgent = || crashes.attribution.borrow().has_urgent_report();
     loop {
         let needs_report = || {
             let is_needed = crashes.is_loaded.get() && crashes.attribution.borrow().needs_report();
@@ -390,9 +532,9 @@
         crashes.changed.wait_for(needs_report).await;
         let jitter_ms = u64::from(shared.random() % SUCCESS_REPORT_JITTER_MS);
         let delay = Duration::from_millis(MIN_SUCCESS_REPORT_DELAY_MS + jitter_ms);
-        let crash = crashes.changed.wait_for(|| has_crash().then_some(()));
-        // Whether a crash is to be reported or the delay has ended, the report follows.
-        let _ = monoio::time::timeout(delay, crash).await;
+        let urgent = crashes.changed.wait_for(|| is_urgent().then_some(()));
+        // Whether the others must learn something at once or the delay has ended, the report follows.
+        let _ = monoio::time::timeout(delay, urgent).await;
         monoio::time::sleep(CRASH_REPORT_DELAY).await;
         if needs_report().is_some() {
             write_report(&shared).await;
@@ -402,10 +544,7 @@
 
 async fn write_report(shared: &Shared) {
     let report = shared.crashes.attribution.borrow_mut().report();
-    let record = Record {
-        key: shared.settings.vm.clone(),
-        value: Some(report.encode_to_vec().into()),
-    };
+    let record = record_of(shared, &report);
     match shared.store.append(Feed::Crashes, None, record).await {
         Ok(_) => shared
             .crashes
@@ -419,6 +558,13 @@
     }
 }
 
+fn record_of(shared: &Shared, report: &CrashReport) -> Record {
+    Record {
+        key: shared.settings.vm.clone(),
+        value: Some(report.encode_to_vec().into()),
+    }
+}
+
 fn clocks(shared: &Shared) -> Clocks {
     Clocks {
         now_ms: shared.now_ms(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -39,6 +39,8 @@
     started_ms: u64,
     end_ms: u64,
     retry_jitter_ms: u64,
+    /// Whether the request is sent to find out whether it still crashes upstreams.
+    pub(super) is_trial: Cell<bool>,
     /// Features by which crashes are attributed; computed only if they are needed, because the body is hashed.
     features: OnceCell<Vec<Feature>>,
 }
@@ -145,7 +147,11 @@
     let meta = headers::request_meta(&request.headers);
     let id = meta.id.clone();
     match prepare(shared, request, meta, started_ms) {
-        Ok(call) => run(shared, &call, caller).await,
+        Ok(call) => {
+            let keeps_connection = run(shared, &call, caller).await;
+            crashes::record_end(shared, &call);
+            keeps_connection
+        }
         Err(refused) => {
             log_refusal(shared, &id, &refused, started_ms);
             send_refusal(shared, caller, request, &id, &refused).await
@@ -202,6 +208,7 @@
         started_ms,
         end_ms,
         retry_jitter_ms,
+        is_trial: Cell::new(false),
         features: OnceCell::new(),
         table,
     })
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -35,9 +35,10 @@
 
 /// Position up to which a feed was read.
 #[derive(Clone, Copy)]
-struct FeedPosition {
-    end: u64,
-    epoch: u64,
+pub(super) struct FeedPosition {
+    pub(super) end: u64,
+    /// Epoch of the store in which alone the position is valid.
+    pub(super) epoch: u64,
 }
 
 /// Reader of one feed: a snapshot first, then the changes.
@@ -75,6 +76,11 @@
         }
     }
 
+    /// Returns the position up to which the feed has been read.
+    pub(super) fn position(&self) -> Option<FeedPosition> {
+        self.position
+    }
+
     /// Reads the snapshot or the next changes; returns `None` if the read failed or the next one must be a snapshot.
     pub(super) async fn read(&mut self, shared: &Shared, wait_ms: u64) -> Option<Batch> {
         let result = match self.position {
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -248,7 +248,7 @@
         if let Err(error) = fleet.write(Entry::Crash(crash)) {
             log::warn!(step = "crash", peer = slot.name.as_str(); "{error}");
         }
-        crash_counts::record_crash(self.shared, self.call, self.sent_ms);
+        crash_counts::record_crash(self.shared, self.call, &slot.name, self.sent_ms);
         let is_refused = self.shared.is_quarantined(fingerprint)
             || crash_counts::is_refused(self.shared, self.call);
         if is_refused {
--- a/src/router/crash_counts.rs
+++ b/src/router/crash_counts.rs
@@ -6,9 +6,11 @@
 
 use std::cell::{Cell, RefCell};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::call::Call;
 use super::{wall_clock_ms, Shared};
-use crate::crash_attribution::{Admission, Clocks, CrashAttribution, CrashReport};
+use crate::crash_attribution::{Admission, Clocks, CrashAttribution, CrashId, CrashReport};
 use crate::message::PeerMessage;
 
 /// Interval at which counts are sent again, for routers that have joined or were unreachable.
@@ -38,13 +40,12 @@
 }
 
 /// Counts a crash of an upstream for a request that was sent at `sent_ms`, and tells the other routers.
-pub(super) fn record_crash(shared: &Shared, call: &Call, sent_ms: u64) {
+pub(super) fn record_crash(shared: &Shared, call: &Call, upstream: &str, sent_ms: u64) {
     let counts = &shared.crash_counts;
-    let reached =
-        counts
-            .attribution
-            .borrow_mut()
-            .record_crash(&call.features, sent_ms, clocks(shared));
+    let crash = CrashId(xxh3_64(upstream.as_bytes()));
+    let mut attribution = counts.attribution.borrow_mut();
+    let reached = attribution.record_crash(&call.features, crash, sent_ms, clocks(shared));
+    drop(attribution);
     for feature in reached {
         log::warn!(
             step = "crash limit", request_key:% = call.key, feature = format!("{:016x}", feature.0);
--- a/tests/crash_attribution.rs
+++ b/tests/crash_attribution.rs
@@ -46,11 +46,29 @@
     )
 }
 
+/// Returns the time until such a request is tried; `None` if it is sent without a trial.
+fn trial_in_ms(attribution: &CrashAttribution, features: &[Feature], now_ms: u64) -> Option<u64> {
+    match attribution.admission(features, now_ms) {
+        Admission::Allowed => None,
+        Admission::Refused { trial_in_ms, .. } => Some(trial_in_ms),
+    }
+}
+
+/// Counts a crash of a process of its own under a request.
+fn count_crash(
+    attribution: &mut CrashAttribution,
+    features: &[Feature],
+    sent_ms: u64,
+    now_ms: u64,
+) {
+    attribution.record_crash(features, CrashId(now_ms), sent_ms, at(now_ms));
+}
+
 /// Counts crashes of requests with these parts, each sent after the crash before.
 fn crash_times(attribution: &mut CrashAttribution, parts: &[Feature], times: u64, from_ms: u64) {
-    for crash in 0..times {
-        let sent_ms = from_ms + crash * 100;
-        attribution.record_crash(&request(parts, sent_ms), sent_ms, at(sent_ms + 50));
+    for crashes in 0..times {
+        let sent_ms = from_ms + crashes * 100;
+        count_crash(attribution, &request(parts, sent_ms), sent_ms, sent_ms + 50);
     }
 }
 
@@ -63,7 +81,7 @@
         let next = request(&[SYSTEM, DEADLY], crash);
         assert!(!is_refused(&attribution, &next, now_ms), "crash {crash}");
         attribution.record_success(&request(&[SYSTEM], 50 + crash), at(now_ms));
-        attribution.record_crash(&next, now_ms, at(now_ms + 10));
+        count_crash(&mut attribution, &next, now_ms, now_ms + 10);
     }
     assert!(is_refused(
         &attribution,
@@ -79,12 +97,69 @@
 fn upstreams_that_end_together_count_once() {
     let mut attribution = CrashAttribution::default();
     for number in 0..20 {
-        attribution.record_crash(&request(&[SYSTEM], number), 100, at(200 + number));
+        let process = CrashId(number % 2);
+        attribution.record_crash(&request(&[SYSTEM], number), process, 100, at(200 + number));
     }
     assert_eq!(attribution.crashes(SYSTEM), 1);
     assert_eq!(attribution.refused_count(), 0);
 }
 
+/// Guards against refusing requests for long because all upstreams ended at the same time for their own reasons.
+#[test]
+fn requests_of_many_upstreams_that_end_together_are_tried_at_once_and_released() {
+    let mut attribution = CrashAttribution::default();
+    for number in 0..20 {
+        count_crash(
+            &mut attribution,
+            &request(&[SYSTEM], number),
+            100,
+            200 + number,
+        );
+    }
+    assert_eq!(attribution.crashes(SYSTEM), 1);
+    let next = request(&[SYSTEM], 30);
+    assert_eq!(trial_in_ms(&attribution, &next, 300), Some(0));
+    attribution.begin_trial(&next, 300);
+    let other = request(&[SYSTEM], 31);
+    assert!(
+        trial_in_ms(&attribution, &other, 310) > Some(0),
+        "one at a time"
+    );
+
+    attribution.record_success(&next, at(350));
+
+    assert_eq!(trial_in_ms(&attribution, &other, 351), None);
+    assert!(
+        attribution.has_urgent_report(),
+        "the others refuse it still"
+    );
+}
+
+/// Guards against a suspension that never ends because the router that made the trial has ended, or its trial had no
+/// result.
+#[test]
+fn a_trial_without_a_result_is_followed_by_another_one() {
+    let mut attribution = CrashAttribution::default();
+    let copy = [Feature(77)];
+    for number in 0..3 {
+        count_crash(&mut attribution, &copy, 100, 200 + number);
+    }
+    attribution.begin_trial(&copy, 1_000);
+    let timeout_ms = trial_in_ms(&attribution, &copy, 1_000).expect("it is suspended");
+    assert_eq!(
+        trial_in_ms(&attribution, &copy, 1_000 + timeout_ms),
+        Some(0)
+    );
+
+    attribution.end_trial(&copy);
+
+    assert_eq!(trial_in_ms(&attribution, &copy, 1_001), Some(0));
+    assert!(
+        attribution.has_urgent_report(),
+        "any router may make the next trial"
+    );
+}
+
 /// Guards against refusing sound requests that share a part with others that were running when upstreams crashed.
 #[test]
 fn a_response_that_begins_proves_its_features_harmless() {
@@ -121,7 +196,7 @@
     crash_times(&mut attribution, &[SUBJECT, DEADLY], 3, 0);
     let elsewhere = request(&[SYSTEM, DEADLY], 20);
     assert!(!is_refused(&attribution, &elsewhere, 1_000));
-    attribution.record_crash(&elsewhere, 1_000, at(1_050));
+    count_crash(&mut attribution, &elsewhere, 1_000, 1_050);
     assert!(is_refused(&attribution, &request(&[DEADLY], 21), 1_100));
 }
 
@@ -131,7 +206,7 @@
     let mut attribution = CrashAttribution::default();
     let same = [Feature(77)];
     for crash in 0..3 {
-        attribution.record_crash(&same, crash * 100, at(crash * 100 + 20));
+        count_crash(&mut attribution, &same, crash * 100, crash * 100 + 20);
     }
     assert!(is_refused(&attribution, &same, 1_000));
     assert!(!is_refused(&attribution, &[Feature(78)], 1_000));
@@ -149,7 +224,7 @@
         match attribution.admission(&features, now_ms) {
             Admission::Refused { trial_in_ms: 0, .. } => {
                 attribution.begin_trial(&features, now_ms);
-                attribution.record_crash(&features, now_ms, at(now_ms + 100));
+                count_crash(&mut attribution, &features, now_ms, now_ms + 100);
                 trials += 1;
             }
             Admission::Refused { trial_in_ms, .. } => now_ms += trial_in_ms,
@@ -171,12 +246,17 @@
     let mut attribution = CrashAttribution::default();
     crash_times(&mut attribution, &[DEADLY], 3, 0);
     let parts: Vec<Feature> = (0..1_000).map(|part| Feature(5_000_000 + part)).collect();
-    attribution.record_crash(&request(&parts, 0), 1_000, at(1_001));
+    count_crash(&mut attribution, &request(&parts, 0), 1_000, 1_001);
     for number in 0..200 {
         let parts: Vec<Feature> = (0..60)
             .map(|part| Feature(9_000_000 + 100 * number + part))
             .collect();
-        attribution.record_crash(&request(&parts, number), 2_000, at(2_001 + number));
+        count_crash(
+            &mut attribution,
+            &request(&parts, number),
+            2_000,
+            2_001 + number,
+        );
         attribution.explain(CrashId(number), 2_001 + number);
     }
     assert!(attribution.len() <= MAX_FEATURES, "{}", attribution.len());
@@ -216,7 +296,7 @@
                     writers[writer].merge(report, false, at(now_ms));
                 }
                 _ => {
-                    writers[writer].record_crash(&parts, now_ms, at(now_ms));
+                    count_crash(&mut writers[writer], &parts, now_ms, now_ms);
                 }
             }
         }
@@ -256,7 +336,7 @@
     proving.merge(&crashes, false, at(400));
     proving.record_success(&request(&[SUBJECT], 1), at(500));
     let proof = proving.report();
-    proving.record_crash(&request(&[SUBJECT], 2), 600, at(700));
+    count_crash(&mut proving, &request(&[SUBJECT], 2), 600, 700);
     let crash_after_proof = proving.report();
     let orders = [
         [&crashes, &proof, &crash_after_proof],
@@ -386,7 +466,7 @@
             let attribution = &mut self.gateways[gateway].attribution;
             if is_deadly {
                 self.crashes.push(now_ms);
-                attribution.record_crash(&features, sent_ms, at(now_ms));
+                count_crash(attribution, &features, sent_ms, now_ms);
             } else {
                 attribution.record_success(&features, at(now_ms));
             }
@@ -533,12 +613,216 @@
     second.forget_published();
 
     assert!(first.needs_report() && second.needs_report());
-    assert!(!second.has_unreported_crash(), "the others know the crash");
+    assert!(!second.has_urgent_report(), "the others know the crash");
     let again = second.report();
     second.record_published(&again);
     first.merge(&again, false, at(400));
     assert!(!first.needs_report() && !second.needs_report());
     assert_eq!(first.crashes(DEADLY), 2);
     crash_times(&mut first, &[DEADLY], 1, 500);
-    assert!(first.has_unreported_crash());
+    assert!(first.has_urgent_report());
+}
+
+/// Time that copies of a request run before their upstream ends or responds.
+const RUN_MS: u64 = 30;
+
+/// Time from a crash until it is counted.
+const JUDGEMENT_MS: u64 = 60;
+
+/// Mean time until a report is written that is not urgent.
+const REPORT_DELAY_MS: u64 = 300;
+
+/// Time in which an upstream restarts.
+const RESTART_MS: u64 = 3_000;
+
+/// Which copies of one request end their upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Copies {
+    /// Each one.
+    Deadly,
+    /// None; the first so many upstreams end together every five seconds for their own reasons.
+    Sound { ending: usize },
+}
+
+/// A copy at an upstream: gateway, time sent, time of its end.
+type RunningCopy = (usize, u64, u64);
+
+/// A small service whose upstreams many gateways send copies of one request, with a store that orders their reports.
+struct CopyModel {
+    random: Pcg64Mcg,
+    copies: Copies,
+    gateways: Vec<CrashAttribution>,
+    /// Number of reports that each gateway has read.
+    read: Vec<usize>,
+    /// Reports in the store, with the time at which they reach the gateways.
+    reports: Vec<(u64, usize, CrashReport)>,
+    upstreams: Vec<Vec<RunningCopy>>,
+    down_until_ms: Vec<u64>,
+    /// Crashes that are not counted yet: time due, process, gateway, time sent.
+    suspects: Vec<(u64, CrashId, usize, u64)>,
+    crashes: Vec<u64>,
+    late_copies: usize,
+    served: usize,
+    refused: usize,
+}
+
+impl CopyModel {
+    const COPY: [Feature; 1] = [Feature(77)];
+
+    fn new(copies: Copies, gateways: usize, upstreams: usize, seed: u64) -> Self {
+        Self {
+            random: Pcg64Mcg::seed_from_u64(seed),
+            copies,
+            gateways: vec![CrashAttribution::default(); gateways],
+            read: vec![0; gateways],
+            reports: Vec::new(),
+            upstreams: vec![Vec::new(); upstreams],
+            down_until_ms: vec![0; upstreams],
+            suspects: Vec::new(),
+            crashes: Vec::new(),
+            late_copies: 0,
+            served: 0,
+            refused: 0,
+        }
+    }
+
+    fn crash(&mut self, upstream: usize, now_ms: u64) {
+        let process = CrashId(now_ms * 1_000 + upstream as u64);
+        for (gateway, sent_ms, _) in std::mem::take(&mut self.upstreams[upstream]) {
+            let suspect = (now_ms + JUDGEMENT_MS, process, gateway, sent_ms);
+            self.suspects.push(suspect);
+        }
+        self.down_until_ms[upstream] = now_ms + RESTART_MS;
+        self.crashes.push(now_ms);
+    }
+
+    /// Ends the copies that are due, counts crashes and exchanges reports.
+    fn advance(&mut self, now_ms: u64) {
+        for upstream in 0..self.upstreams.len() {
+            let is_due = |copy: &RunningCopy| copy.2 <= now_ms;
+            let is_any_due = self.upstreams[upstream].iter().any(is_due);
+            match self.copies {
+                Copies::Deadly if is_any_due => self.crash(upstream, now_ms),
+                Copies::Sound { ending } if upstream < ending && now_ms % 5_000 == 4_000 => {
+                    self.crash(upstream, now_ms);
+                }
+                _ => {}
+            }
+            let (due, later) = self.upstreams[upstream].drain(..).partition(is_due);
+            self.upstreams[upstream] = later;
+            let due: Vec<RunningCopy> = due;
+            for (gateway, ..) in due {
+                self.served += 1;
+                self.gateways[gateway].record_success(&Self::COPY, at(now_ms));
+            }
+        }
+        let (due, later) = self
+            .suspects
+            .drain(..)
+            .partition(|suspect| suspect.0 <= now_ms);
+        self.suspects = later;
+        let due: Vec<(u64, CrashId, usize, u64)> = due;
+        for (_, process, gateway, sent_ms) in due {
+            self.gateways[gateway].record_crash(&Self::COPY, process, sent_ms, at(now_ms));
+        }
+        for (index, gateway) in self.gateways.iter_mut().enumerate() {
+            while let Some((due_ms, writer, report)) = self.reports.get(self.read[index]) {
+                if *due_ms > now_ms {
+                    break;
+                }
+                gateway.merge(report, *writer == index, at(now_ms));
+                self.read[index] += 1;
+            }
+            let is_due = self.random.random_range(0..REPORT_DELAY_MS) < STEP_MS;
+            if gateway.has_urgent_report() || (is_due && gateway.needs_report()) {
+                let report = gateway.report();
+                gateway.record_published(&report);
+                self.reports.push((now_ms + REPORT_MS, index, report));
+            }
+        }
+    }
+
+    /// Claims a trial: the report is written only if this gateway has read all others.
+    fn claim(&mut self, gateway: usize, now_ms: u64) -> bool {
+        let Some(report) = self.gateways[gateway].claim_trial(&Self::COPY) else {
+            return false;
+        };
+        if self.read[gateway] < self.reports.len() {
+            return false;
+        }
+        self.gateways[gateway].merge(&report, true, at(now_ms));
+        self.gateways[gateway].record_published(&report);
+        self.reports.push((now_ms + REPORT_MS, gateway, report));
+        true
+    }
+
+    fn send(&mut self, now_ms: u64) {
+        let up: Vec<usize> = (0..self.upstreams.len())
+            .filter(|upstream| self.down_until_ms[*upstream] <= now_ms)
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        let gateway = self.random.random_range(0..self.gateways.len());
+        let is_sent = match trial_in_ms(&self.gateways[gateway], &Self::COPY, now_ms) {
+            None => true,
+            Some(0) => self.claim(gateway, now_ms),
+            Some(_) => false,
+        };
+        if !is_sent {
+            self.refused += 1;
+            return;
+        }
+        let third_ms = self.crashes.get(2);
+        let is_late = third_ms.is_some_and(|third_ms| now_ms > third_ms + CONTACT_MS);
+        self.late_copies += usize::from(is_late);
+        let upstream = up[self.random.random_range(0..up.len())];
+        let end_ms = now_ms + self.random.random_range(1..2 * RUN_MS);
+        self.upstreams[upstream].push((gateway, now_ms, end_ms));
+    }
+}
+
+fn play_copies(copies: Copies, gateways: usize, upstreams: usize, seed: u64) -> CopyModel {
+    let mut model = CopyModel::new(copies, gateways, upstreams, seed);
+    for now_ms in (0..30_000).step_by(STEP_MS as usize) {
+        model.advance(now_ms);
+        if model.random.random_range(0..1_000) < 60 * STEP_MS {
+            model.send(now_ms);
+        }
+    }
+    model
+}
+
+/// Guards against incident "copies of one request crash all upstreams of a service twice": all upstreams end before the
+/// first crash is known, and copies from all gateways wait for their return.
+#[test]
+fn copies_that_end_all_upstreams_are_tried_one_at_a_time_when_they_return() {
+    for (gateways, upstreams) in [(1, 3), (6, 3), (6, 9), (95, 3), (95, 20)] {
+        for seed in 0..10 {
+            let model = play_copies(Copies::Deadly, gateways, upstreams, seed);
+            let case = format!("{gateways} gateways, {upstreams} upstreams, seed {seed}");
+            let late = model.late_copies;
+            assert!(model.crashes.len() >= 3, "{case}");
+            assert!(late <= MAX_FURTHER_REQUESTS, "{case}: {late} late copies");
+        }
+    }
+}
+
+/// Guards against refusing copies of a sound request because the upstreams that ran them ended together.
+#[test]
+fn copies_of_a_sound_request_are_served_although_upstreams_end_together() {
+    for (gateways, upstreams, ending) in [(6, 3, 2), (95, 3, 2), (6, 3, 3), (95, 20, 10)] {
+        for seed in 0..10 {
+            let model = play_copies(Copies::Sound { ending }, gateways, upstreams, seed);
+            let case = format!("{gateways} gateways, {ending} of {upstreams} end, seed {seed}");
+            let (served, refused) = (model.served, model.refused);
+            if ending < 3 {
+                assert_eq!(refused, 0, "{case}");
+            }
+            assert!(
+                refused * 50 <= served,
+                "{case}: {refused} of {served} refused"
+            );
+        }
+    }
 }
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -448,3 +448,52 @@
     );
     wait_restarted(&fleet);
 }
+
+fn wait_suspended(fleet: &Fleet) {
+    for gateway in &fleet.gateways {
+        wait_for("the suspension", || {
+            let lines = gateway.log_lines_with_step("crash_limit");
+            lines.iter().any(|line| line["is_suspended"] == true)
+        });
+    }
+}
+
+/// Guards against refusing copies of a sound request for long because all upstreams ended together while they ran some.
+#[test]
+fn copies_of_a_sound_request_are_served_when_the_upstreams_return() {
+    let (crashes, upstreams) = CopyCrashes::start(false);
+    let fleet = start_fleet_of(3, upstreams);
+    crashes.end_all_upstreams(&fleet);
+    wait_suspended(&fleet);
+    wait_restarted(&fleet);
+
+    let first = send_copy(&fleet.gateways[0], 100);
+
+    assert_eq!(first.status(), 200, "{}", first.text());
+    for (number, gateway) in fleet.gateways.iter().enumerate() {
+        wait_for("a copy that is served", || {
+            send_copy(gateway, 200 + number).status() == 200
+        });
+    }
+    for gateway in &fleet.gateways {
+        let lines = gateway.log_lines_with_step("crash_limit");
+        assert!(lines.iter().all(|line| line["crashes"] != 3), "{lines:?}");
+    }
+}
+
+/// Guards against a suspension that lasts as long as an outage of the store, in which no gateway can claim the trial.
+#[test]
+fn copies_of_a_sound_request_are_served_while_the_store_is_silent() {
+    let (crashes, upstreams) = CopyCrashes::start(false);
+    let fleet = start_fleet_of(2, upstreams);
+    crashes.end_all_upstreams(&fleet);
+    wait_suspended(&fleet);
+    fleet.store.set_mode(StoreMode::Silent);
+    wait_restarted(&fleet);
+
+    for (number, gateway) in fleet.gateways.iter().enumerate() {
+        wait_for("a copy that is served", || {
+            send_copy(gateway, 100 + number).status() == 200
+        });
+    }
+}
