Router role: do not run copies that waited while their request was quarantined

A request is checked against the quarantine when it is accepted. Copies that wait in the queue of a pool, or for an engine of their own, are dispatched although two engines have crashed on the request meanwhile, and end the next engine that becomes free.

The check is now repeated when a slot is granted and while a crash suspect waits for its engine. A request that this router tries again is known by its key, so that the repeated check does not refuse the trial.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -94,7 +94,11 @@
         let queued_ms = shared.now_ms();
         let excluded = self.isolate().await?;
         let admitted = pools::admit(shared, call, &self.version, &excluded).await;
-        let slot = admitted.map_err(|refused| self.with_execution_status(refused))?;
+        let mut slot = admitted.map_err(|refused| self.with_execution_status(refused))?;
+        if let Err(refused) = self.check_quarantine() {
+            self.release(&mut slot);
+            return Err(refused);
+        }
         self.sent_ms = shared.now_ms();
         let wait_ms = self.sent_ms - queued_ms;
         shared
@@ -112,6 +116,16 @@
         Ok(slot)
     }
 
+    /// Checks that the request was not quarantined while it waited.
+    fn check_quarantine(&self) -> Result<(), Refused> {
+        let is_refused = self.shared.is_quarantined(self.call.fingerprint)
+            || crash_counts::is_refused(self.shared, self.call);
+        if is_refused {
+            return Err(quarantined());
+        }
+        Ok(())
+    }
+
     /// Returns the upstreams to exclude; for a crash suspect, all except one that is reserved for it.
     async fn isolate(&mut self) -> Result<Vec<UpstreamKey>, Refused> {
         if !self.is_crash_suspect {
@@ -124,6 +138,7 @@
             .route_key(&call.route, &call.target_name);
         self.isolation = None;
         loop {
+            self.check_quarantine()?;
             if let Some(isolation) = Isolation::acquire(shared, pool, route, &self.excluded) {
                 let others = shared.pools.borrow().all_except(pool, isolation.upstream());
                 self.isolation = Some(isolation);
@@ -249,11 +264,9 @@
             log::warn!(step = "crash", peer = slot.name.as_str(); "{error}");
         }
         crash_counts::record_crash(self.shared, self.call, &slot.name, self.sent_ms);
-        let is_refused = self.shared.is_quarantined(fingerprint)
-            || crash_counts::is_refused(self.shared, self.call);
-        if is_refused {
+        if let Err(refused) = self.check_quarantine() {
             self.finish_slot(slot, SlotOutcome::Neutral);
-            return Err(quarantined());
+            return Err(refused);
         }
         self.record_evidence(evidence::Outcome::Failure);
         self.finish_slot(slot, SlotOutcome::ConnectionRefused);
--- a/src/router/crash_counts.rs
+++ b/src/router/crash_counts.rs
@@ -11,6 +11,7 @@
 use super::call::Call;
 use super::{wall_clock_ms, Shared};
 use crate::crash_attribution::{Admission, Clocks, CrashAttribution, CrashId, CrashReport};
+use crate::ids::RequestKey;
 use crate::message::PeerMessage;
 
 /// Interval at which counts are sent again, for routers that have joined or were unreachable.
@@ -21,18 +22,33 @@
 pub(super) struct CrashCounts {
     attribution: RefCell<CrashAttribution>,
     sent_ms: Cell<u64>,
+    /// Key of the request that this router tries, until it has crashed an upstream or completed.
+    trial: Cell<Option<RequestKey>>,
+}
+
+impl CrashCounts {
+    fn end_trial(&self, call: &Call) {
+        if self.trial.get() == Some(call.key) {
+            self.trial.set(None);
+        }
+    }
 }
 
 /// Returns whether a request has the features of requests that crashed upstreams.
 ///
 /// A single router tries such a request again after a time, so that a refusal ends with its cause.
 pub(super) fn is_refused(shared: &Shared, call: &Call) -> bool {
-    let mut attribution = shared.crash_counts.attribution.borrow_mut();
+    let counts = &shared.crash_counts;
+    if counts.trial.get() == Some(call.key) {
+        return false;
+    }
+    let mut attribution = counts.attribution.borrow_mut();
     let now_ms = shared.now_ms();
     match attribution.admission(&call.features, now_ms) {
         Admission::Allowed => false,
         Admission::Refused { trial_in_ms: 0, .. } if super::events::rank(shared) == 0 => {
             attribution.begin_trial(&call.features, now_ms);
+            counts.trial.set(Some(call.key));
             false
         }
         Admission::Refused { .. } => true,
@@ -42,6 +58,7 @@
 /// Counts a crash of an upstream for a request that was sent at `sent_ms`, and tells the other routers.
 pub(super) fn record_crash(shared: &Shared, call: &Call, upstream: &str, sent_ms: u64) {
     let counts = &shared.crash_counts;
+    counts.end_trial(call);
     let crash = CrashId(xxh3_64(upstream.as_bytes()));
     let mut attribution = counts.attribution.borrow_mut();
     let reached = attribution.record_crash(&call.features, crash, sent_ms, clocks(shared));
@@ -57,6 +74,7 @@
 
 /// Records that a response was complete, which proves the features of its request harmless.
 pub(super) fn record_completion(shared: &Shared, call: &Call) {
+    shared.crash_counts.end_trial(call);
     let mut attribution = shared.crash_counts.attribution.borrow_mut();
     if !attribution.is_empty() {
         attribution.record_success(&call.features, clocks(shared));
--- a/tests/http_common/mod.rs
+++ b/tests/http_common/mod.rs
@@ -142,6 +142,11 @@
 impl Deployment {
     /// Starts a platform and one upstream for each list of arguments, and publishes a contract and the configuration.
     pub fn start(engines: &[&[&str]]) -> Self {
+        Self::start_with_capacity(engines, 10_000)
+    }
+
+    /// Does the same with upstreams that run up to `capacity_requests` requests at once.
+    pub fn start_with_capacity(engines: &[&[&str]], capacity_requests: u64) -> Self {
         let deployment = Self {
             platform: PlatformStub::start(),
             upstreams: engines
@@ -151,7 +156,7 @@
         };
         deployment.publish(vec![
             contract("tapak", BEARER, PREPAID_TOKENS),
-            deployment.configuration(),
+            deployment.configuration(capacity_requests),
         ]);
         deployment
     }
@@ -164,7 +169,7 @@
 
     /// Returns a configuration in which each upstream serves the model `quotes` and the services `orders` (not
     /// repeatable) and `prices` (repeatable).
-    fn configuration(&self) -> Entry {
+    fn configuration(&self, capacity_requests: u64) -> Entry {
         let mut upstreams = Vec::new();
         for (number, upstream) in self.upstreams.iter().enumerate() {
             for (serves, kind) in [
@@ -179,7 +184,7 @@
                     "kind": kind,
                     "serves": serves,
                     "version": "v1",
-                    "capacity_requests": 10_000,
+                    "capacity_requests": capacity_requests,
                     "tokens_per_second": if kind == "engine" { 100_000 } else { 0 },
                 }));
             }
--- a/tests/http_failures.rs
+++ b/tests/http_failures.rs
@@ -3,6 +3,7 @@
 mod http_common;
 
 use std::io::{BufReader, Read, Write};
+use std::time::{Duration, Instant};
 
 use http_common::{chat, chat_after, connect, key, read_head, Deployment, HttpRequest};
 use serde_json::json;
@@ -362,3 +363,56 @@
         ("budget_exhausted".into(), "not_run".into())
     );
 }
+
+/// Guards against copies of a request that wait in the queue, or for an engine of their own, while the request is
+/// quarantined, and then crash the next engine that becomes free.
+#[test]
+fn copies_that_wait_while_their_request_is_quarantined_are_not_run() {
+    const TOKENS: u64 = 200;
+    const SOUND_START_LIMIT: Duration = Duration::from_secs(10);
+    let mut deployment = Deployment::start_with_capacity(&[SLOW_ENGINE; 3], 1);
+    let router = deployment.router("vm-1");
+    for upstream in &deployment.upstreams {
+        upstream.set_faults(json!({ "crash_on": "poison", "crash_after_events": 20 }));
+    }
+    let send = |name: &str, text: &str| {
+        let (callers, request) = (router.callers.clone(), chat(name, text, TOKENS, false));
+        std::thread::spawn(move || request.send(&callers))
+    };
+    let sound = send("sound", "text");
+    let started = Instant::now();
+    while !deployment
+        .upstreams
+        .iter()
+        .any(|upstream| upstream.executions(key("sound")) > 0)
+    {
+        assert!(
+            started.elapsed() < SOUND_START_LIMIT,
+            "the sound request does not run"
+        );
+    }
+
+    let names = ["c1", "c2", "c3", "c4"];
+    let copies: Vec<_> = names.iter().map(|name| send(name, "poison")).collect();
+    let responses: Vec<_> = copies
+        .into_iter()
+        .map(|copy| copy.join().expect("the caller ends"))
+        .collect();
+
+    assert_eq!(sound.join().expect("the caller ends").status, 200);
+    let codes: Vec<String> = responses.iter().map(|copy| copy.error().0).collect();
+    let running = deployment
+        .upstreams
+        .iter_mut()
+        .filter_map(|upstream| upstream.process.is_running().then_some(()))
+        .count();
+    assert_eq!(
+        running, 1,
+        "the engine of the sound request ends: {codes:?}"
+    );
+    let refused = codes.iter().filter(|code| *code == "quarantined").count();
+    assert!(
+        refused >= 2,
+        "the copies that waited are refused: {codes:?}"
+    );
+}
