Test: copies of a sound request are quarantined in the router role

Two copies of a sound request at one engine that another request crashes are enough to quarantine it for good.

--- a/tests/http_failures.rs
+++ b/tests/http_failures.rs
@@ -416,3 +416,37 @@
         "the copies that waited are refused: {codes:?}"
     );
 }
+
+/// Guards against quarantining a sound request because several copies of it ran at one engine that crashed.
+#[test]
+fn copies_of_a_sound_request_at_a_crashing_engine_are_served() {
+    let mut deployment = Deployment::start(&[SLOW_ENGINE; 3]);
+    let router = deployment.router("vm-1");
+    for upstream in &deployment.upstreams {
+        upstream.set_faults(json!({ "crash_on": "poison", "crash_after_events": 20 }));
+    }
+    let send = |name: String, text: &'static str| {
+        let callers = router.callers.clone();
+        std::thread::spawn(move || chat(&name, text, 100, true).send(&callers))
+    };
+
+    let copies: Vec<_> = (0..12)
+        .map(|number| send(format!("s{number}"), "text"))
+        .collect();
+    let poison = send("p".into(), "poison");
+    let responses: Vec<_> = copies
+        .into_iter()
+        .map(|copy| copy.join().expect("the caller ends"))
+        .collect();
+
+    let end = poison.join().expect("the caller ends");
+    let crashed = deployment
+        .upstreams
+        .iter_mut()
+        .filter_map(|upstream| (!upstream.process.is_running()).then_some(()))
+        .count();
+    assert!(crashed >= 1, "an engine crashes: {end:?}");
+    for response in responses {
+        response.assert_complete_stream(100);
+    }
+}
