--- a/src/crash_attribution.rs
+++ b/src/crash_attribution.rs
@@ -266,16 +266,19 @@
             }
         }
         let mut report = self.report();
-        let mut claimed = 0;
-        for count in &mut report.counts {
-            let feature = Feature(count.feature);
-            if features.contains(&feature) && self.is_limited(feature) {
-                count.trials = count.trials.saturating_add(1);
-                claimed += 1;
+        for feature in features {
+            if !self.is_limited(*feature) {
+                continue;
             }
+            let mut counts = report.counts.iter_mut();
+            let count = counts.find(|count| count.feature == feature.0)?;
+            count.trials = self.trials(*feature).saturating_add(1);
         }
-        let limited = features.iter().filter(|feature| self.is_limited(**feature));
-        (claimed == limited.count()).then_some(report)
+        Some(report)
+    }
+
+    fn trials(&self, feature: Feature) -> u32 {
+        self.entries.get(&feature).map_or(0, |entry| entry.trials)
     }
 
     /// Records that a trial has ended without a result, so that the next one may begin.
