--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -8,30 +8,27 @@
 //! response begins here in that time. [`crate::crash_attribution`] decides; this module exchanges the counts through the
 //! store, so that they survive restarts, and claims trials there, so that the fleet makes one at a time.
 
+mod admission;
+mod reports;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::{format_compact, CompactString};
-use prost::Message;
+use compact_str::CompactString;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::request::Call;
-use super::watch::{FeedPosition, FeedReader};
+use super::watch::FeedPosition;
 use super::{clock, pool, Shared};
 use crate::crash_attribution::{
-    Admission, Clocks, CrashAttribution, CrashId, CrashReport, Feature, CRASH_LIMIT,
-    MAX_REQUEST_FEATURES,
+    Clocks, CrashAttribution, CrashId, Feature, CRASH_LIMIT, MAX_REQUEST_FEATURES,
 };
 use crate::notify::Notify;
-use crate::store::{AppendOutcome, Feed, Record, Store};
-
-/// Time for which the store may hold a read; a crash of which another gateway reports arrives at once.
-const LONG_POLL_MS: u64 = 1_500;
 
-/// Least time after which a caller comes again with a request whose features are refused for long.
-const MIN_RETRY_AFTER_MS: u64 = 1_500;
+pub(super) use admission::{admit, authorise, is_allowed, record_end, CrashRefusal};
+pub(super) use reports::{report, watch};
 
 /// Time within which the cause of a crash is known from other gateways: a write and a read of the store.
 const EXPLANATION_DELAY_MS: u64 = 60;
@@ -39,19 +36,6 @@
 /// Maximum number of suspects that wait for an explanation.
 const MAX_PENDING_SUSPECTS: usize = 1_024;
 
-/// Shortest delay before a feature is reported as harmless. Many gateways find out at the same time, and one report is
-/// enough.
-const MIN_SUCCESS_REPORT_DELAY_MS: u64 = 50;
-
-/// Range of the random part of this delay.
-const SUCCESS_REPORT_JITTER_MS: u32 = 450;
-
-/// Delay before a crash is reported, so that all its suspects at this gateway are in one report.
-const CRASH_REPORT_DELAY: Duration = Duration::from_millis(2);
-
-/// Delay after a failed write.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// A request that waited for its response when its upstream crashed.
 struct PendingSuspect {
     request_id: CompactString,
@@ -91,14 +75,6 @@
     pub(super) has_begun: bool,
 }
 
-/// Refusal of a request that has the features of requests that crashed upstreams.
-pub(super) struct CrashRefusal {
-    /// Reason for the log.
-    pub(super) reason: CompactString,
-    /// Time after which such a request is tried again.
-    pub(super) retry_after_ms: u64,
-}
-
 /// Returns the features of a request: the shared parts of its prompt, and a hash of the team, the method, the target and
 /// the body.
 pub(super) fn features_of(call: &Call<'_>) -> Vec<Feature> {
@@ -118,168 +94,6 @@
     features
 }
 
-/// Checks that a request does not have the features of requests that crashed upstreams, or may be tried.
-///
-/// # Errors
-///
-/// Returns why the request is refused.
-pub(super) fn admit(shared: &Shared, call: &Call<'_>) -> Result<(), CrashRefusal> {
-    match admission(shared, call) {
-        Admission::Allowed | Admission::Refused { trial_in_ms: 0, .. } => Ok(()),
-        Admission::Refused {
-            feature,
-            trial_in_ms,
-        } => Err(refuse(shared, call, feature, trial_in_ms)),
-    }
-}
-
-/// Returns whether a request may be sent without being a trial.
-pub(super) fn is_allowed(shared: &Shared, call: &Call<'_>) -> bool {
-    admission(shared, call) == Admission::Allowed
-}
-
-/// Authorises a request to be sent at once; one with refused features only if no other trial of them is under way in the
-/// fleet.
-///
-/// # Errors
-///
-/// Returns why the request is refused.
-pub(super) async fn authorise(shared: &Shared, call: &Call<'_>) -> Result<(), CrashRefusal> {
-    match admission(shared, call) {
-        Admission::Allowed => Ok(()),
-        Admission::Refused {
-            feature,
-            trial_in_ms: 0,
-        } => {
-            let is_trial = claim_trial(shared, call).await;
-            log::warn!(
-                step = "crash_trial", request_id = call.meta.id.as_str(), feature = hex(feature).as_str(),
-                crashes = shared.crashes.attribution.borrow().crashes(feature), is_claimed = is_trial,
-                at_ms = shared.now_ms();
-                "{}", if is_trial {
-                    "sending one request with a feature of requests that crashed upstreams"
-                } else {
-                    "another gateway may be trying a request with this feature"
-                }
-            );
-            if !is_trial {
-                return Err(refuse(shared, call, feature, 0));
-            }
-            call.is_trial.set(true);
-            Ok(())
-        }
-        Admission::Refused {
-            feature,
-            trial_in_ms,
-        } => Err(refuse(shared, call, feature, trial_in_ms)),
-    }
-}
-
-fn admission(shared: &Shared, call: &Call<'_>) -> Admission {
-    let attribution = shared.crashes.attribution.borrow();
-    if attribution.refused_count() == 0 {
-        return Admission::Allowed;
-    }
-    attribution.admission(call.features(), shared.now_ms())
-}
-
-fn refuse(shared: &Shared, call: &Call<'_>, feature: Feature, trial_in_ms: u64) -> CrashRefusal {
-    let attribution = shared.crashes.attribution.borrow();
-    let crashes = attribution.crashes(feature);
-    let is_suspended = attribution.is_suspended(feature);
-    drop(attribution);
-    shared.metrics.add("crash_refusals", 1);
-    let feature = hex(feature);
-    // The result of a trial is soon known, and the callers of a sound request come back to an upstream that serves it.
-    let (reason, retry_after_ms) = if is_suspended {
-        (
-            format_compact!(
-                "several upstreams ended on requests with feature {feature}, one is tried at a time"
-            ),
-            call.retry_after_ms(),
-        )
-    } else {
-        (
-            format_compact!("upstreams crashed {crashes} times on requests with feature {feature}"),
-            Some(trial_in_ms.max(MIN_RETRY_AFTER_MS)),
-        )
-    };
-    CrashRefusal {
-        reason,
-        retry_after_ms: retry_after_ms.unwrap_or(MIN_RETRY_AFTER_MS),
-    }
-}
-
-/// Resets a flag when it is dropped, also if the task that set it is cancelled.
-struct ResetOnDrop<'a>(&'a Cell<bool>);
-
-impl Drop for ResetOnDrop<'_> {
-    fn drop(&mut self) {
-        self.0.set(false);
-    }
-}
-
-/// Claims the next trial of the refused features of a request for this gateway; returns whether it has it.
-///
-/// Without the store nobody can be asked, so each gateway then makes trials of its own, one at a time.
-async fn claim_trial(shared: &Shared, call: &Call<'_>) -> bool {
-    let crashes = &shared.crashes;
-    let features = call.features();
-    let begin_alone = || {
-        let mut attribution = crashes.attribution.borrow_mut();
-        attribution.begin_trial(features, shared.now_ms());
-        true
-    };
-    if !shared.store.is_responsive() {
-        return begin_alone();
-    }
-    let position = crashes.position.get();
-    let Some(position) = position.filter(|read| read.epoch == shared.store.epoch()) else {
-        return false;
-    };
-    if crashes.is_claiming.replace(true) {
-        return false;
-    }
-    let _claiming = ResetOnDrop(&crashes.is_claiming);
-    let Some(report) = crashes.attribution.borrow_mut().claim_trial(features) else {
-        return false;
-    };
-    let record = record_of(shared, &report);
-    let append = shared
-        .store
-        .append(Feed::Crashes, Some(position.end), record);
-    match append.await {
-        Ok(AppendOutcome::Written) => {
-            let mut attribution = crashes.attribution.borrow_mut();
-            attribution.merge(&report, true, clocks(shared));
-            attribution.record_published(&report);
-            true
-        }
-        Ok(AppendOutcome::Moved) => false,
-        Err(error) => {
-            log::info!(step = "claim trial", at_ms = shared.now_ms(); "no claim: {error}");
-            !shared.store.is_responsive() && begin_alone()
-        }
-    }
-}
-
-/// Records that a request has ended, so that the next trial may begin if this one had no result.
-///
-/// A crash under the request is judged first, see [`judge_suspects`].
-pub(super) fn record_end(shared: &Shared, call: &Call<'_>) {
-    if !call.is_trial.get() {
-        return;
-    }
-    let crashes = &shared.crashes;
-    let is_suspect =
-        |suspect: &PendingSuspect| suspect.is_trial && suspect.request_id == call.meta.id;
-    if crashes.pending.borrow().iter().any(is_suspect) {
-        return;
-    }
-    crashes.attribution.borrow_mut().end_trial(call.features());
-    crashes.changed.notify();
-}
-
 /// Records that a response to a request has begun.
 pub(super) fn record_served(shared: &Shared, call: &Call<'_>) {
     let crashes = &shared.crashes;
@@ -466,105 +280,6 @@
     }
 }
 
-/// Merges the reports of all gateways until the process ends.
-pub(super) async fn watch(shared: Rc<Shared>) {
-    let mut reader = FeedReader::new(Feed::Crashes);
-    loop {
-        let Some(batch) = reader.read_held(&shared, LONG_POLL_MS).await else {
-            continue;
-        };
-        if batch.is_restored {
-            let mut attribution = shared.crashes.attribution.borrow_mut();
-            attribution.forget_published();
-        }
-        for record in batch.records {
-            merge(&shared, &record);
-        }
-        shared.crashes.position.set(reader.position());
-        shared.crashes.is_loaded.set(true);
-        shared.crashes.changed.notify();
-        expire(&shared);
-    }
-}
-
-fn merge(shared: &Shared, record: &Record) {
-    let Some(value) = &record.value else {
-        return;
-    };
-    let report = match CrashReport::decode(value.as_ref()) {
-        Ok(report) => report,
-        Err(error) => {
-            log::warn!(
-                step = "read crashes", peer = record.key.as_str();
-                "skipped a report of crashes that cannot be decoded: {error}"
-            );
-            return;
-        }
-    };
-    let clocks = clocks(shared);
-    let is_own = record.key == shared.settings.vm;
-    let mut attribution = shared.crashes.attribution.borrow_mut();
-    for feature in attribution.merge(&report, is_own, clocks) {
-        log_limit(&attribution, feature, "", record.key.as_str(), clocks);
-    }
-}
-
-fn expire(shared: &Shared) {
-    let mut attribution = shared.crashes.attribution.borrow_mut();
-    attribution.expire(shared.now_ms());
-    shared
-        .metrics
-        .set("crash_features", attribution.len() as u64);
-    shared
-        .metrics
-        .set("crash_features_refused", attribution.refused_count() as u64);
-}
-
-/// Writes what this gateway has found out, until the process ends.
-pub(super) async fn report(shared: Rc<Shared>) {
-    let crashes = &shared.crashes;
-    let is_urgent = || crashes.attribution.borrow().has_urgent_report();
-    loop {
-        let needs_report = || {
-            let is_needed = crashes.is_loaded.get() && crashes.attribution.borrow().needs_report();
-            is_needed.then_some(())
-        };
-        crashes.changed.wait_for(needs_report).await;
-        let jitter_ms = u64::from(shared.random() % SUCCESS_REPORT_JITTER_MS);
-        let delay = Duration::from_millis(MIN_SUCCESS_REPORT_DELAY_MS + jitter_ms);
-        let urgent = crashes.changed.wait_for(|| is_urgent().then_some(()));
-        // Whether the others must learn something at once or the delay has ended, the report follows.
-        let _ = monoio::time::timeout(delay, urgent).await;
-        monoio::time::sleep(CRASH_REPORT_DELAY).await;
-        if needs_report().is_some() {
-            write_report(&shared).await;
-        }
-    }
-}
-
-async fn write_report(shared: &Shared) {
-    let report = shared.crashes.attribution.borrow_mut().report();
-    let record = record_of(shared, &report);
-    match shared.store.append(Feed::Crashes, None, record).await {
-        Ok(_) => shared
-            .crashes
-            .attribution
-            .borrow_mut()
-            .record_published(&report),
-        Err(error) => {
-            log::info!(step = "report crashes", at_ms = shared.now_ms(); "will be repeated: {error}");
-            monoio::time::sleep(RETRY_DELAY).await;
-        }
-    }
-}
-
-fn record_of(shared: &Shared, report: &CrashReport) -> Record {
-    Record {
-        key: shared.settings.vm.clone(),
-        value: Some(report.encode_to_vec().into()),
-    }
-}
-
 fn clocks(shared: &Shared) -> Clocks {
     Clocks {
         now_ms: shared.now_ms(),
--- a/tests/crash_attribution.rs
+++ b/tests/crash_attribution.rs
@@ -623,6 +623,24 @@
     assert!(first.has_urgent_report());
 }
 
+/// Guards against a request that is never tried because its prompt names a part twice.
+#[test]
+fn a_request_that_repeats_a_part_can_claim_a_trial() {
+    let mut attribution = CrashAttribution::default();
+    let repeated = [SUBJECT, SUBJECT, Feature(77)];
+    for number in 0..3 {
+        count_crash(&mut attribution, &repeated, 100, 200 + number);
+    }
+    let claim = attribution.claim_trial(&repeated).expect("a claim");
+    attribution.merge(&claim, true, at(300));
+    assert!(
+        trial_in_ms(&attribution, &repeated, 310) > Some(0),
+        "one at a time"
+    );
+    attribution.end_trial(&repeated);
+    assert_eq!(trial_in_ms(&attribution, &repeated, 320), Some(0));
+}
+
 /// Time that copies of a request run before their upstream ends or responds.
 const RUN_MS: u64 = 30;
 
--- a/tests/http_common/mod.rs
+++ b/tests/http_common/mod.rs
@@ -161,6 +161,14 @@
         deployment
     }
 
+    /// Returns the number of engines that have not ended.
+    pub fn running_engines(&mut self) -> usize {
+        let upstreams = self.upstreams.iter_mut();
+        upstreams
+            .filter_map(|upstream| upstream.process.is_running().then_some(()))
+            .count()
+    }
+
     pub fn publish(&self, entries: Vec<Entry>) {
         let writer = IncarnationId(0x7e57_0000 + unique_number());
         let batch = Batch::new(writer, 1, entries);
--- a/tests/http_failures.rs
+++ b/tests/http_failures.rs
@@ -109,11 +109,7 @@
         assert_eq!(response.error().0, "quarantined", "{response:?}");
     }
 
-    let running = deployment
-        .upstreams
-        .iter_mut()
-        .filter_map(|upstream| upstream.process.is_running().then_some(()))
-        .count();
+    let running = deployment.running_engines();
     assert_eq!(running, 2, "exactly two engines crashed");
 }
 
@@ -134,11 +130,7 @@
         assert_eq!(response.error().0, "quarantined", "{response:?}");
     }
 
-    let running = deployment
-        .upstreams
-        .iter_mut()
-        .filter_map(|upstream| upstream.process.is_running().then_some(()))
-        .count();
+    let running = deployment.running_engines();
     assert_eq!(running, 5, "three engines crashed, and no more");
     let sound = chat_after("sound", "instructions", "question 0", 10, false);
     assert_eq!(sound.send(&router.callers).status, 200);
@@ -171,11 +163,7 @@
         .collect();
 
     let end = poison.join().expect("the caller ends");
-    let crashed = deployment
-        .upstreams
-        .iter_mut()
-        .filter_map(|upstream| (!upstream.process.is_running()).then_some(()))
-        .count();
+    let crashed = deployment.upstreams.len() - deployment.running_engines();
     assert_eq!(crashed, 2, "the harmful request is quarantined: {end:?}");
     for response in responses {
         response.assert_complete_stream(100);
@@ -401,11 +389,7 @@
 
     assert_eq!(sound.join().expect("the caller ends").status, 200);
     let codes: Vec<String> = responses.iter().map(|copy| copy.error().0).collect();
-    let running = deployment
-        .upstreams
-        .iter_mut()
-        .filter_map(|upstream| upstream.process.is_running().then_some(()))
-        .count();
+    let running = deployment.running_engines();
     assert_eq!(
         running, 1,
         "the engine of the sound request ends: {codes:?}"
@@ -440,11 +424,7 @@
         .collect();
 
     let end = poison.join().expect("the caller ends");
-    let crashed = deployment
-        .upstreams
-        .iter_mut()
-        .filter_map(|upstream| (!upstream.process.is_running()).then_some(()))
-        .count();
+    let crashed = deployment.upstreams.len() - deployment.running_engines();
     assert!(crashed >= 1, "an engine crashes: {end:?}");
     for response in responses {
         response.assert_complete_stream(100);
