Let the copies of a test stay at their upstreams in the first round

Their fixture waits until each upstream has a copy. If that takes over 1.5 s, half of the route's timeout, the gateways move copies to other upstreams, and an upstream ends while no gateway has a request there.

--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -286,8 +286,9 @@
 /// Time that a copy of a request runs before it crashes its upstream.
 const RUN_TIME: Duration = Duration::from_millis(50);
 
-/// Target of the requests that are alike.
-const COPIED: &str = "/read/copied";
+/// Target of the requests that are alike. Its route lets a request run once, so no copy moves to another upstream while the
+/// first round waits for the others.
+const COPIED: &str = "/book/copied";
 
 /// Upstreams of one service, all of which end together once each of them has a copy of one request.
 struct CopyCrashes {
@@ -380,9 +381,9 @@
     /// Sends copies at all gateways until all upstreams have ended under them.
     fn end_all_upstreams(&self, fleet: &Fleet) {
         std::thread::scope(|scope| {
-            for number in 0..10 * Self::UPSTREAMS {
+            for number in 0..20 * Self::UPSTREAMS {
                 let state = self.state.lock().unwrap();
-                let wait = Duration::from_millis(100);
+                let wait = Duration::from_millis(20);
                 let (state, _) = self
                     .changed
                     .wait_timeout_while(state, wait, |state| state.reached.len() <= number)
@@ -437,6 +438,34 @@
         .sum()
 }
 
+/// Returns what the gateways have logged of lost connections and counted crashes.
+fn crash_lines(fleet: &Fleet) -> Vec<String> {
+    let steps = ["lost_connection", "crash_count", "crash_limit"];
+    let gateways = fleet.gateways.iter();
+    let lines = gateways.flat_map(|gateway| {
+        let lines = steps.iter().map(|step| gateway.log_lines_with_step(step));
+        lines.flatten().collect::<Vec<Value>>()
+    });
+    lines.map(|line| line.to_string()).collect()
+}
+
+fn wait_suspended(fleet: &Fleet) {
+    let started = Instant::now();
+    let is_suspended = |gateway: &Gateway| {
+        let lines = gateway.log_lines_with_step("crash_limit");
+        lines.iter().any(|line| line["is_suspended"] == true)
+    };
+    while !fleet.gateways.iter().all(is_suspended) {
+        let lines = || crash_lines(fleet).join("\n");
+        assert!(
+            started.elapsed() < TEST_TIMEOUT,
+            "no suspension:\n{}",
+            lines()
+        );
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// Guards against incident "copies of one request crash all upstreams of a service twice": the crashes of the first
 /// round count once, and all copies are sent again when the upstreams return.
 #[test]
@@ -444,6 +473,7 @@
     let (crashes, upstreams) = CopyCrashes::start(LaterCopies::Crash);
     let fleet = start_fleet_of(6, upstreams);
     crashes.end_all_upstreams(&fleet);
+    wait_suspended(&fleet);
     let sent_before = copies_received(&fleet);
     wait_restarted(&fleet);
 
@@ -465,15 +495,6 @@
     wait_restarted(&fleet);
 }
 
-fn wait_suspended(fleet: &Fleet) {
-    for gateway in &fleet.gateways {
-        wait_for("the suspension", || {
-            let lines = gateway.log_lines_with_step("crash_limit");
-            lines.iter().any(|line| line["is_suspended"] == true)
-        });
-    }
-}
-
 /// Guards against refusing copies of a sound request for long because all upstreams ended together while they ran some.
 #[test]
 fn copies_of_a_sound_request_are_served_when_the_upstreams_return() {
