--- a/examples/rights_experiment/fleet.rs
+++ b/examples/rights_experiment/fleet.rs
@@ -405,7 +405,7 @@
         let needs_entry = router.next_entry_ms <= now_ms || router.account.needs_entry();
         if needs_entry && reaches_store && router.account.available_tokens() > 0 {
             let limit = router.account.begin_entry();
-            router.account.commit_entry(limit);
+            router.account.commit_entry(limit, STORE_MS);
             router.stored_limit = limit;
             router.entry_created_ms = now_ms;
             router.next_entry_ms = now_ms + JOURNAL_MS;
--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -13,9 +13,9 @@
 //!
 //! Most of the tokens that a router holds only bridge outages of the store. To keep a killed router from stranding
 //! them, its journal in the store limits how far it may spend: up to an initial limit at once, and beyond it only as
-//! the journal entry ages, see [`SpendingLimit::at`]. The next process on the same VM reclaims the tokens beyond that
-//! limit, provided that the clocks show how old the entry was when this process started, see
-//! [`JournalEntry::max_age_at`].
+//! the journal entry ages, at the rate at which it spends, see [`SpendingLimit::at`]. The next process on the same VM
+//! reclaims the tokens beyond that limit, provided that the clocks show how old the entry was when this process started,
+//! see [`JournalEntry::max_age_at`].
 //!
 //! The store may return from an older copy, whose record shows fewer tokens granted than there are; see [`Recovery`] for
 //! what happens then.
@@ -31,11 +31,14 @@
 mod journal;
 mod record;
 mod recovery;
+mod spending_rate;
 
 pub use journal::{ClockReading, JournalEntry, SpendingLimit, TeamLimit, LOCK_PERIOD_MS};
 pub use record::{BudgetRecord, Generation, RecordVersion, RouterGrant};
 pub use recovery::{Knowledge, Recovery};
 
+use spending_rate::SpendingRate;
+
 /// Length of an outage that the tokens held by a router cover at its current rate.
 ///
 /// Outages of the path to the store last up to nine seconds.
@@ -56,18 +59,36 @@
 /// Spending rate below which a router counts as idle.
 const IDLE_TOKENS_PER_S: f64 = 1.0;
 
-/// Time constant of the exponential decay of the measured spending rate.
-const RATE_TIME_CONSTANT_MS: f64 = 4_000.0;
+/// Shortest and longest time of spending that the initial limit of a journal entry covers, besides the time that entries
+/// take to be written.
+///
+/// What the initial limit covers is lost when a router is killed, but little else can be spent at the start of an outage
+/// of the store. The time therefore shrinks as the budget runs out.
+const MIN_HEADROOM_MS: f64 = 100.0;
+const MAX_HEADROOM_MS: f64 = 2_000.0;
+
+/// Unspent fractions of the budget between which the headroom grows from the shortest to the longest time.
+const SCARCE_FRACTION: f64 = 0.4;
+const AMPLE_FRACTION: f64 = 0.8;
+
+/// Part of the prepaid tokens, per mille, that the initial limits of all holders together cover at most.
+const MAX_HEADROOM_PERMILLE: f64 = 25.0;
 
-/// Time for which the initial limit of a journal entry suffices at the current spending rate, until the entry is old
-/// enough to unlock more; it applies while the whole budget is left.
-const HEADROOM_MS: f64 = LOCK_PERIOD_MS as f64;
+/// Part of the prepaid tokens, per mille, that each holder may cover at any time.
+const MIN_HEADROOM_PERMILLE: u64 = 2;
 
-/// Smallest fraction of [`HEADROOM_MS`] that is used.
+/// Longest time that is expected for the next entry to be written.
+const MAX_ENTRY_WRITE_MS: u64 = 1_000;
+
+/// Highest rate at which the limits of all holders together rise, in thousandths of the prepaid tokens per second.
 ///
-/// A loss of all routers costs a team the tokens below the limits of their journals, which matters more the less is
-/// left. The time therefore shrinks with the unspent fraction of the budget.
-const MIN_HEADROOM_FRACTION: f64 = 0.2;
+/// A successor cannot tell when its predecessor ended, so what the limits rise by until it starts is lost. A restart of
+/// 1.5 s then costs 2.4% of the budget, and `docs/PROMISES.md` allows 3%. Tokens that cannot be spent during an outage
+/// stay in the budget.
+const MAX_UNLOCK_PERMILLE_PER_S: f64 = 16.0;
+
+/// Time in which the limit of a router without recent requests unlocks what it holds.
+const IDLE_UNLOCK_S: u64 = 8;
 
 /// A write of the record whose outcome is not known yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,6 +129,28 @@
     NotHeld,
 }
 
+/// Returns the part of what all holders have together that belongs to a router with a given rate.
+fn share_of_rights(
+    record: &BudgetRecord,
+    router: u64,
+    rate_tokens_per_s: u64,
+    unspent_tokens: u64,
+    role: Role,
+) -> f64 {
+    let others = record.holders.iter().filter(|grant| grant.router != router);
+    let others: u64 = others.map(|grant| grant.rate_tokens_per_s).sum();
+    // A minimum weight keeps a share for the next request of a router without recent traffic.
+    let floor = unspent_tokens / 1_000;
+    let all = rate_tokens_per_s + others + floor * role.holders.max(1);
+    let share = (rate_tokens_per_s + floor) as f64 / all.max(1) as f64;
+    share.min(1.0)
+}
+
+/// Returns how many tokens each holder of a team without recent requests holds.
+fn idle_tokens(unspent_tokens: u64, holders: u64) -> u64 {
+    unspent_tokens * IDLE_HELD_PERMILLE / 1_000 / holders.max(1)
+}
+
 /// Tokens that this router holds for one team.
 #[derive(Clone, Debug, Default)]
 pub struct TeamAccount {
@@ -129,18 +172,24 @@
     limit: SpendingLimit,
     /// Age of that entry, or of the one that is being written.
     entry_age_ms: u64,
+    /// Time that the last entries took to be written.
+    entry_write_ms: u64,
+    /// Part of what all holders may spend that belongs to this router, by the record that was last read.
+    share: f64,
+    /// Rate at which the limit of the next entry rises, by the same record.
+    unlock_tokens_per_s: u64,
+    /// Prepaid tokens when the record was last read.
+    prepaid_tokens: u64,
     pending: Option<PendingWrite>,
     writes: u64,
-    rate_tokens_per_s: f64,
-    rate_updated_ms: u64,
-    /// Time of the first reservation, from which on the rate is measured.
-    rate_started_ms: Option<u64>,
+    /// Rate at which requests reserve tokens.
+    reserving_rate: SpendingRate,
+    /// Tokens that the requests that have ended had reserved; `spent_tokens` of them were charged.
+    settled_tokens: u64,
     largest_need_tokens: u64,
     /// Upper bound on the team's balance when the record was last read, plus what this router had used then; `None`
     /// before that.
     unspent_or_used_here: Option<u64>,
-    /// Fraction of the budget that was unspent then.
-    unspent_fraction: f64,
     /// Whether everything that was free then had been charged, so that nobody knows what the team has left.
     is_charged_in_full: bool,
     /// Generation in which the record last showed all tokens granted to this router.
@@ -203,6 +252,7 @@
         let next = SpendingLimit {
             open_tokens: self.used_tokens() + headroom.min(available),
             held_tokens: self.used_tokens() + available,
+            rate_tokens_per_s: self.unlock_tokens_per_s,
         };
         self.limit = self.limit.min(next);
         self.entry_age_ms = 0;
@@ -214,13 +264,48 @@
 
     /// Returns how many tokens the next journal entry lets this router spend at once.
     fn headroom_tokens(&self) -> u64 {
-        let fraction = self.unspent_fraction.clamp(MIN_HEADROOM_FRACTION, 1.0);
-        (self.spending_rate() * HEADROOM_MS * fraction / 1_000.0) as u64
+        let rate = self.spending_rate();
+        let tokens_in = |time_ms: f64| (rate * time_ms / 1_000.0) as u64;
+        let least = self.prepaid_tokens * MIN_HEADROOM_PERMILLE / 1_000;
+        let least = least.max(tokens_in(MIN_HEADROOM_MS));
+        let ampleness = self.ampleness();
+        let most = self.prepaid_tokens as f64 * MAX_HEADROOM_PERMILLE / 1_000.0;
+        let most = (most * self.share * ampleness) as u64;
+        let headroom = tokens_in(MAX_HEADROOM_MS * ampleness).min(most);
+        // Tokens are spent while this entry is written, and while the next one is.
+        headroom.max(least) + tokens_in(2.0 * self.entry_write_ms as f64)
+    }
+
+    /// Returns how much of the budget is left, from 0 for [`SCARCE_FRACTION`] to 1 for [`AMPLE_FRACTION`].
+    fn ampleness(&self) -> f64 {
+        let unspent = self.team_unspent_tokens().unwrap_or(0) as f64;
+        let fraction = unspent / self.prepaid_tokens.max(1) as f64;
+        let part = (fraction - SCARCE_FRACTION) / (AMPLE_FRACTION - SCARCE_FRACTION);
+        part.clamp(0.0, 1.0)
+    }
+
+    /// Returns the tokens spent per second.
+    fn spending_rate(&self) -> f64 {
+        self.reserving_rate.tokens_per_s() * self.charged_part()
     }
 
-    /// Applies the limit of a journal entry that has taken effect.
-    pub fn commit_entry(&mut self, limit: SpendingLimit) {
+    /// Returns the part of the reserved tokens that is charged.
+    ///
+    /// Requests reserve the most that they may cost. Open ones are expected to be charged the same part of it as those
+    /// that have ended.
+    fn charged_part(&self) -> f64 {
+        if self.settled_tokens == 0 {
+            1.0
+        } else {
+            self.spent_tokens as f64 / self.settled_tokens as f64
+        }
+    }
+
+    /// Applies the limit of a journal entry that has taken effect, and the time that it took to be written.
+    pub fn commit_entry(&mut self, limit: SpendingLimit, write_ms: u64) {
         self.limit = limit;
+        let decayed_ms = self.entry_write_ms - self.entry_write_ms / 4;
+        self.entry_write_ms = write_ms.max(decayed_ms).min(MAX_ENTRY_WRITE_MS);
         for transfer in &mut self.received {
             transfer.is_journalled = transfer.is_in_pending_entry;
         }
@@ -258,7 +343,7 @@
             });
         }
         self.reserved_tokens += need_tokens;
-        self.update_rate(need_tokens, now_ms);
+        self.reserving_rate.add(need_tokens, now_ms);
         Ok(())
     }
 
@@ -266,6 +351,7 @@
     pub fn settle(&mut self, reserved_tokens: u64, charge_tokens: u64) {
         self.reserved_tokens = self.reserved_tokens.saturating_sub(reserved_tokens);
         self.spent_tokens += charge_tokens.min(reserved_tokens);
+        self.settled_tokens += reserved_tokens;
     }
 
     /// Counts the need of a request that starts to wait for tokens.
@@ -293,23 +379,14 @@
         prepaid: u64,
         role: Role,
     ) -> u64 {
-        if !role.is_holder && self.spending_rate() < IDLE_TOKENS_PER_S {
+        if !role.is_holder && self.reserving_rate.tokens_per_s() < IDLE_TOKENS_PER_S {
             return 0;
         }
-        let holders = role.holders.max(1);
-        let rate = self.spending_rate() as u64;
-        let others: u64 = record
-            .holders
-            .iter()
-            .filter(|grant| grant.router != router)
-            .map(|grant| grant.rate_tokens_per_s)
-            .sum();
+        let rate = self.reserving_rate.tokens_per_s() as u64;
         let unspent = record.unspent_tokens(prepaid);
-        // A minimum weight keeps a share for the next request of a router without recent traffic.
-        let floor = unspent / 1_000;
-        let share = (rate + floor) as f64 / (rate + others + floor * holders).max(1) as f64;
-        let cap = unspent as f64 * MAX_HELD_FRACTION * share.min(1.0);
-        let idle = unspent * IDLE_HELD_PERMILLE / 1_000 / holders;
+        let share = share_of_rights(record, router, rate, unspent, role);
+        let cap = unspent as f64 * MAX_HELD_FRACTION * share;
+        let idle = idle_tokens(unspent, role.holders);
         let desired = rate * COVERED_OUTAGE_MS / 1_000 + 2 * self.largest_need_tokens;
         desired.max(idle).min(cap as u64)
     }
@@ -327,6 +404,7 @@
             return None;
         }
         let target = self.target_tokens(record, router, prepaid, role);
+        self.update_unlock_rate(record, router, prepaid, role);
         let mut next = record.clone();
         let forgotten = self.forgotten_tokens(record, router);
         next.granted_tokens += forgotten;
@@ -344,7 +422,7 @@
         };
         let known = record.grant_of(router);
         let is_reported = known.is_some_and(|grant| {
-            let rate = self.spending_rate() as u64;
+            let rate = self.reserving_rate.tokens_per_s() as u64;
             grant.spent_tokens + target / 2 + 1 >= self.spent_tokens
                 && rate <= grant.rate_tokens_per_s * 2
                 && grant.rate_tokens_per_s <= rate * 2 + 64
@@ -356,6 +434,21 @@
         Some(self.build_record(next, router, base, granted))
     }
 
+    /// Updates the share of this router and the rate at which its limit rises: its share of what the team spends.
+    ///
+    /// The rates in the record are used, also that of this router, so that the shares of all holders add up to one.
+    fn update_unlock_rate(&mut self, record: &BudgetRecord, router: u64, prepaid: u64, role: Role) {
+        let unspent = record.unspent_tokens(prepaid);
+        let rate_of = |grant: &RouterGrant| grant.rate_tokens_per_s;
+        let own_rate = record.grant_of(router).map_or(0, rate_of);
+        self.share = share_of_rights(record, router, own_rate, unspent, role);
+        let reserving_rate: u64 = record.holders.iter().map(rate_of).sum();
+        let spending_rate = reserving_rate as f64 * self.charged_part();
+        let most = prepaid as f64 * MAX_UNLOCK_PERMILLE_PER_S / 1_000.0;
+        let unlocked = (spending_rate.min(most) * self.share) as u64;
+        self.unlock_tokens_per_s = unlocked.max(idle_tokens(unspent, role.holders) / IDLE_UNLOCK_S);
+    }
+
     /// Returns how many of the tokens that were granted to this router a recovered record does not show.
     ///
     /// Nobody that took part in the recovery knew them, for example because this router was frozen. They may be spent
@@ -375,7 +468,7 @@
     /// The threshold of a router without recent traffic is higher, because its share depends on the number of routers,
     /// which changes while a fleet starts.
     fn return_threshold_tokens(&self, goal: u64) -> u64 {
-        if self.spending_rate() < IDLE_TOKENS_PER_S {
+        if self.reserving_rate.tokens_per_s() < IDLE_TOKENS_PER_S {
             goal * 8
         } else {
             goal + goal / 2
@@ -477,8 +570,7 @@
         self.is_charged_in_full = record.is_charged_in_full;
         let reported = grant.map_or(0, |grant| grant.spent_tokens);
         self.unspent_or_used_here = Some(record.unspent_tokens(prepaid) + reported);
-        let unspent = self.team_unspent_tokens().unwrap_or(0);
-        self.unspent_fraction = unspent as f64 / prepaid.max(1) as f64;
+        self.prepaid_tokens = prepaid;
     }
 
     /// Records that it is unknown what the team has left, because the record is older than what was granted.
@@ -563,7 +655,7 @@
             router,
             granted_tokens: granted,
             spent_tokens: self.spent_tokens,
-            rate_tokens_per_s: self.spending_rate() as u64,
+            rate_tokens_per_s: self.reserving_rate.tokens_per_s() as u64,
             write: self.writes + 1,
             revision: next.revision,
             moved_tokens: self.moved_tokens,
@@ -576,28 +668,8 @@
         next
     }
 
-    /// Returns the tokens reserved per second.
-    ///
-    /// The decaying sum starts at zero, so it is scaled up while it covers less time than its time constant.
-    fn spending_rate(&self) -> f64 {
-        /// Smallest part of the sum that is scaled up; a single request must not count as a high rate.
-        const MIN_COVERED: f64 = 0.3;
-        let started_ms = self.rate_started_ms.unwrap_or(self.rate_updated_ms);
-        let elapsed_ms = self.rate_updated_ms.saturating_sub(started_ms) as f64;
-        let covered = 1.0 - (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
-        self.rate_tokens_per_s / covered.max(MIN_COVERED)
-    }
-
     /// Decays the measured rate to the present time.
     pub fn decay_rate(&mut self, now_ms: u64) {
-        let elapsed_ms = now_ms.saturating_sub(self.rate_updated_ms) as f64;
-        self.rate_tokens_per_s *= (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
-        self.rate_updated_ms = now_ms;
-    }
-
-    fn update_rate(&mut self, tokens: u64, now_ms: u64) {
-        self.rate_started_ms.get_or_insert(now_ms);
-        self.decay_rate(now_ms);
-        self.rate_tokens_per_s += tokens as f64 * 1_000.0 / RATE_TIME_CONSTANT_MS;
+        self.reserving_rate.decay(now_ms);
     }
 }
--- a/src/allowance/journal.rs
+++ b/src/allowance/journal.rs
@@ -1,37 +1,45 @@
 //! Journal entries: how far a router may spend as its newest entry ages, and how the clocks bound that age.
 //!
 //! A killed process restarts while its newest entry is still young, so its successor can reclaim everything beyond the
-//! initial limit. During an outage of the store the entry ages, and the process may gradually spend all that it holds.
+//! initial limit. During an outage of the store the entry ages, and the limit follows the rate at which the process
+//! spends. What it allows at the start of the successor counts as spent, also what nobody needed, so it allows no more
+//! than that rate. See `docs/design.md`, section 10.
 
 use prost::Message;
 
 /// Age of an entry up to which only its initial limit can be spent.
 ///
-/// A process that is killed is back within two seconds, and its newest entry is at most a quarter of a second old.
-pub const LOCK_PERIOD_MS: u64 = 2_000;
+/// The newest entry is at most a quarter of a second old when its process ends, and the next process starts within one
+/// second more, as the clocks show it after a loss of power.
+pub const LOCK_PERIOD_MS: u64 = 1_500;
 
-/// Time after [`LOCK_PERIOD_MS`] in which all held tokens unlock; an outage of the store lasts seven to nine seconds.
-const UNLOCK_PERIOD_MS: u64 = 4_000;
+/// Age from which the limit is what the rate of spending gives for the whole age; it catches up after the lock period.
+const CATCH_UP_AGE_MS: u64 = 2 * LOCK_PERIOD_MS;
 
 /// Difference between two clocks above which neither is trusted, and the error that is assumed below it.
 const MAX_CLOCK_SKEW_MS: u64 = 300;
 
+/// Error of the difference between two readings of the same clock, which are rounded to milliseconds.
+const ROUNDING_MS: u64 = 2;
+
 /// How far a router may spend, counted over the life of its process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SpendingLimit {
     /// Limit while the entry is at most [`LOCK_PERIOD_MS`] old.
     pub open_tokens: u64,
-    /// Limit once everything is unlocked: all tokens that are held.
+    /// Highest limit at any age: all tokens that are held.
     pub held_tokens: u64,
+    /// Rate of spending that the limit follows as the entry ages.
+    pub rate_tokens_per_s: u64,
 }
 
 impl SpendingLimit {
     /// Returns the limit at an age of the entry; it never falls as the entry ages.
     pub fn at(&self, age_ms: u64) -> u64 {
-        let unlocked_ms = age_ms.saturating_sub(LOCK_PERIOD_MS).min(UNLOCK_PERIOD_MS);
-        let locked = u128::from(self.held_tokens.saturating_sub(self.open_tokens));
-        let unlocked = locked * u128::from(unlocked_ms) / u128::from(UNLOCK_PERIOD_MS);
-        self.open_tokens + unlocked as u64
+        let unlocked = u128::from(self.rate_tokens_per_s) * u128::from(unlocked_ms(age_ms)) / 1_000;
+        let unlocked = u64::try_from(unlocked).unwrap_or(u64::MAX);
+        let limit = self.open_tokens.saturating_add(unlocked);
+        limit.min(self.held_tokens.max(self.open_tokens))
     }
 
     /// Returns the age from which the limit covers a number of used tokens; `None` if it never does.
@@ -39,13 +47,15 @@
         if used_tokens <= self.open_tokens {
             return Some(0);
         }
-        if used_tokens > self.held_tokens {
+        if used_tokens > self.held_tokens || self.rate_tokens_per_s == 0 {
             return None;
         }
-        let missing = u128::from(used_tokens - self.open_tokens);
-        let locked = u128::from(self.held_tokens - self.open_tokens);
-        let unlocked_ms = (missing * u128::from(UNLOCK_PERIOD_MS)).div_ceil(locked);
-        Some(LOCK_PERIOD_MS + unlocked_ms as u64)
+        let missing = u128::from(used_tokens - self.open_tokens) * 1_000;
+        let spending_ms = missing.div_ceil(u128::from(self.rate_tokens_per_s));
+        let spending_ms = u64::try_from(spending_ms).ok()?;
+        let catch_up_ms = u128::from(spending_ms) * u128::from(CATCH_UP_AGE_MS - LOCK_PERIOD_MS);
+        let catch_up_ms = u64::try_from(catch_up_ms.div_ceil(u128::from(CATCH_UP_AGE_MS))).ok()?;
+        Some(spending_ms.max(LOCK_PERIOD_MS.saturating_add(catch_up_ms)))
     }
 
     /// Returns a limit that is no higher than either of the two at any age.
@@ -53,10 +63,19 @@
         Self {
             open_tokens: self.open_tokens.min(other.open_tokens),
             held_tokens: self.held_tokens.min(other.held_tokens),
+            rate_tokens_per_s: self.rate_tokens_per_s.min(other.rate_tokens_per_s),
         }
     }
 }
 
+/// Returns the time of spending that is unlocked at an age of an entry.
+fn unlocked_ms(age_ms: u64) -> u64 {
+    let beyond_lock_ms = u128::from(age_ms.saturating_sub(LOCK_PERIOD_MS));
+    let catch_up_ms =
+        beyond_lock_ms * u128::from(CATCH_UP_AGE_MS) / u128::from(CATCH_UP_AGE_MS - LOCK_PERIOD_MS);
+    age_ms.min(u64::try_from(catch_up_ms).unwrap_or(u64::MAX))
+}
+
 /// Newest entry in the journal of one VM.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct JournalEntry {
@@ -92,10 +111,11 @@
     /// Name of the team.
     #[prost(string, tag = "1")]
     pub team: String,
-    /// Tokens that the process may have charged, reserved or given away since its start.
+    /// Tokens that the process may have charged, reserved or given away since its start, up to the end of the lock period
+    /// of the entry.
     #[prost(uint64, tag = "2")]
     pub open_tokens: u64,
-    /// The same once the entry is old enough to unlock all held tokens.
+    /// The same at any age of the entry.
     #[prost(uint64, tag = "3")]
     pub held_tokens: u64,
     /// Tokens that the process had charged when the entry was made. With the reserved ones it tells what a reclaim
@@ -105,6 +125,9 @@
     /// Tokens that were reserved for open requests then.
     #[prost(uint64, tag = "5")]
     pub reserved_tokens: u64,
+    /// Rate of spending that the limit follows. Entries of versions whose limits followed no rate have none.
+    #[prost(uint64, optional, tag = "6")]
+    pub rate_tokens_per_s: Option<u64>,
 }
 
 impl TeamLimit {
@@ -114,15 +137,23 @@
             team: team.into(),
             open_tokens: limit.open_tokens,
             held_tokens: limit.held_tokens,
+            rate_tokens_per_s: Some(limit.rate_tokens_per_s),
             ..Self::default()
         }
     }
 
     /// Returns how far the process may spend, depending on the age of the entry.
+    ///
+    /// A process of a version whose limits followed no rate may have spent all that it held.
     pub fn limit(&self) -> SpendingLimit {
+        let open_tokens = match self.rate_tokens_per_s {
+            Some(_) => self.open_tokens,
+            None => self.held_tokens,
+        };
         SpendingLimit {
-            open_tokens: self.open_tokens,
+            open_tokens,
             held_tokens: self.held_tokens,
+            rate_tokens_per_s: self.rate_tokens_per_s.unwrap_or(0),
         }
     }
 }
@@ -144,8 +175,9 @@
     /// Returns an upper bound on the age of the entry when the clocks were read; `None` if they give no reliable bound.
     ///
     /// Within one boot the monotonic clock is used, because the process that wrote the entry counted its age by the
-    /// same clock; the wall clock must agree, because a monotonic clock starts again with the VM. After a loss of power
-    /// the fleet time is used, which no single wrong clock can falsify.
+    /// same clock. The wall clock must agree, because a monotonic clock starts again with the VM; if the boot cannot be
+    /// identified, what the two may differ by is added. After a loss of power the fleet time is used, which no single
+    /// wrong clock can falsify.
     pub fn max_age_at(&self, now: &ClockReading) -> Option<u64> {
         self.monotonic_age(now).or_else(|| self.fleet_age(now))
     }
@@ -154,7 +186,12 @@
         let steady_ms = now.steady_ms.checked_sub(self.steady_ms)?;
         let wall_ms = now.wall_ms.checked_sub(self.wall_ms)?;
         let agrees = now.boot == self.boot && steady_ms.abs_diff(wall_ms) <= MAX_CLOCK_SKEW_MS;
-        agrees.then_some(steady_ms + MAX_CLOCK_SKEW_MS)
+        let error_ms = if self.boot.is_empty() {
+            MAX_CLOCK_SKEW_MS
+        } else {
+            ROUNDING_MS
+        };
+        agrees.then_some(steady_ms + error_ms)
     }
 
     fn fleet_age(&self, now: &ClockReading) -> Option<u64> {
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -483,13 +483,13 @@
         limits.filter(|stored| stored.held_tokens > 0).collect()
     }
 
-    /// Applies the spending limits of a journal entry that has taken effect.
-    pub(super) fn commit_entry(&self, shared: &Shared, limits: &[TeamLimit]) {
+    /// Applies the spending limits of a journal entry that has taken effect, and the time that it took to be written.
+    pub(super) fn commit_entry(&self, shared: &Shared, limits: &[TeamLimit], write_ms: u64) {
         let teams = self.teams.borrow();
         for stored in limits {
             if let Some(team) = teams.get(stored.team.as_str()) {
                 let mut account = team.account.borrow_mut();
-                account.commit_entry(stored.limit());
+                account.commit_entry(stored.limit(), write_ms);
                 let has_journalled_transfers = account.has_journalled_transfers();
                 drop(account);
                 team.rights_changed.notify();
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -190,8 +190,9 @@
 async fn write_entry(shared: &Shared, write: u64, mut end: u64) -> u64 {
     // An entry that is requested from here on is not this one but the next.
     shared.journal.is_entry_requested.set(false);
-    let created_ms = shared.now_ms();
+    // This process must not count the entry as older than its successor does, so the clocks are read first.
     let now = read_clocks();
+    let created_ms = shared.now_ms();
     let entry = JournalEntry {
         router: shared.router_id,
         write,
@@ -210,8 +211,9 @@
             value: Some(value.clone()),
         };
         let result = shared.store.append(feed(shared), Some(end), record).await;
+        let write_ms = shared.now_ms().saturating_sub(created_ms);
         if matches!(result, Ok(AppendOutcome::Written)) {
-            shared.budgets.commit_entry(shared, &entry.marks);
+            shared.budgets.commit_entry(shared, &entry.marks, write_ms);
             return end + 1;
         }
         if let Err(error) = &result {
@@ -226,7 +228,7 @@
             .is_some_and(|newest| newest.router == entry.router && newest.write == entry.write);
         end = newest_end;
         if is_written {
-            shared.budgets.commit_entry(shared, &entry.marks);
+            shared.budgets.commit_entry(shared, &entry.marks, write_ms);
             return end;
         }
     }
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -110,6 +110,8 @@
     steady_offset_ms: u64,
     /// Offset of the wall clock, which jumps now and then.
     wall_offset_ms: u64,
+    /// Number of losses of power, which identifies the boot.
+    boots: u64,
     router: Router,
 }
 
@@ -176,7 +178,7 @@
         ClockReading {
             steady_ms: now_ms + self.steady_offset_ms,
             wall_ms: 1_000_000 + now_ms + self.wall_offset_ms,
-            boot: String::new(),
+            boot: self.boots.to_string(),
             fleet_ms: Some(1_000_000 + now_ms),
         }
     }
@@ -196,7 +198,7 @@
             Some((_, entry)) => {
                 let is_written = self.journal.as_ref() == Some(&entry);
                 if is_written {
-                    self.commit_entry(&entry);
+                    self.commit_entry(now_ms, &entry);
                     return;
                 }
                 // No other process writes this journal, but its end goes back if the store returns from a copy.
@@ -229,14 +231,16 @@
             CallOutcome::Delayed => self.delayed.push((expected_end, entry)),
             CallOutcome::Acknowledged => {
                 if self.apply(expected_end, &entry) {
-                    self.commit_entry(&entry);
+                    self.commit_entry(now_ms, &entry);
                 }
             }
         }
     }
 
-    fn commit_entry(&mut self, entry: &JournalEntry) {
-        self.router.account.commit_entry(entry.marks[0].limit());
+    fn commit_entry(&mut self, now_ms: u64, entry: &JournalEntry) {
+        let write_ms = now_ms - self.router.entry_created_ms;
+        let limit = entry.marks[0].limit();
+        self.router.account.commit_entry(limit, write_ms);
         self.router.pending_entry = None;
     }
 }
@@ -432,6 +436,7 @@
         let vm = &mut self.vms[vm];
         if loses_power {
             vm.steady_offset_ms += 77_777;
+            vm.boots += 1;
         }
         let start = vm.clocks(self.now_ms);
         // An entry of an earlier epoch need not be the last one of its process.
@@ -788,7 +793,9 @@
         epoch: 0,
     };
     let max_skew_ms = 300;
-    let kill = Some(800 + max_skew_ms);
+    let rounding_ms = 2;
+    let kill = Some(800 + rounding_ms);
+    let power_loss = Some(800 + max_skew_ms);
     // Case, monotonic clock, wall clock, boot, fleet time, largest age.
     let cases = [
         (
@@ -799,7 +806,14 @@
             None,
             kill,
         ),
-        ("a loss of power", 300, 900_800, "c", Some(900_900), kill),
+        (
+            "a loss of power",
+            300,
+            900_800,
+            "c",
+            Some(900_900),
+            power_loss,
+        ),
         (
             "a loss of power, no other VM",
             300,
@@ -830,7 +844,7 @@
             898_000,
             "b",
             Some(900_900),
-            kill,
+            power_loss,
         ),
         (
             "a suspended VM, whose monotonic clock stood still",
@@ -866,23 +880,48 @@
         };
         assert_eq!(entry.max_age_at(&now), expected, "{case}");
     }
+    let without_boot = JournalEntry {
+        boot: String::new(),
+        ..entry
+    };
+    let now = ClockReading {
+        steady_ms: 50_800,
+        wall_ms: 900_800,
+        boot: String::new(),
+        fleet_ms: None,
+    };
+    assert_eq!(
+        without_boot.max_age_at(&now),
+        power_loss,
+        "boots that cannot be told apart"
+    );
 }
 
 fn limit(open_tokens: u64, held_tokens: u64) -> SpendingLimit {
     SpendingLimit {
         open_tokens,
         held_tokens,
+        rate_tokens_per_s: 1_000,
     }
 }
 
-/// Guards against a process that spends more than its successor assumes: the limit must not rise before the lock period
-/// ends, never fall, and never exceed the tokens held.
+/// Guards against a process that spends more than its successor assumes, and against a limit that strands much: it must
+/// not rise before the lock period ends, never fall, and never exceed the rate of spending or the tokens held.
 #[test]
-fn the_limit_rises_only_with_the_age_of_the_entry() {
+fn the_limit_follows_the_rate_of_spending_as_the_entry_ages() {
     let limit = limit(1_000, 5_000);
-    assert_eq!(limit.at(0), 1_000);
-    assert_eq!(limit.at(LOCK_PERIOD_MS), 1_000);
+    let unlocked = |age_ms| limit.at(age_ms) - 1_000;
+    assert_eq!(unlocked(0), 0);
+    assert_eq!(unlocked(LOCK_PERIOD_MS), 0);
+    assert_eq!(unlocked(2_000), 1_000);
+    assert_eq!(unlocked(3_000), 3_000);
+    assert_eq!(unlocked(3_500), 3_500);
     assert_eq!(limit.at(60_000), 5_000);
+    assert_eq!(limit.at(u64::MAX), 5_000);
+    for age_ms in 0..7_000 {
+        assert!(limit.at(age_ms) <= limit.at(age_ms + 1), "{age_ms}");
+        assert!(unlocked(age_ms) <= age_ms, "{age_ms}");
+    }
     for used in [0, 1_000, 1_001, 3_000, 5_000] {
         let age_ms = limit.min_age_for(used).expect("an age");
         assert!(limit.at(age_ms) >= used, "{used}");
@@ -891,6 +930,36 @@
     assert_eq!(limit.min_age_for(5_001), None);
 }
 
+/// Guards against a limit that is higher than one of the two entries of which either may be in the store.
+#[test]
+fn the_lower_of_two_limits_is_no_higher_than_either_at_any_age() {
+    let fast = limit(2_000, 9_000);
+    let slow = SpendingLimit {
+        rate_tokens_per_s: 700,
+        ..limit(2_500, 8_000)
+    };
+    let lower = fast.min(slow);
+    for age_ms in (0..20_000).step_by(50) {
+        let least = fast.at(age_ms).min(slow.at(age_ms));
+        assert!(lower.at(age_ms) <= least, "{age_ms}");
+    }
+}
+
+/// Guards against reclaiming tokens that a process of an older version has spent: its entry states no rate, and it
+/// unlocked by other rules.
+#[test]
+fn an_entry_without_a_rate_bounds_nothing_but_what_was_held() {
+    let stored = TeamLimit {
+        team: "team".into(),
+        open_tokens: 1_000,
+        held_tokens: 5_000,
+        ..TeamLimit::default()
+    };
+    assert_eq!(stored.limit().at(0), 5_000);
+    let present = TeamLimit::new("team", limit(1_000, 5_000));
+    assert_eq!(present.limit(), limit(1_000, 5_000));
+}
+
 /// Guards against spending up to an old limit while an entry with a lower one may take effect: a successor would go by
 /// the lower limit and reclaim tokens that were spent.
 #[test]
@@ -900,7 +969,7 @@
     account.add_demand(30_000);
     sync(&mut account, &mut record, 1);
     account.remove_demand(30_000);
-    account.commit_entry(limit(5_000, 30_000));
+    account.commit_entry(limit(5_000, 30_000), 0);
     account.add_demand(1_000);
     account.begin_entry();
     account.remove_demand(1_000);
@@ -916,7 +985,7 @@
     account.add_demand(30_000);
     sync(&mut account, &mut record, 1);
     account.remove_demand(30_000);
-    account.commit_entry(limit(2_000, 30_000));
+    account.commit_entry(limit(2_000, 30_000), 0);
     assert!(account.reserve(2_000, 0).is_ok());
     assert_eq!(
         account.reserve(1, 0),
@@ -979,7 +1048,7 @@
     write_entry(&mut receiver);
     let pending_limit = receiver.begin_entry();
     receiver.receive(1, giver.give(10_000));
-    receiver.commit_entry(pending_limit);
+    receiver.commit_entry(pending_limit, 0);
     assert!(receiver.reserve(10_000, 0).is_ok());
     receiver.observe(&record, 2, PREPAID);
     let planned = receiver.plan(&record, 2, PREPAID, HOLDER);
@@ -992,7 +1061,7 @@
 
 fn write_entry(account: &mut TeamAccount) {
     let limit = account.begin_entry();
-    account.commit_entry(limit);
+    account.commit_entry(limit, 0);
 }
 
 fn sync(account: &mut TeamAccount, record: &mut BudgetRecord, router: u64) {
@@ -1002,7 +1071,7 @@
         account.finish_write(true);
         *record = planned;
     }
-    account.commit_entry(limit(u64::MAX, u64::MAX));
+    account.commit_entry(limit(u64::MAX, u64::MAX), 0);
 }
 
 /// Guards against refusing a request that the balance covers while no other router holds tokens.
