--- a/src/gateway/budget/remote.rs
+++ b/src/gateway/budget/remote.rs
@@ -215,15 +215,17 @@
             .send(Content::Reserve(request.clone()), holder);
         sends += 1;
         let mut reply = monoio::time::timeout(repeat_interval, pending.next_reply()).await;
-        if !is_waiting {
-            if let Ok(reply) = &reply {
+        if let Ok(reply) = &reply {
+            if !is_waiting {
                 let mut monitor = shared.peer_monitor.borrow_mut();
                 monitor.record_response(holder, started.elapsed().as_millis() as u64);
-                is_waiting = reply.outcome() == ReserveOutcome::Waiting;
             }
-            if is_waiting {
-                let limit_ms = wait_ms.unwrap_or(0) + WAIT_MARGIN_MS;
-                end = Instant::now() + Duration::from_millis(limit_ms);
+            if reply.outcome() == ReserveOutcome::Waiting {
+                // The estimate grows if the store goes out of reach meanwhile.
+                let limit_ms = reply.wait_ms.or(wait_ms).unwrap_or(0) + WAIT_MARGIN_MS;
+                let limit = Instant::now() + Duration::from_millis(limit_ms);
+                end = if is_waiting { end.max(limit) } else { limit };
+                is_waiting = true;
                 repeat_interval = WAITING_REPEAT_INTERVAL;
             }
         }
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -39,6 +39,10 @@
 /// Expected time until another holder has handed rights over.
 const HANDOVER_MS: u64 = 40;
 
+/// The same while the store is out of reach: the other holder hands over only what unlocks there in the meantime, so a
+/// wait for rights that unlock at one holder is preferred.
+const OUTAGE_HANDOVER_MS: u64 = 1_000;
+
 /// Time for which the other holders are not asked again after they had no rights to hand over.
 const ASKED_IN_VAIN_MS: u64 = 500;
 
@@ -127,6 +131,11 @@
     Conflict,
 }
 
+/// Returns whether a request can wait for this long until held rights become spendable.
+fn is_soon(wait_ms: u64, remaining_ms: u64) -> bool {
+    wait_ms <= UNLOCK_WAIT_MS.min(remaining_ms / UNLOCK_DIVISOR)
+}
+
 /// Returns this gateway as a holder of rights.
 fn own_candidate(shared: &Shared) -> Candidate<'_> {
     Candidate {
@@ -279,25 +288,35 @@
         tokens: u64,
         remaining_ms: u64,
     ) -> Option<u64> {
-        let account = self.account.borrow();
-        let available = account.available_tokens();
-        if available >= tokens && shared.store.is_responsive() {
-            return Some(ENTRY_MS);
-        }
-        if available + self.usable_free_tokens(shared) >= tokens {
-            return Some(GRANT_MS);
+        let available = self.account.borrow().available_tokens();
+        // An unresponsive store writes no entry and grants nothing, so only the age of the last entry can help.
+        if shared.store.is_responsive() {
+            if available >= tokens {
+                return Some(ENTRY_MS);
+            }
+            if available + self.usable_free_tokens(shared) >= tokens {
+                return Some(GRANT_MS);
+            }
         }
-        // What unlocks first goes to requests that wait already.
-        let ahead = account.demand_tokens();
-        if let Some(wait_ms) = account.unlock_wait_ms(ahead + tokens) {
-            let wait_ms = wait_ms + UNLOCK_MARGIN_MS;
-            let is_soon = wait_ms <= UNLOCK_WAIT_MS.min(remaining_ms / UNLOCK_DIVISOR);
-            return is_soon.then_some(wait_ms);
+        if let Some(wait_ms) = self.unlock_wait_ms(tokens) {
+            return is_soon(wait_ms, remaining_ms).then_some(wait_ms);
         }
-        let unspent = account.team_unspent_tokens();
+        let unspent = self.account.borrow().team_unspent_tokens();
         let may_be_elsewhere = unspent.is_none_or(|unspent| unspent >= tokens);
-        drop(account);
-        (may_be_elsewhere && self.may_ask_holders(shared)).then_some(HANDOVER_MS)
+        let handover_ms = if shared.store.is_responsive() {
+            HANDOVER_MS
+        } else {
+            OUTAGE_HANDOVER_MS
+        };
+        (may_be_elsewhere && self.may_ask_holders(shared)).then_some(handover_ms)
+    }
+
+    /// Returns how long a request waits until the ageing journal entry allows its reservation, after the requests that
+    /// wait already; `None` if it never does.
+    fn unlock_wait_ms(&self, tokens: u64) -> Option<u64> {
+        let account = self.account.borrow();
+        let wait_ms = account.unlock_wait_ms(account.demand_tokens() + tokens)?;
+        Some(wait_ms + UNLOCK_MARGIN_MS)
     }
 
     /// Returns whether other holders may have rights to hand over: they were not asked in vain just now.
@@ -358,6 +377,10 @@
         let Some(expected_ms) = self.expected_wait_ms(shared, tokens, remaining_ms) else {
             return Err(ReserveError::NotHeld);
         };
+        // An outage of the store may have begun without being noticed yet. The request then waits for the entry to age.
+        let unlock_ms = self.unlock_wait_ms(tokens);
+        let unlock_ms = unlock_ms.filter(|wait_ms| is_soon(*wait_ms, remaining_ms));
+        let expected_ms = expected_ms.max(unlock_ms.unwrap_or(0));
         self.account.borrow_mut().add_demand(tokens);
         if self.account.borrow().available_tokens() < tokens {
             self.request_poll();
--- a/tests/gateway_budgets.rs
+++ b/tests/gateway_budgets.rs
@@ -3,7 +3,7 @@
 mod gateway_common;
 
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
@@ -194,6 +194,39 @@
     assert_eq!(during, [200; 5]);
 }
 
+/// Guards against refusing requests after a short wait while the holders keep rights that unlock soon: the estimate of
+/// the wait assumed that the store still writes journal entries.
+#[test]
+fn requests_wait_for_rights_that_unlock_while_the_store_is_silent() {
+    let fleet = start_fleet_of_three(1_000_000);
+    let mut patient = configuration(2, 1_000_000);
+    for route in patient["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = 10_000.into();
+    }
+    fleet.store.configure(&patient);
+    let gateways = [&fleet.holders[0], &fleet.holders[1], &fleet.other];
+    wait_for("the new configuration", || {
+        gateways.iter().all(|gateway| gateway.log_has("version", 2))
+    });
+    for _ in 0..100 {
+        fleet.wait_success();
+    }
+    fleet.store.set_mode(StoreMode::Silent);
+    let request = String::from_utf8(token_request("during").encode()).expect("text");
+    let request = request.replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 10000");
+    let started = Instant::now();
+    let mut statuses = Vec::new();
+    while started.elapsed() < Duration::from_secs(5) {
+        let mut stream = connect(&fleet.other.callers);
+        stream.write_all(request.as_bytes()).expect("written");
+        statuses.push(read_response(&mut BufReader::new(stream)).status());
+    }
+    fleet.store.set_mode(StoreMode::Available);
+    let refused = statuses.iter().filter(|status| **status != 200).count();
+    let reasons = fleet.other.log_lines_with_step("refuse");
+    assert_eq!(refused, 0, "of {} requests: {reasons:#?}", statuses.len());
+}
+
 /// Guards against refusing requests at a gateway that reaches no other one although the store can grant it rights.
 #[test]
 fn a_gateway_that_reaches_no_other_one_acquires_rights_itself() {
