--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -319,8 +319,14 @@
         Some(wait_ms + UNLOCK_MARGIN_MS)
     }
 
-    /// Returns whether other holders may have rights to hand over: they were not asked in vain just now.
+    /// Returns whether to ask the other holders for rights: they may have some, as they were not asked in vain just now.
+    ///
+    /// Only a holder asks. The requests of all other gateways reserve at the holders, and rights that each of them
+    /// collected would be parts too small for one request.
     fn may_ask_holders(&self, shared: &Shared) -> bool {
+        if !self.role(shared).is_holder {
+            return false;
+        }
         let asked_ms = self.peers_asked_ms.get();
         let was_in_vain = self.received_ms.get() < asked_ms;
         let is_recent = shared.now_ms().saturating_sub(asked_ms) < ASKED_IN_VAIN_MS;
