Keep requests away from evacuated data centres

Cause: an operator's order to evacuate a data centre was ignored, so requests kept reaching it. Change: orders are read from the operator's feed and exclude upstreams from the choice, also right before a request is sent; a service without other upstreams is refused at once.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -277,6 +277,12 @@
             .filter(move |(_, entry)| entry.service == service && !entry.is_draining)
     }
 
+    /// Returns whether an upstream in a data centre is known.
+    pub fn has_data_centre(&self, data_centre: &str) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.data_centre == data_centre)
+    }
+
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 //! | write journal entries, which limit how far the rights may be spent | `journal` |
 //! | sample the wall clocks of other gateways | `clock` |
 //! | relate crashes of upstreams to requests, refuse requests that cause them | `crashes` |
+//! | keep requests away from evacuated data centres | `evacuations` |
 //! | keep to the limits on requests that upstreams state | `limits` |
 //! | try new versions of services, roll back bad ones | `rollouts` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
@@ -30,7 +31,7 @@
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
 //! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`],
-//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::upstream_availability`], [`crate::upstream_limits`],
+//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::evacuation`], [`crate::upstream_availability`], [`crate::upstream_limits`],
 //! [`crate::version_canary`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router.
 //! The design is in `docs/design.md`, section 10.
 
@@ -40,6 +41,7 @@
 mod callers;
 mod clock;
 mod crashes;
+mod evacuations;
 mod journal;
 mod limits;
 mod peers;
@@ -156,6 +158,7 @@
     stranger_seen: Notify,
     is_stranger_seen: Cell<bool>,
     crashes: crashes::Crashes,
+    evacuations: evacuations::Evacuations,
     limits: limits::Limits,
     availability: RefCell<UpstreamAvailability>,
     rollouts: rollouts::Rollouts,
@@ -313,6 +316,7 @@
         stranger_seen: Notify::default(),
         is_stranger_seen: Cell::new(false),
         crashes: crashes::Crashes::default(),
+        evacuations: evacuations::Evacuations::default(),
         limits: limits::Limits::default(),
         availability: RefCell::default(),
         rollouts: rollouts::Rollouts::default(),
@@ -342,6 +346,7 @@
         }
         shared.pool.close_expired(now_ms);
         limits::tidy(&shared);
+        evacuations::tidy(&shared);
         shared
             .placement
             .borrow_mut()
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,8 +17,9 @@
 use compact_str::{format_compact, CompactString};
 
 use super::crashes::{self, CrashRefusal};
+use super::evacuations::{self, EVACUATED_REASON, RETRY_AFTER_EVACUATION_MS};
 use super::request::Call;
-use super::{availability, limits, pool, rollouts, Shared};
+use super::{limits, pool, rollouts, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::{Outcome, PlacementError};
 use crate::platform::headers;
@@ -28,7 +29,7 @@
 use crate::upstream_client::UpstreamResponse;
 use crate::version_canary::Response;
 
-use choice::{choose_upstream, limited_wait_ms, paused_wait_ms, Choice};
+use choice::{choose_upstream, is_still_allowed, limited_wait_ms, paused_wait_ms, Choice};
 use exchange::HeadResult;
 use handover::await_result;
 use interrupt::run_until_interrupted;
@@ -56,6 +57,9 @@
 /// Number of attempts that did not run, for example refused connections, after which a request is given up.
 const MAX_NOT_RUN: u32 = 4;
 
+/// Reason in the log for a request that was not sent to the chosen upstream.
+const NOT_ALLOWED_REASON: &str = "the upstream takes no new requests since it was chosen";
+
 /// Status of a process that has taken over the address of the intended upstream.
 pub(super) const MISDIRECTED_REQUEST: u16 = 421;
 
@@ -261,10 +265,9 @@
         let mut in_flight = begin_attempt(shared, call, attempts, &choice);
         match connect(shared, call, caller, &choice).await {
             Ok(Ok(socket)) => {
-                // The upstream may have stated that while the request waited for permission or for the connection.
-                if !availability::is_available(shared, &choice.id, &choice.entry) {
-                    let reason = "the upstream has stated meanwhile that it takes no new requests";
-                    attempts.withdraw_last(call, reason);
+                // The request has waited for permission and for the connection.
+                if !is_still_allowed(shared, &choice) {
+                    attempts.withdraw_last(call, NOT_ALLOWED_REASON);
                     continue;
                 }
                 if let Err(failure) = authorise(shared, call, caller, attempts).await {
@@ -273,6 +276,11 @@
                     shared.pool.put(&choice.id, socket, None, now_ms);
                     return Err(failure);
                 }
+                // A suspected request has waited for its turn.
+                if !is_still_allowed(shared, &choice) {
+                    attempts.withdraw_last(call, NOT_ALLOWED_REASON);
+                    continue;
+                }
                 let target = Target {
                     id: &choice.id,
                     entry: &choice.entry,
@@ -384,6 +392,10 @@
     attempts: &Attempts,
     error: PlacementError,
 ) -> Failure {
+    if evacuations::is_service_evacuated(shared, &call.service) {
+        let failure = give_up(call, attempts, Refusal::NoUpstream, EVACUATED_REASON);
+        return retry_after_wait(failure, RETRY_AFTER_EVACUATION_MS);
+    }
     if let Some(wait_ms) = paused_wait_ms(shared, call) {
         let reason = "all upstreams of the service have asked for a pause";
         let failure = give_up(call, attempts, Refusal::Overloaded, reason);
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -4,7 +4,7 @@
 
 use crate::directory::{UpstreamDirectory, UpstreamEntry};
 use crate::gateway::request::Call;
-use crate::gateway::{availability, rollouts, Shared};
+use crate::gateway::{availability, evacuations, rollouts, Shared};
 use crate::placement::{Candidate, PlacementError};
 use crate::upstream_availability::Availability;
 use crate::upstream_limits::Weight;
@@ -80,7 +80,17 @@
     })
 }
 
-/// Returns the upstreams of the service that neither their entries nor their own responses say to be leaving.
+/// Returns whether the chosen upstream still takes new requests.
+///
+/// Its state may have changed while the request waited for a permission or a connection, so this is checked right before
+/// the request is sent.
+pub(super) fn is_still_allowed(shared: &Shared, choice: &Choice) -> bool {
+    availability::is_available(shared, &choice.id, &choice.entry)
+        && !evacuations::is_evacuated(shared, &choice.entry)
+}
+
+/// Returns the upstreams of the service outside evacuated data centres that neither their entries nor their own
+/// responses say to be leaving.
 fn staying<'a>(
     shared: &'a Shared,
     call: &'a Call<'_>,
@@ -88,6 +98,7 @@
 ) -> impl Iterator<Item = (&'a CompactString, &'a UpstreamEntry)> {
     directory.serving(&call.service).filter(|(id, entry)| {
         availability::availability(shared, id, entry) != Availability::Leaving
+            && !evacuations::is_evacuated(shared, entry)
     })
 }
 
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -11,7 +11,7 @@
 use compact_str::{format_compact, CompactString};
 use futures_util::future::{select, Either};
 
-use super::choice::{choose_upstream, Choice};
+use super::choice::{choose_upstream, is_still_allowed, Choice};
 use super::exchange::{Exchange, HeadResult};
 use super::interrupt::{run_until_interrupted, Interrupt};
 use super::{
@@ -19,7 +19,7 @@
     AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN, MIN_REMAINING_MS,
 };
 use crate::gateway::request::Call;
-use crate::gateway::{availability, crashes, limits, pool, rollouts, Shared};
+use crate::gateway::{crashes, limits, pool, rollouts, Shared};
 use crate::placement::Outcome;
 use crate::server::Socket;
 use crate::version_canary::Response;
@@ -103,7 +103,7 @@
         }
     };
     let is_allowed = limits::acquire(shared, &choice.id, choice.weight).await
-        && availability::is_available(shared, &choice.id, &choice.entry)
+        && is_still_allowed(shared, &choice)
         && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, true);
     if !is_allowed {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,6 +10,7 @@
 use super::budget::remote::Need;
 use super::budget::Shortage;
 use super::crashes::{self, CrashRefusal};
+use super::evacuations::{self, EVACUATED_REASON, RETRY_AFTER_EVACUATION_MS};
 use super::relay::{self, Delivery};
 use super::Shared;
 use crate::allowance::ReserveError;
@@ -236,6 +237,14 @@
         log_refusal(shared, &call.meta.id, &refused, call.started_ms);
         return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
     }
+    if evacuations::is_service_evacuated(shared, &call.service) {
+        let refused = Refused {
+            retry_after_ms: Some(RETRY_AFTER_EVACUATION_MS + call.retry_jitter_ms),
+            ..Refused::new(Refusal::NoUpstream, EVACUATED_REASON)
+        };
+        log_refusal(shared, &call.meta.id, &refused, call.started_ms);
+        return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
+    }
     let needed_tokens = call.meta.input_tokens + call.meta.max_output_tokens;
     let reservation = match call.team_name() {
         Some(team) if needed_tokens > 0 => {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::{rollouts, Shared};
+use super::{evacuations, rollouts, Shared};
 use crate::directory::UpstreamChange;
 use crate::platform::documents::{self, CONFIGURATION_KEY};
 use crate::routing::RoutingTable;
@@ -211,10 +211,13 @@
             _ if batch.is_snapshot => OrderSource::Snapshot,
             _ => OrderSource::Change,
         };
+        // Before the configuration, because the first one lets this gateway serve.
+        evacuations::apply(&shared, &batch);
         for record in &batch.records {
             if record.key == CONFIGURATION_KEY {
                 apply_configuration(&shared, record);
             } else {
+                // Other keys are ignored there.
                 rollouts::apply_order(&shared, record, source);
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod contract;
 pub mod crash_attribution;
 pub mod directory;
+pub mod evacuation;
 mod event_loop;
 pub mod evidence;
 pub mod explain;
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -9,12 +9,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::directory::UpstreamEntry;
+use crate::evacuation::OrderRecord;
 use crate::routing::{CallerLimits, RetrySemantics, Route, RoutingConfiguration, Service, Team};
 use crate::version_canary::{RolloutOrder, RolloutState};
 
 /// Key of the configuration in the feed of the operator.
 pub const CONFIGURATION_KEY: &str = "config";
 
+/// Prefix of the keys of orders to keep requests away from a data centre.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
 /// Prefix of the keys of orders to move a service to a version, and of their progress.
 const ROLLOUT_PREFIX: &str = "rollout/";
 
@@ -220,6 +224,22 @@
     })
 }
 
+/// Returns the data centre in the key of an order to keep requests away from it; `None` for other keys.
+pub fn evacuated_data_centre(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATION_PREFIX)
+}
+
+/// Decodes the value of such an order; its fields are not used.
+pub fn decode_evacuation(value: Option<&[u8]>) -> OrderRecord {
+    let Some(bytes) = value else {
+        return OrderRecord::Withdrawn;
+    };
+    match serde_json::from_slice::<serde_json::Map<String, serde_json::Value>>(bytes) {
+        Ok(_) => OrderRecord::Ordered,
+        Err(_) => OrderRecord::Invalid,
+    }
+}
+
 #[derive(Deserialize)]
 struct RolloutOrderDocument {
     service: CompactString,
