--- a/src/evacuation.rs
+++ b/src/evacuation.rs
@@ -97,6 +97,7 @@
         let mut changes = Vec::new();
         self.orders.retain(|data_centre, state| {
             if is_shown(data_centre) {
+                *state = OrderState::Confirmed;
                 return true;
             }
             match state {
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -1,6 +1,8 @@
 //! Stubs of the platform's store and of upstreams, and a gateway process that uses them.
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod coordinator;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
