--- a/src/directory.rs
+++ b/src/directory.rs
@@ -47,6 +47,8 @@
     pub started_ms: Option<u64>,
     /// Number of reports of the process; it rises with each one.
     pub report_sequence: Option<u64>,
+    /// Time for which it is still cold after its start; see [`crate::cold_upstreams`].
+    pub cold_left_ms: u64,
 }
 
 impl UpstreamEntry {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 //! | write journal entries, which limit how far the rights may be spent | `journal` |
 //! | sample the wall clocks of other gateways | `clock` |
 //! | relate crashes of upstreams to requests, refuse requests that cause them | `crashes` |
+//! | know which upstreams may be cold | `cold_upstreams` |
 //! | keep requests away from evacuated data centres | `evacuations` |
 //! | keep to the limits on requests that upstreams state | `limits` |
 //! | try new versions of services, roll back bad ones | `rollouts` |
@@ -31,7 +32,7 @@
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
 //! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`],
-//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::evacuation`], [`crate::upstream_availability`], [`crate::upstream_limits`],
+//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::cold_upstreams`], [`crate::evacuation`], [`crate::upstream_availability`], [`crate::upstream_limits`],
 //! [`crate::version_canary`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router.
 //! The design is in `docs/design.md`, section 10.
 
@@ -40,6 +41,7 @@
 mod budget;
 mod callers;
 mod clock;
+mod cold_upstreams;
 mod crashes;
 mod evacuations;
 mod journal;
@@ -158,6 +160,7 @@
     stranger_seen: Notify,
     is_stranger_seen: Cell<bool>,
     crashes: crashes::Crashes,
+    cold_upstreams: cold_upstreams::ColdUpstreams,
     evacuations: evacuations::Evacuations,
     limits: limits::Limits,
     availability: RefCell<UpstreamAvailability>,
@@ -316,6 +319,7 @@
         stranger_seen: Notify::default(),
         is_stranger_seen: Cell::new(false),
         crashes: crashes::Crashes::default(),
+        cold_upstreams: cold_upstreams::ColdUpstreams::default(),
         evacuations: evacuations::Evacuations::default(),
         limits: limits::Limits::default(),
         availability: RefCell::default(),
@@ -346,6 +350,7 @@
         }
         shared.pool.close_expired(now_ms);
         limits::tidy(&shared);
+        cold_upstreams::tidy(&shared);
         evacuations::tidy(&shared);
         shared
             .placement
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,8 +18,9 @@
 
 use super::crashes::{self, CrashRefusal};
 use super::evacuations::{self, EVACUATED_REASON, RETRY_AFTER_EVACUATION_MS};
+use super::limits::Permission;
 use super::request::Call;
-use super::{limits, pool, rollouts, Shared};
+use super::{cold_upstreams, limits, pool, rollouts, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::{Outcome, PlacementError};
 use crate::platform::headers;
@@ -29,7 +30,9 @@
 use crate::upstream_client::UpstreamResponse;
 use crate::version_canary::Response;
 
-use choice::{choose_upstream, is_still_allowed, limited_wait_ms, paused_wait_ms, Choice};
+use choice::{
+    choose_upstream, is_still_allowed, is_still_permitted, limited_wait_ms, paused_wait_ms, Choice,
+};
 use exchange::HeadResult;
 use handover::await_result;
 use interrupt::run_until_interrupted;
@@ -60,6 +63,9 @@
 /// Reason in the log for a request that was not sent to the chosen upstream.
 const NOT_ALLOWED_REASON: &str = "the upstream takes no new requests since it was chosen";
 
+/// Reason in the log for a request to a cold upstream whose permit has expired.
+const PERMIT_EXPIRED_REASON: &str = "the permit for an upstream that may be cold has expired";
+
 /// Status of a process that has taken over the address of the intended upstream.
 pub(super) const MISDIRECTED_REQUEST: u16 = 421;
 
@@ -239,15 +245,15 @@
             Some(versions) => versions,
             None => rollouts::choose_again(shared, &call.service),
         };
-        let choice = match choose_upstream(shared, call, &attempts.tried, versions) {
+        let mut choice = match choose_upstream(shared, call, &attempts.tried, versions) {
             Ok(choice) => choice,
             Err(error) => return Err(placement_failure(shared, call, attempts, error)),
         };
-        let permission = limits::acquire(shared, &choice.id, choice.weight);
+        let permission = limits::acquire(shared, &choice.id, choice.weight, choice.cold_rule);
         match run_until_interrupted(shared, call, caller, permission).await {
-            Ok(true) => {}
+            Ok(Permission::Granted(permit)) => choice.cold_permit = permit,
             // The upstream is no candidate for some time, so another one is chosen.
-            Ok(false) => continue,
+            Ok(Permission::Denied) => continue,
             Err(Interrupt::CallerGone) => return Err(Failure::CallerGone),
             Err(Interrupt::Deadline) => {
                 let reason = "no permission of a limited upstream before the deadline";
@@ -281,6 +287,12 @@
                     attempts.withdraw_last(call, NOT_ALLOWED_REASON);
                     continue;
                 }
+                if !is_still_permitted(shared, &choice) {
+                    // With an open connection the next permit is used in time.
+                    shared.pool.put(&choice.id, socket, None, shared.now_ms());
+                    attempts.withdraw_last(call, PERMIT_EXPIRED_REASON);
+                    continue;
+                }
                 let target = Target {
                     id: &choice.id,
                     entry: &choice.entry,
@@ -509,7 +521,10 @@
         let placement = shared.placement.borrow();
         placement.expected_delay_ms(id, call.meta.prompt.as_ref(), shared.now_ms()) as u64
     };
-    InFlight::new(shared, id, entry, call.meta.prompt.as_ref())
+    let mut in_flight = InFlight::new(shared, id, entry, call.meta.prompt.as_ref());
+    in_flight.cold_rule = choice.cold_rule;
+    in_flight.cold_permit = choice.cold_permit;
+    in_flight
 }
 
 /// Classifies the result of an exchange.
@@ -568,6 +583,15 @@
     if status != MISDIRECTED_REQUEST {
         limits::record_response(shared, &response.upstream, fields);
     }
+    if let Some(rule) = in_flight.cold_rule {
+        let sent_ms = now_ms.saturating_sub(elapsed_ms);
+        let head = (status, fields);
+        cold_upstreams::record_response(shared, &response.upstream, rule, head, sent_ms);
+        let permit = in_flight.cold_permit.take();
+        if let Some(permit) = permit.filter(|_| status != MISDIRECTED_REQUEST) {
+            limits::report_served(shared, &response.upstream, permit);
+        }
+    }
     if headers::is_not_executed(status, fields) {
         in_flight.set_outcome(if status == MISDIRECTED_REQUEST {
             Outcome::Replaced
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -2,9 +2,11 @@
 
 use compact_str::CompactString;
 
+use crate::cold_upstreams::{prefers_warm, ColdRule};
 use crate::directory::{UpstreamDirectory, UpstreamEntry};
+use crate::gateway::limits::{self, ColdPermit};
 use crate::gateway::request::Call;
-use crate::gateway::{availability, evacuations, rollouts, Shared};
+use crate::gateway::{availability, cold_upstreams, evacuations, rollouts, Shared};
 use crate::placement::{Candidate, PlacementError};
 use crate::upstream_availability::Availability;
 use crate::upstream_limits::Weight;
@@ -16,6 +18,10 @@
     pub(super) entry: UpstreamEntry,
     /// Weight of the request for the limit of the upstream.
     pub(super) weight: Weight,
+    /// What the upstream tolerates if it is cold; `None` if it never is.
+    pub(super) cold_rule: Option<ColdRule>,
+    /// Permit for the request, if the upstream may be cold.
+    pub(super) cold_permit: Option<ColdPermit>,
 }
 
 /// Chooses an upstream to which this gateway may open another connection.
@@ -30,7 +36,10 @@
     let limit = connection_limit(shared, call);
     let serving: Vec<_> = staying(shared, call, &directory).collect();
     let now_ms = shared.now_ms();
-    let choose_among = |versions: Versions, weight: Weight| {
+    let cold_rule = cold_upstreams::rule(shared, &call.service);
+    let may_be_cold =
+        |id: &str| cold_rule.is_some() && cold_upstreams::needs_permission(shared, id);
+    let choose_among = |versions: Versions, weight: Weight, is_warm_only: bool| {
         let candidates: Vec<_> = serving
             .iter()
             .filter(|(_, entry)| match versions {
@@ -44,6 +53,7 @@
                 placement.open_requests(id) < limit
                     && shared.limits.may_ask(id, weight, now_ms)
                     && availability::is_available(shared, id, entry)
+                    && (!may_be_cold(id) || !is_warm_only && shared.limits.may_ask_cold(id, now_ms))
             })
             .map(|(id, entry)| Candidate {
                 id: id.as_str(),
@@ -62,9 +72,24 @@
         Versions::Present if !has_present => Versions::Any,
         other => other,
     };
-    let choose = |weight: Weight| match (choose_among(versions, weight), versions) {
-        (Err(_), Versions::New) => choose_among(Versions::Present, weight),
-        (chosen, _) => chosen,
+    let choose_of = |weight: Weight, is_warm_only: bool| {
+        let chosen = choose_among(versions, weight, is_warm_only);
+        match (chosen, versions) {
+            (Err(_), Versions::New) => choose_among(Versions::Present, weight, is_warm_only),
+            (chosen, _) => chosen,
+        }
+    };
+    let choose = |weight: Weight| {
+        let best = choose_of(weight, false)?;
+        if !may_be_cold(best) {
+            return Ok(best);
+        }
+        let delay_ms =
+            |id: &str| placement.expected_delay_ms(id, call.meta.prompt.as_ref(), now_ms);
+        match choose_of(weight, true) {
+            Ok(warm) if prefers_warm(delay_ms(best), delay_ms(warm), shared.random()) => Ok(warm),
+            _ => Ok(best),
+        }
     };
     let weight = placement.weight(call.meta.prompt.as_ref());
     let (id, weight) = match choose(weight) {
@@ -77,6 +102,8 @@
         id: id.into(),
         entry: entry.clone(),
         weight,
+        cold_rule,
+        cold_permit: None,
     })
 }
 
@@ -89,6 +116,11 @@
         && !evacuations::is_evacuated(shared, &choice.entry)
 }
 
+/// Returns whether the chosen upstream is still warm, or the permit for the request is still valid.
+pub(super) fn is_still_permitted(shared: &Shared, choice: &Choice) -> bool {
+    choice.cold_rule.is_none() || limits::is_permitted(shared, &choice.id, choice.cold_permit)
+}
+
 /// Returns the upstreams of the service outside evacuated data centres that neither their entries nor their own
 /// responses say to be leaving.
 fn staying<'a>(
@@ -117,13 +149,25 @@
     part.max(MIN_CONNECTIONS) as u32
 }
 
+/// Returns the time until the coordinator of an upstream grants a request, as far as it has refused one.
+fn limit_wait_ms(shared: &Shared, call: &Call<'_>, id: &str, now_ms: u64) -> u64 {
+    let stated_ms = shared.limits.wait_ms(id, now_ms);
+    let may_be_cold = cold_upstreams::rule(shared, &call.service).is_some()
+        && cold_upstreams::needs_permission(shared, id);
+    if may_be_cold {
+        stated_ms.max(shared.limits.cold_wait_ms(id, now_ms))
+    } else {
+        stated_ms
+    }
+}
+
 /// Returns the time until an upstream of the service takes a request again, if one with a limit is the first that may.
 pub(super) fn limited_wait_ms(shared: &Shared, call: &Call<'_>) -> Option<u64> {
     let directory = shared.directory.borrow();
     let now_ms = shared.now_ms();
     let available = staying(shared, call, &directory)
         .filter(|(id, entry)| availability::is_available(shared, id, entry));
-    let waits = available.map(|(id, _)| shared.limits.wait_ms(id, now_ms));
+    let waits = available.map(|(id, _)| limit_wait_ms(shared, call, id, now_ms));
     waits.filter(|wait_ms| *wait_ms > 0).min()
 }
 
@@ -136,7 +180,7 @@
         let Availability::Paused { wait_ms } = availability::availability(shared, id, entry) else {
             return None;
         };
-        let wait_ms = wait_ms.max(shared.limits.wait_ms(id, now_ms));
+        let wait_ms = wait_ms.max(limit_wait_ms(shared, call, id, now_ms));
         shortest_ms =
             Some(shortest_ms.map_or(wait_ms, |shortest_ms: u64| shortest_ms.min(wait_ms)));
     }
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -11,15 +11,16 @@
 use compact_str::{format_compact, CompactString};
 use futures_util::future::{select, Either};
 
-use super::choice::{choose_upstream, is_still_allowed, Choice};
+use super::choice::{choose_upstream, is_still_allowed, is_still_permitted, Choice};
 use super::exchange::{Exchange, HeadResult};
 use super::interrupt::{run_until_interrupted, Interrupt};
 use super::{
     attempt_timeout, conclude, is_retry_allowed, is_sending_to_others, start_exchange,
     AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN, MIN_REMAINING_MS,
 };
+use crate::gateway::limits::Permission;
 use crate::gateway::request::Call;
-use crate::gateway::{crashes, limits, pool, rollouts, Shared};
+use crate::gateway::{cold_upstreams, crashes, limits, pool, rollouts, Shared};
 use crate::placement::Outcome;
 use crate::server::Socket;
 use crate::version_canary::Response;
@@ -83,7 +84,7 @@
         return None;
     }
     let versions = rollouts::choose_again(shared, &call.service);
-    let choice = choose_upstream(shared, call, tried, versions).ok()?;
+    let mut choice = choose_upstream(shared, call, tried, versions).ok()?;
     // A new connection, because one from the pool does not show that the host is reachable.
     shared.metrics.add("upstream_connects", 1);
     let connecting_ms = shared.now_ms();
@@ -99,11 +100,17 @@
             );
             let mut placement = shared.placement.borrow_mut();
             placement.record_unreachable(&choice.id, now_ms);
+            cold_upstreams::record_lost(shared, &choice.id);
             return None;
         }
     };
-    let is_allowed = limits::acquire(shared, &choice.id, choice.weight).await
+    let permission = limits::acquire(shared, &choice.id, choice.weight, choice.cold_rule).await;
+    if let Permission::Granted(permit) = permission {
+        choice.cold_permit = permit;
+    }
+    let is_allowed = matches!(permission, Permission::Granted(_))
         && is_still_allowed(shared, &choice)
+        && is_still_permitted(shared, &choice)
         && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, true);
     if !is_allowed {
--- a/src/gateway/attempt/in_flight.rs
+++ b/src/gateway/attempt/in_flight.rs
@@ -4,10 +4,12 @@
 
 use compact_str::CompactString;
 
+use crate::cold_upstreams::ColdRule;
 use crate::directory::UpstreamEntry;
 use crate::gateway::crashes::{self, LostConnection};
+use crate::gateway::limits::ColdPermit;
 use crate::gateway::request::Call;
-use crate::gateway::{rollouts, Shared};
+use crate::gateway::{cold_upstreams, rollouts, Shared};
 use crate::placement::{Outcome, Prompt};
 use crate::version_canary::Response;
 
@@ -27,6 +29,10 @@
     awaits_first_byte: bool,
     /// Prefill work of the request, if the engine was idle; see [`crate::placement::Placement::idle_prefill_work`].
     pub(super) idle_prefill_work: Option<f64>,
+    /// What the upstream tolerates if it is cold; `None` if it never is.
+    pub(super) cold_rule: Option<ColdRule>,
+    /// Permit for the request, if the upstream may have been cold.
+    pub(super) cold_permit: Option<ColdPermit>,
 }
 
 impl<'a> InFlight<'a> {
@@ -60,6 +66,8 @@
             outcome: Outcome::Neutral,
             awaits_first_byte: true,
             idle_prefill_work,
+            cold_rule: None,
+            cold_permit: None,
         }
     }
 
@@ -114,6 +122,14 @@
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
         self.end_first_byte_wait();
+        match self.outcome {
+            Outcome::Failed | Outcome::Replaced | Outcome::Unreachable
+                if self.cold_rule.is_some() =>
+            {
+                cold_upstreams::record_lost(self.shared, &self.id);
+            }
+            _ => {}
+        }
         let now_ms = self.shared.now_ms();
         let mut placement = self.shared.placement.borrow_mut();
         placement.record_finished(&self.id, self.outcome, now_ms);
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -1,20 +1,23 @@
-//! Limits on the rate of requests that upstreams state in their responses: exchange with other gateways, and permission
+//! Limits on the rate of requests to single upstreams, stated or because they may be cold: exchange with other gateways, and permission
 //! for each request.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::HeaderMap;
 use rand::Rng;
 
-use super::peers::{Content, LimitMessage, LimitReply, LimitRequest};
-use super::Shared;
+use super::peers::{Content, LimitMessage, LimitReply, LimitRequest, LimitServed};
+use super::{cold_upstreams, Shared};
+use crate::cold_upstreams::ColdRule;
 use crate::collections::FastMap;
 use crate::holders;
 use crate::notify::Notify;
 use crate::platform::headers;
-use crate::upstream_limits::{Grant, LimitNotice, UpstreamLimits, Weight};
+use crate::upstream_limits::{
+    Grant, LimitNotice, UpstreamLimits, Weight, COLD_PERMIT_MS, VIEW_CHANGE_MS,
+};
 
 /// Time after which a request for permission is sent again; a reply takes one or two milliseconds.
 const REPEAT_DELAY: Duration = Duration::from_millis(25);
@@ -25,18 +28,69 @@
 /// Time for which an upstream is not chosen if its coordinator does not reply.
 const NO_REPLY_DENIAL_MS: u64 = 250;
 
+/// Time without housekeeping after which the process counts as having been stopped. Another gateway replaces it no
+/// sooner, because reports of presence hold for longer.
+const MAX_STOP_MS: u64 = 3_000;
+
 /// Limits of upstreams, with the requests for permission that await a reply.
 #[derive(Default)]
 pub(super) struct Limits {
     state: RefCell<UpstreamLimits>,
-    replies: RefCell<FastMap<u64, Option<Grant>>>,
+    replies: RefCell<FastMap<u64, Option<Decision>>>,
     reply_arrived: Notify,
+    view: Cell<FleetView>,
+}
+
+/// Since when this gateway has known the present members of the fleet.
+#[derive(Clone, Copy, Default)]
+struct FleetView {
+    generation: u64,
+    changed_ms: u64,
+    checked_ms: u64,
+}
+
+/// Decision of a coordinator.
+#[derive(Clone, Copy)]
+struct Decision {
+    grant: Grant,
+    /// Age of the last sign of life, if the upstream needed no grant because it is proved to be warm.
+    proof_age_ms: Option<u64>,
+}
+
+impl Decision {
+    /// A refusal by a gateway that cannot decide.
+    const UNDECIDED: Self = Self {
+        grant: Grant::Denied {
+            wait_ms: NO_REPLY_DENIAL_MS,
+        },
+        proof_age_ms: None,
+    };
+}
+
+/// A grant for one request to an upstream that may be cold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ColdPermit {
+    id: u64,
+    /// The gateway that has granted it; `None` for this one.
+    coordinator: Option<SocketAddr>,
+    until_ms: u64,
+}
+
+/// Result of asking for permission to send a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Permission {
+    /// It may be sent, with this permit if the upstream may be cold.
+    Granted(Option<ColdPermit>),
+    /// The upstream takes no request for some time.
+    Denied,
 }
 
 /// The gateway that grants the requests to an upstream.
 enum Coordinator {
     Own,
     Peer(SocketAddr),
+    /// No gateway has reported its presence yet, or not its address.
+    Unknown,
 }
 
 impl Limits {
@@ -45,11 +99,21 @@
         self.state.borrow().may_ask(upstream, weight, now_ms)
     }
 
+    /// Returns whether the coordinator of an upstream that may be cold may be asked for permission.
+    pub(super) fn may_ask_cold(&self, upstream: &str, now_ms: u64) -> bool {
+        self.state.borrow().may_ask_cold(upstream, now_ms)
+    }
+
     /// Returns the time until the coordinator of the upstream's limit may be asked.
     pub(super) fn wait_ms(&self, upstream: &str, now_ms: u64) -> u64 {
         self.state.borrow().wait_ms(upstream, now_ms)
     }
 
+    /// Returns the time until the coordinator of an upstream that may be cold may be asked.
+    pub(super) fn cold_wait_ms(&self, upstream: &str, now_ms: u64) -> u64 {
+        self.state.borrow().cold_wait_ms(upstream, now_ms)
+    }
+
     /// Forgets the limit of an upstream that is gone or was restarted.
     pub(super) fn forget(&self, upstream: &str) {
         self.state.borrow_mut().forget(upstream);
@@ -58,13 +122,31 @@
 
 /// Forgets limits that nobody has confirmed for long, and grants of limits that another gateway keeps now.
 pub(super) fn tidy(shared: &Shared) {
+    fleet_view(shared);
     let mut limits = shared.limits.state.borrow_mut();
-    if !limits.is_empty() {
-        limits.expire(shared.now_ms());
-        limits.retain_grants(|upstream| {
-            matches!(find_coordinator(shared, upstream), Coordinator::Own)
-        });
+    limits.expire(shared.now_ms());
+    limits.retain_grants(|upstream| {
+        !matches!(find_coordinator(shared, upstream), Coordinator::Peer(_))
+    });
+}
+
+/// Returns since when this gateway has known the present members of the fleet; if the process was stopped for a while,
+/// it forgets its grants for cold upstreams, because another gateway may have replaced it.
+fn fleet_view(shared: &Shared) -> FleetView {
+    let now_ms = shared.now_ms();
+    let generation = shared.routers.borrow().generation();
+    let mut view = shared.limits.view.get();
+    if now_ms.saturating_sub(view.checked_ms) > MAX_STOP_MS {
+        shared.limits.state.borrow_mut().forget_cold_grants();
+        view.changed_ms = now_ms;
     }
+    if view.generation != generation {
+        view.generation = generation;
+        view.changed_ms = now_ms;
+    }
+    view.checked_ms = now_ms;
+    shared.limits.view.set(view);
+    view
 }
 
 /// Records the limit that the head of a response states, if any, and tells the other gateways of changes.
@@ -126,41 +208,102 @@
     result
 }
 
-/// Returns whether a request may be sent to an upstream without exceeding its limit; asks the coordinator of the limit.
-pub(super) async fn acquire(shared: &Shared, upstream: &str, weight: Weight) -> bool {
-    let now_ms = shared.now_ms();
-    let known = shared.limits.state.borrow().known(upstream, now_ms);
-    let Some((limit_milli_per_s, known_ms)) = known else {
-        return true;
+/// Asks the coordinator of an upstream for permission to send a request, if the upstream has stated a limit or may be
+/// cold; `rule` is that of its service.
+pub(super) async fn acquire(
+    shared: &Shared,
+    upstream: &str,
+    weight: Weight,
+    rule: Option<ColdRule>,
+) -> Permission {
+    let asked_ms = shared.now_ms();
+    let known = shared.limits.state.borrow().known(upstream, asked_ms);
+    let may_be_cold = rule.is_some() && cold_upstreams::needs_permission(shared, upstream);
+    if known.is_none() && !may_be_cold {
+        return Permission::Granted(None);
+    }
+    let request = LimitRequest {
+        id: shared.random.borrow_mut().random(),
+        upstream: upstream.into(),
+        limit_milli_per_s: known.map(|(limit, _)| limit),
+        known_ms: known.map_or(0, |(_, known_ms)| known_ms),
+        is_light: weight == Weight::Light,
+        may_be_cold,
+        lost_age_ms: cold_upstreams::lost_age_ms(shared, upstream).filter(|_| may_be_cold),
     };
-    let id = shared.random.borrow_mut().random();
-    let (grant, coordinator) = match find_coordinator(shared, upstream) {
-        Coordinator::Own => (grant_as_coordinator(shared, upstream, id, weight), None),
-        Coordinator::Peer(peer) => {
-            let request = LimitRequest {
+    let (id, (decision, coordinator)) = (request.id, ask_coordinator(shared, request).await);
+    let Decision {
+        grant,
+        proof_age_ms,
+    } = decision;
+    match grant {
+        Grant::Granted if !may_be_cold => Permission::Granted(None),
+        Grant::Granted => {
+            if let Some(age_ms) = proof_age_ms {
+                let seen_ms = asked_ms.saturating_sub(age_ms);
+                cold_upstreams::record_proof(shared, upstream, seen_ms);
+                return Permission::Granted(None);
+            }
+            let until_ms = asked_ms + COLD_PERMIT_MS;
+            Permission::Granted(Some(ColdPermit {
                 id,
-                upstream: upstream.into(),
-                limit_milli_per_s,
-                known_ms,
-                is_light: weight == Weight::Light,
-            };
-            (ask(shared, request, peer).await, Some(peer))
+                coordinator,
+                until_ms,
+            }))
         }
-    };
-    let Grant::Denied { wait_ms } = grant else {
-        return true;
-    };
+        Grant::Denied { wait_ms } => {
+            record_denial(shared, upstream, weight, may_be_cold, wait_ms);
+            log::debug!(
+                step = "limit", upstream = upstream, may_be_cold = may_be_cold, wait_ms = wait_ms,
+                at_ms = shared.now_ms(),
+                coordinator = coordinator.map(|peer| peer.to_string()).unwrap_or_default().as_str();
+                "the upstream takes no further request now"
+            );
+            Permission::Denied
+        }
+    }
+}
+
+fn record_denial(shared: &Shared, upstream: &str, weight: Weight, may_be_cold: bool, wait_ms: u64) {
     let now_ms = shared.now_ms();
     let mut limits = shared.limits.state.borrow_mut();
     limits.record_denial(upstream, weight, wait_ms, now_ms);
     shared.metrics.add("limit_denials", 1);
-    log::debug!(
-        step = "limit", upstream = upstream, limit_milli_per_s = limit_milli_per_s,
-        wait_ms = wait_ms, at_ms = now_ms,
-        coordinator = coordinator.map(|peer| peer.to_string()).unwrap_or_default().as_str();
-        "the upstream takes no further request now"
-    );
-    false
+    if may_be_cold {
+        limits.record_cold_denial(upstream, wait_ms, now_ms);
+        shared.metrics.add("cold_denials", 1);
+    }
+}
+
+/// Returns whether a request to an upstream of a service with a rule may be sent now: with a permit that is still valid,
+/// or without one as long as the upstream is proved to be warm.
+pub(super) fn is_permitted(shared: &Shared, upstream: &str, permit: Option<ColdPermit>) -> bool {
+    match permit {
+        Some(permit) => shared.now_ms() < permit.until_ms,
+        None => !cold_upstreams::needs_permission(shared, upstream),
+    }
+}
+
+/// Tells the coordinator that a request with a permit was answered.
+pub(super) fn report_served(shared: &Shared, upstream: &str, permit: ColdPermit) {
+    if let Some(coordinator) = permit.coordinator {
+        let served = LimitServed {
+            id: permit.id,
+            upstream: upstream.into(),
+        };
+        let content = Content::LimitServed(served);
+        shared.peer_socket.send(content, coordinator);
+    }
+}
+
+/// Records that a request which this gateway has granted was answered.
+pub(super) fn handle_served(shared: &Shared, served: &LimitServed) {
+    let limits = shared.limits.state.borrow();
+    let granted_ms = limits.cold_granted_ms(&served.upstream, served.id);
+    let rule = cold_upstreams::rule_of(shared, &served.upstream);
+    if let (Some(granted_ms), Some(rule)) = (granted_ms, rule) {
+        cold_upstreams::record_served(shared, &served.upstream, rule, granted_ms);
+    }
 }
 
 /// Returns the coordinator of the limit of an upstream.
@@ -170,23 +313,72 @@
 fn find_coordinator(shared: &Shared, upstream: &str) -> Coordinator {
     let routers = shared.routers.borrow();
     let ranked = holders::rank(upstream, routers.candidates());
-    let coordinator = ranked
-        .first()
-        .filter(|coordinator| coordinator.vm != shared.settings.vm);
-    match coordinator.and_then(|coordinator| routers.address_of(coordinator.vm)) {
-        Some(peer) => Coordinator::Peer(peer),
-        None => Coordinator::Own,
+    let Some(coordinator) = ranked.first() else {
+        return Coordinator::Unknown;
+    };
+    if coordinator.vm == shared.settings.vm {
+        return Coordinator::Own;
     }
+    let address = routers.address_of(coordinator.vm);
+    address.map_or(Coordinator::Unknown, Coordinator::Peer)
 }
 
-fn grant_as_coordinator(shared: &Shared, upstream: &str, id: u64, weight: Weight) -> Grant {
+/// Has the coordinator decide on a request; returns its address, unless it is this gateway.
+async fn ask_coordinator(shared: &Shared, request: LimitRequest) -> (Decision, Option<SocketAddr>) {
+    match find_coordinator(shared, &request.upstream) {
+        Coordinator::Own => (decide(shared, &request), None),
+        Coordinator::Peer(peer) => (ask(shared, request, peer).await, Some(peer)),
+        // Without a coordinator nobody knows what others send to an upstream that may be cold.
+        Coordinator::Unknown if request.may_be_cold => (Decision::UNDECIDED, None),
+        Coordinator::Unknown => (decide(shared, &request), None),
+    }
+}
+
+/// Decides on a request as the coordinator.
+fn decide(shared: &Shared, request: &LimitRequest) -> Decision {
+    let proof_age_ms = request
+        .may_be_cold
+        .then(|| cold_upstreams::proof_age_ms(shared, &request.upstream, request.lost_age_ms))
+        .flatten();
+    if request.may_be_cold && proof_age_ms.is_none() {
+        let grant = grant_cold(shared, &request.upstream, request.id);
+        if grant != Grant::Granted {
+            return Decision {
+                grant,
+                proof_age_ms,
+            };
+        }
+    }
+    let weight = if request.is_light {
+        Weight::Light
+    } else {
+        Weight::Heavy
+    };
     let now_ms = shared.now_ms();
     let mut limits = shared.limits.state.borrow_mut();
-    limits.grant(upstream, id, weight, now_ms)
+    Decision {
+        grant: limits.grant(&request.upstream, request.id, weight, now_ms),
+        proof_age_ms,
+    }
+}
+
+/// Grants or refuses a request to an upstream that may be cold. A gateway that is not its coordinator grants none,
+/// whatever the one that asks thinks.
+fn grant_cold(shared: &Shared, upstream: &str, id: u64) -> Grant {
+    let rule = cold_upstreams::rule_of(shared, upstream);
+    let is_own = matches!(find_coordinator(shared, upstream), Coordinator::Own);
+    let Some(rule) = rule.filter(|_| is_own) else {
+        return Decision::UNDECIDED.grant;
+    };
+    let view_change_ms = VIEW_CHANGE_MS * u64::from(shared.interval_factor());
+    let predecessor_until_ms = fleet_view(shared).changed_ms + view_change_ms;
+    let now_ms = shared.now_ms();
+    let mut limits = shared.limits.state.borrow_mut();
+    limits.grant_cold(upstream, id, rule, predecessor_until_ms, now_ms)
 }
 
 /// Asks the coordinator of a limit for permission to send one request.
-async fn ask(shared: &Shared, request: LimitRequest, peer: SocketAddr) -> Grant {
+async fn ask(shared: &Shared, request: LimitRequest, peer: SocketAddr) -> Decision {
     let limits = &shared.limits;
     let id = request.id;
     limits.replies.borrow_mut().insert(id, None);
@@ -197,8 +389,8 @@
         let arrived = limits
             .reply_arrived
             .wait_for(|| limits.replies.borrow().get(&id).copied().flatten());
-        if let Ok(grant) = monoio::time::timeout(REPEAT_DELAY, arrived).await {
-            reply = Some(grant);
+        if let Ok(decision) = monoio::time::timeout(REPEAT_DELAY, arrived).await {
+            reply = Some(decision);
             break;
         }
     }
@@ -209,33 +401,29 @@
             at_ms = shared.now_ms();
             "the coordinator of the limit does not reply"
         );
-        Grant::Denied {
-            wait_ms: NO_REPLY_DENIAL_MS,
-        }
+        Decision::UNDECIDED
     })
 }
 
 /// Grants or refuses the request of another gateway.
 pub(super) fn handle_request(shared: &Shared, request: &LimitRequest, peer: SocketAddr) {
-    let message = LimitMessage {
-        upstream: request.upstream.clone(),
-        limit_milli_per_s: Some(request.limit_milli_per_s),
-        known_ms: request.known_ms,
-    };
-    handle_message(shared, &message);
-    let weight = if request.is_light {
-        Weight::Light
-    } else {
-        Weight::Heavy
-    };
-    let grant = grant_as_coordinator(shared, &request.upstream, request.id, weight);
-    let denied_ms = match grant {
+    if request.limit_milli_per_s.is_some() {
+        let message = LimitMessage {
+            upstream: request.upstream.clone(),
+            limit_milli_per_s: request.limit_milli_per_s,
+            known_ms: request.known_ms,
+        };
+        handle_message(shared, &message);
+    }
+    let decision = decide(shared, request);
+    let denied_ms = match decision.grant {
         Grant::Granted => None,
         Grant::Denied { wait_ms } => Some(wait_ms),
     };
     let reply = LimitReply {
         id: request.id,
         denied_ms,
+        proof_age_ms: decision.proof_age_ms,
     };
     shared.peer_socket.send(Content::LimitReply(reply), peer);
 }
@@ -247,7 +435,10 @@
         Some(wait_ms) => Grant::Denied { wait_ms },
     };
     if let Some(awaited) = shared.limits.replies.borrow_mut().get_mut(&reply.id) {
-        *awaited = Some(grant);
+        *awaited = Some(Decision {
+            grant,
+            proof_age_ms: reply.proof_age_ms,
+        });
     }
     shared.limits.reply_arrived.notify();
 }
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -10,7 +10,7 @@
     /// Content of the datagram.
     #[prost(
         oneof = "Content",
-        tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 30"
     )]
     pub(super) content: Option<Content>,
 }
@@ -56,6 +56,8 @@
     RecordQuery(RecordQuery),
     #[prost(message, tag = "19")]
     RecordQueryReply(RecordQueryReply),
+    #[prost(message, tag = "30")]
+    LimitServed(LimitServed),
 }
 
 /// The version of a team's record that a gateway has written.
@@ -273,7 +275,7 @@
     pub(in crate::gateway) known_ms: u64,
 }
 
-/// A request for permission to send one request to an upstream that has stated a limit.
+/// A request for permission to send one request to an upstream that has stated a limit or may be cold.
 #[derive(Clone, PartialEq, Message)]
 pub(in crate::gateway) struct LimitRequest {
     /// Random id of the request.
@@ -282,15 +284,32 @@
     /// Id of the upstream.
     #[prost(string, tag = "2")]
     pub(in crate::gateway) upstream: String,
-    /// Limit as the sender knows it, in thousandths of a request a second.
-    #[prost(uint64, tag = "3")]
-    pub(in crate::gateway) limit_milli_per_s: u64,
+    /// Limit as the sender knows it, in thousandths of a request a second; `None` if the upstream states none.
+    #[prost(uint64, optional, tag = "3")]
+    pub(in crate::gateway) limit_milli_per_s: Option<u64>,
     /// Time for which the sender has known the limit.
     #[prost(uint64, tag = "4")]
     pub(in crate::gateway) known_ms: u64,
     /// Whether the request is light, so that others go first.
     #[prost(bool, tag = "5")]
     pub(in crate::gateway) is_light: bool,
+    /// Whether the sender has no proof that the upstream is warm.
+    #[prost(bool, tag = "6")]
+    pub(in crate::gateway) may_be_cold: bool,
+    /// Time since the sender lost contact with the upstream; older signs of life prove nothing to it.
+    #[prost(uint64, optional, tag = "7")]
+    pub(in crate::gateway) lost_age_ms: Option<u64>,
+}
+
+/// Tells the coordinator that a request which it has granted was answered, so that the upstream lives.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct LimitServed {
+    /// Id of the request for permission.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+    /// Id of the upstream.
+    #[prost(string, tag = "2")]
+    pub(in crate::gateway) upstream: String,
 }
 
 /// Reply to a [`LimitRequest`].
@@ -302,6 +321,9 @@
     /// Time until the upstream takes the next request; `None` if the request may be sent now.
     #[prost(uint64, optional, tag = "2")]
     pub(in crate::gateway) denied_ms: Option<u64>,
+    /// Age of the last sign of life, if the request needed no grant because the upstream is proved to be warm.
+    #[prost(uint64, optional, tag = "3")]
+    pub(in crate::gateway) proof_age_ms: Option<u64>,
 }
 
 /// Responses of both versions of a service that the sender has counted since the order to move it.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::cold_upstreams::ColdRule;
+use crate::routing::Service;
 use crate::shared_limits::RetryRule;
 use crate::validation::Error;
 use crate::validation::{self, field, Document, Field, FieldType, ProblemCollector, Schema};
@@ -103,6 +105,13 @@
     /// Whether the whole fleet starts for the first time, so that no budget has been used yet.
     #[serde(default)]
     pub is_first_start: bool,
+    /// Factor by which requests to a cold upstream may exceed the rate that it takes; without it no upstream counts as
+    /// cold.
+    #[serde(default)]
+    pub cold_overshoot_ratio: Option<f64>,
+    /// Requests to a cold upstream that are tolerated beyond that in a second.
+    #[serde(default)]
+    pub cold_slack_requests: Option<f64>,
 }
 
 impl FleetLimits {
@@ -114,6 +123,20 @@
             window_ms: (self.retry_window_s * 1_000.0) as u64,
         }
     }
+
+    /// Returns what upstreams of a service tolerate while they are cold; `None` if they never are.
+    pub fn cold_rule(&self, service: &Service) -> Option<ColdRule> {
+        let ratio = self.cold_overshoot_ratio?;
+        let per_s = service.cold_requests_milli_per_s as f64 / 1_000.0;
+        if service.cold_start_ms == 0 || service.cold_requests_milli_per_s == 0 {
+            return None;
+        }
+        let tolerated = per_s * ratio + self.cold_slack_requests.unwrap_or(0.0);
+        Some(ColdRule {
+            start_ms: service.cold_start_ms,
+            tolerated_requests: tolerated as u64,
+        })
+    }
 }
 
 const SETTINGS: Schema = Schema(&[
@@ -152,6 +175,8 @@
     number("retry_window_s", 0.1, 3_600.0),
     number("stop_grace_s", 0.1, 3_600.0),
     field("is_first_start", FieldType::Boolean).optional(),
+    number("cold_overshoot_ratio", 0.0, 100.0).optional(),
+    number("cold_slack_requests", 0.0, 1_000_000.0).optional(),
 ]);
 
 const fn integer(name: &'static str, min: u64, max: u64, unit: &'static str) -> Field {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -9,8 +9,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::{evacuations, rollouts, Shared};
-use crate::directory::UpstreamChange;
+use compact_str::CompactString;
+
+use super::{cold_upstreams, evacuations, rollouts, Shared};
+use crate::directory::{UpstreamChange, UpstreamEntry};
 use crate::platform::documents::{self, CONFIGURATION_KEY};
 use crate::routing::RoutingTable;
 use crate::store::{self, Changes, Feed, Record, Snapshot, Store};
@@ -30,6 +32,10 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Size of the records of one read up to which the read surely reached the end of the feed; the store returns at least
+/// twice as much at once.
+const MAX_COMPLETE_BYTES: usize = 256 << 10;
+
 /// Time without a successful read that counts as an outage of the store.
 const OUTAGE_MS: u64 = 1_000;
 
@@ -49,6 +55,8 @@
     /// Number of failed reads since the last successful one.
     failures: u32,
     read_ms: u64,
+    /// Start of the last read that reached the end of the feed.
+    complete_ms: u64,
 }
 
 /// Records from one read.
@@ -62,6 +70,18 @@
     pub(super) is_restored: bool,
     /// Whether this read ended an outage of the store.
     after_outage: bool,
+    /// Time before which none of the records of a change was written.
+    written_after_ms: u64,
+}
+
+impl Batch {
+    fn size_bytes(&self) -> usize {
+        let sizes = self.records.iter().map(|record| {
+            let value = record.value.as_ref().map_or(0, |value| value.len());
+            record.key.len() + value
+        });
+        sizes.sum()
+    }
 }
 
 impl FeedReader {
@@ -73,6 +93,7 @@
             needs_snapshot: false,
             failures: 0,
             read_ms: 0,
+            complete_ms: 0,
         }
     }
 
@@ -83,6 +104,7 @@
 
     /// Reads the snapshot or the next changes; returns `None` if the read failed or the next one must be a snapshot.
     pub(super) async fn read(&mut self, shared: &Shared, wait_ms: u64) -> Option<Batch> {
+        let started_ms = shared.now_ms();
         let result = match self.position {
             Some(position) if !self.needs_snapshot && position.epoch == shared.store.epoch() => {
                 self.read_changes(shared, position, wait_ms).await
@@ -92,6 +114,10 @@
         match result {
             Ok(Some(mut batch)) => {
                 batch.after_outage = self.record_success(shared);
+                batch.written_after_ms = self.complete_ms;
+                if batch.is_snapshot || batch.size_bytes() < MAX_COMPLETE_BYTES {
+                    self.complete_ms = started_ms;
+                }
                 Some(batch)
             }
             Ok(None) => {
@@ -128,6 +154,7 @@
                     is_snapshot: false,
                     is_restored: false,
                     after_outage: false,
+                    written_after_ms: 0,
                 }))
             }
             Changes::Records { .. } | Changes::PositionExpired => Ok(None),
@@ -155,6 +182,7 @@
             is_snapshot: true,
             is_restored,
             after_outage: false,
+            written_after_ms: 0,
         })
     }
 
@@ -303,13 +331,27 @@
         return;
     }
     for (id, entry) in entries {
-        let change = shared
-            .directory
-            .borrow_mut()
-            .apply(id.clone(), entry, now_ms);
-        if change != UpstreamChange::None {
-            apply_change(shared, &id, change);
-        }
+        apply_entry(shared, &id, entry, batch.written_after_ms);
+    }
+}
+
+/// Applies an entry that was written after a time.
+fn apply_entry(
+    shared: &Shared,
+    id: &CompactString,
+    entry: Option<UpstreamEntry>,
+    written_after_ms: u64,
+) {
+    let written = entry.clone();
+    let change = shared
+        .directory
+        .borrow_mut()
+        .apply(id.clone(), entry, shared.now_ms());
+    if change != UpstreamChange::None {
+        apply_change(shared, id, change);
+    }
+    if let Some(entry) = written.filter(|_| change != UpstreamChange::Outdated) {
+        cold_upstreams::record_entry(shared, id, &entry, written_after_ms);
     }
 }
 
@@ -332,6 +374,7 @@
     if change != UpstreamChange::Draining {
         shared.placement.borrow_mut().reset(id);
         shared.limits.forget(id);
+        cold_upstreams::forget(shared, id);
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod backpressure;
 pub mod billing;
 pub mod cli;
+pub mod cold_upstreams;
 pub mod collections;
 pub mod congestion;
 pub mod contract;
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -84,6 +84,10 @@
     name: CompactString,
     max_conns: Option<u32>,
     engine: Option<EngineDocument>,
+    #[serde(default)]
+    cold_start_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -173,6 +177,8 @@
         name: document.name,
         max_connections: document.max_conns.unwrap_or(u32::MAX),
         event_tokens: document.engine.map(|engine| engine.stride.max(1)),
+        cold_start_ms: (document.cold_start_s * 1_000.0) as u64,
+        cold_requests_milli_per_s: (document.cold_per_s * 1_000.0) as u64,
     }
 }
 
@@ -196,6 +202,8 @@
     state: CompactString,
     seq: Option<u64>,
     born: u64,
+    #[serde(default)]
+    cold_left_ms: f64,
 }
 
 /// Decodes the entry of an upstream.
@@ -221,6 +229,7 @@
         is_draining,
         started_ms: Some(document.born),
         report_sequence: document.seq,
+        cold_left_ms: document.cold_left_ms.ceil() as u64,
     })
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -20,6 +20,7 @@
 const TEAM: HeaderName = HeaderName::from_static("x-tenant");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 const REQUEST_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const COLD_MS: HeaderName = HeaderName::from_static("x-cold-ms");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
@@ -194,6 +195,19 @@
     }
 }
 
+/// Returns the time for which the upstream that sent a response is still cold; `None` if it states none. Health
+/// responses state it, other responses may.
+pub fn cold_left_ms(headers: &HeaderMap) -> Option<u64> {
+    let text = field_text(headers, &COLD_MS)?.trim();
+    match text.parse::<f64>() {
+        Ok(left_ms) if left_ms.is_finite() && left_ms >= 0.0 => Some(left_ms.ceil() as u64),
+        _ => {
+            log::warn!(step = "read header", header = COLD_MS.as_str(); "not a time: {text}");
+            None
+        }
+    }
+}
+
 /// Returns whether the upstream that sent a response leaves and takes no new requests.
 pub fn is_leaving(headers: &HeaderMap) -> bool {
     match field_text(headers, &LEAVING).map(str::trim) {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -82,6 +82,10 @@
     pub max_connections: u32,
     /// Tokens in one event of a stream; `None` for plain services.
     pub event_tokens: Option<u64>,
+    /// Time for which its upstreams are cold after their start; 0 if they never are.
+    pub cold_start_ms: u64,
+    /// Requests that a cold upstream takes from all routers together, in thousandths of a request a second.
+    pub cold_requests_milli_per_s: u64,
 }
 
 /// A team with its API keys and budget.
--- a/src/upstream_limits.rs
+++ b/src/upstream_limits.rs
@@ -1,4 +1,5 @@
-//! Limits on the rate of requests that upstreams state in their responses, shared by all routers.
+//! Limits on the rate of requests to single upstreams, shared by all routers: those that upstreams state in their
+//! responses, and those of upstreams that may be cold.
 //!
 //! An upstream in need states how many requests a second it takes from all routers together. One router, its
 //! coordinator, grants the requests to that upstream, and all others ask it before they send one. A limit that is
@@ -8,11 +9,15 @@
 //! The coordinator follows from the upstream's id and the active routers. Views of the fleet can differ for some
 //! seconds, so a router that becomes the coordinator of a limit that was in force before grants nothing until the
 //! grants of its predecessor no longer count. The design is in `docs/design.md`, section 10.
+//!
+//! Requests to an upstream without proof that it is warm ([`crate::cold_upstreams`]) are granted in the same way, within
+//! another window, see `docs/design/cold-upstreams.md`.
 
 use std::collections::VecDeque;
 
 use compact_str::CompactString;
 
+use crate::cold_upstreams::ColdRule;
 use crate::collections::FastMap;
 
 /// Window in which requests are counted; stated by the platform.
@@ -24,6 +29,15 @@
 /// Requests that an upstream tolerates in a window beyond that; stated by the platform.
 const TOLERATED_REQUESTS: u64 = 5;
 
+/// Time for which a permission for an upstream that may be cold is valid, from the request for it on; it covers the
+/// reply and the connection that is opened afterwards.
+pub const COLD_PERMIT_MS: u64 = 150;
+
+/// Window in which the grants for an upstream that may be cold are counted. The platform counts arrivals in any one
+/// second; a request arrives within [`COLD_PERMIT_MS`] of its grant and the time to the upstream, for which 100 ms are
+/// allowed.
+pub const COLD_WINDOW_MS: u64 = 1_000 + COLD_PERMIT_MS + 100;
+
 /// Part of the tolerated requests that is granted, in percent; the rest covers requests that take longer on their way
 /// than those before them.
 const GRANTED_PERCENT: u64 = 90;
@@ -49,7 +63,7 @@
 const FIRST_COORDINATOR_MS: u64 = 1_000;
 
 /// Time in which all routers learn that the coordinator has changed; until then some ask its predecessor.
-const VIEW_CHANGE_MS: u64 = 2_000;
+pub const VIEW_CHANGE_MS: u64 = 2_000;
 
 /// Longest time for which a limit is said to be known.
 const MAX_KNOWN_MS: u64 = 3_600_000;
@@ -93,6 +107,120 @@
     },
 }
 
+/// Why the requests to an upstream are limited, with what decides how many are granted in which window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LimitKind {
+    /// The upstream states a limit, in thousandths of a request a second.
+    Stated { limit_milli_per_s: u64 },
+    /// The upstream may be cold.
+    Cold { tolerated_requests: u64 },
+}
+
+impl LimitKind {
+    /// Returns the time in which grants are counted.
+    fn window_ms(self) -> u64 {
+        match self {
+            Self::Stated { .. } => WINDOW_MS,
+            Self::Cold { .. } => COLD_WINDOW_MS,
+        }
+    }
+
+    /// Returns the requests that are granted in a window.
+    fn granted_requests(self, weight: Weight) -> usize {
+        match self {
+            Self::Stated { limit_milli_per_s } => {
+                let most = granted_requests(limit_milli_per_s);
+                match weight {
+                    Weight::Heavy => most,
+                    Weight::Light => (most * LIGHT_PERCENT / 100).max(1),
+                }
+            }
+            // A service whose upstreams tolerate less than one request would get none at all.
+            Self::Cold { tolerated_requests } => {
+                (tolerated_requests * GRANTED_PERCENT / 100).max(1) as usize
+            }
+        }
+    }
+}
+
+/// Grants for the requests to one upstream, and what its coordinator has said.
+#[derive(Clone, Debug, Default)]
+struct Permissions {
+    /// Times of the grants in the window with the ids of the requests, if this router is the coordinator.
+    grants: Option<VecDeque<(u64, u64)>>,
+    /// Time until which the coordinator is not asked.
+    denied_until_ms: u64,
+    /// Time until which it is not asked for light requests.
+    light_denied_until_ms: u64,
+    /// Time at which the upstream takes the next request, as the coordinator has said.
+    next_ms: u64,
+}
+
+impl Permissions {
+    /// Grants or refuses a request; `predecessor_until_ms` is the time until which another coordinator may have granted
+    /// requests, if there was one.
+    fn grant(
+        &mut self,
+        kind: LimitKind,
+        id: u64,
+        weight: Weight,
+        predecessor_until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Grant {
+        let window_ms = kind.window_ms();
+        let grants = self.grants.get_or_insert_with(|| {
+            let missed = kind.granted_requests(Weight::Heavy);
+            let missed = predecessor_until_ms.map(|at_ms| std::iter::repeat_n((at_ms, 0), missed));
+            missed.into_iter().flatten().collect()
+        });
+        while grants
+            .front()
+            .is_some_and(|(at_ms, _)| now_ms.saturating_sub(*at_ms) >= window_ms)
+        {
+            grants.pop_front();
+        }
+        if grants.iter().any(|(_, granted)| *granted == id) {
+            return Grant::Granted;
+        }
+        let most = kind.granted_requests(weight);
+        if grants.len() < most {
+            grants.push_back((now_ms, id));
+            return Grant::Granted;
+        }
+        // Several grants must leave the window for a light request, or if the limit was higher before.
+        let next = grants.get(grants.len() - most);
+        let next_ms = next.map_or(now_ms, |(at_ms, _)| at_ms + window_ms);
+        Grant::Denied {
+            wait_ms: next_ms.saturating_sub(now_ms),
+        }
+    }
+
+    fn may_ask(&self, weight: Weight, now_ms: u64) -> bool {
+        now_ms
+            >= match weight {
+                Weight::Heavy => self.denied_until_ms,
+                Weight::Light => self.light_denied_until_ms,
+            }
+    }
+
+    fn record_denial(&mut self, weight: Weight, wait_ms: u64, now_ms: u64) {
+        let until_ms = now_ms + wait_ms.min(MAX_DENIAL_MS);
+        self.light_denied_until_ms = until_ms;
+        if weight == Weight::Heavy {
+            self.denied_until_ms = until_ms;
+            self.next_ms = now_ms + wait_ms;
+        }
+    }
+}
+
+/// Permissions for the requests to an upstream that may be cold.
+#[derive(Clone, Debug, Default)]
+struct ColdState {
+    permissions: Permissions,
+    /// Time of the last use.
+    used_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct LimitState {
     limit_milli_per_s: u64,
@@ -103,14 +231,7 @@
     /// Time at which the others were last told, by this router or another one, and what.
     noticed_ms: u64,
     noticed_milli_per_s: u64,
-    /// Times of the grants in the window with the ids of the requests, if this router is the coordinator.
-    grants: Option<VecDeque<(u64, u64)>>,
-    /// Time until which the coordinator is not asked.
-    denied_until_ms: u64,
-    /// Time until which it is not asked for light requests.
-    light_denied_until_ms: u64,
-    /// Time at which the upstream takes the next request, as the coordinator has said.
-    next_ms: u64,
+    permissions: Permissions,
 }
 
 impl LimitState {
@@ -123,6 +244,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamLimits {
     limits: FastMap<CompactString, LimitState>,
+    cold: FastMap<CompactString, ColdState>,
 }
 
 impl UpstreamLimits {
@@ -195,6 +317,8 @@
     }
 
     /// Forgets the limit of an upstream that is gone or was restarted.
+    ///
+    /// What was granted for it while it may have been cold still counts, because the process may be the same.
     pub fn forget(&mut self, upstream: &str) {
         self.limits.remove(upstream);
     }
@@ -203,86 +327,118 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.limits
             .retain(|_, state| now_ms.saturating_sub(state.confirmed_ms) < RETENTION_MS);
+        self.cold
+            .retain(|_, state| now_ms.saturating_sub(state.used_ms) < RETENTION_MS);
     }
 
     /// Returns whether the coordinator may be asked for a request to an upstream.
     pub fn may_ask(&self, upstream: &str, weight: Weight, now_ms: u64) -> bool {
-        let Some(state) = self.limits.get(upstream) else {
-            return true;
-        };
-        now_ms
-            >= match weight {
-                Weight::Heavy => state.denied_until_ms,
-                Weight::Light => state.light_denied_until_ms,
-            }
+        let state = self.limits.get(upstream);
+        state.is_none_or(|state| state.permissions.may_ask(weight, now_ms))
+    }
+
+    /// Returns whether the coordinator may be asked for a request to an upstream that may be cold.
+    pub fn may_ask_cold(&self, upstream: &str, now_ms: u64) -> bool {
+        let state = self.cold.get(upstream);
+        state.is_none_or(|state| state.permissions.may_ask(Weight::Heavy, now_ms))
     }
 
     /// Returns the time until an upstream takes the next request, as its coordinator has said.
     pub fn wait_ms(&self, upstream: &str, now_ms: u64) -> u64 {
         let state = self.limits.get(upstream);
-        state.map_or(0, |state| state.next_ms.saturating_sub(now_ms))
+        state.map_or(0, |state| state.permissions.next_ms.saturating_sub(now_ms))
+    }
+
+    /// Returns the time until an upstream that may be cold takes the next request, as its coordinator has said.
+    pub fn cold_wait_ms(&self, upstream: &str, now_ms: u64) -> u64 {
+        let state = self.cold.get(upstream);
+        state.map_or(0, |state| state.permissions.next_ms.saturating_sub(now_ms))
     }
 
     /// Records that the coordinator has refused a request to an upstream, or does not respond.
     pub fn record_denial(&mut self, upstream: &str, weight: Weight, wait_ms: u64, now_ms: u64) {
         if let Some(state) = self.limits.get_mut(upstream) {
-            let until_ms = now_ms + wait_ms.min(MAX_DENIAL_MS);
-            state.light_denied_until_ms = until_ms;
-            if weight == Weight::Heavy {
-                state.denied_until_ms = until_ms;
-                state.next_ms = now_ms + wait_ms;
-            }
+            state.permissions.record_denial(weight, wait_ms, now_ms);
         }
     }
 
+    /// Records the same for an upstream that may be cold.
+    pub fn record_cold_denial(&mut self, upstream: &str, wait_ms: u64, now_ms: u64) {
+        let state = self.cold_state(upstream, now_ms);
+        let permissions = &mut state.permissions;
+        permissions.record_denial(Weight::Heavy, wait_ms, now_ms);
+    }
+
     /// Grants or refuses a request to an upstream as the coordinator of its limit; a repeated request gets the same
     /// grant.
     pub fn grant(&mut self, upstream: &str, id: u64, weight: Weight, now_ms: u64) -> Grant {
         let Some(state) = self.limits.get_mut(upstream) else {
             return Grant::Granted;
         };
-        let most = granted_requests(state.limit_milli_per_s);
+        let kind = LimitKind::Stated {
+            limit_milli_per_s: state.limit_milli_per_s,
+        };
         let is_first = state.known_ms(now_ms) < FIRST_COORDINATOR_MS;
-        let grants = state.grants.get_or_insert_with(|| {
-            let missed = if is_first { 0 } else { most };
-            std::iter::repeat_n((now_ms + VIEW_CHANGE_MS, 0), missed).collect()
-        });
-        while grants
-            .front()
-            .is_some_and(|(at_ms, _)| now_ms.saturating_sub(*at_ms) >= WINDOW_MS)
-        {
-            grants.pop_front();
-        }
-        if grants.iter().any(|(_, granted)| *granted == id) {
-            return Grant::Granted;
-        }
-        let most = match weight {
-            Weight::Heavy => most,
-            Weight::Light => (most * LIGHT_PERCENT / 100).max(1),
+        let predecessor_until_ms = (!is_first).then_some(now_ms + VIEW_CHANGE_MS);
+        state
+            .permissions
+            .grant(kind, id, weight, predecessor_until_ms, now_ms)
+    }
+
+    /// Grants or refuses a request to an upstream that may be cold as its coordinator.
+    ///
+    /// `predecessor_until_ms` is the time until which another router may have granted requests to it. The requests have
+    /// no weight: the upstream fails by their number, and it is warm after some seconds.
+    pub fn grant_cold(
+        &mut self,
+        upstream: &str,
+        id: u64,
+        rule: ColdRule,
+        predecessor_until_ms: u64,
+        now_ms: u64,
+    ) -> Grant {
+        let kind = LimitKind::Cold {
+            tolerated_requests: rule.tolerated_requests,
         };
-        if grants.len() < most {
-            grants.push_back((now_ms, id));
-            return Grant::Granted;
-        }
-        // Several grants must leave the window for a light request, or if the limit was higher before.
-        let next = grants.get(grants.len() - most);
-        let next_ms = next.map_or(now_ms, |(at_ms, _)| at_ms + WINDOW_MS);
-        Grant::Denied {
-            wait_ms: next_ms.saturating_sub(now_ms),
-        }
+        let permissions = &mut self.cold_state(upstream, now_ms).permissions;
+        permissions.grant(kind, id, Weight::Heavy, Some(predecessor_until_ms), now_ms)
+    }
+
+    /// Returns the time at which this router has granted a request to an upstream that may be cold.
+    pub fn cold_granted_ms(&self, upstream: &str, id: u64) -> Option<u64> {
+        let grants = self.cold.get(upstream)?.permissions.grants.as_ref()?;
+        let mut of_request = grants.iter().filter(|(_, granted)| *granted == id);
+        of_request.next().map(|(at_ms, _)| *at_ms)
     }
 
     /// Forgets the grants for all upstreams of which another router is the coordinator.
     ///
     /// If this router becomes the coordinator again, it has missed grants.
     pub fn retain_grants(&mut self, is_coordinator: impl Fn(&str) -> bool) {
-        for (upstream, state) in &mut self.limits {
-            if state.grants.is_some() && !is_coordinator(upstream) {
-                state.grants = None;
+        let stated = self.limits.iter_mut();
+        let stated = stated.map(|(upstream, state)| (upstream, &mut state.permissions));
+        let cold = self.cold.iter_mut();
+        let cold = cold.map(|(upstream, state)| (upstream, &mut state.permissions));
+        for (upstream, permissions) in stated.chain(cold) {
+            if permissions.grants.is_some() && !is_coordinator(upstream) {
+                permissions.grants = None;
             }
         }
     }
 
+    /// Forgets the grants for all upstreams that may be cold; this router has missed those of another one.
+    pub fn forget_cold_grants(&mut self) {
+        for state in self.cold.values_mut() {
+            state.permissions.grants = None;
+        }
+    }
+
+    fn cold_state(&mut self, upstream: &str, now_ms: u64) -> &mut ColdState {
+        let state = self.cold.entry(upstream.into()).or_default();
+        state.used_ms = now_ms;
+        state
+    }
+
     fn confirm(
         &mut self,
         upstream: &str,
@@ -299,10 +455,7 @@
                 confirmed_ms: now_ms,
                 noticed_ms: 0,
                 noticed_milli_per_s: 0,
-                grants: None,
-                denied_until_ms: 0,
-                light_denied_until_ms: 0,
-                next_ms: 0,
+                permissions: Permissions::default(),
             });
         state.limit_milli_per_s = limit_milli_per_s;
         let known_since_ms = now_ms as i64 - known_ms.min(MAX_KNOWN_MS) as i64;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -113,6 +113,7 @@
         is_draining: false,
         started_ms: Some(1),
         report_sequence: Some(1),
+        cold_left_ms: 0,
     }
 }
 
--- a/tests/upstream_directory.rs
+++ b/tests/upstream_directory.rs
@@ -18,6 +18,7 @@
         is_draining: false,
         started_ms: Some(started_ms),
         report_sequence: Some(reports),
+        cold_left_ms: 0,
     }
 }
 
