--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -9,12 +9,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::directory::UpstreamEntry;
+use crate::evacuation::OrderRecord;
 use crate::routing::{CallerLimits, RetrySemantics, Route, RoutingConfiguration, Service, Team};
 use crate::version_canary::{RolloutOrder, RolloutState};
 
 /// Key of the configuration in the feed of the operator.
 pub const CONFIGURATION_KEY: &str = "config";
 
+/// Prefix of the keys of orders to keep requests away from a data centre.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
 /// Prefix of the keys of orders to move a service to a version, and of their progress.
 const ROLLOUT_PREFIX: &str = "rollout/";
 
@@ -80,6 +84,10 @@
     name: CompactString,
     max_conns: Option<u32>,
     engine: Option<EngineDocument>,
+    #[serde(default)]
+    cold_start_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -169,6 +177,8 @@
         name: document.name,
         max_connections: document.max_conns.unwrap_or(u32::MAX),
         event_tokens: document.engine.map(|engine| engine.stride.max(1)),
+        cold_start_ms: (document.cold_start_s * 1_000.0) as u64,
+        cold_requests_milli_per_s: (document.cold_per_s * 1_000.0) as u64,
     }
 }
 
@@ -192,6 +202,8 @@
     state: CompactString,
     seq: Option<u64>,
     born: u64,
+    #[serde(default)]
+    cold_left_ms: f64,
 }
 
 /// Decodes the entry of an upstream.
@@ -217,9 +229,26 @@
         is_draining,
         started_ms: Some(document.born),
         report_sequence: document.seq,
+        cold_left_ms: document.cold_left_ms.ceil() as u64,
     })
 }
 
+/// Returns the data centre in the key of an order to keep requests away from it; `None` for other keys.
+pub fn evacuated_data_centre(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATION_PREFIX)
+}
+
+/// Decodes the value of such an order; its fields are not used.
+pub fn decode_evacuation(value: Option<&[u8]>) -> OrderRecord {
+    let Some(bytes) = value else {
+        return OrderRecord::Withdrawn;
+    };
+    match serde_json::from_slice::<serde_json::Map<String, serde_json::Value>>(bytes) {
+        Ok(_) => OrderRecord::Ordered,
+        Err(_) => OrderRecord::Invalid,
+    }
+}
+
 #[derive(Deserialize)]
 struct RolloutOrderDocument {
     service: CompactString,
