Log differences of clocks with their sign

A negative number was also rendered as text.

No decision uses the difference: the age of an entry comes from max_age_at, which subtracts with a check and falls back to the fleet time. The difference is now a signed value of its own, and log lines hold negative numbers.

Measured: the test of the log line fails without the rule (text "-3617674" instead of the number); allowance and cli_reports pass with it.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -33,7 +33,9 @@
 mod recovery;
 mod spending_rate;
 
-pub use journal::{ClockReading, JournalEntry, SpendingLimit, TeamLimit, LOCK_PERIOD_MS};
+pub use journal::{
+    ClockDifference, ClockReading, JournalEntry, SpendingLimit, TeamLimit, LOCK_PERIOD_MS,
+};
 pub use record::{BudgetRecord, Generation, RecordVersion, RouterGrant};
 pub use recovery::{Knowledge, Recovery};
 
--- a/src/allowance/journal.rs
+++ b/src/allowance/journal.rs
@@ -171,7 +171,26 @@
     pub fleet_ms: Option<u64>,
 }
 
+/// Readings of a VM's clocks minus those in a journal entry. A clock that was set back or started again gives a negative
+/// difference.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockDifference {
+    /// Difference of the monotonic clocks.
+    pub steady_ms: i64,
+    /// Difference of the wall clocks.
+    pub wall_ms: i64,
+}
+
 impl JournalEntry {
+    /// Returns by how much the clocks differ from those of the entry, for the log. The age follows from
+    /// [`JournalEntry::max_age_at`] alone.
+    pub fn clock_difference(&self, now: &ClockReading) -> ClockDifference {
+        ClockDifference {
+            steady_ms: now.steady_ms.wrapping_sub(self.steady_ms) as i64,
+            wall_ms: now.wall_ms.wrapping_sub(self.wall_ms) as i64,
+        }
+    }
+
     /// Returns an upper bound on the age of the entry when the clocks were read; `None` if they give no reliable bound.
     ///
     /// Within one boot the monotonic clock is used, because the process that wrote the entry counted its age by the
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -154,11 +154,11 @@
         start.fleet_ms = clock.now_ms(start.wall_ms, start.steady_ms);
         age_ms = entry.max_age_at(&start);
     }
+    let difference = entry.clock_difference(&start);
     log::info!(
         step = "predecessor", predecessor = entry.router, reclaim = age_ms.is_some(),
         age_ms = age_ms.unwrap_or(0), epoch = entry.epoch, knows_fleet_time = start.fleet_ms.is_some(),
-        steady_ms = start.steady_ms.wrapping_sub(entry.steady_ms),
-        wall_ms = start.wall_ms.wrapping_sub(entry.wall_ms);
+        steady_ms = difference.steady_ms, wall_ms = difference.wall_ms;
         "found the journal entry of the previous process"
     );
     let last_entry = LastEntry {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -158,6 +158,8 @@
             REDACTED.into()
         } else if let Some(number) = value.to_u64() {
             number.into()
+        } else if let Some(number) = value.to_i64() {
+            number.into()
         } else if let Some(flag) = value.to_bool() {
             flag.into()
         } else {
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -897,6 +897,32 @@
     );
 }
 
+/// Guards against a difference of clocks that is logged as 18446744073705933942 ms after a loss of power, and against an
+/// age that is derived from it.
+#[test]
+fn a_monotonic_clock_that_started_again_differs_by_a_negative_time() {
+    let entry = JournalEntry {
+        steady_ms: 3_620_000,
+        wall_ms: 900_000,
+        boot: "b".into(),
+        ..JournalEntry::default()
+    };
+    let now = ClockReading {
+        steady_ms: 2_326,
+        wall_ms: 900_800,
+        boot: "c".into(),
+        fleet_ms: None,
+    };
+
+    let difference = entry.clock_difference(&now);
+
+    assert_eq!(
+        (difference.steady_ms, difference.wall_ms),
+        (-3_617_674, 800)
+    );
+    assert_eq!(entry.max_age_at(&now), None);
+}
+
 fn limit(open_tokens: u64, held_tokens: u64) -> SpendingLimit {
     SpendingLimit {
         open_tokens,
--- a/tests/cli_reports.rs
+++ b/tests/cli_reports.rs
@@ -162,6 +162,18 @@
     );
 }
 
+/// Guards against a negative number that is logged as text or wraps around.
+#[test]
+fn a_negative_number_is_logged_as_a_number() {
+    let values = [("steady_ms", -3_617_674_i64)];
+    let record = Record::builder().key_values(&values).build();
+
+    let line = logging::render(&record, 17);
+
+    let parsed: Value = serde_json::from_str(&line).expect("the line is JSON");
+    assert_eq!(parsed["steady_ms"], -3_617_674);
+}
+
 /// Guards against budget values in the status that do not add up to the prepaid total.
 #[test]
 fn the_status_shows_the_folded_state() {
