Move the rights of teams away from a congested VM

Cause: the holders of a team's rights follow from the sizes of the VMs alone.

Change: the presence report states `is_congested` once congestion has lasted for 3.5 s, at once when that changes, and until there was none for 60 s. Gateways divide the weight of such a VM by 64 when they choose the holders of rights, unless more than half of the gateways of its data centre are congested, because then the reason is not one of the VMs. Rights move by the existing paths: a gateway that is no holder any more returns what it does not spend, and the next holder acquires it. The weight itself does not change, because it also decides who coordinates the limits of upstreams, and each change of a coordinator stops their requests for 6 s.

--- a/src/congestion.rs
+++ b/src/congestion.rs
@@ -27,6 +27,15 @@
 /// Shortest time for which the VM counts as congested; the load balancer takes two seconds to notice a change.
 const MIN_CONGESTED_MS: u64 = 3_000;
 
+/// Shortest congestion that other routers are told of; longer than [`MIN_CONGESTED_MS`], so that connects have to be
+/// slow again after congestion was detected.
+const SUSTAINED_MS: u64 = 3_500;
+
+/// Time without congestion after which other routers are told of its end.
+///
+/// A change moves the rights of all teams that the VM holds, and every move makes some requests wait.
+const REPORT_HOLD_MS: u64 = 60_000;
+
 #[derive(Clone, Debug)]
 struct ConnectSample {
     upstream: CompactString,
@@ -88,3 +97,26 @@
         }
     }
 }
+
+/// What other routers are told of this VM's congestion: that it is sustained, and its end only after a long time.
+#[derive(Clone, Debug, Default)]
+pub struct ReportedCongestion {
+    /// Start of the present congestion; `None` while there is none.
+    since_ms: Option<u64>,
+    /// Time until which congestion is reported.
+    reported_until_ms: u64,
+}
+
+impl ReportedCongestion {
+    /// Applies whether the VM is congested; returns whether congestion is reported.
+    pub fn update(&mut self, is_congested: bool, now_ms: u64) -> bool {
+        self.since_ms = is_congested.then(|| self.since_ms.unwrap_or(now_ms));
+        let congested_ms = self
+            .since_ms
+            .map(|since_ms| now_ms.saturating_sub(since_ms));
+        if congested_ms.is_some_and(|congested_ms| congested_ms >= SUSTAINED_MS) {
+            self.reported_until_ms = now_ms + REPORT_HOLD_MS;
+        }
+        now_ms < self.reported_until_ms
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -65,7 +65,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::collections::FastMap;
-use crate::congestion::CongestionDetector;
+use crate::congestion::{CongestionDetector, ReportedCongestion};
 use crate::directory::UpstreamDirectory;
 use crate::event_loop;
 use crate::fleet_clock::FleetClock;
@@ -147,6 +147,10 @@
     clock: RefCell<FleetClock>,
     congestion: RefCell<CongestionDetector>,
     was_congested: Cell<bool>,
+    reported_congestion: RefCell<ReportedCongestion>,
+    is_congestion_reported: Cell<bool>,
+    /// Wakes the task that reports the presence.
+    congestion_reported: Notify,
     routers: RefCell<ActiveRouters>,
     /// Number of presence reports of this process.
     reports: Cell<u64>,
@@ -219,6 +223,7 @@
         let is_congested = congestion.is_congested(now_ms);
         let mut placement = self.placement.borrow_mut();
         placement.suspect_own_congestion(congestion.is_suspected(now_ms));
+        self.report_congestion(is_congested, now_ms);
         if self.was_congested.replace(is_congested) != is_congested {
             log::info!(
                 step = "congestion", congested = is_congested, connections = self.connections.get(),
@@ -233,6 +238,28 @@
     }
 }
 
+impl Shared {
+    /// Tells other gateways when this VM is congested for some time, so that the rights of teams move away from it, and
+    /// when that has ended.
+    fn report_congestion(&self, is_congested: bool, now_ms: u64) {
+        let mut reported = self.reported_congestion.borrow_mut();
+        let is_reported = reported.update(is_congested, now_ms);
+        if self.is_congestion_reported.replace(is_reported) != is_reported {
+            self.metrics
+                .set("congestion_reported", u64::from(is_reported));
+            self.congestion_reported.notify();
+            log::info!(
+                step = "congestion", reported = is_reported, at_ms = now_ms;
+                "{}", if is_reported {
+                    "sustained congestion at this VM, the rights of teams move to other gateways"
+                } else {
+                    "no congestion at this VM for some time, it may hold the rights of teams again"
+                }
+            );
+        }
+    }
+}
+
 /// Runs a gateway until it has shut down.
 ///
 /// # Errors
@@ -316,6 +343,9 @@
         clock: RefCell::default(),
         congestion: RefCell::default(),
         was_congested: Cell::new(false),
+        reported_congestion: RefCell::default(),
+        is_congestion_reported: Cell::new(false),
+        congestion_reported: Notify::default(),
         routers: RefCell::default(),
         reports: Cell::new(0),
         peer_monitor: RefCell::default(),
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -153,9 +153,14 @@
         if ranking.generation == Some(routers.generation()) {
             return;
         }
-        let own = own_candidate(shared);
-        let others = routers.candidates().filter(|other| other.vm != own.vm);
-        let ranked = holders::rank(&self.name, others.chain([own]));
+        let mut candidates = routers.rights_candidates();
+        if !candidates
+            .iter()
+            .any(|other| other.vm == shared.settings.vm)
+        {
+            candidates.push(own_candidate(shared));
+        }
+        let ranked = holders::rank(&self.name, candidates);
         *ranking = Ranking {
             generation: Some(routers.generation()),
             ranked: ranked
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -30,11 +30,19 @@
     while !shared.is_stopping() {
         // The store may have forgotten a report that was under way when it returned from an older copy.
         let epoch = shared.store.epoch().max(FIRST_EPOCH);
+        let reported = shared.is_congestion_reported.get();
         write_report(&shared, false).await;
         let factor = shared.interval_factor();
-        let is_forgotten = shared.store.epoch_after(epoch);
-        let result = monoio::time::timeout(REPORT_INTERVAL * factor, is_forgotten).await;
-        if result.is_ok() {
+        let interval = monoio::time::sleep(REPORT_INTERVAL * factor);
+        let congestion_changed = shared
+            .congestion_reported
+            .wait_for(|| (shared.is_congestion_reported.get() != reported).then_some(()));
+        let is_forgotten = monoio::select! {
+            () = interval => false,
+            () = congestion_changed => false,
+            _ = shared.store.epoch_after(epoch) => true,
+        };
+        if is_forgotten {
             let delay_ms = shared.random() % (REPORT_SPREAD_MS * factor);
             monoio::time::sleep(Duration::from_millis(delay_ms.into())).await;
         }
@@ -59,6 +67,7 @@
         peer_address: shared.peer_socket.address(),
         weight_permille: shared.settings.resources.weight_permille(),
         is_leaving,
+        is_congested: shared.is_congestion_reported.get(),
         sequence: Some(shared.reports.get()),
     };
     // A value of strings and numbers always serialises.
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -38,6 +38,11 @@
 /// Maximum number of processes whose last reports are remembered.
 const MAX_KNOWN_PROCESSES: usize = 1_024;
 
+/// Divisor of the weight of a congested VM in the choice of the routers that hold rights.
+///
+/// It is so large that such a VM keeps hardly any team, and finite so that the order stays defined if all are congested.
+const CONGESTED_WEIGHT_DIVISOR: u32 = 64;
+
 /// What a router reports about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Presence {
@@ -54,6 +59,9 @@
     pub weight_permille: u32,
     /// Whether the router is shutting down.
     pub is_leaving: bool,
+    /// Whether the VM has been congested for some time, see [`crate::congestion`].
+    #[serde(default)]
+    pub is_congested: bool,
     /// Number of the report, counted by the process; earlier versions state none.
     #[serde(default)]
     pub sequence: Option<u64>,
@@ -96,7 +104,14 @@
             Some(presence) if !presence.is_leaving => {
                 let candidate = |presence: &Presence| {
                     let data_centre = presence.data_centre.clone();
-                    (data_centre, presence.peer_address, presence.weight_permille)
+                    let weight_permille = presence.weight_permille;
+                    let is_congested = presence.is_congested;
+                    (
+                        data_centre,
+                        presence.peer_address,
+                        weight_permille,
+                        is_congested,
+                    )
                 };
                 let after = candidate(&presence);
                 let before = self.present.insert(vm, (presence, now_ms));
@@ -159,12 +174,36 @@
         }
     }
 
-    /// Returns a number that changes whenever [`ActiveRouters::candidates`] does.
+    /// Returns a number that changes whenever [`ActiveRouters::candidates`] or [`ActiveRouters::rights_candidates`] does.
     pub fn generation(&self) -> u64 {
         self.generation
     }
 
-    /// Returns the routers that can hold rights.
+    /// Returns the routers that can hold rights, with little weight for those on congested VMs.
+    ///
+    /// If more than half of the routers of a data centre are congested, the reason is not one of their VMs, and the rights stay.
+    pub fn rights_candidates(&self) -> Vec<Candidate<'_>> {
+        let mut congested: FastMap<&str, (usize, usize)> = FastMap::default();
+        for (presence, _) in self.present.values() {
+            let (all, count) = congested.entry(&presence.data_centre).or_default();
+            *all += 1;
+            *count += usize::from(presence.is_congested);
+        }
+        let is_exception = |data_centre: &str| {
+            let counts = congested.get(data_centre);
+            counts.is_some_and(|(all, count)| count * 2 <= *all)
+        };
+        let mut candidates: Vec<_> = self.candidates().collect();
+        for candidate in &mut candidates {
+            let is_congested = self.present[candidate.vm].0.is_congested;
+            if is_congested && is_exception(candidate.data_centre) {
+                candidate.weight_permille /= CONGESTED_WEIGHT_DIVISOR;
+            }
+        }
+        candidates
+    }
+
+    /// Returns the routers with the weights of their VMs.
     pub fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
         self.present.iter().map(|(vm, (presence, _))| Candidate {
             vm,
--- a/tests/congestion.rs
+++ b/tests/congestion.rs
@@ -1,8 +1,10 @@
 //! Detection of a saturated link on a small VM, as opposed to upstreams that are slow themselves.
 
 use compact_str::CompactString;
-use monsoonfield::congestion::CongestionDetector;
+use monsoonfield::congestion::{CongestionDetector, ReportedCongestion};
+use monsoonfield::holders::{self, HOLDERS_PER_TEAM};
 use monsoonfield::placement::{Candidate, Outcome, Placement, PlacementError};
+use monsoonfield::shared_limits::{ActiveRouters, Presence};
 
 /// Case, connects with the time in milliseconds that each took, whether the router counts as congested after them.
 type Case<'a> = (&'a str, &'a [(&'a str, u64)], bool);
@@ -148,3 +150,111 @@
         "older samples do not count"
     );
 }
+
+/// Number of routers in each of the two data centres of a fleet.
+const ROUTERS: u64 = 20;
+
+/// Returns a fleet in which these VMs are congested.
+fn fleet(congested: &[&str]) -> ActiveRouters {
+    let mut routers = ActiveRouters::default();
+    for number in 0..2 * ROUTERS {
+        let data_centre = if number < ROUTERS { "kv-a" } else { "kv-b" };
+        let vm = format!("edge-{number}");
+        let presence = Presence {
+            data_centre: data_centre.into(),
+            router: number,
+            weight_permille: 500,
+            is_congested: congested.contains(&vm.as_str()),
+            ..Presence::default()
+        };
+        routers.apply(vm.into(), Some(presence), 0);
+    }
+    routers
+}
+
+/// Returns the holders of each team.
+fn holders_of_teams(routers: &ActiveRouters) -> Vec<Vec<String>> {
+    let teams = (0..200).map(|number| format!("team-{number}"));
+    let holders = teams.map(|team| {
+        let ranked = holders::rank(&team, routers.rights_candidates());
+        let holders = ranked.iter().take(HOLDERS_PER_TEAM);
+        holders.map(|holder| holder.vm.to_owned()).collect()
+    });
+    holders.collect()
+}
+
+/// Guards against a congested VM that remains the holder of a busy team's rights (3,202 requests of a team with 13.5
+/// million unspent tokens were refused because its holder's journal entries were late), and against moving the rights
+/// of teams that it does not hold.
+#[test]
+fn the_rights_of_teams_move_away_from_a_congested_vm_only() {
+    let before = holders_of_teams(&fleet(&[]));
+    let held_before = before
+        .iter()
+        .filter(|holders| holders.contains(&"edge-3".into()));
+    assert!(held_before.count() >= 5, "the VM holds teams at first");
+
+    let after = holders_of_teams(&fleet(&["edge-3"]));
+
+    for (before, after) in before.iter().zip(&after) {
+        assert!(!after.contains(&"edge-3".into()), "{before:?} -> {after:?}");
+        if !before.contains(&"edge-3".into()) {
+            assert_eq!(before, after);
+        }
+    }
+}
+
+/// Guards against moving the rights of a whole data centre because connects from it were slow, for example when it was
+/// cut off.
+#[test]
+fn rights_stay_if_most_routers_of_a_data_centre_are_congested() {
+    let congested: Vec<String> = (0..11).map(|number| format!("edge-{number}")).collect();
+    let congested: Vec<&str> = congested.iter().map(String::as_str).collect();
+    assert_eq!(
+        holders_of_teams(&fleet(&congested)),
+        holders_of_teams(&fleet(&[]))
+    );
+    assert_ne!(
+        holders_of_teams(&fleet(&congested[..10])),
+        holders_of_teams(&fleet(&[]))
+    );
+}
+
+/// Guards against routers that do not learn of a change, because the ranking of holders is kept as long as the
+/// generation stays the same.
+#[test]
+fn a_change_of_congestion_changes_the_generation() {
+    let mut routers = fleet(&[]);
+    let before = routers.generation();
+    let presence = Presence {
+        data_centre: "kv-a".into(),
+        router: 3,
+        weight_permille: 500,
+        is_congested: true,
+        ..Presence::default()
+    };
+    routers.apply("edge-3".into(), Some(presence), 1);
+    assert_ne!(routers.generation(), before);
+}
+
+/// Guards against rights that move back and forth with a load that comes and goes, and against a short disturbance that
+/// moves any.
+#[test]
+fn reported_congestion_is_sustained_and_changes_rarely() {
+    let cases = [
+        ("none", 0, 10_000, 0),
+        ("three seconds after one disturbance", 3_000, 600_000, 0),
+        ("five seconds in ten", 5_000, 10_000, 1),
+        ("five seconds in two minutes", 5_000, 120_000, 10),
+    ];
+    for (case, congested_ms, period_ms, most_changes) in cases {
+        let mut reported = ReportedCongestion::default();
+        let mut was_reported = false;
+        let mut changes = 0;
+        for now_ms in (0..600_000).step_by(100) {
+            let is_reported = reported.update(now_ms % period_ms < congested_ms, now_ms);
+            changes += u32::from(std::mem::replace(&mut was_reported, is_reported) != is_reported);
+        }
+        assert_eq!(changes, most_changes, "{case}");
+    }
+}
--- a/tests/gateway_congestion.rs
+++ b/tests/gateway_congestion.rs
@@ -121,3 +121,25 @@
         assert!(!reasons.iter().any(is_unattempted), "{id}: {reasons:?}");
     }
 }
+
+/// Guards against a congested VM that does not tell the other gateways, so that it remains the holder of the rights of
+/// teams; and against one report for each request while it is congested.
+#[test]
+fn other_gateways_are_told_once_of_sustained_congestion() {
+    let (store, gateway, _addresses, _upstreams) = start_unanswered();
+    let is_reported = || {
+        let newest = store.newest("keyed.routers", &gateway.vm);
+        let newest: serde_json::Value =
+            serde_json::from_slice(&newest.unwrap_or_default()).unwrap_or_default();
+        newest["is_congested"] == true
+    };
+    assert!(!is_reported());
+    let ids: Vec<String> = (0..8).map(|number| format!("r-{number}")).collect();
+    wait_for("a report of the congestion", || {
+        send_together(&gateway, &ids);
+        is_reported()
+    });
+    let lines = gateway.log_lines_with_step("congestion");
+    let reports = lines.iter().filter(|line| line["reported"] == true);
+    assert_eq!(reports.count(), 1, "{lines:?}");
+}
