--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -28,11 +28,13 @@
 //! that it holds are all that it can spend during an outage. It holds what it spends in [`COVERED_OUTAGE_MS`], and less
 //! as the budget runs out.
 
+mod entry_intervals;
 mod journal;
 mod record;
 mod recovery;
 mod spending_rate;
 
+pub use entry_intervals::{EntryIntervals, EntryNeed};
 pub use journal::{ClockReading, JournalEntry, SpendingLimit, TeamLimit, LOCK_PERIOD_MS};
 pub use record::{BudgetRecord, Generation, RecordVersion, RouterGrant};
 pub use recovery::{Knowledge, Recovery};
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -76,6 +76,9 @@
 /// Time over which the first polls of the records are spread.
 const START_JITTER_MS: u64 = 1_000;
 
+/// Number of gateways that hold rights of a team at the same time, with those from which rights are just moving away.
+const MAX_HOLDERS_PER_TEAM: usize = 2 * HOLDERS_PER_TEAM;
+
 /// Number of holders that may fail to respond to one request before it asks no more of them.
 const MAX_SILENT: usize = 2;
 
@@ -392,7 +395,7 @@
         let reserved_at = match holder {
             Holder::Own => {
                 let result = match wait_ms {
-                    None => team.reserve_tokens(need.tokens, shared.now_ms()),
+                    None => team.reserve_tokens(shared, need.tokens),
                     Some(_) => {
                         team.wait_for_rights(shared, need.tokens, need.remaining_ms)
                             .await
@@ -446,6 +449,11 @@
         accounts.any(|account| account.available_tokens() > 0)
     }
 
+    /// Returns an upper bound on the number of gateways that hold rights of any team.
+    pub(super) fn expected_holders(&self) -> u64 {
+        (self.teams.borrow().len() * MAX_HOLDERS_PER_TEAM) as u64
+    }
+
     /// Returns whether requests of other gateways have reserved tokens here, or settlements have not arrived there.
     pub(super) fn has_open_reservations(&self) -> bool {
         let teams = self.teams.borrow();
--- a/src/gateway/budget/serving.rs
+++ b/src/gateway/budget/serving.rs
@@ -36,7 +36,7 @@
         Admission::Waiting => ReserveOutcome::Waiting,
         Admission::Refused => ReserveOutcome::Unavailable,
         Admission::New if shared.is_stopping() => ReserveOutcome::Unavailable,
-        Admission::New => match team.reserve_tokens(request.tokens, now_ms) {
+        Admission::New => match team.reserve_tokens(shared, request.tokens) {
             Ok(()) => grant(&team, &request, expires_ms),
             Err(ReserveError::Exhausted) => exhausted(&team, &request),
             Err(ReserveError::NotHeld) if request.may_wait => {
--- a/src/gateway/budget/team_budget.rs
+++ b/src/gateway/budget/team_budget.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 
 use super::{remote, BudgetSummary};
-use crate::allowance::{Knowledge, ReserveError, Role, TeamAccount};
+use crate::allowance::{EntryNeed, Knowledge, ReserveError, Role, TeamAccount};
 use crate::gateway::peers::{Content, RightsRequest};
 use crate::gateway::Shared;
 use crate::holders::{self, Candidate, Holder, HOLDERS_PER_TEAM};
@@ -233,7 +233,7 @@
     /// Requests a journal entry if waiting requests need a higher spending limit.
     pub(super) fn wake_journal(&self, shared: &Shared) {
         if self.account.borrow().needs_entry() {
-            shared.journal.wake();
+            shared.journal.request(EntryNeed::Now);
         }
     }
 
@@ -254,12 +254,17 @@
     }
 
     /// Reserves tokens in the account, without waiting.
-    pub(super) fn reserve_tokens(&self, tokens: u64, now_ms: u64) -> Result<(), ReserveError> {
+    ///
+    /// A journal entry is requested before requests have to wait for it, because it may take longer than they can wait.
+    pub(super) fn reserve_tokens(&self, shared: &Shared, tokens: u64) -> Result<(), ReserveError> {
         let mut account = self.account.borrow_mut();
-        account.reserve(tokens, now_ms)?;
+        account.reserve(tokens, shared.now_ms())?;
         if account.available_tokens() < tokens {
             self.request_poll();
         }
+        if account.needs_entry() {
+            shared.journal.request(EntryNeed::Early);
+        }
         Ok(())
     }
 
@@ -281,7 +286,7 @@
         if self.account.borrow().available_tokens() < tokens {
             self.request_poll();
         } else {
-            shared.journal.wake();
+            shared.journal.request(EntryNeed::Now);
         }
     }
 
@@ -401,12 +406,12 @@
             self.ask_holders(shared);
         }
         let wait_limit = STORE_WAIT.max(Duration::from_millis(expected_ms));
-        let wait =
-            self.rights_changed
-                .wait_for(|| match self.reserve_tokens(tokens, shared.now_ms()) {
-                    Err(ReserveError::NotHeld) => None,
-                    result => Some(result),
-                });
+        let wait = self
+            .rights_changed
+            .wait_for(|| match self.reserve_tokens(shared, tokens) {
+                Err(ReserveError::NotHeld) => None,
+                result => Some(result),
+            });
         let result = monoio::time::timeout(wait_limit, wait).await;
         self.account.borrow_mut().remove_demand(tokens);
         result.unwrap_or(Err(ReserveError::NotHeld))
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -15,23 +15,13 @@
 
 use super::budget::LastEntry;
 use super::{clock, Shared};
-use crate::allowance::{ClockReading, JournalEntry};
+use crate::allowance::{ClockReading, EntryIntervals, EntryNeed, JournalEntry};
 use crate::notify::Notify;
 use crate::store::{AppendOutcome, Feed, Record, Store};
 
 /// Number of slots over which the VMs are spread; the writes of VMs that share a slot conflict and are repeated.
 const FEED_SLOTS: u64 = 480;
 
-/// Longest time between two entries while rights are held. The newest entry must be recent when the process is killed.
-const INTERVAL_MS: u64 = 200;
-
-/// Part of the writing calls that the store accepts which all gateways together use for entries at these intervals, in
-/// percent.
-const WRITES_PERCENT: u64 = 25;
-
-/// Shortest time between two entries.
-const MIN_INTERVAL_MS: u64 = 15;
-
 /// Longest time for which the first entry is delayed until the rights of the predecessor are reclaimed. In a large
 /// fleet the reclaim takes longer, and requests are served meanwhile.
 const MAX_RECLAIM_WAIT: Duration = Duration::from_millis(400);
@@ -52,7 +42,7 @@
 #[derive(Default)]
 pub(super) struct Journal {
     entry_requested: Notify,
-    is_entry_requested: Cell<bool>,
+    need: Cell<EntryNeed>,
     /// Time at which the content of the newest entry was created.
     created_ms: Cell<u64>,
     has_entry: Cell<bool>,
@@ -67,9 +57,11 @@
     }
 
     /// Requests an entry before the regular interval ends.
-    pub(super) fn wake(&self) {
-        self.is_entry_requested.set(true);
-        self.entry_requested.notify();
+    pub(super) fn request(&self, need: EntryNeed) {
+        if need > self.need.get() {
+            self.need.set(need);
+            self.entry_requested.notify();
+        }
     }
 }
 
@@ -92,26 +84,29 @@
 /// Waits until an entry is requested, or due because rights are held.
 async fn wait_for_entry(shared: &Shared) {
     let journal = &shared.journal;
-    let routers = shared.routers.borrow().count();
-    let writes_per_s = shared.settings.store.writes_per_s;
-    // Even if each gateway writes as often as it may, the store accepts the calls.
-    let min_interval_ms = MIN_INTERVAL_MS.max(routers * 1_000 / writes_per_s);
-    let interval_ms = INTERVAL_MS.max(routers * 100_000 / (writes_per_s * WRITES_PERCENT));
-    monoio::time::sleep(Duration::from_millis(min_interval_ms)).await;
+    let intervals = EntryIntervals::new(
+        shared.routers.borrow().count(),
+        shared.budgets.expected_holders(),
+        shared.settings.store.writes_per_s,
+    );
+    let mut since_ms = shared.now_ms();
     loop {
-        let entry_requested = journal
-            .entry_requested
-            .wait_for(|| journal.is_entry_requested.get().then_some(()));
-        let interval = Duration::from_millis(interval_ms);
-        let is_requested = monoio::time::timeout(interval, entry_requested)
-            .await
-            .is_ok();
+        let need = journal.need.get();
+        let elapsed_ms = shared.now_ms().saturating_sub(since_ms);
+        let wait_ms = intervals.wait_ms(need).saturating_sub(elapsed_ms);
+        let is_more_urgent = || (journal.need.get() > need).then_some(());
+        let requested = journal.entry_requested.wait_for(is_more_urgent);
+        let is_requested = monoio::time::timeout(Duration::from_millis(wait_ms), requested).await;
+        if is_requested.is_ok() {
+            continue;
+        }
         journal
             .is_idle
-            .set(!is_requested && !shared.budgets.holds_rights());
+            .set(need == EntryNeed::None && !shared.budgets.holds_rights());
         if !journal.is_idle.get() {
             return;
         }
+        since_ms = shared.now_ms();
     }
 }
 
@@ -189,7 +184,7 @@
 /// Writes one entry and waits until it has taken effect; returns the new end of the feed.
 async fn write_entry(shared: &Shared, write: u64, mut end: u64) -> u64 {
     // An entry that is requested from here on is not this one but the next.
-    shared.journal.is_entry_requested.set(false);
+    shared.journal.need.set(EntryNeed::None);
     // This process must not count the entry as older than its successor does, so the clocks are read first.
     let now = read_clocks();
     let created_ms = shared.now_ms();
