--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -93,13 +93,15 @@
     shared.record_connect(&choice.id, now_ms.saturating_sub(connecting_ms));
     let socket = match connected {
         Ok(socket) => socket,
-        Err(reason) => {
+        Err(error) => {
             log::info!(
                 step = "attempt", request_id = call.meta.id.as_str(), upstream = choice.id.as_str();
-                "cannot take over the request: {reason}"
+                "cannot take over the request: {error}"
             );
             let mut placement = shared.placement.borrow_mut();
-            placement.record_unreachable(&choice.id, now_ms);
+            let outcome = error.outcome();
+            placement.record_unreachable(&choice.id, outcome, now_ms);
+            drop(placement);
             cold_upstreams::record_lost(shared, &choice.id);
             return None;
         }
