Place requests by expected cost where upstreams state their speed

Cause: the choice learned the speed of an engine from idle engines only and knew nothing of slow phases. Change: the fourth figure of X-Server-Load, observed times per prompt and output token, and all parts of a prompt weigh in the choice, for services of which an upstream states that figure. Prompt notices carry the work at usual speed, the shared parts and new figures in optional fields. The log line of a request states the waits in the gateway and the expected cost.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -105,6 +105,8 @@
     pub input_tokens: u64,
     /// Maximum number of tokens in the response.
     pub max_output_tokens: u64,
+    /// Number of tokens that the caller expects in the response.
+    pub output_hint_tokens: Option<u64>,
     /// Prompt of a request to a model engine; `None` for plain services.
     pub prompt: Option<Prompt>,
     /// Hashes of the parts of the prompt that other requests may share, in order.
@@ -288,6 +290,7 @@
     let store = StoreClient::new(&store.address, &settings.vm, store.partitions);
     let store = ObservedStore::new(store, started);
     let mut random = Pcg64Mcg::from_os_rng();
+    let placement = RefCell::new(Placement::with_seed(random.random()));
     Shared {
         router_id: random.random(),
         started,
@@ -299,7 +302,7 @@
         directory: RefCell::default(),
         is_directory_loaded: Cell::new(false),
         directory_read_ms: Cell::new(0),
-        placement: RefCell::default(),
+        placement,
         pool: pool::Pool::default(),
         budgets: budget::Budgets::new(started, settings.fleet.is_first_start),
         peer_socket,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -102,6 +102,16 @@
     pub(super) last: CompactString,
     /// Expected time until the upstream of the last attempt has prefilled the prompt, for the log.
     pub(super) expected_ms: u64,
+    /// Expected time of the prefill alone, for the log; 0 if upstreams do not state their speed.
+    pub(super) expected_prefill_ms: u64,
+    /// Expected time of the output at usual speed, for the log.
+    pub(super) expected_output_ms: u64,
+    /// Time spent waiting for rights, for the log.
+    pub(super) rights_wait_ms: u64,
+    /// Time spent waiting for permissions of limited upstreams, for the log.
+    pub(super) permission_wait_ms: u64,
+    /// Time spent waiting for connections, for the log.
+    pub(super) connect_wait_ms: u64,
 }
 
 impl Attempts {
@@ -239,8 +249,11 @@
             Ok(choice) => choice,
             Err(error) => return Err(placement_failure(shared, call, attempts, error)),
         };
+        let asked_ms = shared.now_ms();
         let permission = limits::acquire(shared, &choice.id, choice.weight);
-        match run_until_interrupted(shared, call, caller, permission).await {
+        let permission = run_until_interrupted(shared, call, caller, permission).await;
+        attempts.permission_wait_ms += shared.now_ms().saturating_sub(asked_ms);
+        match permission {
             Ok(true) => {}
             // The upstream is no candidate for some time, so another one is chosen.
             Ok(false) => continue,
@@ -259,7 +272,10 @@
             ));
         }
         let mut in_flight = begin_attempt(shared, call, attempts, &choice);
-        match connect(shared, call, caller, &choice).await {
+        let connecting_ms = shared.now_ms();
+        let connected = connect(shared, call, caller, &choice).await;
+        attempts.connect_wait_ms += shared.now_ms().saturating_sub(connecting_ms);
+        match connected {
             Ok(Ok(socket)) => {
                 // The upstream may have stated that while the request waited for permission or for the connection.
                 if !availability::is_available(shared, &choice.id, &choice.entry) {
@@ -497,7 +513,10 @@
         let placement = shared.placement.borrow();
         placement.expected_delay_ms(id, call.meta.prompt.as_ref(), shared.now_ms()) as u64
     };
-    InFlight::new(shared, id, entry, call.meta.prompt.as_ref())
+    let in_flight = InFlight::new(shared, id, entry, call.meta.prompt.as_ref());
+    let expected_cost = in_flight.expected_cost.as_ref();
+    attempts.expected_prefill_ms = expected_cost.map_or(0, |cost| cost.work_time_ms() as u64);
+    in_flight
 }
 
 /// Classifies the result of an exchange.
@@ -549,7 +568,8 @@
     let now_ms = shared.now_ms();
     let status = response.upstream_response.status();
     let fields = response.upstream_response.headers();
-    if let Some(report) = headers::load_report(fields) {
+    let report = headers::load_report(fields);
+    if let Some(report) = report {
         let mut placement = shared.placement.borrow_mut();
         placement.record_load(&response.upstream, report, now_ms);
     }
@@ -576,6 +596,8 @@
         if let Some(work) = in_flight.idle_prefill_work {
             placement.record_prefill(&response.upstream, work, elapsed_ms);
         }
+        drop(placement);
+        in_flight.record_first_byte(report, elapsed_ms);
     }
     AttemptResult::Response(response)
 }
--- a/src/gateway/attempt/in_flight.rs
+++ b/src/gateway/attempt/in_flight.rs
@@ -8,7 +8,7 @@
 use crate::gateway::crashes::{self, LostConnection};
 use crate::gateway::request::Call;
 use crate::gateway::{rollouts, Shared};
-use crate::placement::{Outcome, Prompt};
+use crate::placement::{ExpectedCost, LoadReport, Outcome, Prompt};
 use crate::version_canary::Response;
 
 /// A request in flight at an upstream. [`crate::placement::Placement`] counts it until this value is
@@ -27,6 +27,8 @@
     awaits_first_byte: bool,
     /// Prefill work of the request, if the engine was idle; see [`crate::placement::Placement::idle_prefill_work`].
     pub(super) idle_prefill_work: Option<f64>,
+    /// Expected cost, if upstreams state their speed.
+    pub(super) expected_cost: Option<ExpectedCost>,
 }
 
 impl<'a> InFlight<'a> {
@@ -41,14 +43,16 @@
             let placement = shared.placement.borrow();
             placement.idle_prefill_work(id, prompt, now_ms)
         });
-        let prefill_ms = shared
-            .placement
-            .borrow_mut()
-            .record_sent(id, prompt, now_ms);
+        let (expected_cost, prefill_ms) = {
+            let mut placement = shared.placement.borrow_mut();
+            let expected_cost = placement.expected_cost(id, prompt, now_ms);
+            (expected_cost, placement.record_sent(id, prompt, now_ms))
+        };
         if let Some(prompt) = prompt {
+            let work_ms = expected_cost.map(|cost| cost.work_ms);
             shared
                 .peer_socket
-                .send_notice(shared, id, prompt.session, prefill_ms);
+                .send_notice(shared, id, prompt, prefill_ms, work_ms);
         }
         Self {
             shared,
@@ -60,19 +64,37 @@
             outcome: Outcome::Neutral,
             awaits_first_byte: true,
             idle_prefill_work,
+            expected_cost,
         }
     }
 
     /// Records that the request no longer waits for its first byte.
     pub(super) fn end_first_byte_wait(&mut self) {
         if std::mem::take(&mut self.awaits_first_byte) {
-            self.shared
-                .placement
-                .borrow_mut()
-                .end_first_byte_wait(&self.id);
+            let mut placement = self.shared.placement.borrow_mut();
+            placement.end_first_byte_wait(&self.id);
+            if let Some(expected) = &self.expected_cost {
+                placement.end_prefill_wait(&self.id, expected);
+            }
+        }
+    }
+
+    /// Compares the time to the first byte with the expected cost.
+    pub(super) fn record_first_byte(&self, report: Option<LoadReport>, elapsed_ms: u64) {
+        if let Some(expected) = &self.expected_cost {
+            let now_ms = self.shared.now_ms();
+            let mut placement = self.shared.placement.borrow_mut();
+            placement.record_response_cost(&self.id, expected, report, elapsed_ms, now_ms);
         }
     }
 
+    /// Records the time that some output tokens of the response took.
+    pub(in crate::gateway) fn record_output_time(&self, tokens: u64, elapsed_ms: u64) {
+        let now_ms = self.shared.now_ms();
+        let mut placement = self.shared.placement.borrow_mut();
+        placement.record_output_time(&self.id, tokens, elapsed_ms, now_ms);
+    }
+
     /// Records that the connection was lost before any part of the body arrived; `has_begun` tells whether the head of
     /// the response had.
     pub(in crate::gateway) async fn record_lost_connection(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,13 +22,14 @@
 use super::budget::{remote, serving, versions};
 use super::{clock, limits, rollouts, Shared};
 use crate::collections::FastMap;
+use crate::placement::{PeerPrompt, Prompt, SpeedFigure};
 
-use messages::Datagram;
 pub(super) use messages::{
     ClockMessage, Content, Handover, HandoverReply, LimitMessage, LimitReply, LimitRequest,
     PromptNotice, RecordNotice, RecordNoticeReply, RecordQuery, RecordQueryReply, Reserve,
     ReserveOutcome, ReserveReply, RightsRequest, Settle, SettleReply, VersionReport,
 };
+use messages::{Datagram, SpeedMessage};
 
 /// Prefill time from which on a prompt is announced as far as the rate limit allows, in milliseconds.
 const MIN_PREFILL_MS: f64 = 3.0;
@@ -40,6 +41,10 @@
 /// Maximum rate of notices of shorter prompts from all gateways to one gateway; receiving one takes some 10 µs.
 const MAX_NOTICES_PER_S: u64 = 400;
 
+/// Maximum number of statements about the speed of engines in one notice. A gateway receives about as many responses as
+/// it sends notices, and tells only what has changed.
+const MAX_SPEEDS: usize = 3;
+
 /// Time for which the id of a handover is remembered; the network does not hold a datagram for longer.
 const HANDOVER_DEDUP_MS: u64 = 600_000;
 
@@ -90,12 +95,15 @@
     }
 
     /// Notifies the other gateways of a prompt that was sent to an engine.
+    ///
+    /// `work_ms` is its prefill time at usual speed, if engines state their speed.
     pub(super) fn send_notice(
         &self,
         shared: &Shared,
         upstream: &str,
-        session: u64,
+        prompt: &Prompt,
         prefill_ms: f64,
+        work_ms: Option<f64>,
     ) {
         let is_long = prefill_ms >= LONG_PREFILL_MS;
         if prefill_ms < MIN_PREFILL_MS || (!self.take_credit(shared) && !is_long) {
@@ -103,8 +111,11 @@
         }
         let notice = PromptNotice {
             upstream: upstream.into(),
-            session,
+            session: prompt.session,
             prefill_us: (prefill_ms * 1_000.0) as u64,
+            work_us: work_ms.map(|work_ms| (work_ms * 1_000.0) as u64),
+            parts: work_ms.map_or_else(Vec::new, |_| other_parts(prompt)),
+            speeds: work_ms.map_or_else(Vec::new, |_| speeds_to_tell(shared)),
         };
         self.broadcast(shared, Content::PromptNotice(notice));
     }
@@ -209,10 +220,7 @@
     match content {
         Content::PromptNotice(notice) => {
             shared.metrics.add("notices_received", 1);
-            let prefill_ms = notice.prefill_us as f64 / 1_000.0;
-            let now_ms = shared.now_ms();
-            let mut placement = shared.placement.borrow_mut();
-            placement.record_peer_sent(&notice.upstream, notice.session, prefill_ms, now_ms);
+            record_notice(shared, &notice);
         }
         Content::Limit(message) => limits::handle_message(shared, &message),
         Content::LimitRequest(request) => limits::handle_request(shared, &request, peer),
@@ -233,6 +241,45 @@
     }
 }
 
+/// Returns the parts of a prompt that prompts of other sessions may share.
+fn other_parts(prompt: &Prompt) -> Vec<u64> {
+    let parts = prompt.parts.as_slice().iter().map(|part| part.id);
+    parts.filter(|part| *part != prompt.session).collect()
+}
+
+/// Takes the statements about the speed of engines that the other gateways should know.
+fn speeds_to_tell(shared: &Shared) -> Vec<SpeedMessage> {
+    let now_ms = shared.now_ms();
+    let mut placement = shared.placement.borrow_mut();
+    let figures = std::iter::from_fn(|| placement.take_figure(now_ms)).take(MAX_SPEEDS);
+    let speeds = figures.map(|figure| SpeedMessage {
+        upstream: figure.upstream.into(),
+        work_percent: figure.work_percent,
+        age_ms: now_ms.saturating_sub(figure.at_ms) as u32,
+    });
+    speeds.collect()
+}
+
+fn record_notice(shared: &Shared, notice: &PromptNotice) {
+    let now_ms = shared.now_ms();
+    let mut placement = shared.placement.borrow_mut();
+    for speed in notice.speeds.iter().take(MAX_SPEEDS) {
+        let figure = SpeedFigure {
+            upstream: speed.upstream.as_str().into(),
+            work_percent: speed.work_percent,
+            at_ms: now_ms.saturating_sub(u64::from(speed.age_ms)),
+        };
+        placement.record_peer_speed(&figure, now_ms);
+    }
+    let prompt = PeerPrompt {
+        session: notice.session,
+        parts: &notice.parts,
+        prefill_ms: notice.prefill_us as f64 / 1_000.0,
+        work_ms: notice.work_us.unwrap_or(notice.prefill_us) as f64 / 1_000.0,
+    };
+    placement.record_peer_prompt(&notice.upstream, &prompt, now_ms);
+}
+
 fn encode(content: Content) -> Vec<u8> {
     let datagram = Datagram {
         content: Some(content),
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -173,6 +173,29 @@
     /// Time that the engine takes to prefill the prompt, in microseconds.
     #[prost(uint64, tag = "3")]
     pub(in crate::gateway) prefill_us: u64,
+    /// The same at usual speed, if engines state their speed.
+    #[prost(uint64, optional, tag = "4")]
+    pub(in crate::gateway) work_us: Option<u64>,
+    /// Hashes of the other parts that prompts of other sessions share, if engines state their speed.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub(in crate::gateway) parts: Vec<u64>,
+    /// Statements of engines about their speed that the sender has received lately.
+    #[prost(message, repeated, tag = "6")]
+    pub(in crate::gateway) speeds: Vec<SpeedMessage>,
+}
+
+/// A statement of an engine about its speed.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct SpeedMessage {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) upstream: String,
+    /// Time that its work takes, in percent of the usual time.
+    #[prost(uint32, tag = "2")]
+    pub(in crate::gateway) work_percent: u32,
+    /// Time since the statement arrived.
+    #[prost(uint32, tag = "3")]
+    pub(in crate::gateway) age_ms: u32,
 }
 
 /// A request to reserve the largest possible charge of a caller's request at a holder of the team's rights.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -50,6 +50,10 @@
 /// would never happen beside an upstream that sends as fast as its caller reads.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 
+/// Number of events over which the time per output token is measured. One pause says little, and each measurement takes
+/// processor time.
+const EVENTS_PER_MEASUREMENT: u64 = 4;
+
 /// Reason in the log for a stream that has left a silent upstream.
 const SILENCE_REASON: &str = "the upstream is silent";
 
@@ -133,6 +137,8 @@
     /// Time of the first event of the current response, and the number of its events.
     first_event_ms: u64,
     response_events: u64,
+    /// Time and number of the event at which the measurement of the time per output token began.
+    measured_from: (u64, u64),
     is_watching_caller: bool,
     /// Time without a byte after which another upstream is sought.
     silence_timeout: Duration,
@@ -174,13 +180,21 @@
         has_event: false,
         first_event_ms: 0,
         response_events: 0,
+        measured_from: (0, 0),
         is_watching_caller: caller.input_len() == 0,
         silence_timeout: SILENCE_TIMEOUT,
     };
     relay.delivery.status = status;
     loop {
         let end = relay
-            .relay_body(caller, &mut response, attempts, is_event_stream, may_resume)
+            .relay_body(
+                caller,
+                &mut response,
+                &in_flight,
+                attempts,
+                is_event_stream,
+                may_resume,
+            )
             .await;
         let is_failure = status >= 500;
         let (reason, exchange) = match end {
@@ -201,6 +215,7 @@
                 if let Some(outcome) = outcome {
                     in_flight.record_response(call, outcome);
                 }
+                relay.record_output(is_event_stream && !is_failure);
                 return_to_pool(shared, response, &in_flight);
                 relay.delivery.keeps_connection = keep_alive;
                 return relay.delivery;
@@ -384,6 +399,7 @@
         &mut self,
         caller: &mut Socket,
         response: &mut StartedResponse,
+        in_flight: &InFlight<'_>,
         attempts: &Attempts,
         is_event_stream: bool,
         may_resume: bool,
@@ -450,6 +466,7 @@
             match event.await {
                 WaitEvent::Received(Ok(())) => {
                     self.record_received(response);
+                    self.measure_output_time(in_flight);
                     reads += 1;
                     if reads.is_multiple_of(READS_PER_TURN) {
                         if turn_started.elapsed() < TURN_TIME {
@@ -498,6 +515,7 @@
                 crashes::record_served(self.shared, self.call);
                 self.first_event_ms = self.shared.now_ms();
                 self.response_events = 0;
+                self.measured_from = (self.first_event_ms, 1);
             }
             self.response_events += 1;
             self.enqueue(&event.raw);
@@ -521,6 +539,31 @@
         Some(Response::Served { unit_ms })
     }
 
+    /// Measures the time per output token each time some more events have arrived.
+    fn measure_output_time(&mut self, in_flight: &InFlight<'_>) {
+        let (from_ms, from_event) = self.measured_from;
+        let events = self.response_events.saturating_sub(from_event);
+        if events < EVENTS_PER_MEASUREMENT || from_event == 0 {
+            return;
+        }
+        let now_ms = self.delivery.last_byte_ms;
+        self.measured_from = (now_ms, self.response_events);
+        let tokens = events * self.call.event_tokens();
+        in_flight.record_output_time(tokens, now_ms.saturating_sub(from_ms));
+    }
+
+    /// Records the number of output tokens of a complete response, unless its caller had received a part of it before.
+    fn record_output(&self, is_stream: bool) {
+        if !is_stream || self.call.meta.last_event_id.is_some() {
+            return;
+        }
+        if let Some(key) = self.call.output_key() {
+            let tokens = self.delivery.events * self.call.event_tokens();
+            let mut placement = self.shared.placement.borrow_mut();
+            placement.record_output_tokens(&key, tokens);
+        }
+    }
+
     /// Returns whether the stream may end here: after an event, and not before the first one.
     fn is_at_event_end(&self) -> bool {
         self.splitter.pending_bytes() == 0 && (self.has_event || self.last_event_id.is_some())
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -17,6 +17,7 @@
 use crate::crash_attribution::Feature;
 use crate::platform::headers;
 use crate::refusal::Refusal;
+use crate::request_cost::OutputKey;
 use crate::routing::{Route, RouteIndex, RoutingTable, TeamIndex};
 use crate::server::{Request, Socket};
 
@@ -98,6 +99,18 @@
             .unwrap_or(0)
     }
 
+    /// Returns what may tell the number of output tokens; `None` for plain services.
+    pub(super) fn output_key(&self) -> Option<OutputKey> {
+        let prompt = self.meta.prompt.as_ref()?;
+        let route = self.route().name.as_bytes();
+        Some(OutputKey {
+            route: xxhash_rust::xxh3::xxh3_64(route),
+            session: prompt.session,
+            hint_tokens: self.meta.output_hint_tokens,
+            max_tokens: self.meta.max_output_tokens,
+        })
+    }
+
     fn priority_class(&self) -> Priority {
         match self.route().priority {
             0 => Priority::High,
@@ -237,6 +250,7 @@
         return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
     }
     let needed_tokens = call.meta.input_tokens + call.meta.max_output_tokens;
+    let reserving_ms = shared.now_ms();
     let reservation = match call.team_name() {
         Some(team) if needed_tokens > 0 => {
             let need = Need {
@@ -258,7 +272,14 @@
     };
     let holder = reservation.as_ref().map(|reserved| reserved.holder.clone());
     let holder = holder.unwrap_or_default();
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts {
+        rights_wait_ms: shared.now_ms().saturating_sub(reserving_ms),
+        expected_output_ms: call.output_key().map_or(0, |key| {
+            let placement = shared.placement.borrow();
+            placement.expected_output_ms(&key) as u64
+        }),
+        ..Attempts::default()
+    };
     let last_event_id = call.meta.last_event_id;
     let result = attempt::run(shared, call, caller, &mut attempts, last_event_id, None).await;
     let charge_input = |attempts: &Attempts| {
@@ -438,7 +459,12 @@
         input_tokens = call.meta.input_tokens, charge_tokens = charge,
         holder = holder,
         at_ms = now_ms, elapsed_ms = elapsed_ms,
+        rights_wait_ms = attempts.rights_wait_ms,
+        permission_wait_ms = attempts.permission_wait_ms,
+        connect_wait_ms = attempts.connect_wait_ms,
         expected_ms = attempts.expected_ms,
+        expected_prefill_ms = attempts.expected_prefill_ms,
+        expected_output_ms = attempts.expected_output_ms,
         first_byte_ms = delivery.first_byte_ms.saturating_sub(call.started_ms),
         silent_ms = now_ms.saturating_sub(delivery.last_byte_ms.max(call.started_ms)),
         directory_age_ms = now_ms.saturating_sub(shared.directory_read_ms.get()); "{}", delivery.end
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,40 +11,43 @@
 //! requests that this router has open there plus those of other routers, according to the newest response that carried
 //! a load report. The contribution of others decays to zero within two seconds, because an older report says nothing
 //! about the present load.
+//!
+//! If upstreams of a service state how long their work takes at present, all choices among them compare expected costs
+//! instead; see `docs/design/request-cost.md`.
+
+mod cost_choice;
+mod costs;
+mod prefill_queue;
+mod prefix_cache;
+mod request;
+mod usual_choice;
 
 use std::cmp::Ordering;
 
 use compact_str::CompactString;
 
 use crate::collections::FastMap;
+use crate::request_cost::{prefill_work, INITIAL_MS_PER_TOKEN, MS_PER_TOKEN_BOUNDS};
 use crate::upstream_limits::Weight;
 
+use costs::{FleetCosts, UpstreamCosts};
+use usual_choice::{expected_wait_ms, min_delay_candidate};
+
+pub use costs::{ExpectedCost, PeerPrompt, SpeedFigure};
+pub use request::{Candidate, LoadReport, Prompt, PromptPart, PromptParts};
+
 /// Age at which a load report no longer counts; its weight decreases linearly until then.
 const REPORT_DECAY_MS: u64 = 2_000;
 
-/// Difference in expected delay up to which engines count as equal, in milliseconds.
-const TIE_MARGIN_MS: f64 = 4.0;
-
 /// Delay that each running request adds by its share of every engine step, in milliseconds.
 const RUNNING_REQUEST_DELAY_MS: f64 = 0.7;
 
-/// Prefill time of one token that is assumed before the first measurement, in milliseconds.
-const INITIAL_MS_PER_TOKEN: f64 = 0.012;
-
-/// Bounds on the measured prefill time of one token, in milliseconds.
-const MS_PER_TOKEN_BOUNDS: (f64, f64) = (0.001, 0.2);
-
 /// Weight of one measurement in the moving average of the prefill time of one token.
 const MS_PER_TOKEN_EWMA_WEIGHT: f64 = 0.05;
 
 /// Weight of one prompt in the moving average of the prefill work.
 const WORK_EWMA_WEIGHT: f64 = 0.02;
 
-/// Prompt length at which attention takes as long as all other computation, in tokens.
-///
-/// The engines in use, of 70 billion parameters, state 90,000 to 110,000.
-const ATTENTION_PARITY_TOKENS: f64 = 100_000.0;
-
 /// Weight of one measurement in the moving average of an engine's slowdown.
 const SLOWDOWN_EWMA_WEIGHT: f64 = 0.2;
 
@@ -110,39 +113,6 @@
     Neutral,
 }
 
-/// Load that an upstream reported with a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Running requests.
-    pub running: u32,
-    /// Queued requests.
-    pub waiting: u32,
-    /// Requests that can run concurrently.
-    pub slots: u32,
-}
-
-/// The prompt of a request to a model engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Prompt {
-    /// Hash that identifies the session, whose requests share the beginning of their prompts.
-    pub session: u64,
-    /// Tokens of the beginning that the requests of the session share.
-    pub shared_tokens: u64,
-    /// Tokens that follow the shared beginning.
-    pub own_tokens: u64,
-}
-
-/// An upstream that may be chosen.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate<'a> {
-    /// Id of the upstream.
-    pub id: &'a str,
-    /// Requests that it can run concurrently.
-    pub slots: u32,
-    /// Whether it is in the same data centre as this router.
-    pub is_local: bool,
-}
-
 /// Why no upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementError {
@@ -172,6 +142,7 @@
     slowdown: f64,
     /// Sessions whose prompts were sent to the engine, with the time of the last one.
     sessions: FastMap<u64, u64>,
+    costs: UpstreamCosts,
 }
 
 impl UpstreamLoad {
@@ -190,6 +161,7 @@
             prefill_until_ms: 0.0,
             slowdown: 1.0,
             sessions: FastMap::default(),
+            costs: UpstreamCosts::default(),
         }
     }
 
@@ -228,7 +200,9 @@
 
     /// Returns the expected prefill time of a prompt.
     fn prefill_ms(&self, prompt: &Prompt, ms_per_token: f64, now_ms: u64) -> f64 {
-        prefill_work(prompt, self.uncached_tokens(prompt, now_ms)) * ms_per_token * self.slowdown
+        prefill_work(prompt.total_tokens(), self.uncached_tokens(prompt, now_ms))
+            * ms_per_token
+            * self.slowdown
     }
 
     fn backlog_ms(&self, now_ms: u64) -> f64 {
@@ -259,6 +233,7 @@
     ms_per_token: f64,
     /// Moving average of the prefill work of prompts.
     mean_work: f64,
+    costs: FleetCosts,
 }
 
 impl Default for Placement {
@@ -267,6 +242,7 @@
             loads: FastMap::default(),
             ms_per_token: INITIAL_MS_PER_TOKEN,
             mean_work: 0.0,
+            costs: FleetCosts::default(),
         }
     }
 }
@@ -308,6 +284,14 @@
         if usable.is_empty() {
             return Err(PlacementError::Full);
         }
+        if usable
+            .iter()
+            .any(|candidate| load(candidate).costs.speed.is_stated())
+        {
+            return self
+                .choose_by_cost(&usable, prompt, now_ms)
+                .ok_or(PlacementError::NoUpstream);
+        }
         let chosen = match prompt {
             Some(prompt) => min_delay_candidate(&usable, prompt.session, |candidate| {
                 self.delay_ms(load(candidate), prompt, now_ms)
@@ -326,7 +310,7 @@
     /// Returns the weight of a request compared with the others; requests to plain services are alike.
     pub fn weight(&self, prompt: Option<&Prompt>) -> Weight {
         let is_light = prompt.is_some_and(|prompt| {
-            prefill_work(prompt, prompt.own_tokens + prompt.shared_tokens) < self.mean_work
+            prefill_work(prompt.total_tokens(), prompt.total_tokens()) < self.mean_work
         });
         if is_light {
             Weight::Light
@@ -338,6 +322,9 @@
     /// Returns the expected time until an engine has prefilled a prompt; 0 without a prompt or for an unknown engine.
     pub fn expected_delay_ms(&self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
         match (self.loads.get(id), prompt) {
+            (Some(load), _) if load.costs.speed.is_stated() => {
+                self.cost_at(load, prompt, now_ms).first_byte_ms()
+            }
             (Some(load), Some(prompt)) => self.delay_ms(load, prompt, now_ms),
             _ => 0.0,
         }
@@ -347,7 +334,7 @@
     pub fn record_sent(&mut self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
         let ms_per_token = self.ms_per_token;
         if let Some(prompt) = prompt {
-            let work = prefill_work(prompt, prompt.own_tokens + prompt.shared_tokens);
+            let work = prefill_work(prompt.total_tokens(), prompt.total_tokens());
             self.mean_work += WORK_EWMA_WEIGHT * (work - self.mean_work);
         }
         let load = self.load(id);
@@ -364,6 +351,7 @@
             load.silent_since_ms = now_ms;
         }
         load.awaiting_first_byte += 1;
+        self.record_sent_cost(id, prompt, now_ms);
         prefill_ms
     }
 
@@ -396,7 +384,7 @@
             Some(load) if load.backlog_ms(now_ms) == 0.0 => load.uncached_tokens(prompt, now_ms),
             Some(_) => return None,
         };
-        Some(prefill_work(prompt, uncached_tokens))
+        Some(prefill_work(prompt.total_tokens(), uncached_tokens))
     }
 
     /// Records that an upstream sent some bytes.
@@ -424,6 +412,9 @@
         let load = self.load(id);
         load.others_requests = (report.running + report.waiting).saturating_sub(load.own_requests);
         load.reported_at_ms = Some(now_ms);
+        if let Some(work_percent) = report.work_percent {
+            self.record_stated_speed(id, work_percent, now_ms);
+        }
     }
 
     /// Records the end of a request.
@@ -497,45 +488,3 @@
             .or_insert_with(UpstreamLoad::new)
     }
 }
-
-/// Returns the candidate with the smallest delay; ties are broken by rendezvous hashing of the session.
-fn min_delay_candidate<'c, 'a>(
-    candidates: &'c [Candidate<'a>],
-    session: u64,
-    delay_ms: impl Fn(&Candidate<'_>) -> f64,
-) -> Option<&'c Candidate<'a>> {
-    let delays: Vec<f64> = candidates.iter().map(delay_ms).collect();
-    let least = delays.iter().copied().fold(f64::INFINITY, f64::min);
-    candidates
-        .iter()
-        .zip(&delays)
-        .filter(|(_, delay)| **delay <= least + TIE_MARGIN_MS)
-        .map(|(candidate, _)| candidate)
-        .max_by_key(|candidate| rendezvous_score(session, candidate.id))
-}
-
-/// Returns the prefill work of a prompt, as the number of tokens that would take as long without attention.
-///
-/// Attention makes the work grow with the square of the prompt length; cached tokens are not computed again.
-fn prefill_work(prompt: &Prompt, uncached_tokens: u64) -> f64 {
-    let total = (prompt.own_tokens + prompt.shared_tokens) as f64;
-    let cached = total - uncached_tokens as f64;
-    uncached_tokens as f64 + (total * total - cached * cached) / ATTENTION_PARITY_TOKENS
-}
-
-fn rendezvous_score(session: u64, id: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), session)
-}
-
-/// Returns the expected wait at an upstream, derived from its mean time to the first byte and its occupancy.
-fn expected_wait_ms(load: &UpstreamLoad, candidate: &Candidate<'_>, now_ms: u64) -> f64 {
-    /// Penalty of an upstream in another data centre; the time of a round trip between data centres.
-    const REMOTE_PENALTY_MS: f64 = 2.0;
-    let occupied = f64::from(load.total_requests(now_ms)) / f64::from(candidate.slots.max(1));
-    let penalty_ms = if candidate.is_local {
-        0.0
-    } else {
-        REMOTE_PENALTY_MS
-    };
-    load.latency_ms * (0.5 + occupied) * (1.0 + 2.0 * load.failure_rate) + penalty_ms
-}
--- /dev/null
+++ b/src/placement/costs.rs
@@ -0,0 +1,362 @@
+//! What is known of the costs of requests at upstreams, as far as upstreams state their speed.
+
+use std::collections::VecDeque;
+
+use compact_str::CompactString;
+
+use super::prefill_queue::PrefillQueue;
+use super::prefix_cache::PrefixCache;
+use super::{LoadReport, Placement, Prompt, UpstreamLoad, RUNNING_REQUEST_DELAY_MS};
+use crate::request_cost::{CostModel, OutputKey, OutputLengths};
+use crate::upstream_speed::{SpeedEstimate, UpstreamSpeed, WORK_PERCENT_BOUNDS};
+
+/// Weight of one response in the average time of a plain request at an upstream of usual speed.
+const SERVICE_EWMA_WEIGHT: f64 = 0.1;
+
+/// Change of a stated figure, in percent of the known one, from which other routers are told.
+const TOLD_CHANGE_PERCENT: u32 = 25;
+
+/// Age of the known figure from which they are told in any case.
+const TOLD_AGE_MS: u64 = 1_000;
+
+/// Number of figures that wait to be told; the oldest are dropped.
+const MAX_WAITING_FIGURES: usize = 8;
+
+/// Age from which a figure that waits is not told any more.
+const MAX_WAITING_MS: u64 = 500;
+
+/// A statement of an upstream about its speed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SpeedFigure {
+    /// Id of the upstream.
+    pub upstream: CompactString,
+    /// Time that its work takes, in percent of the usual time.
+    pub work_percent: u32,
+    /// Time at which the statement arrived.
+    pub at_ms: u64,
+}
+
+/// A prompt that another router sent to an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerPrompt<'a> {
+    /// Hash that identifies the session.
+    pub session: u64,
+    /// Other parts of the prompt that it shares with prompts of other sessions.
+    pub parts: &'a [u64],
+    /// Expected prefill time according to its sender.
+    pub prefill_ms: f64,
+    /// Prefill time at usual speed.
+    pub work_ms: f64,
+}
+
+/// Costs of requests at one upstream. Unused as long as no upstream states its speed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UpstreamCosts {
+    pub(super) speed: UpstreamSpeed,
+    pub(super) queue: PrefillQueue,
+    pub(super) prefixes: PrefixCache,
+    /// Moving average of the time of plain requests at usual speed.
+    pub(super) service_ms: Option<f64>,
+    /// When the other routers last learned of the speed, and the figure.
+    told: Option<(u32, u64)>,
+}
+
+impl UpstreamCosts {
+    /// Sets the speed as stated at `at_ms`; returns whether this is newer than what was known.
+    fn set_speed(&mut self, work_percent: u32, at_ms: u64, now_ms: u64) -> bool {
+        let ratio = self.speed.estimate(now_ms).now;
+        self.queue.advance(ratio, now_ms);
+        self.speed.record_stated(work_percent, at_ms)
+    }
+
+    /// Returns whether a figure differs so much from what the other routers know that they should be told.
+    fn is_news(&self, work_percent: u32, now_ms: u64) -> bool {
+        let Some((known, at_ms)) = self.told else {
+            return true;
+        };
+        known.abs_diff(work_percent) * 100 >= known.max(1) * TOLD_CHANGE_PERCENT
+            || now_ms.saturating_sub(at_ms) >= TOLD_AGE_MS
+    }
+}
+
+/// Costs of requests at all upstreams.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FleetCosts {
+    /// Whether any upstream has stated its speed.
+    pub(super) is_in_effect: bool,
+    pub(super) model: CostModel,
+    pub(super) outputs: OutputLengths,
+    /// Figures that the other routers have not been told.
+    waiting_figures: VecDeque<SpeedFigure>,
+    /// Seed and number of random draws.
+    seed: u64,
+    draws: u64,
+}
+
+impl FleetCosts {
+    /// Returns a number that looks random and differs with each request that is sent.
+    pub(super) fn draw(&self) -> u64 {
+        // The finaliser of splitmix64.
+        let mut value = self
+            .seed
+            .wrapping_add(self.draws.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        value ^ (value >> 31)
+    }
+}
+
+/// What a request is expected to cost at an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct ExpectedCost {
+    /// Prefill of the prompt, or processing of a plain request, at usual speed.
+    pub work_ms: f64,
+    /// What the upstream does before, at usual speed.
+    pub wait_ms: f64,
+    /// Estimated speed of the upstream.
+    pub speed: SpeedEstimate,
+    /// Position of the prompt in the engine's queue, if it is the next one.
+    position: Option<f64>,
+}
+
+impl ExpectedCost {
+    /// Returns the expected time to the first byte.
+    pub fn first_byte_ms(&self) -> f64 {
+        self.speed.time_ms(self.wait_ms + self.work_ms)
+    }
+
+    /// Returns the expected time of the work for the request itself.
+    pub fn work_time_ms(&self) -> f64 {
+        self.speed.time_ms(self.work_ms)
+    }
+}
+
+impl Placement {
+    /// Creates a placement whose random choices differ from those of other seeds.
+    pub fn with_seed(seed: u64) -> Self {
+        let mut placement = Self::default();
+        placement.costs.seed = seed;
+        placement
+    }
+
+    /// Returns the expected time until an engine has prefilled all prompts that were sent to it.
+    pub fn backlog_ms(&self, id: &str, now_ms: u64) -> f64 {
+        let Some(load) = self.loads.get(id) else {
+            return 0.0;
+        };
+        if !load.costs.speed.is_stated() {
+            return load.backlog_ms(now_ms);
+        }
+        let speed = load.costs.speed.estimate(now_ms);
+        speed.time_ms(load.costs.queue.left_ms(speed.now, now_ms))
+    }
+
+    /// Returns the expected prefill time of a prompt at an engine, without the prompts before it.
+    pub fn prefill_ms(&self, id: &str, prompt: &Prompt, now_ms: u64) -> f64 {
+        match self.loads.get(id) {
+            Some(load) if load.costs.speed.is_stated() => {
+                self.cost_at(load, Some(prompt), now_ms).work_time_ms()
+            }
+            Some(load) => load.prefill_ms(prompt, self.ms_per_token, now_ms),
+            None => {
+                let total_tokens = prompt.total_tokens();
+                self.costs.model.prefill_ms(total_tokens, total_tokens)
+            }
+        }
+    }
+
+    /// Returns the expected cost of a request that is sent to an upstream now; `None` if no upstream states its speed.
+    pub fn expected_cost(
+        &self,
+        id: &str,
+        prompt: Option<&Prompt>,
+        now_ms: u64,
+    ) -> Option<ExpectedCost> {
+        if !self.costs.is_in_effect {
+            return None;
+        }
+        let initial = UpstreamLoad::new();
+        let load = self.loads.get(id).unwrap_or(&initial);
+        Some(self.cost_at(load, prompt, now_ms))
+    }
+
+    /// Returns the time that the output of a request is expected to take at usual speed; 0 if no upstream states its
+    /// speed.
+    pub fn expected_output_ms(&self, key: &OutputKey) -> f64 {
+        if !self.costs.is_in_effect {
+            return 0.0;
+        }
+        let tokens = self.costs.outputs.expected_tokens(key);
+        self.costs.model.output_ms(tokens)
+    }
+
+    pub(super) fn cost_at(
+        &self,
+        load: &UpstreamLoad,
+        prompt: Option<&Prompt>,
+        now_ms: u64,
+    ) -> ExpectedCost {
+        let costs = &load.costs;
+        let speed = costs.speed.estimate(now_ms);
+        let running = f64::from(load.total_requests(now_ms));
+        match prompt {
+            Some(prompt) => {
+                let uncached_tokens = costs.prefixes.uncached_tokens(prompt, now_ms);
+                let model = &self.costs.model;
+                let work_ms = model.prefill_ms(prompt.total_tokens(), uncached_tokens);
+                let left_ms = costs.queue.left_ms(speed.now, now_ms);
+                ExpectedCost {
+                    work_ms,
+                    wait_ms: left_ms + running * RUNNING_REQUEST_DELAY_MS,
+                    speed,
+                    position: Some(costs.queue.end_position(work_ms)),
+                }
+            }
+            None => ExpectedCost {
+                work_ms: costs.service_ms.unwrap_or(load.latency_ms),
+                wait_ms: 0.0,
+                speed,
+                position: None,
+            },
+        }
+    }
+
+    /// Adds a request that is sent to the work of its upstream.
+    pub(super) fn record_sent_cost(&mut self, id: &str, prompt: Option<&Prompt>, now_ms: u64) {
+        if !self.costs.is_in_effect {
+            return;
+        }
+        self.costs.draws += 1;
+        let Some(prompt) = prompt else { return };
+        let total_tokens = prompt.total_tokens();
+        let model = self.costs.model.clone();
+        let costs = &mut self.load(id).costs;
+        let uncached_tokens = costs.prefixes.uncached_tokens(prompt, now_ms);
+        let work_ms = model.prefill_ms(total_tokens, uncached_tokens);
+        let ratio = costs.speed.estimate(now_ms).now;
+        let position = costs.queue.add(work_ms, ratio, now_ms);
+        costs.queue.begin_wait(position);
+        let parts = prompt.parts.as_slice().iter().map(|part| part.id);
+        costs.prefixes.insert(parts, now_ms);
+    }
+
+    /// Adds a prompt that another router sent to the work of its engine.
+    pub fn record_peer_prompt(&mut self, id: &str, prompt: &PeerPrompt<'_>, now_ms: u64) {
+        self.record_peer_sent(id, prompt.session, prompt.prefill_ms, now_ms);
+        if !self.costs.is_in_effect {
+            return;
+        }
+        let costs = &mut self.load(id).costs;
+        let ratio = costs.speed.estimate(now_ms).now;
+        costs.queue.add(prompt.work_ms, ratio, now_ms);
+        let parts = prompt.parts.iter().copied();
+        costs
+            .prefixes
+            .insert(parts.chain(std::iter::once(prompt.session)), now_ms);
+    }
+
+    /// Records that a request with this expected cost no longer waits for its first byte, for whatever reason.
+    pub fn end_prefill_wait(&mut self, id: &str, expected: &ExpectedCost) {
+        if let (Some(load), Some(position)) = (self.loads.get_mut(id), expected.position) {
+            load.costs.queue.end_wait(position);
+        }
+    }
+
+    /// Learns from the first byte of a response, which arrived `elapsed_ms` after the request was sent.
+    pub fn record_response_cost(
+        &mut self,
+        id: &str,
+        expected: &ExpectedCost,
+        report: Option<LoadReport>,
+        elapsed_ms: u64,
+        now_ms: u64,
+    ) {
+        let Some(work_percent) = report.and_then(|report| report.work_percent) else {
+            return;
+        };
+        let Some(load) = self.loads.get_mut(id) else {
+            return;
+        };
+        let costs = &mut load.costs;
+        let Some(position) = expected.position else {
+            let service_ms = elapsed_ms as f64 * 100.0 / f64::from(work_percent.max(1));
+            let mean_ms = costs.service_ms.get_or_insert(service_ms);
+            *mean_ms += SERVICE_EWMA_WEIGHT * (service_ms - *mean_ms);
+            return;
+        };
+        costs.queue.record_done(position, now_ms);
+        let model = &mut self.costs.model;
+        let work_ms = expected.wait_ms + expected.work_ms;
+        if let Some(ratio) = model.first_byte_ratio(work_ms, elapsed_ms) {
+            let unexplained = costs.speed.record_response(ratio, work_percent, now_ms);
+            model.record_unexplained(unexplained);
+        }
+    }
+
+    /// Learns from the time that some output tokens of a running response took.
+    pub fn record_output_time(&mut self, id: &str, tokens: u64, elapsed_ms: u64, now_ms: u64) {
+        if !self.costs.is_in_effect {
+            return;
+        }
+        let Some(load) = self.loads.get_mut(id) else {
+            return;
+        };
+        let speed = &mut load.costs.speed;
+        let estimate = speed.estimate(now_ms);
+        let model = &mut self.costs.model;
+        if let Some(ratio) = model.record_output_time(tokens, elapsed_ms, estimate.now) {
+            load.costs.queue.advance(estimate.now, now_ms);
+            speed.record_observed(ratio, now_ms);
+        }
+    }
+
+    /// Learns the number of output tokens of a complete response.
+    pub fn record_output_tokens(&mut self, key: &OutputKey, tokens: u64) {
+        if self.costs.is_in_effect {
+            self.costs.outputs.record(key, tokens);
+            self.costs.model.record_output_tokens(tokens);
+        }
+    }
+
+    /// Records the speed that an upstream stated in a response to this router.
+    pub(super) fn record_stated_speed(&mut self, id: &str, work_percent: u32, now_ms: u64) {
+        self.costs.is_in_effect = true;
+        let costs = &mut self.load(id).costs;
+        let is_news = costs.is_news(work_percent, now_ms);
+        costs.set_speed(work_percent, now_ms, now_ms);
+        if !is_news {
+            return;
+        }
+        costs.told = Some((work_percent, now_ms));
+        let waiting = &mut self.costs.waiting_figures;
+        waiting.retain(|figure| figure.upstream != id);
+        if waiting.len() >= MAX_WAITING_FIGURES {
+            waiting.pop_front();
+        }
+        waiting.push_back(SpeedFigure {
+            upstream: id.into(),
+            work_percent,
+            at_ms: now_ms,
+        });
+    }
+
+    /// Records the speed of an upstream that another router has learned.
+    pub fn record_peer_speed(&mut self, figure: &SpeedFigure, now_ms: u64) {
+        if !WORK_PERCENT_BOUNDS.contains(&figure.work_percent) {
+            return;
+        }
+        self.costs.is_in_effect = true;
+        let costs = &mut self.load(&figure.upstream).costs;
+        if costs.set_speed(figure.work_percent, figure.at_ms, now_ms) {
+            costs.told = Some((figure.work_percent, figure.at_ms));
+            let waiting = &mut self.costs.waiting_figures;
+            waiting.retain(|known| known.upstream != figure.upstream);
+        }
+    }
+
+    /// Returns the newest figure that the other routers should be told, once.
+    pub fn take_figure(&mut self, now_ms: u64) -> Option<SpeedFigure> {
+        let figure = self.costs.waiting_figures.pop_back()?;
+        (now_ms.saturating_sub(figure.at_ms) < MAX_WAITING_MS).then_some(figure)
+    }
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,7 +3,8 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::gateway::RequestMeta;
-use crate::placement::{LoadReport, Prompt};
+use crate::placement::{LoadReport, Prompt, PromptPart, PromptParts};
+use crate::upstream_speed::WORK_PERCENT_BOUNDS;
 
 /// Id of one attempt of a caller; responses repeat it.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -23,6 +24,7 @@
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 
@@ -78,6 +80,8 @@
         deadline_ms: field_text(headers, &DEADLINE_MS).and_then(|value| value.trim().parse().ok()),
         input_tokens,
         max_output_tokens,
+        output_hint_tokens: field_text(headers, &LENGTH_HINT)
+            .and_then(|value| value.trim().parse().ok()),
         prompt: prompt(headers, input_tokens),
         shared_parts: shared_parts(headers),
         last_event_id: field_text(headers, &LAST_EVENT_ID)
@@ -169,18 +173,35 @@
     headers.contains_key(REQUEST_ID)
 }
 
-/// Returns the load that an upstream reported with a response: running requests, waiting requests, slots.
+/// Returns the load that an upstream reported with a response: running requests, waiting requests, slots, and the time
+/// that work takes at present, in percent of the usual time.
 pub fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
-    let mut parts = field_text(headers, &LOAD)?
-        .split(',')
-        .map(|part| part.trim().parse().ok());
+    let mut parts = field_text(headers, &LOAD)?.split(',').map(str::trim);
+    let mut count = || parts.next()?.parse().ok();
     Some(LoadReport {
-        running: parts.next()??,
-        waiting: parts.next()??,
-        slots: parts.next()??,
+        running: count()?,
+        waiting: count()?,
+        slots: count()?,
+        work_percent: parts.next().and_then(work_percent),
     })
 }
 
+/// Reads the fourth figure of a load report. A figure out of bounds is logged once and counts as not stated.
+fn work_percent(text: &str) -> Option<u32> {
+    static LOGGED: std::sync::Once = std::sync::Once::new();
+    let percent = text.parse().ok();
+    let percent = percent.filter(|percent| WORK_PERCENT_BOUNDS.contains(percent));
+    if percent.is_none() {
+        LOGGED.call_once(|| {
+            log::warn!(
+                step = "read header", header = LOAD.as_str();
+                "the fourth figure is not a percentage from 10 to 10000: {text}; further ones are not logged"
+            );
+        });
+    }
+    percent
+}
+
 /// Returns the requests a second that an upstream takes from all routers together, in thousandths; `None` if it states
 /// no limit.
 pub fn request_limit_milli_per_s(headers: &HeaderMap) -> Option<u64> {
@@ -251,11 +272,20 @@
         .collect();
     let (own, shared) = parts.split_last()?;
     let (session, _) = shared.last().unwrap_or(own);
-    let shared_tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+    let mut shared_tokens: u64 = 0;
+    let mut beginnings = PromptParts::default();
+    for (id, tokens) in shared {
+        shared_tokens = shared_tokens.saturating_add(*tokens);
+        beginnings.push(PromptPart {
+            id: xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
+            end_tokens: shared_tokens,
+        });
+    }
     Some(Prompt {
         session: xxhash_rust::xxh3::xxh3_64(session.as_bytes()),
         shared_tokens,
         own_tokens: input_tokens.saturating_sub(shared_tokens),
+        parts: beginnings,
     })
 }
 
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -286,6 +286,7 @@
         session,
         shared_tokens: 5_000,
         own_tokens: 1_000,
+        ..Prompt::default()
     }
 }
 
@@ -352,6 +353,7 @@
             session,
             shared_tokens: 200,
             own_tokens: 300,
+            ..Prompt::default()
         };
         let id = placement
             .choose(&candidates(&ids, 64), Some(&short), &[], 100)
@@ -377,6 +379,7 @@
         session: 1,
         shared_tokens: 0,
         own_tokens: tokens,
+        ..Prompt::default()
     };
     let short_ms = placement.record_sent("a", Some(&prompt_of(5_000)), 0);
     let long_ms = placement.record_sent("b", Some(&prompt_of(50_000)), 0);
@@ -391,6 +394,7 @@
         session: 1,
         shared_tokens: 0,
         own_tokens: 20_000,
+        ..Prompt::default()
     };
     for _ in 0..30 {
         for (id, elapsed_ms) in [("a", 240), ("b", 480)] {
@@ -484,6 +488,7 @@
         running: 6,
         waiting: 7,
         slots: 6,
+        work_percent: None,
     };
     placement.record_load("a", busy, 0);
     placement.record_sent("b", None, 0);
