Count work that an engine has left if it became slow unnoticed

Cause: an engine that turns slow with a long prompt in its queue sends nothing, so all gateways took its queue for done and sent it more. Change: each queue is also estimated as if the engine had been slow since its last sign of life; a fifth of the difference counts, all of it once a first byte is overdue.

--- a/src/placement/cost_choice.rs
+++ b/src/placement/cost_choice.rs
@@ -17,6 +17,13 @@
 /// Weight of the error of the expected time.
 const SPREAD_WEIGHT: f64 = 0.5;
 
+/// Weight of the work that is left only if the engine has become slow unnoticed. About a seventh of the engines is slow
+/// at a time; a first byte that is much too late weighs more than one that is a little early.
+const DOUBT_WEIGHT: f64 = 0.2;
+
+/// The same if a first byte is overdue at the engine, so that it probably is slow.
+const OVERDUE_WEIGHT: f64 = 1.0;
+
 /// Weight of the work for the request itself. Work that is done twice delays the requests behind it, at a load of half
 /// of the capacity about as much as it takes.
 const OWN_WORK_WEIGHT: f64 = 1.0;
@@ -67,7 +74,12 @@
     ) -> f64 {
         let cost = self.cost_at(load, Some(prompt), now_ms);
         let slot_ms = slot_wait_ms(load, candidate, self.costs.model.mean_output_ms(), now_ms);
-        let work_ms = cost.wait_ms + cost.work_ms + slot_ms;
+        let doubt_weight = if cost.is_overdue {
+            OVERDUE_WEIGHT
+        } else {
+            DOUBT_WEIGHT
+        };
+        let work_ms = cost.wait_ms + cost.work_ms + slot_ms + doubt_weight * cost.doubtful_ms;
         cost.speed.time_ms(work_ms)
             + SPREAD_WEIGHT * cost.speed.spread * work_ms
             + OWN_WORK_WEIGHT * cost.work_time_ms()
--- a/src/placement/costs.rs
+++ b/src/placement/costs.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use super::prefill_queue::PrefillQueue;
+use super::prefill_queue::{Left, Pace, PrefillQueue};
 use super::prefix_cache::PrefixCache;
 use super::{LoadReport, Placement, Prompt, UpstreamLoad, RUNNING_REQUEST_DELAY_MS};
 use crate::request_cost::{CostModel, OutputKey, OutputLengths};
@@ -16,6 +16,15 @@
 /// Change of a stated figure, in percent of the known one, from which other routers are told.
 const TOLD_CHANGE_PERCENT: u32 = 25;
 
+/// Figure from which an upstream counts as slow.
+const SLOW_PERCENT: u32 = 150;
+
+/// Time that work takes at a slow upstream, compared with the usual time, before any has stated it.
+const INITIAL_SLOW: f64 = 3.0;
+
+/// Weight of one figure in the average of the figures of slow upstreams.
+const SLOW_EWMA_WEIGHT: f64 = 0.05;
+
 /// Age of the known figure from which they are told in any case.
 const TOLD_AGE_MS: u64 = 1_000;
 
@@ -63,10 +72,19 @@
 
 impl UpstreamCosts {
     /// Sets the speed as stated at `at_ms`; returns whether this is newer than what was known.
-    fn set_speed(&mut self, work_percent: u32, at_ms: u64, now_ms: u64) -> bool {
-        let ratio = self.speed.estimate(now_ms).now;
-        self.queue.advance(ratio, now_ms);
-        self.speed.record_stated(work_percent, at_ms)
+    fn set_speed(&mut self, work_percent: u32, at_ms: u64, slow: f64, now_ms: u64) -> bool {
+        let pace = self.pace(slow, now_ms);
+        self.queue.advance(pace, now_ms);
+        let is_newer = self.speed.record_stated(work_percent, at_ms);
+        if is_newer {
+            self.queue.record_sign(work_percent >= SLOW_PERCENT);
+        }
+        is_newer
+    }
+
+    fn pace(&self, slow: f64, now_ms: u64) -> Pace {
+        let expected = self.speed.estimate(now_ms).now;
+        Pace { expected, slow }
     }
 
     /// Returns whether a figure differs so much from what the other routers know that they should be told.
@@ -80,12 +98,14 @@
 }
 
 /// Costs of requests at all upstreams.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct FleetCosts {
     /// Whether any upstream has stated its speed.
     pub(super) is_in_effect: bool,
     pub(super) model: CostModel,
     pub(super) outputs: OutputLengths,
+    /// Average of the figures of slow upstreams, as a ratio.
+    slow: f64,
     /// Figures that the other routers have not been told.
     waiting_figures: VecDeque<SpeedFigure>,
     /// Seed and number of random draws.
@@ -93,7 +113,29 @@
     draws: u64,
 }
 
+impl Default for FleetCosts {
+    fn default() -> Self {
+        Self {
+            is_in_effect: false,
+            model: CostModel::default(),
+            outputs: OutputLengths::default(),
+            slow: INITIAL_SLOW,
+            waiting_figures: VecDeque::new(),
+            seed: 0,
+            draws: 0,
+        }
+    }
+}
+
 impl FleetCosts {
+    fn record_figure(&mut self, work_percent: u32) {
+        self.is_in_effect = true;
+        if work_percent >= SLOW_PERCENT {
+            let ratio = f64::from(work_percent) / 100.0;
+            self.slow += SLOW_EWMA_WEIGHT * (ratio - self.slow);
+        }
+    }
+
     /// Returns a number that looks random and differs with each request that is sent.
     pub(super) fn draw(&self) -> u64 {
         // The finaliser of splitmix64.
@@ -113,10 +155,13 @@
     pub work_ms: f64,
     /// What the upstream does before, at usual speed.
     pub wait_ms: f64,
+    /// What it does in addition if it has been slow since its last sign of life, and whether it probably has.
+    pub(super) doubtful_ms: f64,
+    pub(super) is_overdue: bool,
     /// Estimated speed of the upstream.
     pub speed: SpeedEstimate,
     /// Position of the prompt in the engine's queue, if it is the next one.
-    position: Option<f64>,
+    position_ms: Option<f64>,
 }
 
 impl ExpectedCost {
@@ -148,7 +193,11 @@
             return load.backlog_ms(now_ms);
         }
         let speed = load.costs.speed.estimate(now_ms);
-        speed.time_ms(load.costs.queue.left_ms(speed.now, now_ms))
+        let pace = Pace {
+            expected: speed.now,
+            slow: self.costs.slow,
+        };
+        speed.time_ms(load.costs.queue.left(pace, now_ms).expected_ms)
     }
 
     /// Returns the expected prefill time of a prompt at an engine, without the prompts before it.
@@ -204,19 +253,31 @@
                 let uncached_tokens = costs.prefixes.uncached_tokens(prompt, now_ms);
                 let model = &self.costs.model;
                 let work_ms = model.prefill_ms(prompt.total_tokens(), uncached_tokens);
-                let left_ms = costs.queue.left_ms(speed.now, now_ms);
+                let pace = Pace {
+                    expected: speed.now,
+                    slow: self.costs.slow,
+                };
+                let Left {
+                    expected_ms,
+                    doubtful_ms,
+                    is_overdue,
+                } = costs.queue.left(pace, now_ms);
                 ExpectedCost {
                     work_ms,
-                    wait_ms: left_ms + running * RUNNING_REQUEST_DELAY_MS,
+                    wait_ms: expected_ms + running * RUNNING_REQUEST_DELAY_MS,
+                    doubtful_ms: doubtful_ms - expected_ms,
+                    is_overdue,
                     speed,
-                    position: Some(costs.queue.end_position(work_ms)),
+                    position_ms: Some(costs.queue.end_position_ms(work_ms)),
                 }
             }
             None => ExpectedCost {
                 work_ms: costs.service_ms.unwrap_or(load.latency_ms),
                 wait_ms: 0.0,
+                doubtful_ms: 0.0,
+                is_overdue: false,
                 speed,
-                position: None,
+                position_ms: None,
             },
         }
     }
@@ -228,14 +289,15 @@
         }
         self.costs.draws += 1;
         let Some(prompt) = prompt else { return };
-        let total_tokens = prompt.total_tokens();
-        let model = self.costs.model.clone();
+        let slow = self.costs.slow;
+        let Some(load) = self.loads.get(id) else {
+            return;
+        };
+        let cost = self.cost_at(load, Some(prompt), now_ms);
         let costs = &mut self.load(id).costs;
-        let uncached_tokens = costs.prefixes.uncached_tokens(prompt, now_ms);
-        let work_ms = model.prefill_ms(total_tokens, uncached_tokens);
-        let ratio = costs.speed.estimate(now_ms).now;
-        let position = costs.queue.add(work_ms, ratio, now_ms);
-        costs.queue.begin_wait(position);
+        let pace = costs.pace(slow, now_ms);
+        costs.queue.add(cost.work_ms, pace, now_ms);
+        costs.queue.begin_wait(cost.first_byte_ms(), now_ms);
         let parts = prompt.parts.as_slice().iter().map(|part| part.id);
         costs.prefixes.insert(parts, now_ms);
     }
@@ -246,9 +308,10 @@
         if !self.costs.is_in_effect {
             return;
         }
+        let slow = self.costs.slow;
         let costs = &mut self.load(id).costs;
-        let ratio = costs.speed.estimate(now_ms).now;
-        costs.queue.add(prompt.work_ms, ratio, now_ms);
+        let pace = costs.pace(slow, now_ms);
+        costs.queue.add(prompt.work_ms, pace, now_ms);
         let parts = prompt.parts.iter().copied();
         costs
             .prefixes
@@ -257,8 +320,8 @@
 
     /// Records that a request with this expected cost no longer waits for its first byte, for whatever reason.
     pub fn end_prefill_wait(&mut self, id: &str, expected: &ExpectedCost) {
-        if let (Some(load), Some(position)) = (self.loads.get_mut(id), expected.position) {
-            load.costs.queue.end_wait(position);
+        if let (Some(load), Some(position_ms)) = (self.loads.get_mut(id), expected.position_ms) {
+            load.costs.queue.end_wait(position_ms);
         }
     }
 
@@ -278,13 +341,13 @@
             return;
         };
         let costs = &mut load.costs;
-        let Some(position) = expected.position else {
+        let Some(position_ms) = expected.position_ms else {
             let service_ms = elapsed_ms as f64 * 100.0 / f64::from(work_percent.max(1));
             let mean_ms = costs.service_ms.get_or_insert(service_ms);
             *mean_ms += SERVICE_EWMA_WEIGHT * (service_ms - *mean_ms);
             return;
         };
-        costs.queue.record_done(position, now_ms);
+        costs.queue.record_done(position_ms, now_ms);
         let model = &mut self.costs.model;
         let work_ms = expected.wait_ms + expected.work_ms;
         if let Some(ratio) = model.first_byte_ratio(work_ms, elapsed_ms) {
@@ -301,12 +364,12 @@
         let Some(load) = self.loads.get_mut(id) else {
             return;
         };
-        let speed = &mut load.costs.speed;
-        let estimate = speed.estimate(now_ms);
+        let costs = &mut load.costs;
+        let pace = costs.pace(self.costs.slow, now_ms);
         let model = &mut self.costs.model;
-        if let Some(ratio) = model.record_output_time(tokens, elapsed_ms, estimate.now) {
-            load.costs.queue.advance(estimate.now, now_ms);
-            speed.record_observed(ratio, now_ms);
+        if let Some(ratio) = model.record_output_time(tokens, elapsed_ms, pace.expected) {
+            costs.queue.advance(pace, now_ms);
+            costs.speed.record_observed(ratio, now_ms);
         }
     }
 
@@ -320,10 +383,11 @@
 
     /// Records the speed that an upstream stated in a response to this router.
     pub(super) fn record_stated_speed(&mut self, id: &str, work_percent: u32, now_ms: u64) {
-        self.costs.is_in_effect = true;
+        self.costs.record_figure(work_percent);
+        let slow = self.costs.slow;
         let costs = &mut self.load(id).costs;
         let is_news = costs.is_news(work_percent, now_ms);
-        costs.set_speed(work_percent, now_ms, now_ms);
+        costs.set_speed(work_percent, now_ms, slow, now_ms);
         if !is_news {
             return;
         }
@@ -345,9 +409,10 @@
         if !WORK_PERCENT_BOUNDS.contains(&figure.work_percent) {
             return;
         }
-        self.costs.is_in_effect = true;
+        self.costs.record_figure(figure.work_percent);
+        let slow = self.costs.slow;
         let costs = &mut self.load(&figure.upstream).costs;
-        if costs.set_speed(figure.work_percent, figure.at_ms, now_ms) {
+        if costs.set_speed(figure.work_percent, figure.at_ms, slow, now_ms) {
             costs.told = Some((figure.work_percent, figure.at_ms));
             let waiting = &mut self.costs.waiting_figures;
             waiting.retain(|known| known.upstream != figure.upstream);
--- a/tests/placement_costs.rs
+++ b/tests/placement_costs.rs
@@ -2,8 +2,9 @@
 
 mod placement_model;
 
-use placement_model::{run, Class, Site};
+use placement_model::{run, Class, Site, Summary};
 
+/// Half of the smaller of the two customers' engines, at the same load, with a seventh of the engines slow at a time.
 fn site(states_speed: bool, loss: f64, figure_age_ms: u64) -> Site {
     let class = |per_s, own_tokens, shared_tokens, target_ms| Class {
         per_s,
@@ -28,17 +29,26 @@
     }
 }
 
+fn play(states_speed: bool, loss: f64, figure_age_ms: u64) -> Vec<Summary> {
+    let site = site(states_speed, loss, figure_age_ms);
+    (1..=3).map(|seed| run(&site, 12_000, seed)).collect()
+}
+
+/// Scenario: gateways place a mix of prompts at engines of which a seventh is slow at a time, with and without lost
+/// notices and with figures that are old when they are sent. Guards against first bytes that come too late because the
+/// choice does not see slow engines, and against prefilling more prompts again for it.
 #[test]
-fn figures() {
-    for (loss, age) in [(0.0, 0), (0.3, 0), (0.0, 600), (0.3, 600), (1.0, 0)] {
-        for seed in 1..=2 {
-            for states in [false, true] {
-                let summary = run(&site(states, loss, age), 15_000, seed);
-                println!(
-                    "loss {loss} age {age} seed {seed} {states}: {summary:?} {:.2}%",
-                    summary.late_percent()
-                );
-            }
-        }
+fn stated_speeds_make_fewer_first_bytes_late() {
+    for (loss, figure_age_ms, max_ratio) in [(0.0, 0, 0.4), (0.3, 0, 0.6), (0.0, 200, 0.6)] {
+        let late = |played: &[Summary]| played.iter().map(Summary::late_percent).sum::<f64>();
+        let tokens =
+            |played: &[Summary]| played.iter().map(|one| one.prefilled_tokens).sum::<f64>();
+        let (usual, by_cost) = (
+            play(false, loss, figure_age_ms),
+            play(true, loss, figure_age_ms),
+        );
+        println!("loss {loss} age {figure_age_ms}: usual {usual:?}, by cost {by_cost:?}");
+        assert!(late(&by_cost) < max_ratio * late(&usual));
+        assert!(tokens(&by_cost) < 1.06 * tokens(&usual));
     }
 }
