--- a/src/gateway/attempt/in_flight.rs
+++ b/src/gateway/attempt/in_flight.rs
@@ -10,7 +10,7 @@
 use crate::gateway::limits::ColdPermit;
 use crate::gateway::request::Call;
 use crate::gateway::{cold_upstreams, rollouts, Shared};
-use crate::placement::{Outcome, Prompt};
+use crate::placement::{ExpectedCost, LoadReport, Outcome, Prompt};
 use crate::version_canary::Response;
 
 /// A request in flight at an upstream. [`crate::placement::Placement`] counts it until this value is
@@ -33,6 +33,8 @@
     pub(super) cold_rule: Option<ColdRule>,
     /// Permit for the request, if the upstream may have been cold.
     pub(super) cold_permit: Option<ColdPermit>,
+    /// Expected cost, if upstreams state their speed.
+    pub(super) expected_cost: Option<ExpectedCost>,
 }
 
 impl<'a> InFlight<'a> {
@@ -47,14 +49,16 @@
             let placement = shared.placement.borrow();
             placement.idle_prefill_work(id, prompt, now_ms)
         });
-        let prefill_ms = shared
-            .placement
-            .borrow_mut()
-            .record_sent(id, prompt, now_ms);
+        let (expected_cost, prefill_ms) = {
+            let mut placement = shared.placement.borrow_mut();
+            let expected_cost = placement.expected_cost(id, prompt, now_ms);
+            (expected_cost, placement.record_sent(id, prompt, now_ms))
+        };
         if let Some(prompt) = prompt {
+            let work_ms = expected_cost.map(|cost| cost.work_ms);
             shared
                 .peer_socket
-                .send_notice(shared, id, prompt.session, prefill_ms);
+                .send_notice(shared, id, prompt, prefill_ms, work_ms);
         }
         Self {
             shared,
@@ -68,19 +72,37 @@
             idle_prefill_work,
             cold_rule: None,
             cold_permit: None,
+            expected_cost,
         }
     }
 
     /// Records that the request no longer waits for its first byte.
     pub(super) fn end_first_byte_wait(&mut self) {
         if std::mem::take(&mut self.awaits_first_byte) {
-            self.shared
-                .placement
-                .borrow_mut()
-                .end_first_byte_wait(&self.id);
+            let mut placement = self.shared.placement.borrow_mut();
+            placement.end_first_byte_wait(&self.id);
+            if let Some(expected) = &self.expected_cost {
+                placement.end_prefill_wait(&self.id, expected);
+            }
+        }
+    }
+
+    /// Compares the time to the first byte with the expected cost.
+    pub(super) fn record_first_byte(&self, report: Option<LoadReport>, elapsed_ms: u64) {
+        if let Some(expected) = &self.expected_cost {
+            let now_ms = self.shared.now_ms();
+            let mut placement = self.shared.placement.borrow_mut();
+            placement.record_response_cost(&self.id, expected, report, elapsed_ms, now_ms);
         }
     }
 
+    /// Records the time that some output tokens of the response took.
+    pub(in crate::gateway) fn record_output_time(&self, tokens: u64, elapsed_ms: u64) {
+        let now_ms = self.shared.now_ms();
+        let mut placement = self.shared.placement.borrow_mut();
+        placement.record_output_time(&self.id, tokens, elapsed_ms, now_ms);
+    }
+
     /// Records that the connection was lost before any part of the body arrived; `has_begun` tells whether the head of
     /// the response had.
     pub(in crate::gateway) async fn record_lost_connection(
