--- a/src/cold_upstreams.rs
+++ b/src/cold_upstreams.rs
@@ -18,6 +18,10 @@
 /// the way of a request to the upstream, and the time from a grant to the connection, within which the process may start.
 pub const PROOF_MS: u64 = MIN_RETURN_MS - 200;
 
+/// Age of a sign of life from which on a coordinator grants requests although the upstream is proved to be warm. Only the
+/// responses to granted requests are reported to it, and a first byte may take a second.
+const REFRESH_AGE_MS: u64 = 600;
+
 /// Time without any record about an upstream after which it is forgotten.
 const RETENTION_MS: u64 = 60_000;
 
@@ -159,6 +163,11 @@
     }
 }
 
+/// Returns whether a coordinator should try to replace its proof that an upstream is warm by a newer one.
+pub fn needs_refresh(proof_age_ms: u64) -> bool {
+    proof_age_ms >= REFRESH_AGE_MS
+}
+
 /// Returns whether a request goes to the best warm upstream instead of a better one without proof, given the expected
 /// delays at both and a random number.
 pub fn prefers_warm(unproved_delay_ms: f64, warm_delay_ms: f64, draw: u32) -> bool {
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -10,7 +10,7 @@
 
 use super::peers::{Content, LimitMessage, LimitReply, LimitRequest, LimitServed};
 use super::{cold_upstreams, Shared};
-use crate::cold_upstreams::ColdRule;
+use crate::cold_upstreams::{needs_refresh, ColdRule};
 use crate::collections::FastMap;
 use crate::holders;
 use crate::notify::Notify;
@@ -336,17 +336,23 @@
 
 /// Decides on a request as the coordinator.
 fn decide(shared: &Shared, request: &LimitRequest) -> Decision {
-    let proof_age_ms = request
+    let mut proof_age_ms = request
         .may_be_cold
         .then(|| cold_upstreams::proof_age_ms(shared, &request.upstream, request.lost_age_ms))
         .flatten();
-    if request.may_be_cold && proof_age_ms.is_none() {
-        let grant = grant_cold(shared, &request.upstream, request.id);
-        if grant != Grant::Granted {
-            return Decision {
-                grant,
-                proof_age_ms,
-            };
+    if request.may_be_cold && proof_age_ms.is_none_or(needs_refresh) {
+        match (
+            grant_cold(shared, &request.upstream, request.id),
+            proof_age_ms,
+        ) {
+            (Grant::Granted, _) => proof_age_ms = None,
+            (Grant::Denied { .. }, Some(_)) => {}
+            (grant, None) => {
+                return Decision {
+                    grant,
+                    proof_age_ms,
+                }
+            }
         }
     }
     let weight = if request.is_light {
