Test upstreams that return cold at real gateways

Cause: nothing tested the rule with processes, the template of the settings or the figures of the configuration. Change: an upstream that loses power beside three gateways, one of which has just started; a fleet without the settings; decoding and the rendered template.

--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -563,7 +563,8 @@
     }
 
     /// Ends all connections and the listener.
-    fn crash(&self, down: Duration) {
+    /// Resets all connections and refuses new ones for a time.
+    pub fn crash(&self, down: Duration) {
         *self.down.lock().unwrap() = down;
         self.crashes.fetch_add(1, Ordering::SeqCst);
         // Wakes the listener, which then closes.
@@ -792,6 +793,8 @@
     pub retry_slack: u64,
     /// Whether no gateway of the fleet has run before.
     pub is_first_start: bool,
+    /// Factor and requests by which the rate of a cold upstream may be exceeded.
+    pub cold_tolerance: Option<(f64, f64)>,
 }
 
 impl Default for FleetSettings {
@@ -800,6 +803,7 @@
             retry_ratio: 0.2,
             retry_slack: 1_000,
             is_first_start: false,
+            cold_tolerance: None,
         }
     }
 }
@@ -828,7 +832,7 @@
 
     /// Starts a gateway of a fleet with these settings.
     pub fn start_in(store: &StoreStub, vm: &str, fleet: &FleetSettings) -> Self {
-        let settings = json!({
+        let mut settings = json!({
             "vm": vm,
             "data_centre": "kv-a",
             "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
@@ -841,6 +845,10 @@
                       "retry_window_s": 10.0, "stop_grace_s": 8.0,
                       "is_first_start": fleet.is_first_start},
         });
+        if let Some((ratio, requests)) = fleet.cold_tolerance {
+            settings["fleet"]["cold_overshoot_ratio"] = ratio.into();
+            settings["fleet"]["cold_slack_requests"] = requests.into();
+        }
         let path = write_settings(&settings.to_string());
         let mut child = Command::new(env!("CARGO_BIN_EXE_monsoonfield"))
             .args(["gateway", "--settings", &path])
