Halve the grants for cold upstreams where a second coordinator is possible

Cause: a coordinator that is cut off from the store does not learn that it was replaced, so two gateways could each grant all that a cold upstream tolerates. Change: a coordinator that could not report its presence for as long as the others wait, and one that replaced a gateway which expired without leaving, grant half.

--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -15,6 +15,7 @@
 use crate::holders;
 use crate::notify::Notify;
 use crate::platform::headers;
+use crate::shared_limits::PRESENCE_TIMEOUT_MS;
 use crate::upstream_limits::{
     Grant, LimitNotice, UpstreamLimits, Weight, COLD_PERMIT_MS, VIEW_CHANGE_MS,
 };
@@ -39,6 +40,8 @@
     replies: RefCell<FastMap<u64, Option<Decision>>>,
     reply_arrived: Notify,
     view: Cell<FleetView>,
+    /// Time of the last report of presence that the store has accepted.
+    reported_ms: Cell<u64>,
 }
 
 /// Since when this gateway has known the present members of the fleet.
@@ -130,6 +133,11 @@
     });
 }
 
+/// Records that the store has accepted a report of presence that was written at a time.
+pub(super) fn record_reported(shared: &Shared, at_ms: u64) {
+    shared.limits.reported_ms.set(at_ms);
+}
+
 /// Returns since when this gateway has known the present members of the fleet; if the process was stopped for a while,
 /// it forgets its grants for cold upstreams, because another gateway may have replaced it.
 fn fleet_view(shared: &Shared) -> FleetView {
@@ -373,9 +381,12 @@
 fn grant_cold(shared: &Shared, upstream: &str, id: u64) -> Grant {
     let rule = cold_upstreams::rule_of(shared, upstream);
     let is_own = matches!(find_coordinator(shared, upstream), Coordinator::Own);
-    let Some(rule) = rule.filter(|_| is_own) else {
+    let Some(mut rule) = rule.filter(|_| is_own) else {
         return Decision::UNDECIDED.grant;
     };
+    if may_have_second_coordinator(shared, upstream) {
+        rule.tolerated_requests /= 2;
+    }
     let view_change_ms = VIEW_CHANGE_MS * u64::from(shared.interval_factor());
     let predecessor_until_ms = fleet_view(shared).changed_ms + view_change_ms;
     let now_ms = shared.now_ms();
@@ -383,6 +394,27 @@
     limits.grant_cold(upstream, id, rule, predecessor_until_ms, now_ms)
 }
 
+/// Returns whether another gateway may be granting requests to an upstream of which this one is the coordinator.
+///
+/// A gateway that is cut off from the store does not learn that it was replaced. So one that could not report its presence
+/// for as long as the others wait, and one that has replaced such a gateway, use half of what the upstream tolerates.
+fn may_have_second_coordinator(shared: &Shared, upstream: &str) -> bool {
+    let timeout_ms = PRESENCE_TIMEOUT_MS * u64::from(shared.interval_factor());
+    let reported_ms = shared.limits.reported_ms.get();
+    if shared.now_ms().saturating_sub(reported_ms) >= timeout_ms {
+        return true;
+    }
+    let routers = shared.routers.borrow();
+    if routers.expired_candidates().next().is_none() {
+        return false;
+    }
+    let all = routers.candidates().chain(routers.expired_candidates());
+    let ranked = holders::rank(upstream, all);
+    ranked
+        .first()
+        .is_some_and(|first| first.vm != shared.settings.vm)
+}
+
 /// Asks the coordinator of a limit for permission to send one request.
 async fn ask(shared: &Shared, request: LimitRequest, peer: SocketAddr) -> Decision {
     let limits = &shared.limits;
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -67,8 +67,9 @@
         key: shared.settings.vm.clone(),
         value: Some(value.into()),
     };
-    if let Err(error) = shared.store.append(Feed::Routers, None, record).await {
-        log::debug!(step = "report presence"; "{error}");
+    match shared.store.append(Feed::Routers, None, record).await {
+        Ok(_) => limits::record_reported(shared, now_ms),
+        Err(error) => log::debug!(step = "report presence"; "{error}"),
     }
 }
 
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -35,6 +35,9 @@
 /// Share of the allowed retries that is used, in percent; the rest covers differences between the windows of routers.
 const RETRY_UTILISATION_PERCENT: u64 = 70;
 
+/// Time for which a router that has not reported in time may still run, cut off from the store.
+const EXPIRED_RETENTION_MS: u64 = 600_000;
+
 /// Maximum number of processes whose last reports are remembered.
 const MAX_KNOWN_PROCESSES: usize = 1_024;
 
@@ -79,6 +82,8 @@
     present: FastMap<CompactString, (Presence, u64)>,
     /// Processes by their random ids, whether they are present or not.
     known: FastMap<u64, KnownProcess>,
+    /// Routers that have neither left nor reported in time, with the time of their last report.
+    expired: FastMap<CompactString, (Presence, u64)>,
     generation: u64,
 }
 
@@ -92,6 +97,7 @@
             }
             self.remember(&vm, presence, now_ms);
         }
+        self.expired.remove(&vm);
         match presence {
             Some(presence) if !presence.is_leaving => {
                 let candidate = |presence: &Presence| {
@@ -152,13 +158,26 @@
     pub fn expire(&mut self, now_ms: u64) {
         let timeout_ms = PRESENCE_TIMEOUT_MS * self.interval_factor();
         let before = self.present.len();
-        self.present
-            .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < timeout_ms);
+        let expired = &mut self.expired;
+        self.present.retain(|vm, (presence, at_ms)| {
+            let is_present = now_ms.saturating_sub(*at_ms) < timeout_ms;
+            if !is_present {
+                expired.insert(vm.clone(), (presence.clone(), *at_ms));
+            }
+            is_present
+        });
+        expired.retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < EXPIRED_RETENTION_MS);
         if self.present.len() < before {
             self.generation += 1;
         }
     }
 
+    /// Returns the routers that may still run although they have not reported in time, because they are cut off from the
+    /// store.
+    pub fn expired_candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
+        candidates_of(&self.expired)
+    }
+
     /// Returns a number that changes whenever [`ActiveRouters::candidates`] does.
     pub fn generation(&self) -> u64 {
         self.generation
@@ -166,11 +185,7 @@
 
     /// Returns the routers that can hold rights.
     pub fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
-        self.present.iter().map(|(vm, (presence, _))| Candidate {
-            vm,
-            data_centre: &presence.data_centre,
-            weight_permille: presence.weight_permille,
-        })
+        candidates_of(&self.present)
     }
 
     /// Returns the address for datagrams of the router on a VM.
@@ -227,6 +242,16 @@
     }
 }
 
+fn candidates_of(
+    reports: &FastMap<CompactString, (Presence, u64)>,
+) -> impl Iterator<Item = Candidate<'_>> {
+    reports.iter().map(|(vm, (presence, _))| Candidate {
+        vm,
+        data_centre: &presence.data_centre,
+        weight_permille: presence.weight_permille,
+    })
+}
+
 /// Counts events in a sliding window of whole buckets.
 #[derive(Clone, Debug, Default)]
 struct SlidingWindowCounter {
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -6,6 +6,7 @@
 use monsoonfield::cold_upstreams::{
     needs_refresh, prefers_warm, ColdRule, UpstreamWarmth, PROOF_MS,
 };
+use monsoonfield::shared_limits::{ActiveRouters, Presence, PRESENCE_TIMEOUT_MS};
 use monsoonfield::upstream_limits::{Grant, UpstreamLimits, COLD_PERMIT_MS, COLD_WINDOW_MS};
 
 const UPSTREAM: &str = "i-1";
@@ -75,6 +76,34 @@
     assert_ne!(again, Grant::Granted, "missed grants");
 }
 
+/// Guards against a second coordinator that nobody reckons with: a router that cannot report its presence may still grant
+/// requests, unless it has left or reports again.
+#[test]
+fn a_router_that_does_not_report_may_still_be_a_coordinator() {
+    let presence = |is_leaving, sequence| Presence {
+        is_leaving,
+        sequence: Some(sequence),
+        ..Presence::default()
+    };
+    for (is_leaving, ends_with_report, is_expected) in [
+        (false, false, true),
+        (false, true, false),
+        (true, false, false),
+    ] {
+        let mut routers = ActiveRouters::default();
+        routers.apply("edge-1".into(), Some(presence(false, 1)), 0);
+        if is_leaving {
+            routers.apply("edge-1".into(), Some(presence(true, 2)), 0);
+        }
+        routers.expire(PRESENCE_TIMEOUT_MS);
+        if ends_with_report {
+            routers.apply("edge-1".into(), Some(presence(false, 3)), 7_000);
+        }
+        let is_expired = routers.expired_candidates().next().is_some();
+        assert_eq!(is_expired, is_expected, "{is_leaving} {ends_with_report}");
+    }
+}
+
 /// A router that may be cut off from the store, from the coordinator or both.
 #[derive(Default)]
 struct Router {
