Let backoffs of unanswered upstreams grow during suspected congestion

Cause: while this VM was suspected, the backoff after a connect that timed out stayed at 500 ms. Connects from a data centre that is cut off look the same, so its gateways would have tried the upstreams outside twice a second each.

Change: the backoff grows as always. An upstream whose connects timed out while the VM was suspected is used if no other one is left, also after the suspicion has ended, so that requests are not refused for the rest of a backoff.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -164,6 +164,8 @@
     backoff_until_ms: u64,
     /// End of the backoff after a connect that timed out.
     unanswered_until_ms: u64,
+    /// Whether this VM may have been the reason for it.
+    is_unanswered_in_doubt: bool,
     consecutive_failures: u32,
     /// Requests that wait for the first byte of their response.
     awaiting_first_byte: u32,
@@ -188,6 +190,7 @@
             latency_ms: INITIAL_LATENCY_MS,
             backoff_until_ms: 0,
             unanswered_until_ms: 0,
+            is_unanswered_in_doubt: false,
             consecutive_failures: 0,
             awaiting_first_byte: 0,
             silent_since_ms: 0,
@@ -265,13 +268,9 @@
         self.backoff_until_ms = self.next_backoff_end_ms(now_ms);
     }
 
-    /// Records a connect that timed out; one that may be this VM's own fault does not lengthen the next backoff.
     fn record_unanswered(&mut self, is_own_congestion_suspected: bool, now_ms: u64) {
-        self.unanswered_until_ms = if is_own_congestion_suspected {
-            now_ms + CONNECT_BACKOFF_MS
-        } else {
-            self.next_backoff_end_ms(now_ms)
-        };
+        self.unanswered_until_ms = self.next_backoff_end_ms(now_ms);
+        self.is_unanswered_in_doubt = is_own_congestion_suspected;
     }
 }
 
@@ -320,8 +319,12 @@
             .copied()
             .collect();
         let is_responsive = |candidate: &Candidate<'_>| load(candidate).is_responsive(now_ms);
-        if !self.is_own_congestion_suspected || usable.iter().any(is_responsive) {
+        if usable.iter().any(is_responsive) {
             usable.retain(is_responsive);
+        } else {
+            usable.retain(|candidate| {
+                self.is_own_congestion_suspected || load(candidate).is_unanswered_in_doubt
+            });
         }
         if usable.is_empty() {
             return Err(PlacementError::NoUpstream);
@@ -466,6 +469,7 @@
             Outcome::Served => {
                 load.failure_rate -= FAILURE_EWMA_WEIGHT * load.failure_rate;
                 load.consecutive_failures = 0;
+                load.is_unanswered_in_doubt = false;
             }
             Outcome::Failed => {
                 load.failure_rate += FAILURE_EWMA_WEIGHT * (1.0 - load.failure_rate);
@@ -491,8 +495,8 @@
 
     /// Sets whether this VM may be the reason why upstreams do not answer.
     ///
-    /// Upstreams that do not answer are then still avoided, but used if no other one is left, because the request would
-    /// otherwise be refused for a fault that no upstream has.
+    /// Upstreams that do not answer then, or did not earlier while it was suspected, are still avoided, but used if no
+    /// other one is left, because the request would otherwise be refused for a fault that no upstream has.
     pub fn suspect_own_congestion(&mut self, is_suspected: bool) {
         self.is_own_congestion_suspected = is_suspected;
     }
--- a/tests/congestion.rs
+++ b/tests/congestion.rs
@@ -81,12 +81,20 @@
 
 /// Chooses among the upstreams except those that were tried.
 fn choose(placement: &Placement, tried: &[CompactString]) -> Result<String, PlacementError> {
+    choose_at(placement, tried, 200)
+}
+
+fn choose_at(
+    placement: &Placement,
+    tried: &[CompactString],
+    now_ms: u64,
+) -> Result<String, PlacementError> {
     let candidates = UPSTREAMS.map(|id| Candidate {
         id,
         slots: 8,
         is_local: true,
     });
-    let chosen = placement.choose(&candidates, None, tried, 200);
+    let chosen = placement.choose(&candidates, None, tried, now_ms);
     chosen.map(str::to_owned)
 }
 
@@ -117,6 +125,32 @@
     }
 }
 
+/// Guards against refusing requests in the seconds after the congestion, because upstreams are still in backoff.
+#[test]
+fn upstreams_that_did_not_answer_during_congestion_are_used_after_it() {
+    let mut placement = Placement::default();
+    placement.suspect_own_congestion(true);
+    for _ in 0..4 {
+        record_failed_connects(&mut placement, &UPSTREAMS, Outcome::Unanswered);
+    }
+    placement.suspect_own_congestion(false);
+    assert!(choose(&placement, &[]).is_ok());
+}
+
+/// Guards against a gateway that tries the upstreams of a data centre that is cut off twice a second: connects to most
+/// upstreams are slow then, and this VM is suspected although others are reached.
+#[test]
+fn the_backoff_of_unanswered_upstreams_grows_while_the_vm_is_suspected() {
+    let mut placement = Placement::default();
+    placement.suspect_own_congestion(true);
+    for _ in 0..4 {
+        record_failed_connects(&mut placement, &["a", "b"], Outcome::Unanswered);
+    }
+    for now_ms in [200, 2_000, 4_000] {
+        assert_eq!(choose_at(&placement, &[], now_ms), Ok("c".into()));
+    }
+}
+
 /// Guards against a VM that goes on trying an upstream that does not answer although others do.
 #[test]
 fn a_single_unanswered_upstream_is_avoided_whether_or_not_the_vm_is_suspected() {
