--- a/tests/entry_intervals.rs
+++ b/tests/entry_intervals.rs
@@ -42,6 +42,8 @@
     open: VecDeque<u64>,
     /// Arrivals of the requests that wait for rights.
     waiting: VecDeque<u64>,
+    /// Whether the last poll of the record has requested an entry.
+    is_requested: bool,
     /// Limit that is being written, with the time at which it takes effect.
     writing: Option<(SpendingLimit, u64)>,
     stored_limit: SpendingLimit,
@@ -60,6 +62,7 @@
             record: BudgetRecord::default(),
             open: VecDeque::new(),
             waiting: VecDeque::new(),
+            is_requested: false,
             writing: None,
             stored_limit: SpendingLimit::default(),
             entry_ms: 0,
@@ -116,6 +119,7 @@
             self.account.finish_write(true);
             self.record = planned;
         }
+        self.is_requested |= self.account.needs_entry();
     }
 
     fn write_entry(&mut self, writes_early: bool) {
@@ -127,7 +131,7 @@
             self.stored_limit = limit;
             self.writing = None;
         }
-        let need = if self.account.demand_tokens() > 0 {
+        let need = if self.is_requested || self.account.demand_tokens() > 0 {
             EntryNeed::Now
         } else if writes_early && self.account.needs_entry() {
             EntryNeed::Early
@@ -141,6 +145,7 @@
             ));
             self.stored_limit = self.stored_limit.min(self.writing.expect("just set").0);
             self.entry_ms = self.now_ms;
+            self.is_requested = false;
             self.entries += 1;
         }
     }
