Detect congestion of the VM itself and move callers in short withdrawals

Cause: slow connects were the only signal of congestion, and a VM with 313 open connections makes few. At one such VM a request waited 2.3 s until it was sent. While congested a gateway was not ready for as long as it lasted and closed all connections after their responses; while it is in rotation, the load balancer sends those callers back to it.

Change: `LoadMonitor` combines connects, the time until requests are sent, the lateness of timers and the unacknowledged bytes of responses. Gaps in which the process did not run do not count.

Not measured with a load balancer.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 //! | write journal entries, which limit how far the rights may be spent | `journal` |
 //! | sample the wall clocks of other gateways | `clock` |
 //! | relate crashes of upstreams to requests, refuse requests that cause them | `crashes` |
+//! | observe the load of this VM, move callers away from it | `load` |
 //! | keep to the limits on requests that upstreams state | `limits` |
 //! | try new versions of services, roll back bad ones | `rollouts` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
@@ -42,6 +43,7 @@
 mod crashes;
 mod journal;
 mod limits;
+mod load;
 mod peers;
 mod pool;
 mod presence;
@@ -65,7 +67,6 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::collections::FastMap;
-use crate::congestion::{CongestionDetector, ReportedCongestion};
 use crate::directory::UpstreamDirectory;
 use crate::event_loop;
 use crate::fleet_clock::FleetClock;
@@ -145,12 +146,7 @@
     peer_socket: peers::PeerSocket,
     journal: journal::Journal,
     clock: RefCell<FleetClock>,
-    congestion: RefCell<CongestionDetector>,
-    was_congested: Cell<bool>,
-    reported_congestion: RefCell<ReportedCongestion>,
-    is_congestion_reported: Cell<bool>,
-    /// Wakes the task that reports the presence.
-    congestion_reported: Notify,
+    load: load::Load,
     routers: RefCell<ActiveRouters>,
     /// Number of presence reports of this process.
     reports: Cell<u64>,
@@ -193,71 +189,10 @@
     /// Returns whether the load balancer should send new connections here.
     fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && !self.is_congested()
+            && self.load.state().is_ready
             && self.table.borrow().is_some()
             && self.is_directory_loaded.get()
     }
-
-    /// Returns whether the network of this VM is congested, so that callers should use other gateways.
-    fn is_congested(&self) -> bool {
-        self.congestion.borrow().is_congested(self.now_ms())
-    }
-
-    /// Returns whether the connection to the caller is kept open after the response to a request.
-    fn keeps_connection(&self, request: &server::Request) -> bool {
-        request.keep_alive && !self.is_stopping() && !self.is_congested()
-    }
-
-    /// Records how long connecting to an upstream took.
-    fn record_connect(&self, upstream: &str, elapsed_ms: u64) {
-        let now_ms = self.now_ms();
-        let mut congestion = self.congestion.borrow_mut();
-        congestion.record_connect(upstream, elapsed_ms, now_ms);
-        drop(congestion);
-        self.apply_congestion(now_ms);
-    }
-
-    /// Applies the present state of the congestion to the choice of upstreams, and logs when it begins or ends.
-    fn apply_congestion(&self, now_ms: u64) {
-        let congestion = self.congestion.borrow();
-        let is_congested = congestion.is_congested(now_ms);
-        let mut placement = self.placement.borrow_mut();
-        placement.suspect_own_congestion(congestion.is_suspected(now_ms));
-        self.report_congestion(is_congested, now_ms);
-        if self.was_congested.replace(is_congested) != is_congested {
-            log::info!(
-                step = "congestion", congested = is_congested, connections = self.connections.get(),
-                open_requests = self.open_requests.get(), at_ms = now_ms;
-                "{}", if is_congested {
-                    "network congested at this VM, sending callers to other gateways"
-                } else {
-                    "congestion ended, accepting callers again"
-                }
-            );
-        }
-    }
-}
-
-impl Shared {
-    /// Tells other gateways when this VM is congested for some time, so that the rights of teams move away from it, and
-    /// when that has ended.
-    fn report_congestion(&self, is_congested: bool, now_ms: u64) {
-        let mut reported = self.reported_congestion.borrow_mut();
-        let is_reported = reported.update(is_congested, now_ms);
-        if self.is_congestion_reported.replace(is_reported) != is_reported {
-            self.metrics
-                .set("congestion_reported", u64::from(is_reported));
-            self.congestion_reported.notify();
-            log::info!(
-                step = "congestion", reported = is_reported, at_ms = now_ms;
-                "{}", if is_reported {
-                    "sustained congestion at this VM, the rights of teams move to other gateways"
-                } else {
-                    "no congestion at this VM for some time, it may hold the rights of teams again"
-                }
-            );
-        }
-    }
 }
 
 /// Runs a gateway until it has shut down.
@@ -313,6 +248,7 @@
     monoio::spawn(budget::run(Rc::clone(&shared)));
     monoio::spawn(budget::remote::send_outgoing(Rc::clone(&shared)));
     monoio::spawn(budget::serving::expire(Rc::clone(&shared)));
+    monoio::spawn(load::run(Rc::clone(&shared)));
     monoio::spawn(run_housekeeping(Rc::clone(&shared)));
     shutdown::wait_and_drain(&shared, &mut signals).await;
     Ok(())
@@ -341,11 +277,7 @@
         peer_socket,
         journal: journal::Journal::default(),
         clock: RefCell::default(),
-        congestion: RefCell::default(),
-        was_congested: Cell::new(false),
-        reported_congestion: RefCell::default(),
-        is_congestion_reported: Cell::new(false),
-        congestion_reported: Notify::default(),
+        load: load::Load::new(&settings.resources),
         routers: RefCell::default(),
         reports: Cell::new(0),
         peer_monitor: RefCell::default(),
@@ -379,7 +311,6 @@
         if count.is_multiple_of(LOG_INTERVALS) {
             log_state(&shared);
         }
-        shared.apply_congestion(now_ms);
         shared.pool.close_expired(now_ms);
         limits::tidy(&shared);
         shared
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -242,7 +242,10 @@
             Err(error) => return Err(placement_failure(shared, call, attempts, error)),
         };
         let permission = limits::acquire(shared, &choice.id, choice.weight);
-        match run_until_interrupted(shared, call, caller, permission).await {
+        let waiting_ms = shared.now_ms();
+        let permitted = run_until_interrupted(shared, call, caller, permission).await;
+        call.add_wait_since(shared, waiting_ms);
+        match permitted {
             Ok(true) => {}
             // The upstream is no candidate for some time, so another one is chosen.
             Ok(false) => continue,
@@ -261,6 +264,7 @@
             ));
         }
         let mut in_flight = begin_attempt(shared, call, attempts, &choice);
+        let connecting_ms = shared.now_ms();
         match connect(shared, call, caller, &choice).await {
             Ok(Ok(socket)) => {
                 // The upstream may have stated that while the request waited for permission or for the connection.
@@ -269,7 +273,10 @@
                     attempts.withdraw_last(call, reason);
                     continue;
                 }
-                if let Err(failure) = authorise(shared, call, caller, attempts).await {
+                let waiting_ms = shared.now_ms();
+                let authorised = authorise(shared, call, caller, attempts).await;
+                call.add_wait_since(shared, waiting_ms);
+                if let Err(failure) = authorised {
                     attempts.withdraw_last(call, "requests like it crashed upstreams meanwhile");
                     let now_ms = shared.now_ms();
                     shared.pool.put(&choice.id, socket, None, now_ms);
@@ -283,6 +290,7 @@
                 return Ok(Exchange::start(shared, call, &target, socket, in_flight));
             }
             Ok(Err(error)) => {
+                call.add_wait_since(shared, connecting_ms);
                 in_flight.set_outcome(error.outcome());
                 attempts.record_not_run(call, &choice.id, &error.to_string());
                 check_not_run(shared, call, attempts)?;
@@ -466,7 +474,7 @@
     let elapsed_ms = shared.now_ms().saturating_sub(connecting_ms);
     // A connect that was interrupted early may have become a slow one.
     if connected.is_ok() || elapsed_ms >= SLOW_CONNECT_MS {
-        shared.record_connect(&choice.id, elapsed_ms);
+        shared.record_connect(&choice.id, connecting_ms);
     }
     connected
 }
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -71,6 +71,7 @@
         let (status, fields) = (response.status(), response.headers());
         availability::record_response(shared, &id, &entry, status, fields);
     };
+    shared.record_dispatch(call);
     let written = pool::write_request(&mut socket, output).await;
     let is_reusable = written.map_err(|error| format_compact!("sending: {error}"))?;
     let started = UpstreamResponse::read_head(socket, &id).await;
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -89,7 +89,7 @@
     let connecting_ms = shared.now_ms();
     let connected = pool::connect(choice.entry.address).await;
     let now_ms = shared.now_ms();
-    shared.record_connect(&choice.id, now_ms.saturating_sub(connecting_ms));
+    shared.record_connect(&choice.id, connecting_ms);
     let socket = match connected {
         Ok(socket) => socket,
         Err(error) => {
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -126,16 +126,25 @@
 
 /// Returns the time of the monotonic clock, which all processes of one boot share.
 pub(super) fn monotonic_ms() -> u64 {
+    read_clock_ms(libc::CLOCK_MONOTONIC)
+}
+
+/// Returns the processor time that this process has used.
+pub(super) fn processor_ms() -> u64 {
+    read_clock_ms(libc::CLOCK_PROCESS_CPUTIME_ID)
+}
+
+fn read_clock_ms(clock: libc::clockid_t) -> u64 {
     let mut time = libc::timespec {
         tv_sec: 0,
         tv_nsec: 0,
     };
     // SAFETY: The pointer refers to a local value of the right type, and the call writes nothing else.
-    let result = unsafe { libc::clock_gettime(libc::CLOCK_MONOTONIC, &mut time) };
+    let result = unsafe { libc::clock_gettime(clock, &mut time) };
     if result != 0 {
         log::error!(
             step = "clock";
-            "the monotonic clock cannot be read: {}", std::io::Error::last_os_error()
+            "clock {clock} cannot be read: {}", std::io::Error::last_os_error()
         );
         return 0;
     }
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -30,13 +30,14 @@
     while !shared.is_stopping() {
         // The store may have forgotten a report that was under way when it returned from an older copy.
         let epoch = shared.store.epoch().max(FIRST_EPOCH);
-        let reported = shared.is_congestion_reported.get();
+        let reported = shared.load.is_reported.get();
         write_report(&shared, false).await;
         let factor = shared.interval_factor();
         let interval = monoio::time::sleep(REPORT_INTERVAL * factor);
         let congestion_changed = shared
-            .congestion_reported
-            .wait_for(|| (shared.is_congestion_reported.get() != reported).then_some(()));
+            .load
+            .report_changed
+            .wait_for(|| (shared.load.is_reported.get() != reported).then_some(()));
         let is_forgotten = monoio::select! {
             () = interval => false,
             () = congestion_changed => false,
@@ -67,7 +68,7 @@
         peer_address: shared.peer_socket.address(),
         weight_permille: shared.settings.resources.weight_permille(),
         is_leaving,
-        is_congested: shared.is_congestion_reported.get(),
+        is_congested: shared.load.is_reported.get(),
         sequence: Some(shared.reports.get()),
     };
     // A value of strings and numbers always serialises.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -147,7 +147,8 @@
     mut in_flight: InFlight<'a>,
     attempts: &mut Attempts,
 ) -> Delivery {
-    let keep_alive = shared.keeps_connection(call.request);
+    let keep_alive = shared.keeps_connection(call.request, caller);
+    let _sending = shared.load.begin_sending(caller);
     let mut response = response;
     let status = response.upstream_response.status();
     let is_event_stream = call.route().is_stream && status == 200;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -38,6 +38,10 @@
     pub(super) service: CompactString,
     started_ms: u64,
     end_ms: u64,
+    /// Time that the request has waited for rights, permissions or connections that failed, before it was sent.
+    waited_ms: Cell<u64>,
+    /// Whether the request has been sent to an upstream.
+    is_dispatched: Cell<bool>,
     retry_jitter_ms: u64,
     /// Whether the request is sent to find out whether it still crashes upstreams.
     pub(super) is_trial: Cell<bool>,
@@ -66,6 +70,18 @@
         self.end_ms.saturating_sub(shared.now_ms())
     }
 
+    /// Counts a wait since a time that does not show the load of this VM.
+    pub(super) fn add_wait_since(&self, shared: &Shared, since_ms: u64) {
+        let waited_ms = shared.now_ms().saturating_sub(since_ms);
+        self.waited_ms.set(self.waited_ms.get() + waited_ms);
+    }
+
+    /// Records that the request is sent; the first time, returns when it was read and how long it has waited since.
+    pub(super) fn take_dispatch(&self) -> Option<(u64, u64)> {
+        let is_first = !self.is_dispatched.replace(true);
+        is_first.then(|| (self.started_ms, self.waited_ms.get()))
+    }
+
     /// Returns the request target as the caller sent it.
     pub(super) fn request_target(&self) -> &str {
         let uri = &self.request.uri;
@@ -207,6 +223,8 @@
         service,
         started_ms,
         end_ms,
+        waited_ms: Cell::new(0),
+        is_dispatched: Cell::new(false),
         retry_jitter_ms,
         is_trial: Cell::new(false),
         features: OnceCell::new(),
@@ -237,6 +255,7 @@
         return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
     }
     let needed_tokens = call.meta.input_tokens + call.meta.max_output_tokens;
+    let reserving_ms = shared.now_ms();
     let reservation = match call.team_name() {
         Some(team) if needed_tokens > 0 => {
             let need = Need {
@@ -248,6 +267,7 @@
         }
         _ => Ok(None),
     };
+    call.add_wait_since(shared, reserving_ms);
     let reservation = match reservation {
         Ok(reservation) => reservation,
         Err(shortage) => {
@@ -370,7 +390,7 @@
     refused: &Refused,
 ) -> bool {
     shared.metrics.count_refusal(refused.refusal);
-    let keep_alive = shared.keeps_connection(request);
+    let keep_alive = shared.keeps_connection(request, caller);
     let output = refusal_response(refused.refusal, id, refused.retry_after_ms, keep_alive);
     caller.write_all(output).await.is_ok() && keep_alive
 }
--- a/src/server/socket.rs
+++ b/src/server/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with an input buffer and non-blocking reads and writes.
 
 use std::io;
+use std::os::fd::{AsRawFd, RawFd};
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -40,6 +41,11 @@
         }
     }
 
+    /// Returns the descriptor, which belongs to this connection as long as this value exists.
+    pub fn descriptor(&self) -> RawFd {
+        self.stream.as_raw_fd()
+    }
+
     /// Returns the input that was read and not yet consumed.
     pub fn input(&mut self) -> &mut BytesMut {
         &mut self.input
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::collections::FastMap;
+use crate::congestion::FleetCongestion;
 use crate::holders::Candidate;
 
 /// Time without a report after which a router of a small fleet counts as gone; three report intervals.
@@ -203,6 +204,22 @@
         candidates
     }
 
+    /// Returns how many of the routers except the one on `vm` are congested.
+    pub fn congestion_beside(&self, vm: &str, data_centre: &str) -> FleetCongestion {
+        let mut fleet = FleetCongestion::default();
+        let others = self.present.iter().filter(|(name, _)| *name != vm);
+        for (_, (presence, _)) in others {
+            let congested = usize::from(presence.is_congested);
+            fleet.others += 1;
+            fleet.congested_others += congested;
+            if presence.data_centre == data_centre {
+                fleet.local_others += 1;
+                fleet.congested_local_others += congested;
+            }
+        }
+        fleet
+    }
+
     /// Returns the routers with the weights of their VMs.
     pub fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
         self.present.iter().map(|(vm, (presence, _))| Candidate {
--- a/tests/gateway_congestion.rs
+++ b/tests/gateway_congestion.rs
@@ -4,10 +4,11 @@
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::time::Duration;
 
 use gateway_common::{
-    configuration, signed_response, wait_for, Action, CallerRequest, Gateway, StoreStub,
-    UpstreamStub,
+    configuration, signed_response, start_fleet, wait_for, Action, CallerRequest, Gateway,
+    StoreStub, UpstreamStub,
 };
 
 /// Budget that is too large to be exhausted by a test.
@@ -16,6 +17,10 @@
 /// Number of upstreams, enough for slow connects to several of them.
 const UPSTREAMS: usize = 4;
 
+/// Number of times that a process is stopped, and for how long.
+const STOPS: u32 = 6;
+const STOP: Duration = Duration::from_millis(450);
+
 /// An address that answers no attempt to connect, as if packets were lost, because its queue of connections is full.
 struct UnansweredAddress {
     listener: TcpListener,
@@ -31,7 +36,7 @@
         assert_eq!(result, 0, "the queue can be shortened");
         let address = listener.local_addr().expect("bound");
         let is_answered = |queued: &mut Vec<TcpStream>| {
-            let limit = std::time::Duration::from_millis(100);
+            let limit = Duration::from_millis(100);
             let connected = TcpStream::connect_timeout(&address, limit);
             connected.map(|stream| queued.push(stream)).is_ok()
         };
@@ -143,3 +148,45 @@
     let reports = lines.iter().filter(|line| line["reported"] == true);
     assert_eq!(reports.count(), 1, "{lines:?}");
 }
+
+/// Guards against a gateway that is not ready for as long as its congestion lasts, against one that closes connections
+/// whose callers come back to it, and against other gateways that withdraw with it.
+#[test]
+fn a_congested_gateway_is_out_of_rotation_for_some_seconds_only() {
+    let (store, gateway, _addresses, _upstreams) = start_unanswered();
+    let other = Gateway::start(&store);
+    other.wait_ready();
+    let ids: Vec<String> = (0..8).map(|number| format!("r-{number}")).collect();
+    let wait_for_readiness = |is_ready: bool| {
+        wait_for("a change of readiness", || {
+            send_together(&gateway, &ids);
+            let lines = gateway.log_lines_with_step("withdrawal");
+            lines.iter().any(|line| line["ready"] == is_ready)
+        });
+    };
+    wait_for_readiness(false);
+    wait_for_readiness(true);
+    assert!(gateway.is_ready());
+    assert!(other.log_lines_with_step("withdrawal").is_empty());
+}
+
+/// Guards against taking stops of the process for congestion: the timers that were due meanwhile are late.
+#[test]
+fn a_gateway_that_was_stopped_several_times_is_not_congested_afterwards() {
+    let upstream =
+        UpstreamStub::start(|request, _| Action::Write(signed_response(request, 200, "done")));
+    let (_store, gateway) = start_fleet(LARGE_BUDGET, &[&upstream]);
+    for _ in 0..STOPS {
+        gateway.signal(libc::SIGSTOP);
+        // The time for which the process is stopped.
+        std::thread::sleep(STOP);
+        gateway.signal(libc::SIGCONT);
+        assert_eq!(CallerRequest::default().send(&gateway).status(), 200);
+    }
+    let states = gateway.log_lines_with_step("state").len();
+    wait_for("a later log line about the state", || {
+        gateway.log_lines_with_step("state").len() > states
+    });
+    let lines = gateway.log_lines_with_step("congestion");
+    assert!(lines.is_empty(), "{lines:?}");
+}
