--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -265,6 +265,7 @@
         let permission = limits::acquire(shared, &choice.id, choice.weight, choice.cold_rule);
         let permission = run_until_interrupted(shared, call, caller, permission).await;
         attempts.permission_wait_ms += shared.now_ms().saturating_sub(asked_ms);
+        call.add_wait_since(shared, asked_ms);
         match permission {
             Ok(Permission::Granted(permit)) => choice.cold_permit = permit,
             // The upstream is no candidate for some time, so another one is chosen.
@@ -294,7 +295,10 @@
                     attempts.withdraw_last(call, NOT_ALLOWED_REASON);
                     continue;
                 }
-                if let Err(failure) = authorise(shared, call, caller, attempts).await {
+                let waiting_ms = shared.now_ms();
+                let authorised = authorise(shared, call, caller, attempts).await;
+                call.add_wait_since(shared, waiting_ms);
+                if let Err(failure) = authorised {
                     attempts.withdraw_last(call, "requests like it crashed upstreams meanwhile");
                     let now_ms = shared.now_ms();
                     shared.pool.put(&choice.id, socket, None, now_ms);
@@ -319,6 +323,7 @@
                 return Ok(Exchange::start(shared, call, &target, socket, in_flight));
             }
             Ok(Err(error)) => {
+                call.add_wait_since(shared, connecting_ms);
                 in_flight.set_outcome(error.outcome());
                 attempts.record_not_run(call, &choice.id, &error.to_string());
                 check_not_run(shared, call, attempts)?;
@@ -506,7 +511,7 @@
     let elapsed_ms = shared.now_ms().saturating_sub(connecting_ms);
     // A connect that was interrupted early may have become a slow one.
     if connected.is_ok() || elapsed_ms >= SLOW_CONNECT_MS {
-        shared.record_connect(&choice.id, elapsed_ms);
+        shared.record_connect(&choice.id, connecting_ms);
     }
     connected
 }
