--- a/src/placement/cost_choice.rs
+++ b/src/placement/cost_choice.rs
@@ -12,7 +12,7 @@
 const REMOTE_PENALTY_MS: f64 = 2.0;
 
 /// Difference in cost up to which upstreams count as near equals, in milliseconds.
-const NEAR_MARGIN_MS: f64 = 3.0;
+const NEAR_MARGIN_MS: f64 = 5.0;
 
 /// Weight of the error of the expected time.
 const SPREAD_WEIGHT: f64 = 0.5;
--- a/src/upstream_speed.rs
+++ b/src/upstream_speed.rs
@@ -16,8 +16,12 @@
 /// Expected rest of a phase of unusual speed; after it, the usual speed is assumed.
 const PHASE_REST_MS: f64 = 500.0;
 
-/// Weight of one figure in the average of an upstream's figures.
-const USUAL_EWMA_WEIGHT: f64 = 0.05;
+/// Time constant of the average of an upstream's figures. Each counts for the time until the next one, because changes
+/// are told more often than figures that stay.
+const USUAL_TIME_CONSTANT_MS: f64 = 10_000.0;
+
+/// Longest time for which one figure counts in that average.
+const MAX_HELD_MS: u64 = 1_000;
 
 /// Weight of one response in the average of the time that it took, compared with what was expected from the figure in
 /// it.
@@ -90,10 +94,15 @@
         if is_older || !WORK_PERCENT_BOUNDS.contains(&work_percent) {
             return false;
         }
+        if let Some(known) = self.stated {
+            let held_ms = at_ms.saturating_sub(known.at_ms).min(MAX_HELD_MS);
+            let weight = held_ms as f64 / USUAL_TIME_CONSTANT_MS;
+            let difference = known.ratio - self.usual;
+            self.usual += weight * difference;
+            self.deviation += weight * (difference.abs() - self.deviation);
+        }
         let ratio = f64::from(work_percent) / 100.0;
         self.stated = Some(Sample { ratio, at_ms });
-        self.usual += USUAL_EWMA_WEIGHT * (ratio - self.usual);
-        self.deviation += USUAL_EWMA_WEIGHT * ((ratio - self.usual).abs() - self.deviation);
         true
     }
 
