--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -356,9 +356,22 @@
             .metrics
             .set("connections", shared.connections.get() as u64);
         shared.metrics.set("store_epoch", shared.store.epoch());
+        set_cost_gauges(&shared);
     }
 }
 
+/// Sets the gauges of the learned costs, if requests are placed by them.
+fn set_cost_gauges(shared: &Shared) {
+    let placement = shared.placement.borrow();
+    if !placement.weighs_costs() {
+        return;
+    }
+    let model = placement.cost_model();
+    let gauge = |name: &str, value: f64| shared.metrics.set(name, value as u64);
+    gauge("prefill_ns_per_token", model.ms_per_token() * 1e6);
+    gauge("output_us_per_token", model.ms_per_output_token() * 1e3);
+}
+
 /// Logs the current view of the configuration, the upstreams and the other gateways, with the age of each.
 fn log_state(shared: &Shared) {
     let now_ms = shared.now_ms();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
 use super::request::Call;
 use super::{availability, limits, pool, rollouts, Shared};
 use crate::directory::UpstreamEntry;
-use crate::placement::{Outcome, PlacementError};
+use crate::placement::{LoadReport, Outcome, PlacementError};
 use crate::platform::headers;
 use crate::refusal::Refusal;
 use crate::routing::RetrySemantics;
@@ -557,6 +557,20 @@
     call.route().is_stream && !shared.placement.borrow().is_silent(id, shared.now_ms())
 }
 
+/// Records the load that an upstream reported; logs when the first upstream states its speed.
+fn record_load(shared: &Shared, upstream: &str, report: LoadReport, now_ms: u64) {
+    let mut placement = shared.placement.borrow_mut();
+    let was_by_cost = placement.weighs_costs();
+    placement.record_load(upstream, report, now_ms);
+    if placement.weighs_costs() && !was_by_cost {
+        log::info!(
+            step = "placement", upstream = upstream, work_percent = report.work_percent,
+            at_ms = now_ms;
+            "upstreams state their speed, requests to their services are placed by expected cost"
+        );
+    }
+}
+
 /// Classifies an attempt by the head of its response, and records the load and the latency of the upstream.
 fn classify_response(
     shared: &Shared,
@@ -570,8 +584,7 @@
     let fields = response.upstream_response.headers();
     let report = headers::load_report(fields);
     if let Some(report) = report {
-        let mut placement = shared.placement.borrow_mut();
-        placement.record_load(&response.upstream, report, now_ms);
+        record_load(shared, &response.upstream, report, now_ms);
     }
     if status != MISDIRECTED_REQUEST {
         limits::record_response(shared, &response.upstream, fields);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -263,6 +263,10 @@
 fn record_notice(shared: &Shared, notice: &PromptNotice) {
     let now_ms = shared.now_ms();
     let mut placement = shared.placement.borrow_mut();
+    if !notice.speeds.is_empty() {
+        let count = notice.speeds.len() as u64;
+        shared.metrics.add("speed_figures_received", count);
+    }
     for speed in notice.speeds.iter().take(MAX_SPEEDS) {
         let figure = SpeedFigure {
             upstream: speed.upstream.as_str().into(),
--- a/src/placement/costs.rs
+++ b/src/placement/costs.rs
@@ -184,6 +184,16 @@
         placement
     }
 
+    /// Returns whether any upstream has stated its speed, so that requests to its service are placed by expected cost.
+    pub fn weighs_costs(&self) -> bool {
+        self.costs.is_in_effect
+    }
+
+    /// Returns the learned times of engines at usual speed.
+    pub fn cost_model(&self) -> &CostModel {
+        &self.costs.model
+    }
+
     /// Returns the expected time until an engine has prefilled all prompts that were sent to it.
     pub fn backlog_ms(&self, id: &str, now_ms: u64) -> f64 {
         let Some(load) = self.loads.get(id) else {
--- a/src/request_cost.rs
+++ b/src/request_cost.rs
@@ -88,6 +88,16 @@
         prefill_work(total_tokens, uncached_tokens) * self.ms_per_token
     }
 
+    /// Returns the prefill time of one token at usual speed.
+    pub fn ms_per_token(&self) -> f64 {
+        self.ms_per_token
+    }
+
+    /// Returns the time of one output token at usual speed.
+    pub fn ms_per_output_token(&self) -> f64 {
+        self.ms_per_output_token
+    }
+
     /// Returns the time that the output of a request takes at usual speed.
     pub fn output_ms(&self, output_tokens: f64) -> f64 {
         output_tokens * self.ms_per_output_token
