--- a/src/request_cost.rs
+++ b/src/request_cost.rs
@@ -23,8 +23,10 @@
 /// Shortest expected time that is compared with the observed one; with less, the resolution of the clock dominates.
 const MIN_COMPARED_MS: f64 = 5.0;
 
-/// Weight of one response in the average of the prefill time of one token.
-const PREFILL_EWMA_WEIGHT: f64 = 0.03;
+/// Weight of one response in the average of the prefill time of one token, if it was faster and if it was slower than
+/// expected. Queues that nobody told of, and a busy VM, make responses slower but never faster.
+const FASTER_WEIGHT: f64 = 0.03;
+const SLOWER_WEIGHT: f64 = 0.01;
 
 /// Bounds on the ratio by which one response corrects the prefill time; an engine with a hidden queue must not change
 /// the average of all engines.
@@ -121,7 +123,13 @@
     /// speed of the engine does not explain it.
     pub fn record_unexplained(&mut self, ratio: f64) {
         let (min, max) = PREFILL_RATIO_BOUNDS;
-        let factor = 1.0 + PREFILL_EWMA_WEIGHT * (ratio.clamp(min, max) - 1.0);
+        let difference = ratio.clamp(min, max) - 1.0;
+        let weight = if difference < 0.0 {
+            FASTER_WEIGHT
+        } else {
+            SLOWER_WEIGHT
+        };
+        let factor = 1.0 + weight * difference;
         let (min, max) = MS_PER_TOKEN_BOUNDS;
         self.ms_per_token = (self.ms_per_token * factor).clamp(min, max);
     }
--- a/src/upstream_speed.rs
+++ b/src/upstream_speed.rs
@@ -24,8 +24,9 @@
 const MAX_HELD_MS: u64 = 1_000;
 
 /// Weight of one response in the average of the time that it took, compared with what was expected from the figure in
-/// it.
-const BASE_EWMA_WEIGHT: f64 = 0.05;
+/// it, if it was faster and if it was slower than that average. Unknown queues and a busy VM only make it slower.
+const FASTER_WEIGHT: f64 = 0.06;
+const SLOWER_WEIGHT: f64 = 0.02;
 
 /// Bounds on that average. What an estimate lacks, such as lost notices, must not make an upstream unusable.
 const BASE_BOUNDS: (f64, f64) = (0.5, 3.0);
@@ -38,7 +39,7 @@
 const OBSERVED_WEIGHT: f64 = 0.3;
 
 /// Bounds on one observed ratio.
-const RATIO_BOUNDS: (f64, f64) = (0.25, 8.0);
+const RATIO_BOUNDS: (f64, f64) = (0.25, 6.0);
 
 /// A ratio of actual to usual time with the time at which it was true.
 #[derive(Clone, Copy, Debug)]
@@ -129,7 +130,13 @@
         let (min, max) = RATIO_BOUNDS;
         let unexplained = (ratio * 100.0 / f64::from(work_percent.max(1))).clamp(min, max);
         let (min, max) = BASE_BOUNDS;
-        self.base += BASE_EWMA_WEIGHT * (unexplained.clamp(min, max) - self.base);
+        let difference = unexplained.clamp(min, max) - self.base;
+        let weight = if difference < 0.0 {
+            FASTER_WEIGHT
+        } else {
+            SLOWER_WEIGHT
+        };
+        self.base += weight * difference;
         unexplained
     }
 
--- a/tests/placement_costs.rs
+++ b/tests/placement_costs.rs
@@ -8,7 +8,7 @@
     SpeedFigure,
 };
 use monsoonfield::platform::headers;
-use monsoonfield::request_cost::{OutputKey, OutputLengths};
+use monsoonfield::request_cost::{CostModel, OutputKey, OutputLengths};
 use monsoonfield::upstream_speed::UpstreamSpeed;
 use placement_model::{run, Class, Site, Summary};
 use rand::{Rng, SeedableRng};
@@ -331,6 +331,20 @@
     assert!(prefill_ms > 2.5 * usual_ms, "{prefill_ms} {usual_ms}");
 }
 
+/// Scenario: every other response waited in a queue that no notice told of, or at a busy VM. Guards against expected
+/// costs that grow with the gateway's own trouble.
+#[test]
+fn hidden_waits_hardly_change_the_learned_prefill_time() {
+    let mut model = CostModel::default();
+    let true_ms = model.ms_per_token();
+    for index in 0..600 {
+        let hidden = if index % 2 == 0 { 2.0 } else { 1.0 };
+        model.record_unexplained(hidden * true_ms / model.ms_per_token());
+    }
+    let ratio = model.ms_per_token() / true_ms;
+    assert!((0.9..1.3).contains(&ratio), "{ratio}");
+}
+
 /// Scenario: hints that are far off, and sessions with outputs of their own. Guards against trusting a hint that has
 /// been wrong, and against an average over unlike sessions.
 #[test]
