Bound the parts of a prompt that a notice may name

Cause: a notice could add as many parts as fit into a datagram. Change: as many as a prompt of this gateway has at most count.

--- a/src/placement/costs.rs
+++ b/src/placement/costs.rs
@@ -6,6 +6,7 @@
 
 use super::prefill_queue::{Left, Pace, PrefillQueue};
 use super::prefix_cache::PrefixCache;
+use super::request::MAX_PARTS;
 use super::{LoadReport, Placement, Prompt, UpstreamLoad, RUNNING_REQUEST_DELAY_MS};
 use crate::request_cost::{CostModel, OutputKey, OutputLengths};
 use crate::upstream_speed::{SpeedEstimate, UpstreamSpeed, WORK_PERCENT_BOUNDS};
@@ -322,7 +323,7 @@
         let costs = &mut self.load(id).costs;
         let pace = costs.pace(slow, now_ms);
         costs.queue.add(prompt.work_ms, pace, now_ms);
-        let parts = prompt.parts.iter().copied();
+        let parts = prompt.parts.iter().copied().take(MAX_PARTS);
         costs
             .prefixes
             .insert(parts.chain(std::iter::once(prompt.session)), now_ms);
--- a/src/placement/request.rs
+++ b/src/placement/request.rs
@@ -14,7 +14,7 @@
 }
 
 /// Number of parts of a prompt that are told apart.
-const MAX_PARTS: usize = 4;
+pub(super) const MAX_PARTS: usize = 4;
 
 /// A beginning of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
