--- a/src/upstream_speed.rs
+++ b/src/upstream_speed.rs
@@ -16,12 +16,17 @@
 /// Expected rest of a phase of unusual speed; after it, the usual speed is assumed.
 const PHASE_REST_MS: f64 = 500.0;
 
-/// Weight of one figure in the average of an upstream's figures.
-const USUAL_EWMA_WEIGHT: f64 = 0.05;
+/// Time constant of the average of an upstream's figures. Each counts for the time until the next one, because changes
+/// are told more often than figures that stay.
+const USUAL_TIME_CONSTANT_MS: f64 = 10_000.0;
+
+/// Longest time for which one figure counts in that average.
+const MAX_HELD_MS: u64 = 1_000;
 
 /// Weight of one response in the average of the time that it took, compared with what was expected from the figure in
-/// it.
-const BASE_EWMA_WEIGHT: f64 = 0.05;
+/// it, if it was faster and if it was slower than that average. Unknown queues and a busy VM only make it slower.
+const FASTER_WEIGHT: f64 = 0.06;
+const SLOWER_WEIGHT: f64 = 0.02;
 
 /// Bounds on that average. What an estimate lacks, such as lost notices, must not make an upstream unusable.
 const BASE_BOUNDS: (f64, f64) = (0.5, 3.0);
@@ -34,7 +39,7 @@
 const OBSERVED_WEIGHT: f64 = 0.3;
 
 /// Bounds on one observed ratio.
-const RATIO_BOUNDS: (f64, f64) = (0.25, 8.0);
+const RATIO_BOUNDS: (f64, f64) = (0.25, 6.0);
 
 /// A ratio of actual to usual time with the time at which it was true.
 #[derive(Clone, Copy, Debug)]
@@ -90,10 +95,15 @@
         if is_older || !WORK_PERCENT_BOUNDS.contains(&work_percent) {
             return false;
         }
+        if let Some(known) = self.stated {
+            let held_ms = at_ms.saturating_sub(known.at_ms).min(MAX_HELD_MS);
+            let weight = held_ms as f64 / USUAL_TIME_CONSTANT_MS;
+            let difference = known.ratio - self.usual;
+            self.usual += weight * difference;
+            self.deviation += weight * (difference.abs() - self.deviation);
+        }
         let ratio = f64::from(work_percent) / 100.0;
         self.stated = Some(Sample { ratio, at_ms });
-        self.usual += USUAL_EWMA_WEIGHT * (ratio - self.usual);
-        self.deviation += USUAL_EWMA_WEIGHT * ((ratio - self.usual).abs() - self.deviation);
         true
     }
 
@@ -120,7 +130,13 @@
         let (min, max) = RATIO_BOUNDS;
         let unexplained = (ratio * 100.0 / f64::from(work_percent.max(1))).clamp(min, max);
         let (min, max) = BASE_BOUNDS;
-        self.base += BASE_EWMA_WEIGHT * (unexplained.clamp(min, max) - self.base);
+        let difference = unexplained.clamp(min, max) - self.base;
+        let weight = if difference < 0.0 {
+            FASTER_WEIGHT
+        } else {
+            SLOWER_WEIGHT
+        };
+        self.base += weight * difference;
         unexplained
     }
 
