Tell other gateways of upstreams whose processes are gone

Cause: while VMs were cut off from the store, each gateway discovered each of 25 replaced engines by itself; 1,729 requests were refused in 10 s because the retry limit of the fleet was reached.

Change: a gateway that reads a 421, or is refused a connection, tells the others in one datagram each; those that are told tell nobody. A belief concerns one process. While the directory is stale, retries prefer upstreams that have answered since, and the last one allowed goes only there. An address that refuses connections after a lost connection backs off at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 //! | choose upstreams, send, retry | `attempt` |
 //! | connections to upstreams | `pool` |
 //! | what upstreams state about new requests | `availability` |
+//! | which processes of upstreams are gone, as gateways tell each other | `beliefs` |
 //! | relay the response, count what is delivered | `relay` |
 //!
 //! Background tasks run beside the requests:
@@ -30,12 +31,13 @@
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
 //! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`],
-//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::upstream_availability`], [`crate::upstream_limits`],
+//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::upstream_availability`], [`crate::upstream_beliefs`], [`crate::upstream_limits`],
 //! [`crate::version_canary`], [`crate::rollout_completion`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router.
 //! The design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod availability;
+mod beliefs;
 mod budget;
 mod callers;
 mod clock;
@@ -79,6 +81,7 @@
 use crate::shared_limits::{ActiveRouters, RetryLimiter};
 use crate::store::Store;
 use crate::upstream_availability::UpstreamAvailability;
+use crate::upstream_beliefs::UpstreamBeliefs;
 use store_health::ObservedStore;
 
 pub use settings::{FleetLimits, Listen, Resources, Settings, StoreSettings};
@@ -158,6 +161,7 @@
     crashes: crashes::Crashes,
     limits: limits::Limits,
     availability: RefCell<UpstreamAvailability>,
+    beliefs: RefCell<UpstreamBeliefs>,
     rollouts: rollouts::Rollouts,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
@@ -316,6 +320,7 @@
         crashes: crashes::Crashes::default(),
         limits: limits::Limits::default(),
         availability: RefCell::default(),
+        beliefs: RefCell::default(),
         rollouts: rollouts::Rollouts::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,13 +18,14 @@
 
 use super::crashes::{self, CrashRefusal};
 use super::request::Call;
-use super::{availability, limits, pool, rollouts, Shared};
+use super::{availability, beliefs, limits, pool, rollouts, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::{Outcome, PlacementError};
 use crate::platform::headers;
 use crate::refusal::Refusal;
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
+use crate::upstream_beliefs::{GoneKind, Retry};
 use crate::upstream_client::UpstreamResponse;
 use crate::version_canary::Response;
 
@@ -441,6 +442,21 @@
     }
 }
 
+/// Returns whether the next attempt repeats the request, and whether the retry limit of the fleet allows more than that.
+fn retry_need(shared: &Shared, call: &Call<'_>, tried: &[CompactString]) -> Retry {
+    if tried.is_empty() {
+        return Retry::None;
+    }
+    let rule = shared.settings.fleet.retry_rule();
+    let slack = retry_slack(shared);
+    let mut retries = shared.retries.borrow_mut();
+    let limit = retries.entry(call.service.clone()).or_default();
+    match limit.remaining_retries(rule, slack, shared.now_ms()) {
+        0 | 1 => Retry::Last,
+        _ => Retry::Allowed,
+    }
+}
+
 /// Opens or reuses a connection to the upstream of an attempt.
 async fn connect(
     shared: &Shared,
@@ -462,7 +478,17 @@
     let connecting = pool::connect(choice.entry.address);
     let connected = run_until_interrupted(shared, call, caller, connecting).await;
     shared.record_connect(&choice.id, shared.now_ms().saturating_sub(connecting_ms));
-    connected
+    Ok(connected?.map_err(|error| connect_failure(shared, choice, &error)))
+}
+
+/// Returns the reason of a connection that could not be opened; that its address refuses connections is told to the other
+/// gateways.
+fn connect_failure(shared: &Shared, choice: &Choice, error: &pool::ConnectError) -> CompactString {
+    if error.is_refused() {
+        let gone = availability::process(&choice.id, &choice.entry);
+        beliefs::record_gone(shared, gone, GoneKind::Unreachable);
+    }
+    format_compact!("{error}")
 }
 
 /// Starts to send a request on a connection to an upstream.
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -2,11 +2,13 @@
 
 use compact_str::CompactString;
 
+use super::retry_need;
 use crate::directory::{UpstreamDirectory, UpstreamEntry};
 use crate::gateway::request::Call;
-use crate::gateway::{availability, rollouts, Shared};
+use crate::gateway::{availability, beliefs, rollouts, Shared};
 use crate::placement::{Candidate, PlacementError};
 use crate::upstream_availability::Availability;
+use crate::upstream_beliefs::{Preference, RequestNeed};
 use crate::upstream_limits::Weight;
 use crate::version_canary::Choice as Versions;
 
@@ -30,7 +32,8 @@
     let limit = connection_limit(shared, call);
     let serving: Vec<_> = staying(shared, call, &directory).collect();
     let now_ms = shared.now_ms();
-    let choose_among = |versions: Versions, weight: Weight| {
+    let preference = preference(shared, call, tried, &serving);
+    let choose_among = |versions: Versions, weight: Weight, answered_since_ms: Option<u64>| {
         let candidates: Vec<_> = serving
             .iter()
             .filter(|(_, entry)| match versions {
@@ -42,6 +45,9 @@
                     !rollouts::is_new(shared, &call.service, &entry.version)
                 }
             })
+            .filter(|(id, entry)| {
+                answered_since_ms.is_none_or(|since_ms| has_answered(shared, id, entry, since_ms))
+            })
             .filter(|(id, entry)| {
                 placement.open_requests(id) < limit
                     && shared.limits.may_ask(id, weight, now_ms)
@@ -68,10 +74,23 @@
         Versions::Replacement if !has_version(true) => Versions::Any,
         other => other,
     };
-    let choose = |weight: Weight| match (choose_among(versions, weight), versions) {
-        (Err(_), Versions::New) => choose_among(Versions::Present, weight),
+    let choose_of_version = |weight: Weight, answered_since_ms: Option<u64>| match (
+        choose_among(versions, weight, answered_since_ms),
+        versions,
+    ) {
+        (Err(_), Versions::New) => choose_among(Versions::Present, weight, answered_since_ms),
         (chosen, _) => chosen,
     };
+    let choose = |weight: Weight| match preference {
+        Preference::None => choose_of_version(weight, None),
+        Preference::Answered { since_ms } => {
+            let preferred = choose_of_version(weight, Some(since_ms));
+            preferred.or_else(|_| choose_of_version(weight, None))
+        }
+        Preference::OnlyAnswered { since_ms } => {
+            choose_of_version(weight, Some(since_ms)).map_err(|_| PlacementError::NoUpstream)
+        }
+    };
     let weight = placement.weight(call.meta.prompt.as_ref());
     let (id, weight) = match choose(weight) {
         // A light request that no other upstream takes counts as a heavy one.
@@ -86,7 +105,34 @@
     })
 }
 
-/// Returns the upstreams of the service that neither their entries nor their own responses say to be leaving.
+/// Returns which upstreams go first while the directory is stale.
+fn preference(
+    shared: &Shared,
+    call: &Call<'_>,
+    tried: &[CompactString],
+    serving: &[(&CompactString, &UpstreamEntry)],
+) -> Preference {
+    let Some(since_ms) = beliefs::stale_since_ms(shared) else {
+        return Preference::None;
+    };
+    let answered = serving.iter();
+    let answered = answered.filter(|(id, entry)| has_answered(shared, id, entry, since_ms));
+    let need = RequestNeed {
+        retry: retry_need(shared, call, tried),
+        serving: serving.len(),
+        answered: answered.count(),
+    };
+    shared.beliefs.borrow().preference(Some(since_ms), &need)
+}
+
+fn has_answered(shared: &Shared, id: &str, entry: &UpstreamEntry, since_ms: u64) -> bool {
+    let process = availability::process(id, entry);
+    let beliefs = shared.beliefs.borrow();
+    beliefs.has_answered_since(process, since_ms)
+}
+
+/// Returns the upstreams of the service that neither their entries nor their own responses say to be leaving, and whose
+/// processes are not known to be gone.
 fn staying<'a>(
     shared: &'a Shared,
     call: &'a Call<'_>,
@@ -94,6 +140,7 @@
 ) -> impl Iterator<Item = (&'a CompactString, &'a UpstreamEntry)> {
     directory.serving(&call.service).filter(|(id, entry)| {
         availability::availability(shared, id, entry) != Availability::Leaving
+            && !beliefs::is_gone(shared, id, entry)
     })
 }
 
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -15,8 +15,9 @@
 use super::exchange::{Exchange, HeadResult};
 use super::interrupt::{run_until_interrupted, Interrupt};
 use super::{
-    attempt_timeout, conclude, is_retry_allowed, is_sending_to_others, start_exchange,
-    AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN, MIN_REMAINING_MS,
+    attempt_timeout, conclude, connect_failure, is_retry_allowed, is_sending_to_others,
+    start_exchange, AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN,
+    MIN_REMAINING_MS,
 };
 use crate::gateway::request::Call;
 use crate::gateway::{availability, crashes, limits, pool, rollouts, Shared};
@@ -92,7 +93,8 @@
     shared.record_connect(&choice.id, now_ms.saturating_sub(connecting_ms));
     let socket = match connected {
         Ok(socket) => socket,
-        Err(reason) => {
+        Err(error) => {
+            let reason = connect_failure(shared, &choice, &error);
             log::info!(
                 step = "attempt", request_id = call.meta.id.as_str(), upstream = choice.id.as_str();
                 "cannot take over the request: {reason}"
--- a/src/gateway/availability.rs
+++ b/src/gateway/availability.rs
@@ -3,10 +3,11 @@
 use http::HeaderMap;
 
 use super::attempt::MISDIRECTED_REQUEST;
-use super::Shared;
+use super::{beliefs, Shared};
 use crate::directory::UpstreamEntry;
 use crate::platform::headers;
 use crate::upstream_availability::{Availability, UpstreamProcess};
+use crate::upstream_beliefs::GoneKind;
 
 /// Status of an upstream that takes no request now.
 const SERVICE_UNAVAILABLE: u16 = 503;
@@ -20,6 +21,7 @@
 /// Returns whether an upstream takes a new request from this gateway now.
 pub(super) fn is_available(shared: &Shared, id: &str, entry: &UpstreamEntry) -> bool {
     availability(shared, id, entry) == Availability::Available
+        && !beliefs::is_gone(shared, id, entry)
 }
 
 /// Records what the head of a response states about new requests.
@@ -32,8 +34,9 @@
 ) {
     // Another process has sent this response.
     if status == MISDIRECTED_REQUEST {
-        return;
+        return beliefs::record_gone(shared, process(id, entry), GoneKind::Replaced);
     }
+    beliefs::record_answer(shared, id, entry);
     if headers::is_leaving(fields) {
         record_leaving(shared, id, entry, status);
     }
@@ -75,7 +78,8 @@
     }
 }
 
-fn process<'a>(id: &'a str, entry: &UpstreamEntry) -> UpstreamProcess<'a> {
+/// Returns the process that an entry describes.
+pub(super) fn process<'a>(id: &'a str, entry: &UpstreamEntry) -> UpstreamProcess<'a> {
     UpstreamProcess {
         id,
         started_ms: entry.started_ms,
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -21,11 +21,13 @@
 
 use super::request::Call;
 use super::watch::FeedPosition;
-use super::{clock, pool, rollouts, Shared};
+use super::{beliefs, clock, pool, rollouts, Shared};
 use crate::crash_attribution::{
     Clocks, CrashAttribution, CrashId, Feature, CRASH_LIMIT, MAX_REQUEST_FEATURES,
 };
 use crate::notify::Notify;
+use crate::upstream_availability::UpstreamProcess;
+use crate::upstream_beliefs::GoneKind;
 
 pub(super) use admission::{admit, authorise, is_allowed, record_end, CrashRefusal};
 pub(super) use reports::{report, watch};
@@ -141,6 +143,9 @@
     let now_ms = shared.now_ms();
     let is_gone =
         pool::refuses_connections(&shared.pool, lost.upstream, lost.address, now_ms).await;
+    if is_gone {
+        record_unreachable(shared, &lost);
+    }
     let is_replaced = rollouts::is_replaced(shared, &call.service, lost.version);
     let is_crash = is_gone && !is_replaced;
     let features = call.features();
@@ -184,6 +189,19 @@
     shared.crashes.changed.notify();
 }
 
+/// Records that the address of an upstream refuses connections, before another request finds out.
+fn record_unreachable(shared: &Shared, lost: &LostConnection<'_>) {
+    let gone = UpstreamProcess {
+        id: lost.upstream,
+        started_ms: lost.started_ms,
+    };
+    let now_ms = shared.now_ms();
+    let mut placement = shared.placement.borrow_mut();
+    placement.record_unreachable(lost.upstream, now_ms);
+    drop(placement);
+    beliefs::record_gone(shared, gone, GoneKind::Unreachable);
+}
+
 fn suspect(
     shared: &Shared,
     call: &Call<'_>,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,15 +20,15 @@
 use prost::Message;
 
 use super::budget::{remote, serving, versions};
-use super::{clock, limits, rollouts, Shared};
+use super::{beliefs, clock, limits, rollouts, Shared};
 use crate::collections::FastMap;
 
 use messages::Datagram;
 pub(super) use messages::{
-    ClockMessage, Content, Handover, HandoverReply, LimitMessage, LimitReply, LimitRequest,
-    MoveNotice, PromptNotice, RecordNotice, RecordNoticeReply, RecordQuery, RecordQueryReply,
-    Reserve, ReserveOutcome, ReserveReply, RightsRequest, RouteReport, Settle, SettleReply,
-    VersionReport,
+    ClockMessage, Content, GoneReason, Handover, HandoverReply, LimitMessage, LimitReply,
+    LimitRequest, MoveNotice, PromptNotice, RecordNotice, RecordNoticeReply, RecordQuery,
+    RecordQueryReply, Reserve, ReserveOutcome, ReserveReply, RightsRequest, RouteReport, Settle,
+    SettleReply, UpstreamGone, VersionReport,
 };
 
 /// Prefill time from which on a prompt is announced as far as the rate limit allows, in milliseconds.
@@ -218,6 +218,7 @@
         Content::Limit(message) => limits::handle_message(shared, &message),
         Content::LimitRequest(request) => limits::handle_request(shared, &request, peer),
         Content::VersionReport(report) => rollouts::handle_report(shared, &report),
+        Content::UpstreamGone(message) => beliefs::handle_report(shared, &message),
         Content::MoveNotice(notice) => rollouts::handle_move_notice(shared, &notice),
         Content::LimitReply(reply) => limits::handle_reply(shared, &reply),
         Content::Handover(handover) => socket.accept_handover(shared, &handover, peer),
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -10,7 +10,7 @@
     /// Content of the datagram.
     #[prost(
         oneof = "Content",
-        tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub(super) content: Option<Content>,
 }
@@ -59,6 +59,9 @@
     /// Permission to send requests to a new version only, shortly before its rollout is completed.
     #[prost(message, tag = "20")]
     MoveNotice(MoveNotice),
+    /// The process of an upstream is gone.
+    #[prost(message, tag = "21")]
+    UpstreamGone(UpstreamGone),
 }
 
 /// The version of a team's record that a gateway has written.
@@ -399,3 +402,32 @@
     #[prost(uint64, tag = "6")]
     pub(in crate::gateway) complete_in_ms: u64,
 }
+
+/// How the process of an upstream turned out to be gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub(in crate::gateway) enum GoneReason {
+    /// Not used; a report without a known reason is ignored.
+    Unspecified = 0,
+    /// Another process responded at its address.
+    Replaced = 1,
+    /// Its address refuses connections.
+    Unreachable = 2,
+}
+
+/// A process of an upstream that the sender found gone.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct UpstreamGone {
+    /// Id of the upstream.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) upstream: String,
+    /// Start of the process by its own clock.
+    #[prost(uint64, optional, tag = "2")]
+    pub(in crate::gateway) started_ms: Option<u64>,
+    /// How the sender found out.
+    #[prost(enumeration = "GoneReason", tag = "3")]
+    pub(in crate::gateway) kind: i32,
+    /// Time since the sender found out.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) age_ms: u64,
+}
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use monoio::net::TcpStream;
+use quick_error::quick_error;
 
 use crate::collections::FastMap;
 use crate::server::Socket;
@@ -101,19 +102,44 @@
     }
 }
 
+quick_error! {
+    /// Why a connection to an upstream could not be opened.
+    #[derive(Debug)]
+    pub enum ConnectError {
+        /// The host or the network refused it.
+        Failed(error: std::io::Error) {
+            display("connecting: {}", error)
+        }
+        /// Nothing responded in time.
+        TimedOut {
+            display("connecting: timed out")
+        }
+    }
+}
+
+impl ConnectError {
+    /// Returns whether no process listens at the address any more.
+    pub(super) fn is_refused(&self) -> bool {
+        match self {
+            Self::Failed(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+            Self::TimedOut => false,
+        }
+    }
+}
+
 /// Opens a connection to an upstream.
 ///
 /// # Errors
 ///
 /// Returns why the connection could not be opened.
-pub(super) async fn connect(address: SocketAddr) -> Result<Socket, CompactString> {
+pub(super) async fn connect(address: SocketAddr) -> Result<Socket, ConnectError> {
     match monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(address)).await {
         Ok(Ok(stream)) => {
             set_user_timeout(&stream);
             Ok(Socket::new(stream))
         }
-        Ok(Err(error)) => Err(compact_str::format_compact!("connecting: {error}")),
-        Err(_) => Err("connecting: timed out".into()),
+        Ok(Err(error)) => Err(ConnectError::Failed(error)),
+        Err(_) => Err(ConnectError::TimedOut),
     }
 }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -329,6 +329,7 @@
     if change != UpstreamChange::Draining {
         shared.placement.borrow_mut().reset(id);
         shared.limits.forget(id);
+        shared.beliefs.borrow_mut().forget(id);
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod status;
 pub mod store;
 pub mod upstream_availability;
+pub mod upstream_beliefs;
 pub mod upstream_client;
 pub mod upstream_limits;
 pub mod validation;
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -294,10 +294,15 @@
 
     /// Returns whether the limit allows a retry; `slack` is this router's share of [`RetryRule::slack`].
     pub fn allows_retry(&mut self, rule: RetryRule, slack: u64, now_ms: u64) -> bool {
+        self.remaining_retries(rule, slack, now_ms) > 0
+    }
+
+    /// Returns how many retries the limit allows now.
+    pub fn remaining_retries(&mut self, rule: RetryRule, slack: u64, now_ms: u64) -> u64 {
         let requests = self.requests.sum(rule.window_ms, now_ms);
         let allowed =
             (requests * rule.ratio_permille / 1_000 + slack) * RETRY_UTILISATION_PERCENT / 100;
-        self.retries.sum(rule.window_ms, now_ms) < allowed
+        allowed.saturating_sub(self.retries.sum(rule.window_ms, now_ms))
     }
 
     /// Counts a retry if the limit allows one; returns whether it does.
