Announce rollouts, and check waiting requests against a rollback

Cause: operators read no status before the decision. A request that waited for its upstream could be sent to a version after its rollback. A decider that hears of few gateways could roll a version back by a few bad responses.

Change: the first decider writes running, with the same condition as a decision. A request is checked again right before it is sent.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -232,7 +232,8 @@
         if let Err(refusal) = crashes::admit(shared, call) {
             return Err(crash_refusal(call, attempts, &refusal));
         }
-        let versions = match first_versions.filter(|_| attempts.tried.is_empty()) {
+        let is_in_force = attempts.tried.is_empty() && rollouts::is_running(shared, &call.service);
+        let versions = match first_versions.filter(|_| is_in_force) {
             Some(versions) => versions,
             None => rollouts::choose_again(shared, &call.service),
         };
@@ -263,8 +264,8 @@
         match connect(shared, call, caller, &choice).await {
             Ok(Ok(socket)) => {
                 // The upstream may have stated that while the request waited for permission or for the connection.
-                if !availability::is_available(shared, &choice.id, &choice.entry) {
-                    let reason = "the upstream has stated meanwhile that it takes no new requests";
+                if !may_be_sent(shared, call, &choice) {
+                    let reason = "the upstream takes no new requests any more";
                     attempts.withdraw_last(call, reason);
                     continue;
                 }
@@ -296,6 +297,12 @@
     }
 }
 
+/// Returns whether a request that waited for its upstream may still be sent there.
+fn may_be_sent(shared: &Shared, call: &Call<'_>, choice: &Choice) -> bool {
+    availability::is_available(shared, &choice.id, &choice.entry)
+        && !rollouts::is_rolled_back(shared, &call.service, &choice.entry.version)
+}
+
 /// Checks, right before a request is sent, that it is not refused for crashes which became known while it waited.
 ///
 /// # Errors
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -16,11 +16,11 @@
 use super::interrupt::{run_until_interrupted, Interrupt};
 use super::{
     attempt_timeout, conclude, connect_failure, is_retry_allowed, is_sending_to_others,
-    start_exchange, AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN,
+    may_be_sent, start_exchange, AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN,
     MIN_REMAINING_MS,
 };
 use crate::gateway::request::Call;
-use crate::gateway::{availability, crashes, limits, pool, rollouts, Shared};
+use crate::gateway::{crashes, limits, pool, rollouts, Shared};
 use crate::placement::Outcome;
 use crate::server::Socket;
 use crate::version_canary::Response;
@@ -105,7 +105,7 @@
         }
     };
     let is_allowed = limits::acquire(shared, &choice.id, choice.weight).await
-        && availability::is_available(shared, &choice.id, &choice.entry)
+        && may_be_sent(shared, call, &choice)
         && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, true);
     if !is_allowed {
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -103,6 +103,22 @@
     canary.map_or(Choice::Any, |canary| canary.choose_again(shared.now_ms()))
 }
 
+/// Returns whether a version is still tried, so that a choice of versions made before is in force.
+pub(super) fn is_running(shared: &Shared, service: &str) -> bool {
+    let canaries = shared.rollouts.canaries.borrow();
+    let canary = canaries.get(service);
+    canary.is_some_and(|canary| canary.state() == RolloutState::Running)
+}
+
+/// Returns whether a version was rolled back, so that it gets no requests, not even those that were to be sent to it.
+pub(super) fn is_rolled_back(shared: &Shared, service: &str, version: &str) -> bool {
+    let canaries = shared.rollouts.canaries.borrow();
+    let canary = canaries.get(service);
+    canary.is_some_and(|canary| {
+        canary.state() == RolloutState::RolledBack && canary.target() == version
+    })
+}
+
 /// Returns whether the upstreams of a version have been replaced or may be, so that their ends are no crashes.
 pub(super) fn is_replaced(shared: &Shared, service: &str, version: &str) -> bool {
     let canaries = shared.rollouts.canaries.borrow();
--- a/src/gateway/rollouts/decisions.rs
+++ b/src/gateway/rollouts/decisions.rs
@@ -83,16 +83,26 @@
         (canary.target().clone(), step, trial)
     };
     let state = match step {
+        Step::Wait if position == 0 && needs_announcement(shared, service) => RolloutState::Running,
         Step::Wait => return,
         Step::Move(plan) => return log_move(shared, service, &target, &trial, plan),
         Step::Lacking(missing) => return log_lack(shared, service, &target, &trial, &missing),
         Step::Complete => RolloutState::Completed,
         Step::RollBack(_) => RolloutState::RolledBack,
     };
-    log_decision(shared, service, &target, &trial, &step);
+    if state != RolloutState::Running {
+        log_decision(shared, service, &target, &trial, &step);
+    }
     write_status(shared, service, &target, state).await;
 }
 
+fn needs_announcement(shared: &Shared, service: &str) -> bool {
+    let canaries = shared.rollouts.canaries.borrow();
+    canaries
+        .get(service)
+        .is_some_and(Canary::needs_announcement)
+}
+
 /// Returns what this gateway knows of a trial.
 fn observe(shared: &Shared, service: &str, canary: &mut Canary) -> Trial {
     let present: FastSet<u64> = shared.routers.borrow().processes().collect();
--- a/src/rollout_completion.rs
+++ b/src/rollout_completion.rs
@@ -275,7 +275,8 @@
         let is_suspicious = self.total.counts.has_total_excess()
             || self.total.is_suspicious()
             || self.recent.is_suspicious();
-        if is_suspicious {
+        // A decider that hears of few requests leaves it to the other one to judge by a few bad responses.
+        if is_suspicious && self.fresh_permille >= MIN_FRESH_PERMILLE {
             return Verdict::Suspicious;
         }
         match self.missing() {
--- a/src/version_canary.rs
+++ b/src/version_canary.rs
@@ -308,6 +308,8 @@
     earlier_targets: Vec<CompactString>,
     /// Time at which the decision was found to be missing from the store.
     forgotten_ms: Option<u64>,
+    /// Whether the store shows that the version is tried.
+    is_announced: bool,
     tally: Tally,
     /// Fraction of a request with which this router begins. Routers of large fleets have few requests each and would
     /// otherwise send none to the new version.
@@ -334,6 +336,7 @@
             is_age_known: false,
             earlier_targets: Vec::new(),
             forgotten_ms: None,
+            is_announced: false,
             tally: Tally::default(),
             phase_permille: 0,
             sent: FastMap::default(),
@@ -406,6 +409,7 @@
     pub fn record_status(&mut self, state: RolloutState) -> bool {
         if state == self.state {
             self.forgotten_ms = None;
+            self.is_announced = true;
         }
         let is_new = state != self.state && self.state == RolloutState::Running;
         if is_new {
@@ -416,11 +420,17 @@
 
     /// Records that the store may have forgotten the decision, if there is one.
     pub fn record_forgotten(&mut self, now_ms: u64) {
+        self.is_announced = false;
         if self.state != RolloutState::Running {
             self.forgotten_ms.get_or_insert(now_ms);
         }
     }
 
+    /// Returns whether the store does not show yet that the version is tried.
+    pub fn needs_announcement(&self) -> bool {
+        self.state == RolloutState::Running && !self.is_announced
+    }
+
     /// Returns whether the store may have forgotten the decision.
     pub fn is_forgotten(&self) -> bool {
         self.forgotten_ms.is_some()
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -144,6 +144,7 @@
     let old = start_upstream(Duration::from_millis(15));
     let store = StoreStub::start();
     let gateways = order_rollout(&store, &old, &good, 3);
+    wait_for("the status", || is_decided(&store, "running"));
     wait_for("the decision", || {
         send_to_all(&gateways, 2);
         is_decided(&store, "completed")
@@ -236,3 +237,37 @@
         "{lost:?}"
     );
 }
+
+/// Guards against two decisions: a gateway that has not read the one of another decider appends its own after it.
+#[test]
+fn a_decision_is_not_appended_after_one_that_was_not_read() {
+    let slow = start_upstream(Duration::from_millis(60));
+    let old = start_upstream(Duration::from_millis(4));
+    let store = StoreStub::start();
+    let mut gateways = order_rollout(&store, &old, &slow, 30);
+    gateways.truncate(1);
+    wait_for("the status", || is_decided(&store, "running"));
+    wait_for("a request at the new version", || {
+        send_to_all(&gateways, 20);
+        !slow.requests().is_empty()
+    });
+    let records = store.count_of("keyed.status", "rollout/desk");
+
+    store.delay_responses_to(&gateways[0].vm);
+    store.set_delay(ResponseDelay::All);
+    let other = json!({"service": "desk", "target": "v2", "state": "completed"});
+    store.put("keyed.status", "rollout/desk", other.to_string().as_bytes());
+    wait_for("evidence against the version", || {
+        send_to_all(&gateways, 20);
+        let lines = gateways[0].log_lines_with_step("rollout");
+        lines.iter().any(|line| line["recent_new_bad"].is_u64())
+    });
+    store.set_delay(ResponseDelay::Ended);
+    wait_for("the other decision", || {
+        let lines = gateways[0].log_lines_with_step("rollout");
+        lines.iter().any(|line| line["state"] == "completed")
+    });
+
+    assert!(is_decided(&store, "completed"));
+    assert_eq!(store.count_of("keyed.status", "rollout/desk"), records + 1);
+}
