--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 //! | choose upstreams, send, retry | `attempt` |
 //! | connections to upstreams | `pool` |
 //! | what upstreams state about new requests | `availability` |
+//! | which processes of upstreams are gone, as gateways tell each other | `beliefs` |
 //! | relay the response, count what is delivered | `relay` |
 //!
 //! Background tasks run beside the requests:
@@ -25,7 +26,7 @@
 //! | keep requests away from evacuated data centres | `evacuations` |
 //! | observe the load of this VM, move callers away from it | `load` |
 //! | keep to the limits on requests that upstreams state | `limits` |
-//! | try new versions of services, roll back bad ones | `rollouts` |
+//! | try new versions of services, complete good ones, roll back bad ones | `rollouts` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
 //! | exchange datagrams with other gateways | `peers` |
 //! | answer readiness probes and metric scrapes | `probes` |
@@ -33,12 +34,15 @@
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
 //! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`],
-//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::cold_upstreams`], [`crate::evacuation`], [`crate::upstream_availability`], [`crate::upstream_limits`],
-//! [`crate::version_canary`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router.
+//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::cold_upstreams`], [`crate::evacuation`],
+//! [`crate::upstream_availability`], [`crate::upstream_beliefs`], [`crate::upstream_limits`], [`crate::version_canary`],
+//! [`crate::rollout_completion`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`]
+//! call a gateway process a router.
 //! The design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod availability;
+mod beliefs;
 mod budget;
 mod callers;
 mod clock;
@@ -84,6 +88,7 @@
 use crate::shared_limits::{ActiveRouters, RetryLimiter};
 use crate::store::Store;
 use crate::upstream_availability::UpstreamAvailability;
+use crate::upstream_beliefs::UpstreamBeliefs;
 use store_health::ObservedStore;
 
 pub use settings::{FleetLimits, Listen, Resources, Settings, StoreSettings};
@@ -166,6 +171,7 @@
     evacuations: evacuations::Evacuations,
     limits: limits::Limits,
     availability: RefCell<UpstreamAvailability>,
+    beliefs: RefCell<UpstreamBeliefs>,
     rollouts: rollouts::Rollouts,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
@@ -248,6 +254,7 @@
     monoio::spawn(crashes::judge_suspects(Rc::clone(&shared)));
     monoio::spawn(rollouts::watch(Rc::clone(&shared)));
     monoio::spawn(rollouts::report(Rc::clone(&shared)));
+    monoio::spawn(rollouts::decide(Rc::clone(&shared)));
     monoio::spawn(presence::watch(Rc::clone(&shared)));
     monoio::spawn(presence::report(Rc::clone(&shared)));
     monoio::spawn(peers::receive(Rc::clone(&shared)));
@@ -297,6 +304,7 @@
         evacuations: evacuations::Evacuations::default(),
         limits: limits::Limits::default(),
         availability: RefCell::default(),
+        beliefs: RefCell::default(),
         rollouts: rollouts::Rollouts::default(),
         retries: RefCell::default(),
         metrics: Metrics::new(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
 use super::evacuations::{self, EVACUATED_REASON, RETRY_AFTER_EVACUATION_MS};
 use super::limits::Permission;
 use super::request::Call;
-use super::{cold_upstreams, limits, pool, rollouts, Shared};
+use super::{availability, beliefs, cold_upstreams, limits, pool, rollouts, Shared};
 use crate::congestion::SLOW_CONNECT_MS;
 use crate::directory::UpstreamEntry;
 use crate::placement::{LoadReport, Outcome, PlacementError};
@@ -28,6 +28,7 @@
 use crate::refusal::Refusal;
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
+use crate::upstream_beliefs::{GoneKind, Retry};
 use crate::upstream_client::UpstreamResponse;
 use crate::version_canary::Response;
 
@@ -240,7 +241,7 @@
     last_event_id: Option<u64>,
 ) -> Result<Exchange<'a, 'c>, Failure> {
     let is_first = attempts.tried.is_empty();
-    let first_versions = is_first.then(|| rollouts::choose(shared, &call.service));
+    let first_versions = is_first.then(|| rollouts::choose(shared, call));
     loop {
         if call.remaining_ms(shared) < MIN_REMAINING_MS {
             return Err(give_up(
@@ -253,7 +254,8 @@
         if let Err(refusal) = crashes::admit(shared, call) {
             return Err(crash_refusal(call, attempts, &refusal));
         }
-        let versions = match first_versions.filter(|_| attempts.tried.is_empty()) {
+        let is_in_force = attempts.tried.is_empty() && rollouts::is_running(shared, &call.service);
+        let versions = match first_versions.filter(|_| is_in_force) {
             Some(versions) => versions,
             None => rollouts::choose_again(shared, &call.service),
         };
@@ -291,7 +293,7 @@
         match connected {
             Ok(Ok(socket)) => {
                 // The request has waited for permission and for the connection.
-                if !is_still_allowed(shared, &choice) {
+                if !is_still_allowed(shared, call, &choice) {
                     attempts.withdraw_last(call, NOT_ALLOWED_REASON);
                     continue;
                 }
@@ -305,7 +307,7 @@
                     return Err(failure);
                 }
                 // A suspected request has waited for its turn.
-                if !is_still_allowed(shared, &choice) {
+                if !is_still_allowed(shared, call, &choice) {
                     attempts.withdraw_last(call, NOT_ALLOWED_REASON);
                     continue;
                 }
@@ -325,6 +327,7 @@
             Ok(Err(error)) => {
                 call.add_wait_since(shared, connecting_ms);
                 in_flight.set_outcome(error.outcome());
+                record_refusal(shared, &choice, &error);
                 attempts.record_not_run(call, &choice.id, &error.to_string());
                 check_not_run(shared, call, attempts)?;
             }
@@ -488,6 +491,21 @@
     }
 }
 
+/// Returns whether the next attempt repeats the request, and whether the retry limit of the fleet allows more than that.
+fn retry_need(shared: &Shared, call: &Call<'_>, tried: &[CompactString]) -> Retry {
+    if tried.is_empty() {
+        return Retry::None;
+    }
+    let rule = shared.settings.fleet.retry_rule();
+    let slack = retry_slack(shared);
+    let mut retries = shared.retries.borrow_mut();
+    let limit = retries.entry(call.service.clone()).or_default();
+    match limit.remaining_retries(rule, slack, shared.now_ms()) {
+        0 | 1 => Retry::Last,
+        _ => Retry::Allowed,
+    }
+}
+
 /// Opens or reuses a connection to the upstream of an attempt.
 async fn connect(
     shared: &Shared,
@@ -516,6 +534,14 @@
     connected
 }
 
+/// Tells the other gateways that the address of an upstream refuses connections, if it does.
+fn record_refusal(shared: &Shared, choice: &Choice, error: &ConnectError) {
+    if error.is_refused() {
+        let gone = availability::process(&choice.id, &choice.entry);
+        beliefs::record_gone(shared, gone, GoneKind::Unreachable);
+    }
+}
+
 /// Starts to send a request on a connection to an upstream.
 fn start_exchange<'a: 'c, 'c>(
     shared: &'a Shared,
@@ -542,7 +568,7 @@
     choice: &Choice,
 ) -> InFlight<'a> {
     let Choice { id, entry, .. } = choice;
-    rollouts::record_sent(shared, &call.service, &entry.version);
+    rollouts::record_sent(shared, call, &entry.version);
     attempts.tried.push(id.clone());
     attempts.expected_ms = {
         let placement = shared.placement.borrow();
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -2,13 +2,15 @@
 
 use compact_str::CompactString;
 
+use super::retry_need;
 use crate::cold_upstreams::{prefers_warm, ColdRule};
 use crate::directory::{UpstreamDirectory, UpstreamEntry};
 use crate::gateway::limits::{self, ColdPermit};
 use crate::gateway::request::Call;
-use crate::gateway::{availability, cold_upstreams, evacuations, rollouts, Shared};
+use crate::gateway::{availability, beliefs, cold_upstreams, evacuations, rollouts, Shared};
 use crate::placement::{Candidate, PlacementError};
 use crate::upstream_availability::Availability;
+use crate::upstream_beliefs::{Preference, RequestNeed};
 use crate::upstream_limits::Weight;
 use crate::version_canary::Choice as Versions;
 
@@ -24,6 +26,15 @@
     pub(super) cold_permit: Option<ColdPermit>,
 }
 
+/// Which upstreams are left out of a first choice.
+#[derive(Clone, Copy)]
+struct Narrowing {
+    /// Only upstreams that have answered since this time.
+    answered_since_ms: Option<u64>,
+    /// Only upstreams that are known to be warm.
+    is_warm_only: bool,
+}
+
 /// Chooses an upstream to which this gateway may open another connection.
 pub(super) fn choose_upstream(
     shared: &Shared,
@@ -39,21 +50,29 @@
     let cold_rule = cold_upstreams::rule(shared, &call.service);
     let may_be_cold =
         |id: &str| cold_rule.is_some() && cold_upstreams::needs_permission(shared, id);
-    let choose_among = |versions: Versions, weight: Weight, is_warm_only: bool| {
+    let preference = preference(shared, call, tried, &serving);
+    let choose_among = |versions: Versions, weight: Weight, narrowing: Narrowing| {
         let candidates: Vec<_> = serving
             .iter()
             .filter(|(_, entry)| match versions {
                 Versions::Any => true,
-                Versions::New => rollouts::is_new(shared, &call.service, &entry.version),
+                Versions::New | Versions::Replacement => {
+                    rollouts::is_new(shared, &call.service, &entry.version)
+                }
                 Versions::Present | Versions::PresentOnly => {
                     !rollouts::is_new(shared, &call.service, &entry.version)
                 }
             })
+            .filter(|(id, entry)| {
+                let since_ms = narrowing.answered_since_ms;
+                since_ms.is_none_or(|since_ms| has_answered(shared, id, entry, since_ms))
+            })
             .filter(|(id, entry)| {
                 placement.open_requests(id) < limit
                     && shared.limits.may_ask(id, weight, now_ms)
                     && availability::is_available(shared, id, entry)
-                    && (!may_be_cold(id) || !is_warm_only && shared.limits.may_ask_cold(id, now_ms))
+                    && (!may_be_cold(id)
+                        || !narrowing.is_warm_only && shared.limits.may_ask_cold(id, now_ms))
             })
             .map(|(id, entry)| Candidate {
                 id: id.as_str(),
@@ -66,31 +85,49 @@
         }
         placement.choose(&candidates, call.meta.prompt.as_ref(), tried, now_ms)
     };
-    let mut entries = serving.iter().map(|(_, entry)| entry);
-    let has_present = entries.any(|entry| !rollouts::is_new(shared, &call.service, &entry.version));
+    let is_new = |entry: &UpstreamEntry| rollouts::is_new(shared, &call.service, &entry.version);
+    let has_version = |is_wanted_new| {
+        let mut entries = serving.iter();
+        entries.any(|(_, entry)| is_new(entry) == is_wanted_new)
+    };
     let versions = match versions {
-        Versions::Present if !has_present => Versions::Any,
+        Versions::Present if !has_version(false) => Versions::Any,
+        Versions::Replacement if !has_version(true) => Versions::Any,
         other => other,
     };
-    let choose_of = |weight: Weight, is_warm_only: bool| {
-        let chosen = choose_among(versions, weight, is_warm_only);
+    let choose_of_version = |weight: Weight, narrowing: Narrowing| {
+        let chosen = choose_among(versions, weight, narrowing);
         match (chosen, versions) {
-            (Err(_), Versions::New) => choose_among(Versions::Present, weight, is_warm_only),
+            (Err(_), Versions::New) => choose_among(Versions::Present, weight, narrowing),
             (chosen, _) => chosen,
         }
     };
-    let choose = |weight: Weight| {
-        let best = choose_of(weight, false)?;
+    let choose_warm_first = |weight: Weight, answered_since_ms: Option<u64>| {
+        let narrowing = |is_warm_only| Narrowing {
+            answered_since_ms,
+            is_warm_only,
+        };
+        let best = choose_of_version(weight, narrowing(false))?;
         if !may_be_cold(best) {
             return Ok(best);
         }
         let delay_ms =
             |id: &str| placement.expected_delay_ms(id, call.meta.prompt.as_ref(), now_ms);
-        match choose_of(weight, true) {
+        match choose_of_version(weight, narrowing(true)) {
             Ok(warm) if prefers_warm(delay_ms(best), delay_ms(warm), shared.random()) => Ok(warm),
             _ => Ok(best),
         }
     };
+    let choose = |weight: Weight| match preference {
+        Preference::None => choose_warm_first(weight, None),
+        Preference::Answered { since_ms } => {
+            let preferred = choose_warm_first(weight, Some(since_ms));
+            preferred.or_else(|_| choose_warm_first(weight, None))
+        }
+        Preference::OnlyAnswered { since_ms } => {
+            choose_warm_first(weight, Some(since_ms)).map_err(|_| PlacementError::NoUpstream)
+        }
+    };
     let weight = placement.weight(call.meta.prompt.as_ref());
     let (id, weight) = match choose(weight) {
         // A light request that no other upstream takes counts as a heavy one.
@@ -111,9 +148,10 @@
 ///
 /// Its state may have changed while the request waited for a permission or a connection, so this is checked right before
 /// the request is sent.
-pub(super) fn is_still_allowed(shared: &Shared, choice: &Choice) -> bool {
+pub(super) fn is_still_allowed(shared: &Shared, call: &Call<'_>, choice: &Choice) -> bool {
     availability::is_available(shared, &choice.id, &choice.entry)
         && !evacuations::is_evacuated(shared, &choice.entry)
+        && !rollouts::is_rolled_back(shared, &call.service, &choice.entry.version)
 }
 
 /// Returns whether the chosen upstream is still warm, or the permit for the request is still valid.
@@ -121,8 +159,34 @@
     choice.cold_rule.is_none() || limits::is_permitted(shared, &choice.id, choice.cold_permit)
 }
 
+/// Returns which upstreams go first while the directory is stale.
+fn preference(
+    shared: &Shared,
+    call: &Call<'_>,
+    tried: &[CompactString],
+    serving: &[(&CompactString, &UpstreamEntry)],
+) -> Preference {
+    let Some(since_ms) = beliefs::stale_since_ms(shared) else {
+        return Preference::None;
+    };
+    let answered = serving.iter();
+    let answered = answered.filter(|(id, entry)| has_answered(shared, id, entry, since_ms));
+    let need = RequestNeed {
+        retry: retry_need(shared, call, tried),
+        serving: serving.len(),
+        answered: answered.count(),
+    };
+    shared.beliefs.borrow().preference(Some(since_ms), &need)
+}
+
+fn has_answered(shared: &Shared, id: &str, entry: &UpstreamEntry, since_ms: u64) -> bool {
+    let process = availability::process(id, entry);
+    let beliefs = shared.beliefs.borrow();
+    beliefs.has_answered_since(process, since_ms)
+}
+
 /// Returns the upstreams of the service outside evacuated data centres that neither their entries nor their own
-/// responses say to be leaving.
+/// responses say to be leaving, and whose processes are not known to be gone.
 fn staying<'a>(
     shared: &'a Shared,
     call: &'a Call<'_>,
@@ -131,6 +195,7 @@
     directory.serving(&call.service).filter(|(id, entry)| {
         availability::availability(shared, id, entry) != Availability::Leaving
             && !evacuations::is_evacuated(shared, entry)
+            && !beliefs::is_gone(shared, id, entry)
     })
 }
 
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -15,8 +15,9 @@
 use super::exchange::{Exchange, HeadResult};
 use super::interrupt::{run_until_interrupted, Interrupt};
 use super::{
-    attempt_timeout, conclude, is_retry_allowed, is_sending_to_others, start_exchange,
-    AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN, MIN_REMAINING_MS,
+    attempt_timeout, conclude, is_retry_allowed, is_sending_to_others, record_refusal,
+    start_exchange, AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN,
+    MIN_REMAINING_MS,
 };
 use crate::gateway::limits::Permission;
 use crate::gateway::request::Call;
@@ -94,6 +95,7 @@
     let socket = match connected {
         Ok(socket) => socket,
         Err(error) => {
+            let reason = connect_failure(shared, &choice, &error);
             log::info!(
                 step = "attempt", request_id = call.meta.id.as_str(), upstream = choice.id.as_str();
                 "cannot take over the request: {error}"
@@ -103,6 +105,7 @@
             placement.record_unreachable(&choice.id, outcome, now_ms);
             drop(placement);
             cold_upstreams::record_lost(shared, &choice.id);
+            record_refusal(shared, &choice, &error);
             return None;
         }
     };
@@ -111,7 +114,7 @@
         choice.cold_permit = permit;
     }
     let is_allowed = matches!(permission, Permission::Granted(_))
-        && is_still_allowed(shared, &choice)
+        && is_still_allowed(shared, call, &choice)
         && is_still_permitted(shared, &choice)
         && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, true);
@@ -197,12 +200,16 @@
             let successor = find_successor(shared, call, &attempts.tried, silence, is_needed);
             let successor = pin!(successor);
             let either = select(&mut exchange, successor);
-            let either = run_until_interrupted(shared, call, caller, either).await?;
-            match either {
+            let either = run_until_interrupted(shared, call, caller, either).await;
+            either.map(|either| match either {
                 Either::Left((head, _)) => Either::Left(head),
                 Either::Right((successor, _)) => Either::Right(successor),
-            }
+            })
         };
+        if let Err(Interrupt::Deadline) = &event {
+            exchange.in_flight.record_response(call, Response::Failed);
+        }
+        let event = event?;
         let successor = match event {
             Either::Left(head) => return Ok(conclude(shared, call, exchange, head).await),
             Either::Right(successor) => successor,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,14 +20,15 @@
 use prost::Message;
 
 use super::budget::{remote, serving, versions};
-use super::{clock, limits, rollouts, Shared};
+use super::{beliefs, clock, limits, rollouts, Shared};
 use crate::collections::FastMap;
 use crate::placement::{PeerPrompt, Prompt, SpeedFigure};
 
 pub(super) use messages::{
-    ClockMessage, Content, Handover, HandoverReply, LimitMessage, LimitReply, LimitRequest,
-    LimitServed, PromptNotice, RecordNotice, RecordNoticeReply, RecordQuery, RecordQueryReply,
-    Reserve, ReserveOutcome, ReserveReply, RightsRequest, Settle, SettleReply, VersionReport,
+    ClockMessage, Content, GoneReason, Handover, HandoverReply, LimitMessage, LimitReply,
+    LimitRequest, LimitServed, MoveNotice, PromptNotice, RecordNotice, RecordNoticeReply,
+    RecordQuery, RecordQueryReply, Reserve, ReserveOutcome, ReserveReply, RightsRequest,
+    RouteReport, Settle, SettleReply, UpstreamGone, VersionReport,
 };
 use messages::{Datagram, SpeedMessage};
 
@@ -225,6 +226,8 @@
         Content::Limit(message) => limits::handle_message(shared, &message),
         Content::LimitRequest(request) => limits::handle_request(shared, &request, peer),
         Content::VersionReport(report) => rollouts::handle_report(shared, &report),
+        Content::UpstreamGone(message) => beliefs::handle_report(shared, &message),
+        Content::MoveNotice(notice) => rollouts::handle_move_notice(shared, &notice),
         Content::LimitReply(reply) => limits::handle_reply(shared, &reply),
         Content::LimitServed(served) => limits::handle_served(shared, &served),
         Content::Handover(handover) => socket.accept_handover(shared, &handover, peer),
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -64,6 +64,14 @@
             Self::Failed(_) => Outcome::Unreachable,
         }
     }
+
+    /// Returns whether no process listens at the address any more.
+    pub(super) fn is_refused(&self) -> bool {
+        match self {
+            Self::Failed(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Self::TimedOut => false,
+        }
+    }
 }
 
 struct IdleConnection {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -375,6 +375,7 @@
         shared.placement.borrow_mut().reset(id);
         shared.limits.forget(id);
         cold_upstreams::forget(shared, id);
+        shared.beliefs.borrow_mut().forget(id);
     }
 }
 
--- a/src/placement/cost_choice.rs
+++ b/src/placement/cost_choice.rs
@@ -24,9 +24,9 @@
 /// The same if a first byte is overdue at the engine, so that it probably is slow.
 const OVERDUE_WEIGHT: f64 = 1.0;
 
-/// Weight of the work for the request itself. Work that is done twice delays the requests behind it, at a load of half
-/// of the capacity about as much as it takes.
-const OWN_WORK_WEIGHT: f64 = 1.0;
+/// Weight of the work for the request itself, at usual speed. Work that is done twice delays the requests behind it,
+/// and a slow phase lasts half a second, so a session leaves the engine that has cached its prompt only for a clear gain.
+const OWN_WORK_WEIGHT: f64 = 2.5;
 
 /// Weight of the occupied share of the slots of a plain upstream, in processing times. Requests beyond the slots wait;
 /// below, the share only shows how many may arrive unseen from other routers.
@@ -82,7 +82,7 @@
         let work_ms = cost.wait_ms + cost.work_ms + slot_ms + doubt_weight * cost.doubtful_ms;
         cost.speed.time_ms(work_ms)
             + SPREAD_WEIGHT * cost.speed.spread * work_ms
-            + OWN_WORK_WEIGHT * cost.work_time_ms()
+            + OWN_WORK_WEIGHT * cost.work_ms
             + remote_penalty_ms(candidate)
     }
 }
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -254,6 +254,13 @@
         self.present.values().map(|(presence, _)| presence.router)
     }
 
+    /// Returns the address for datagrams of a router's process.
+    pub fn process_address(&self, router: u64) -> Option<SocketAddr> {
+        let mut present = self.present.values();
+        let (presence, _) = present.find(|(presence, _)| presence.router == router)?;
+        presence.peer_address
+    }
+
     /// Returns whether an address is that of a router.
     pub fn is_member(&self, address: SocketAddr) -> bool {
         let mut present = self.present.values();
@@ -368,10 +375,15 @@
 
     /// Returns whether the limit allows a retry; `slack` is this router's share of [`RetryRule::slack`].
     pub fn allows_retry(&mut self, rule: RetryRule, slack: u64, now_ms: u64) -> bool {
+        self.remaining_retries(rule, slack, now_ms) > 0
+    }
+
+    /// Returns how many retries the limit allows now.
+    pub fn remaining_retries(&mut self, rule: RetryRule, slack: u64, now_ms: u64) -> u64 {
         let requests = self.requests.sum(rule.window_ms, now_ms);
         let allowed =
             (requests * rule.ratio_permille / 1_000 + slack) * RETRY_UTILISATION_PERCENT / 100;
-        self.retries.sum(rule.window_ms, now_ms) < allowed
+        allowed.saturating_sub(self.retries.sum(rule.window_ms, now_ms))
     }
 
     /// Counts a retry if the limit allows one; returns whether it does.
