Test the coordinator's reply and the preference for warm upstreams

Cause: a gateway without a reply from the coordinator, and the choice between a warm and a cold upstream, had no test with processes. Change: both tests, X-Cold-Ms, and bounds on the loops of the test's threads, which ran on after a failed assertion.

--- a/tests/gateway_cold_upstreams.rs
+++ b/tests/gateway_cold_upstreams.rs
@@ -6,9 +6,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use gateway_common::coordinator::{grant_requests, join_as_coordinator};
 use gateway_common::*;
+use http::{HeaderMap, HeaderValue};
 use monsoonfield::gateway::Settings;
-use monsoonfield::platform::documents;
+use monsoonfield::platform::{documents, headers};
 use serde_json::{json, Value};
 
 /// Time for which an upstream is cold after its start.
@@ -42,6 +44,13 @@
     configuration
 }
 
+fn fleet() -> FleetSettings {
+    FleetSettings {
+        cold_tolerance: Some(TOLERANCE),
+        ..FleetSettings::default()
+    }
+}
+
 /// An upstream with the times at which its requests arrived.
 struct Upstream {
     stub: UpstreamStub,
@@ -77,7 +86,9 @@
         writes_from: &Mutex<Option<Instant>>,
     ) {
         let mut sequence = 1;
-        while !is_ended.load(Ordering::SeqCst) {
+        // Bounded, because a failed assertion does not set the flag.
+        let started = Instant::now();
+        while !is_ended.load(Ordering::SeqCst) && started.elapsed() < 2 * TEST_TIMEOUT {
             let from = *writes_from.lock().unwrap();
             let now = Instant::now();
             if from.is_none_or(|from| now >= from) {
@@ -95,7 +106,8 @@
 
 /// Sends requests to a gateway until the test ends.
 fn send_all(gateway: &Gateway, is_ended: &AtomicBool) {
-    while !is_ended.load(Ordering::SeqCst) {
+    let started = Instant::now();
+    while !is_ended.load(Ordering::SeqCst) && started.elapsed() < 2 * TEST_TIMEOUT {
         CallerRequest::default().send(gateway);
         std::thread::sleep(SEND_PAUSE);
     }
@@ -115,10 +127,7 @@
 #[test]
 fn an_upstream_that_returns_cold_gets_no_more_than_it_tolerates() {
     let upstream = Upstream::start();
-    let fleet = FleetSettings {
-        cold_tolerance: Some(TOLERANCE),
-        ..FleetSettings::default()
-    };
+    let fleet = fleet();
     let store = StoreStub::start();
     store.configure(&cold_configuration());
     let (is_ended, writes_from) = (AtomicBool::new(false), Mutex::new(None));
@@ -175,6 +184,80 @@
     assert!(cold.len() > TOLERATED, "only {} requests", cold.len());
 }
 
+/// Guards against a share of its own that a gateway takes if the coordinator does not reply, against a refusal without a
+/// time, and against an upstream that stays unused although the coordinator grants requests to it.
+#[test]
+fn without_proof_only_the_coordinator_lets_requests_through() {
+    let upstream = Upstream::start();
+    let store = StoreStub::start();
+    store.configure(&cold_configuration());
+    let entry = upstream.stub.entry("desk", "ready").to_string();
+    // Written once, before the gateway starts, so that its age is unknown.
+    store.put("keyed.servers", &upstream.stub.id, entry.as_bytes());
+    let coordinator = join_as_coordinator(&store);
+    let gateway = Gateway::start_in(&store, "edge-1", &fleet());
+    gateway.wait_ready();
+    wait_for("presence of the coordinator", || {
+        gateway.log_has("gateways", 2)
+    });
+
+    for _ in 0..3 {
+        let refused = CallerRequest::default().send(&gateway);
+        assert_eq!(refused.status(), 503);
+        assert!(refused.header("retry-after").is_some());
+    }
+    assert!(upstream.stub.requests().is_empty());
+
+    let is_ended = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| grant_requests(&coordinator, &is_ended, |_| {}));
+        wait_for("a request that was granted", || {
+            CallerRequest::default().send(&gateway).status() == 200
+        });
+        is_ended.store(true, Ordering::SeqCst);
+    });
+}
+
+/// Guards against a cold upstream that gets all requests because it looks faster than a warm one, and against one that
+/// gets none.
+#[test]
+fn a_warm_upstream_is_preferred_to_a_cold_one() {
+    /// Shorter than the cold time, which ends the preference.
+    const REQUESTS: usize = 30;
+    // Slower than what is expected of an upstream without any response.
+    let slow = UpstreamStub::start(|request, _| Action::Pause {
+        first: Vec::new(),
+        pause: Duration::from_millis(60),
+        rest: signed_response(request, 200, "ok"),
+    });
+    let warm = Upstream {
+        stub: slow,
+        arrivals: Arc::default(),
+    };
+    let cold = Upstream::start();
+    let store = StoreStub::start();
+    store.configure(&cold_configuration());
+    let (is_ended, no_crash) = (AtomicBool::new(false), Mutex::new(None));
+    std::thread::scope(|scope| {
+        scope.spawn(|| warm.write_entries(&store, &is_ended, &no_crash));
+        let entry = cold.stub.entry("desk", "ready").to_string();
+        store.put("keyed.servers", &cold.stub.id, entry.as_bytes());
+        let gateway = Gateway::start_in(&store, "edge-1", &fleet());
+        gateway.wait_ready();
+        wait_for("a request at the cold upstream", || {
+            CallerRequest::default().send(&gateway);
+            !cold.stub.requests().is_empty()
+        });
+        let before = cold.stub.requests().len();
+        for _ in 0..REQUESTS {
+            CallerRequest::default().send(&gateway);
+        }
+        is_ended.store(true, Ordering::SeqCst);
+        let at_cold = cold.stub.requests().len() - before;
+        assert!(2 * at_cold < REQUESTS, "{at_cold} at the cold upstream");
+    });
+}
+
 /// Guards against gateways that hold requests back although the settings do not call for it.
 #[test]
 fn without_a_tolerance_in_the_settings_no_upstream_counts_as_cold() {
@@ -213,6 +296,18 @@
     let cold = entry(&format!("{start},\"cold_left_ms\":1200.5}}"));
     assert_eq!(cold.cold_left_ms, 1_201);
 
+    for (text, expected) in [
+        ("1200.5", Some(1_201)),
+        ("0", Some(0)),
+        ("-1", None),
+        ("soon", None),
+    ] {
+        let mut fields = HeaderMap::new();
+        fields.insert("x-cold-ms", HeaderValue::from_static(text));
+        assert_eq!(headers::cold_left_ms(&fields), expected, "{text}");
+    }
+    assert_eq!(headers::cold_left_ms(&HeaderMap::new()), None);
+
     let template = std::fs::read_to_string("deploy/settings.yaml").expect("the template");
     for (overshoot, slack, tolerated) in [
         (None, None, None),
