--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -95,7 +95,6 @@
     let socket = match connected {
         Ok(socket) => socket,
         Err(error) => {
-            let reason = connect_failure(shared, &choice, &error);
             log::info!(
                 step = "attempt", request_id = call.meta.id.as_str(), upstream = choice.id.as_str();
                 "cannot take over the request: {error}"
