--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -790,6 +790,8 @@
     pub retry_slack: u64,
     /// Whether no gateway of the fleet has run before.
     pub is_first_start: bool,
+    /// Memory of the VM of the gateway, in MiB.
+    pub memory_mb: u64,
 }
 
 impl Default for FleetSettings {
@@ -798,6 +800,7 @@
             retry_ratio: 0.2,
             retry_slack: 1_000,
             is_first_start: false,
+            memory_mb: 100,
         }
     }
 }
@@ -833,7 +836,7 @@
                        "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0"},
             "store": {"address": store.address.to_string(), "partitions": 4,
                       "writes_per_s": 800, "reads_per_s": 2000},
-            "resources": {"memory_mb": 100, "descriptors": 1024, "processor_cores": 0.25,
+            "resources": {"memory_mb": fleet.memory_mb, "descriptors": 1024, "processor_cores": 0.25,
                           "link_mbps": 1000.0},
             "fleet": {"retry_ratio": fleet.retry_ratio, "retry_slack": fleet.retry_slack,
                       "retry_window_s": 10.0, "stop_grace_s": 8.0,
@@ -904,6 +907,11 @@
         assert_eq!(result, 0, "the signal is delivered");
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the most memory that the process has used so far, in KiB.
     pub fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
