--- a/examples/stub_upstream.rs
+++ b/examples/stub_upstream.rs
@@ -190,7 +190,7 @@
 
 impl Stub {
     async fn serve_request(&self, socket: &mut Socket) -> Result<(), ConnectionClosed> {
-        let request = Request::read(socket, LIMITS)
+        let request = Request::read(socket, LIMITS, |_| None)
             .await
             .map_err(|_| ConnectionClosed)?;
         let path = request.uri.path().to_owned();
--- a/src/upstream_client/chunked.rs
+++ b/src/chunked.rs
@@ -1,7 +1,7 @@
 //! Decoding of a chunked body in parts.
 //!
-//! The decoder of the HTTP library returns whole chunks and buffers lines of any length, so an upstream that sends a
-//! chunk extension or a trailer without end would fill the memory. This one passes data on as it arrives and bounds
+//! The decoder of the HTTP library returns whole chunks and buffers lines of any length, so a caller or an upstream that
+//! sends a chunk extension or a trailer without end would fill the memory. This one passes data on as it arrives and bounds
 //! every line.
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -30,7 +30,7 @@
 
 /// Result of one step of decoding.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Decoded {
+pub(crate) enum Decoded {
     /// Bytes of the body.
     Data(Bytes),
     /// More input is needed.
@@ -41,7 +41,7 @@
 
 /// Decoder of a chunked body.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ChunkedDecoder {
+pub(crate) struct ChunkedDecoder {
     state: State,
 }
 
@@ -51,7 +51,7 @@
     /// # Errors
     ///
     /// Returns what is invalid or too large.
-    pub(super) fn decode(&mut self, input: &mut BytesMut) -> Result<Decoded, &'static str> {
+    pub(crate) fn decode(&mut self, input: &mut BytesMut) -> Result<Decoded, &'static str> {
         loop {
             match self.state {
                 State::Size => match httparse::parse_chunk_size(input) {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -70,6 +70,7 @@
 use crate::event_loop;
 use crate::fleet_clock::FleetClock;
 use crate::holders::PeerMonitor;
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::notify::Notify;
 use crate::placement::{Placement, Prompt};
@@ -165,6 +166,8 @@
     random: RefCell<Pcg64Mcg>,
     open_requests: Cell<usize>,
     connections: Cell<usize>,
+    /// Memory for the requests of callers and for unread responses.
+    buffers: Rc<server::CallerBuffers>,
 }
 
 impl Shared {
@@ -231,6 +234,7 @@
 /// Returns an error if the event loop cannot be started, an address cannot be bound or the signal handlers cannot be
 /// registered.
 pub fn run(settings: Settings) -> Result<(), Error> {
+    memory::configure_allocator();
     event_loop::block_on(serve(settings))
         .map_err(|error| Error::Start("starting the event loop", error))?
 }
@@ -278,6 +282,7 @@
     monoio::spawn(budget::remote::send_outgoing(Rc::clone(&shared)));
     monoio::spawn(budget::serving::expire(Rc::clone(&shared)));
     monoio::spawn(run_housekeeping(Rc::clone(&shared)));
+    monoio::spawn(Rc::clone(&shared.buffers).run_housekeeping());
     shutdown::wait_and_drain(&shared, &mut signals).await;
     Ok(())
 }
@@ -288,7 +293,10 @@
     let store = StoreClient::new(&store.address, &settings.vm, store.partitions);
     let store = ObservedStore::new(store, started);
     let mut random = Pcg64Mcg::from_os_rng();
+    let metrics = Metrics::new();
+    let buffer_bytes = settings.resources.buffer_bytes();
     Shared {
+        buffers: server::CallerBuffers::new(buffer_bytes, metrics.clone()),
         router_id: random.random(),
         started,
         phase: Cell::new(Phase::Running),
@@ -317,7 +325,7 @@
         availability: RefCell::default(),
         rollouts: rollouts::Rollouts::default(),
         retries: RefCell::default(),
-        metrics: Metrics::new(),
+        metrics,
         random: RefCell::new(random),
         open_requests: Cell::new(0),
         connections: Cell::new(0),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -37,7 +37,7 @@
 pub(super) use exchange::Exchange;
 pub(super) use handover::{find_successor, hand_over, HandOver, Successor, SEARCH_INTERVAL};
 pub(super) use in_flight::InFlight;
-pub(super) use interrupt::Interrupt;
+pub(super) use interrupt::{Interrupt, WATCH_BYTES};
 
 /// Longest time for which a pooled connection may have been idle to carry a request that may run only once. If the
 /// upstream closed the connection unnoticed, it would be unknown whether such a request ran.
@@ -64,7 +64,7 @@
     /// Id of the upstream.
     pub(super) upstream: CompactString,
     /// The response; its body is still to be read.
-    pub(super) upstream_response: UpstreamResponse,
+    pub(super) upstream_response: Box<UpstreamResponse>,
     /// Whether the whole request was written, so that the connection can be reused.
     pub(super) is_reusable: bool,
 }
--- a/src/gateway/attempt/encode.rs
+++ b/src/gateway/attempt/encode.rs
@@ -7,9 +7,10 @@
 use crate::gateway::request::Call;
 use crate::gateway::Shared;
 use crate::platform::headers::{self, RouterFields};
+use crate::upstream_client::join_small_body;
 
-/// Encodes a request with the header fields that the gateway sets.
-pub(super) fn encode(shared: &Shared, call: &Call<'_>, target: &Target<'_>) -> Bytes {
+/// Encodes a request, with the header fields that the gateway sets, as parts to write one after the other.
+pub(super) fn encode(shared: &Shared, call: &Call<'_>, target: &Target<'_>) -> [Bytes; 2] {
     let request = call.request;
     let router_fields = RouterFields {
         upstream: target.id,
@@ -19,7 +20,7 @@
         last_event_id: target.last_event_id,
     };
     let fields = headers::upstream_request_fields(&request.headers, &router_fields);
-    let mut output = BytesMut::with_capacity(request.body.len() + 1_024);
+    let mut output = BytesMut::with_capacity(1_024);
     output.put_slice(request.method.as_str().as_bytes());
     output.put_u8(b' ');
     output.put_slice(call.request_target().as_bytes());
@@ -32,8 +33,7 @@
         output.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
     }
     output.put_slice(b"\r\n");
-    output.put_slice(&request.body);
-    output.freeze()
+    join_small_body(output, &request.body)
 }
 
 /// Appends header fields in wire format.
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -65,7 +65,7 @@
     call: &Call<'_>,
     (id, entry): (CompactString, UpstreamEntry),
     mut socket: Socket,
-    output: Bytes,
+    output: [Bytes; 2],
 ) -> HeadResult {
     let record_availability = |response: &UpstreamResponse| {
         let (status, fields) = (response.status(), response.headers());
@@ -94,7 +94,7 @@
         .record_activity(&id, shared.now_ms());
     Ok(StartedResponse {
         upstream: id,
-        upstream_response,
+        upstream_response: Box::new(upstream_response),
         is_reusable,
     })
 }
--- a/src/gateway/attempt/interrupt.rs
+++ b/src/gateway/attempt/interrupt.rs
@@ -9,6 +9,10 @@
 use crate::gateway::Shared;
 use crate::server::Socket;
 
+/// Bytes that are read from a caller to find out whether it has disconnected; the rest of what it sends stays in the
+/// kernel until its response is complete.
+pub(in crate::gateway) const WATCH_BYTES: usize = 1 << 10;
+
 /// Why a wait was interrupted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::gateway) enum Interrupt {
@@ -55,7 +59,7 @@
         match event {
             Event::Done(output) => return Ok(output),
             Event::Timer => return Err(Interrupt::Deadline),
-            Event::CallerReadable => match caller.try_fill() {
+            Event::CallerReadable => match caller.try_fill_up_to(WATCH_BYTES) {
                 Some(Ok(0) | Err(_)) => return Err(Interrupt::CallerGone),
                 Some(Ok(_)) => is_watching_caller = false,
                 None => {}
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -3,10 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monoio::net::{TcpListener, TcpStream};
+use compact_str::CompactString;
+use http::header::HOST;
+use monoio::net::TcpListener;
+use monoio_http::common::request::RequestHead;
 
 use super::request::{self, refusal_response};
 use super::Shared;
+use crate::platform::headers;
+use crate::refusal::Refusal;
 use crate::routing::CallerLimits;
 use crate::server::{Error, Request, RequestLimits, Socket};
 
@@ -19,6 +24,9 @@
 /// Memory budget of one connection: its request, and a response that waits for a slow reader.
 const CONNECTION_BYTES: u64 = 24 << 10;
 
+/// Time in which a caller must take a refusal of a request that it has not sent to its end.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval at which an idle connection checks whether the process is shutting down.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -30,8 +38,10 @@
     let limit = by_descriptors.min(by_memory) as usize;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if shared.connections.get() < limit => {
-                monoio::spawn(serve_connection(Rc::clone(&shared), stream));
+            Ok((stream, peer)) if has_place(&shared, limit) => {
+                let account = shared.buffers.open(peer.ip());
+                let socket = Socket::of_caller(stream, account);
+                monoio::spawn(serve_connection(Rc::clone(&shared), socket));
             }
             Ok(_) => shared.metrics.add("connections_rejected", 1),
             Err(error) => {
@@ -42,9 +52,13 @@
     }
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) {
+/// Returns whether a new connection may be served, if need be in the place of one without progress.
+fn has_place(shared: &Shared, limit: usize) -> bool {
+    shared.connections.get() < limit || shared.buffers.evict_connection()
+}
+
+async fn serve_connection(shared: Rc<Shared>, mut socket: Socket) {
     shared.connections.set(shared.connections.get() + 1);
-    let mut socket = Socket::new(stream);
     serve_requests(&shared, &mut socket).await;
     shared.connections.set(shared.connections.get() - 1);
 }
@@ -55,13 +69,15 @@
         if !wait_for_input(shared, socket).await {
             return;
         }
-        match Request::read(socket, request_limits(shared)).await {
+        let team_of = |head: &RequestHead| team_of(shared, head);
+        match Request::read(socket, request_limits(shared), team_of).await {
             Ok(request) => {
                 // The future of a request is large, so it is boxed: an idle connection does not hold it.
                 if !Box::pin(request::serve(shared, socket, &request)).await {
                     socket.linger_if_unread().await;
                     return;
                 }
+                socket.pause_if_pipelined().await;
             }
             Err(Error::Refused(refusal, message)) => {
                 log::info!(
@@ -70,10 +86,7 @@
                     "{message}"
                 );
                 shared.metrics.count_refusal(refusal);
-                let response = refusal_response(refusal, "", None, false);
-                if socket.write_all(response).await.is_ok() {
-                    socket.linger().await;
-                }
+                refuse_unread(socket, refusal).await;
                 return;
             }
             Err(Error::Closed) => return,
@@ -85,13 +98,44 @@
     }
 }
 
+/// Refuses a request that was not read to its end, before the connection is closed.
+async fn refuse_unread(socket: &mut Socket, refusal: Refusal) {
+    let account = socket.account().filter(|_| refusal == Refusal::BuffersFull);
+    let retry_after_ms = account.map(|account| account.retry_after_ms());
+    let response = refusal_response(refusal, "", retry_after_ms, false);
+    if socket.is_evicted() {
+        socket.close_evicted(response).await;
+        return;
+    }
+    socket.end_request();
+    let write = monoio::time::timeout(REFUSAL_TIMEOUT, socket.write_all(response));
+    if matches!(write.await, Ok(Ok(()))) {
+        socket.linger().await;
+    }
+}
+
+/// Returns the team of a request by its key, for its share of the buffer budget.
+fn team_of(shared: &Shared, head: &RequestHead) -> Option<CompactString> {
+    let table = shared.table.borrow();
+    let table = table.as_ref()?;
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = head.uri.host().or(host).unwrap_or_default();
+    let route = table.route(table.find_route(host, head.uri.path())?);
+    let key = headers::bearer_key(&head.headers);
+    let team = table.authenticate(route, key).ok()??;
+    Some(table.team(team).name.clone())
+}
+
 /// Waits for the first byte of the next request; returns whether it arrived.
 ///
 /// During a graceful shutdown an idle connection is closed only after the load balancer has had time to stop sending
 /// connections, because a request that is in transit while its connection is closed is lost. For the same reason a new
 /// configuration can only extend the idle timeout of a connection that is idle already; its caller may rely on either.
 async fn wait_for_input(shared: &Shared, socket: &mut Socket) -> bool {
-    socket.shrink();
+    socket.end_request();
+    let Some(account) = socket.account().cloned() else {
+        return false;
+    };
     let mut idle_ms = 0;
     let since_ms = shared.now_ms();
     while socket.input_len() == 0 {
@@ -100,10 +144,11 @@
             shared.metrics.add("idle_connections_closed", 1);
             return false;
         }
-        match monoio::time::timeout(SHUTDOWN_POLL_INTERVAL, socket.fill()).await {
-            Ok(Ok(1..)) => return true,
-            Ok(_) => return false,
-            Err(_) => {}
+        let input = monoio::time::timeout(SHUTDOWN_POLL_INTERVAL, socket.fill());
+        match account.run_until_evicted(input).await {
+            Some(Ok(Ok(1..))) => return true,
+            Some(Ok(_)) | None => return false,
+            Some(Err(_)) => {}
         }
     }
     true
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -154,7 +154,16 @@
 /// # Errors
 ///
 /// Returns the error of the connection, unless a response may be read.
-pub(super) async fn write_request(socket: &mut Socket, mut output: Bytes) -> std::io::Result<bool> {
+pub(super) async fn write_request(socket: &mut Socket, parts: [Bytes; 2]) -> std::io::Result<bool> {
+    for part in parts {
+        if !write_part(socket, part).await? {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+async fn write_part(socket: &mut Socket, mut output: Bytes) -> std::io::Result<bool> {
     while !output.is_empty() {
         match socket.try_write(&mut output) {
             Some(Ok(0)) => return Err(std::io::ErrorKind::WriteZero.into()),
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -17,13 +17,24 @@
     idle_timeout: Duration::from_secs(10),
 };
 
+/// Maximum number of concurrent connections to one address; further ones are closed at once.
+const MAX_CONNECTIONS: usize = 64;
+
 /// Accepts connections until the process ends.
 pub(super) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    // Each open connection holds a clone.
+    let connection_count = Rc::new(());
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(serve(Rc::clone(&shared), Socket::new(stream)));
+            Ok((stream, _)) if Rc::strong_count(&connection_count) <= MAX_CONNECTIONS => {
+                let shared = Rc::clone(&shared);
+                let connection_count = Rc::clone(&connection_count);
+                monoio::spawn(async move {
+                    serve(shared, Socket::new(stream)).await;
+                    drop(connection_count);
+                });
             }
+            Ok(_) => {}
             Err(error) => {
                 log::warn!(step = "accept probe"; "accepting a connection failed: {error}");
                 monoio::time::sleep(Duration::from_millis(10)).await;
@@ -33,7 +44,7 @@
 }
 
 async fn serve(shared: Rc<Shared>, mut socket: Socket) {
-    while let Ok(request) = Request::read(&mut socket, LIMITS).await {
+    while let Ok(request) = Request::read(&mut socket, LIMITS, |_| None).await {
         let (status, body) = match request.uri.path() {
             "/metrics" => (200, shared.metrics.render_prometheus()),
             _ if shared.is_ready() => (200, String::new()),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::{
     self, find_successor, hand_over, Attempts, Exchange, Failure, HandOver, InFlight, Interrupt,
-    StartedResponse, Successor, SEARCH_INTERVAL,
+    StartedResponse, Successor, SEARCH_INTERVAL, WATCH_BYTES,
 };
 use super::request::Call;
 use super::{crashes, Shared};
@@ -37,6 +37,10 @@
 /// Bytes that are read from an upstream at once.
 const READ_BYTES: usize = 16 << 10;
 
+/// Unread bytes of one response from which on they are accounted for, and bytes that are read at once while the buffer
+/// budget is nearly used up.
+const MIN_READ_BYTES: usize = 2 << 10;
+
 /// Time without a byte after which a resumable stream may move to another upstream; callers give up after 2 s.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -134,6 +138,8 @@
     first_event_ms: u64,
     response_events: u64,
     is_watching_caller: bool,
+    /// Whether the buffer budget contains the unread output.
+    accounts_for_output: bool,
     /// Time without a byte after which another upstream is sought.
     silence_timeout: Duration,
 }
@@ -175,6 +181,7 @@
         first_event_ms: 0,
         response_events: 0,
         is_watching_caller: caller.input_len() == 0,
+        accounts_for_output: false,
         silence_timeout: SILENCE_TIMEOUT,
     };
     relay.delivery.status = status;
@@ -434,14 +441,18 @@
             if is_ended && is_written {
                 return End::Complete;
             }
-            let can_read = !is_ended && self.queued.len() < MAX_BUFFERED_BYTES;
-            let silence = (may_move && can_read).then_some(self.silence_timeout);
+            let read_bytes = if is_ended {
+                0
+            } else {
+                self.read_permit_bytes(caller)
+            };
+            let silence = (may_move && read_bytes > 0).then_some(self.silence_timeout);
             let successor =
                 find_successor(self.shared, self.call, &attempts.tried, silence, || true);
             let event = wait(
                 caller,
                 response,
-                can_read,
+                read_bytes,
                 !is_written,
                 self.is_watching_caller,
                 successor,
@@ -462,7 +473,7 @@
                     return End::UpstreamLost(format_compact!("{error}"));
                 }
                 WaitEvent::Writable => {}
-                WaitEvent::CallerReadable => match caller.try_fill() {
+                WaitEvent::CallerReadable => match caller.try_fill_up_to(WATCH_BYTES) {
                     Some(Ok(0) | Err(_)) => return End::CallerGone,
                     Some(Ok(_)) => self.is_watching_caller = false,
                     None => {}
@@ -521,6 +532,34 @@
         Some(Response::Served { unit_ms })
     }
 
+    /// Returns how many bytes may be read from the upstream now; 0 until the caller has taken some of the output.
+    ///
+    /// Only output that a caller leaves unread is accounted for, so that fast readers cost nothing. A response that has
+    /// nothing unread goes on in small steps even if the budget is used up.
+    fn read_permit_bytes(&mut self, caller: &Socket) -> usize {
+        let unread_bytes = self.writing.len() + self.queued.len();
+        let Some(account) = caller.account() else {
+            return READ_BYTES;
+        };
+        if unread_bytes < MIN_READ_BYTES {
+            if std::mem::take(&mut self.accounts_for_output) {
+                account.hold_output(0);
+            }
+            return if account.is_scarce() {
+                MIN_READ_BYTES
+            } else {
+                READ_BYTES
+            };
+        }
+        self.accounts_for_output = true;
+        if unread_bytes < MAX_BUFFERED_BYTES && account.try_resize_output(unread_bytes + READ_BYTES)
+        {
+            return READ_BYTES;
+        }
+        account.hold_output(unread_bytes);
+        0
+    }
+
     /// Returns whether the stream may end here: after an event, and not before the first one.
     fn is_at_event_end(&self) -> bool {
         self.splitter.pending_bytes() == 0 && (self.has_event || self.last_event_id.is_some())
--- a/src/gateway/relay/wait.rs
+++ b/src/gateway/relay/wait.rs
@@ -4,7 +4,6 @@
 use std::pin::{pin, Pin};
 use std::task::Poll;
 
-use super::READ_BYTES;
 use crate::gateway::attempt::{StartedResponse, Successor};
 use crate::server::Socket;
 use crate::upstream_client::Error;
@@ -23,13 +22,13 @@
 pub(super) async fn wait(
     caller: &Socket,
     response: &mut StartedResponse,
-    can_read: bool,
+    read_bytes: usize,
     wants_write: bool,
     is_watching_caller: bool,
     successor: impl Future<Output = Box<Successor>>,
     mut deadline: Pin<&mut monoio::time::Sleep>,
 ) -> WaitEvent {
-    let mut received = pin!(response.upstream_response.receive(READ_BYTES));
+    let mut received = pin!(response.upstream_response.receive(read_bytes));
     let mut writable = pin!(caller.writable());
     let mut readable = pin!(caller.readable());
     let mut successor = pin!(successor);
@@ -38,7 +37,7 @@
         if deadline.as_mut().poll(context).is_ready() {
             return Poll::Ready(WaitEvent::Deadline);
         }
-        if can_read {
+        if read_bytes > 0 {
             if let Poll::Ready(result) = received.as_mut().poll(context) {
                 return Poll::Ready(WaitEvent::Received(result));
             }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
 use compact_str::{format_compact, CompactString};
@@ -27,6 +28,9 @@
 /// spread.
 const RETRY_AFTER_MS: u64 = 250;
 
+/// Time in which a caller must take a refusal. A caller that reads no responses would keep its connection forever.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A request with its route, team, service and deadline.
 pub(super) struct Call<'a> {
     pub(super) request: &'a Request,
@@ -372,7 +376,8 @@
     shared.metrics.count_refusal(refused.refusal);
     let keep_alive = shared.keeps_connection(request);
     let output = refusal_response(refused.refusal, id, refused.retry_after_ms, keep_alive);
-    caller.write_all(output).await.is_ok() && keep_alive
+    let write = monoio::time::timeout(REFUSAL_TIMEOUT, caller.write_all(output));
+    matches!(write.await, Ok(Ok(()))) && keep_alive
 }
 
 /// Encodes a refusal, which has no body.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -70,9 +70,23 @@
     pub processor_cores: f64,
     /// Bandwidth of the VM's network link, in Mbit/s.
     pub link_mbps: f64,
+    /// Part of the memory that holds requests of callers and responses that they have not read, in percent.
+    #[serde(default = "default_buffer_percent")]
+    pub buffer_percent: u64,
+}
+
+/// Returns the default of `buffer_percent`. The process itself and its connections take up to 27 MB, which leaves a
+/// margin on the smallest VMs, of 88 MB.
+fn default_buffer_percent() -> u64 {
+    50
 }
 
 impl Resources {
+    /// Returns the memory for requests of callers and for unread responses.
+    pub fn buffer_bytes(&self) -> usize {
+        ((self.memory_mb << 20) / 100 * self.buffer_percent) as usize
+    }
+
     /// Returns the capacity of the VM for the rights of teams, in thousandths of an ordinary one.
     ///
     /// A reservation costs some tens of microseconds and some hundred bytes, so the processor decides unless the link
@@ -144,6 +158,7 @@
     integer("descriptors", 256, 1 << 20, "descriptors"),
     number("processor_cores", 0.01, 1_024.0),
     number("link_mbps", 0.1, 1_000_000.0),
+    integer("buffer_percent", 10, 80, "percent").optional(),
 ]);
 
 const FLEET: Schema = Schema(&[
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -120,6 +120,12 @@
         counter.with_tag("code", refusal.code()).send();
     }
 
+    /// Counts a request that was refused, or a connection that was closed, for lack of memory.
+    pub fn count_buffer_refusal(&self, reason: &str) {
+        let counter = self.client.count_with_tags("buffer_refusals", 1);
+        counter.with_tag("reason", reason).send();
+    }
+
     /// Counts a bill and the tokens that it charges.
     pub fn count_bill(&self, charge_tokens: u64) {
         self.add("bills", 1);
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -38,6 +38,8 @@
     RequestTimeout,
     /// The process has reached its limit of connections.
     TooManyConnections,
+    /// The memory for requests is used up, or the request made no progress while others needed it.
+    BuffersFull,
     /// The idempotency key was used before with another body.
     KeyReused,
     /// The customer's budget cannot cover the request.
@@ -80,6 +82,7 @@
             Self::HeadersTooLarge => "headers_too_large",
             Self::RequestTimeout => "request_timeout",
             Self::TooManyConnections => "too_many_connections",
+            Self::BuffersFull => "buffers_full",
             Self::KeyReused => "key_reused",
             Self::BudgetExhausted => "budget_exhausted",
             Self::BudgetUnavailable => "budget_unavailable",
@@ -118,6 +121,7 @@
             | Self::BudgetUnavailable
             | Self::LogUnavailable
             | Self::TooManyConnections
+            | Self::BuffersFull
             | Self::ShuttingDown => 503,
             Self::TimedOut => 504,
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -36,6 +36,7 @@
 use crate::explain::DecisionHistory;
 use crate::fleet::{self, Fleet};
 use crate::ids::{CustomerKey, Fingerprint, RequestKey};
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
 use crate::rollout::Proposer;
@@ -103,6 +104,8 @@
     reported_crashes: RefCell<Quarantine>,
     crash_counts: crash_counts::CrashCounts,
     buffer_shares: RefCell<BufferShares>,
+    /// Memory for the requests of callers.
+    buffers: Rc<server::CallerBuffers>,
     /// Customers by the SHA-256 hash of a bearer key.
     api_keys: RefCell<FastMap<[u8; 32], CustomerKey>>,
     /// Keys of the open requests, each with the fingerprint and the number of open requests that use the key.
@@ -164,6 +167,7 @@
 /// Returns an error if the event loop cannot be started, an address cannot be bound, the signal handlers cannot be
 /// registered or the graceful shutdown does not complete.
 pub fn run(settings: Settings) -> Result<(), Error> {
+    memory::configure_allocator();
     event_loop::block_on(serve(settings))
         .map_err(|error| Error::Start("starting the event loop", error))?
 }
@@ -184,16 +188,20 @@
     monoio::spawn(events::handle_events(Rc::clone(&shared)));
     monoio::spawn(events::run_periodic_work(Rc::clone(&shared)));
     monoio::spawn(reports::poll(Rc::clone(&shared)));
+    monoio::spawn(Rc::clone(&shared.buffers).run_housekeeping());
     signals.next().await;
     shutdown::run(&shared, &mut signals).await
 }
 
 fn build_shared(settings: Settings, fleet: Fleet) -> Shared {
+    let metrics = Metrics::new();
+    let request_buffer_bytes = settings.limits.request_buffer_bytes();
     Shared {
+        buffers: server::CallerBuffers::new(request_buffer_bytes as usize, metrics.clone()),
         started: Instant::now(),
         phase: Cell::new(Phase::Starting),
         client: Client::default(),
-        metrics: Metrics::new(),
+        metrics,
         budget: Budget::new(fleet.clone()),
         claims: CallClaims::new(fleet.clone()),
         decisions: RefCell::default(),
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -37,7 +37,8 @@
 }
 
 async fn serve(shared: &Shared, mut socket: Socket) {
-    while let Ok(request) = Request::read(&mut socket, connection::request_limits(shared)).await {
+    let limits = connection::request_limits(shared);
+    while let Ok(request) = Request::read(&mut socket, limits, |_| None).await {
         let (status, content_type, body) = handle_request(shared, &request);
         let head = ResponseHead {
             status,
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -480,7 +480,7 @@
             .request
             .header("content-type")
             .unwrap_or("application/json"),
-        body: &call.request.body,
+        body: call.request.body.clone(),
         repeatable: call.is_repeatable(),
     };
     shared.client.send(&slot.address, &upstream_request).await
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -1,7 +1,8 @@
 //! Validation of a request before anything is reserved for it.
 
 use compact_str::{format_compact, CompactString};
-use http::Method;
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, Method};
 use sha2::{Digest, Sha256};
 
 use super::Shared;
@@ -187,17 +188,15 @@
 }
 
 fn authenticate(shared: &Shared, request: &Request) -> Result<CustomerKey, Refused> {
-    let bearer = request
-        .header("authorization")
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .ok_or_else(unauthorized)?;
+    customer_of(shared, &request.headers).ok_or_else(unauthorized)
+}
+
+/// Returns the customer whose bearer key the header fields contain.
+pub(super) fn customer_of(shared: &Shared, headers: &HeaderMap) -> Option<CustomerKey> {
+    let bearer = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let bearer = bearer.strip_prefix("Bearer ")?;
     let hash: [u8; 32] = Sha256::digest(bearer.trim().as_bytes()).into();
-    shared
-        .api_keys
-        .borrow()
-        .get(&hash)
-        .copied()
-        .ok_or_else(unauthorized)
+    shared.api_keys.borrow().get(&hash).copied()
 }
 
 fn unauthorized() -> Refused {
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -1,13 +1,17 @@
 //! Connections of callers, from accepting a connection to the last byte of each response.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use compact_str::CompactString;
 use monoio::net::{TcpListener, TcpStream};
+use monoio_http::common::request::RequestHead;
 
 use super::call::{Call, Refused};
 use super::response_writer::ResponseWriter;
-use super::{attempt, crash_counts, stream, Phase, Shared};
+use super::{attempt, call, crash_counts, stream, Phase, Shared};
 use crate::ids::RequestKey;
 use crate::refusal::Refusal;
 use crate::server::{error_body, Error, ErrorDetail, Request, RequestLimits, ResponseHead, Socket};
@@ -18,6 +22,9 @@
 /// Delay after a failed accept, for example because the process has no file descriptor left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// Time in which a caller must take a refusal of a request that it has not sent to its end.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Number of connections above the limit that get a refusal; further ones are closed without a response.
 const MAX_EXCESS_CONNECTIONS: u32 = 64;
 
@@ -25,7 +32,7 @@
 pub(super) async fn accept_callers(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => accept(&shared, stream),
+            Ok((stream, peer)) => accept(&shared, stream, peer.ip()),
             Err(error) => {
                 log::warn!(step = "accept"; "{error}");
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -34,24 +41,25 @@
     }
 }
 
-fn accept(shared: &Rc<Shared>, stream: TcpStream) {
+fn accept(shared: &Rc<Shared>, stream: TcpStream, address: IpAddr) {
     let limit = shared.settings.limits.connections;
     let open = shared.connections.get();
     if open >= limit.saturating_add(MAX_EXCESS_CONNECTIONS) {
         return;
     }
+    let has_place = open < limit || shared.buffers.evict_connection();
     shared.connections.set(open + 1);
+    let mut socket = Socket::of_caller(stream, shared.buffers.open(address));
     let shared = Rc::clone(shared);
-    let mut socket = Socket::new(stream);
     monoio::spawn(async move {
-        if open >= limit {
+        if has_place {
+            serve(&shared, socket).await;
+        } else {
             let refused = Refused::new(
                 Refusal::TooManyConnections,
                 "the router has as many connections as its limit allows",
             );
             send_refusal(&shared, &mut socket, &refused, None, false).await;
-        } else {
-            serve(&shared, socket).await;
         }
         shared.connections.set(shared.connections.get() - 1);
     });
@@ -61,15 +69,18 @@
 async fn serve(shared: &Rc<Shared>, socket: Socket) {
     let mut connection = Some(socket);
     while let Some(mut socket) = connection.take() {
-        match Request::read(&mut socket, request_limits(shared)).await {
+        socket.end_request();
+        let team_of = |head: &RequestHead| team_of(shared, head);
+        match Request::read(&mut socket, request_limits(shared), team_of).await {
             Ok(request) => {
                 // The future of a request is large. Boxed, it takes no memory while the connection waits for a request.
                 connection = Box::pin(handle_request(shared, socket, request)).await;
+                if let Some(socket) = &connection {
+                    socket.pause_if_pipelined().await;
+                }
             }
             Err(Error::Refused(refusal, message)) => {
-                let refused = Refused::new(refusal, message);
-                send_refusal(shared, &mut socket, &refused, None, false).await;
-                socket.linger().await;
+                refuse_unread(shared, &mut socket, Refused::new(refusal, message)).await;
             }
             Err(Error::Closed) => {}
             Err(Error::Io(error)) => log::debug!(step = "read request"; "{error}"),
@@ -77,6 +88,32 @@
     }
 }
 
+/// Refuses a request that was not read to its end, before the connection is closed.
+async fn refuse_unread(shared: &Shared, socket: &mut Socket, mut refused: Refused) {
+    let account = socket.account();
+    let account = account.filter(|_| refused.refusal == Refusal::BuffersFull);
+    refused.retry_after_ms = account.map(|account| account.retry_after_ms());
+    if socket.is_evicted() {
+        shared.metrics.count_refusal(refused.refusal);
+        let response = encode_refusal(&refused, None, false);
+        socket.close_evicted(response).await;
+        return;
+    }
+    socket.end_request();
+    let refuse = send_refusal(shared, socket, &refused, None, false);
+    if monoio::time::timeout(REFUSAL_TIMEOUT, refuse).await.is_ok() {
+        socket.linger().await;
+    }
+}
+
+/// Returns the customer of a request by its key, for its share of the buffer budget.
+fn team_of(shared: &Shared, head: &RequestHead) -> Option<CompactString> {
+    let customer = call::customer_of(shared, &head.headers)?;
+    let state = shared.fleet.state();
+    let in_force = state.contracts.get(&customer)?;
+    Some(in_force.contract.customer.clone())
+}
+
 pub(super) fn request_limits(shared: &Shared) -> RequestLimits {
     let limits = &shared.settings.limits;
     RequestLimits {
@@ -189,18 +226,8 @@
     }
 }
 
-/// Records and sends a refusal; gives up if the caller does not read it within the idle timeout.
-pub(super) async fn send_refusal(
-    shared: &Shared,
-    socket: &mut Socket,
-    refused: &Refused,
-    key: Option<RequestKey>,
-    keep_alive: bool,
-) {
-    shared.metrics.count_refusal(refused.refusal);
-    if let Some(key) = key {
-        shared.record_decision(key, refused.explanation());
-    }
+/// Encodes a refusal with its body.
+fn encode_refusal(refused: &Refused, key: Option<RequestKey>, keep_alive: bool) -> Bytes {
     let detail = ErrorDetail {
         message: &refused.message,
         retry_after_ms: refused.retry_after_ms,
@@ -212,11 +239,26 @@
         keep_alive,
         retry_after_s: refused.retry_after_ms.map(|ms| ms.div_ceil(1_000)),
     };
-    let output = head.with_body(&error_body(
+    head.with_body(&error_body(
         refused.refusal,
         refused.execution_status,
         &detail,
-    ));
+    ))
+}
+
+/// Records and sends a refusal; gives up if the caller does not read it within the idle timeout.
+pub(super) async fn send_refusal(
+    shared: &Shared,
+    socket: &mut Socket,
+    refused: &Refused,
+    key: Option<RequestKey>,
+    keep_alive: bool,
+) {
+    shared.metrics.count_refusal(refused.refusal);
+    if let Some(key) = key {
+        shared.record_decision(key, refused.explanation());
+    }
+    let output = encode_refusal(refused, key, keep_alive);
     let write = socket.write_all(output);
     // A failure means that the caller has disconnected or does not read.
     let _ = monoio::time::timeout(shared.reader_idle_timeout(), write).await;
--- a/src/server.rs
+++ b/src/server.rs
@@ -4,11 +4,13 @@
 //! has no limit on the size of a head or body and keeps two 8 KiB buffers for each connection, which exceeds the memory
 //! target for open streams. See `docs/design.md`, section 5.
 
+mod buffers;
 mod chat;
 mod request;
 mod response;
 mod socket;
 
+pub use buffers::{BufferAccount, CallerBuffers};
 pub use chat::ChatRequest;
 pub use request::{Error, Request, RequestLimits};
 pub use response::{error_body, ErrorDetail, ResponseHead};
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -3,18 +3,24 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use compact_str::CompactString;
 use http::header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Uri, Version};
 use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, RequestHeadDecoder};
+use monoio_http::common::request::RequestHead;
+use monoio_http::h1::codec::decoder::RequestHeadDecoder;
 use quick_error::quick_error;
 
 use super::Socket;
+use crate::chunked::{ChunkedDecoder, Decoded as DecodedChunk};
 use crate::refusal::Refusal;
 
-/// Maximum number of buffered bytes of a chunked body in excess of the size limit, for chunk sizes and line ends.
-const CHUNK_OVERHEAD_BYTES: usize = 64 << 10;
+/// Smallest growth of the memory of a body; larger bodies grow by a quarter.
+const BODY_GROWTH_BYTES: usize = 16 << 10;
+
+/// Memory of a request beyond the bytes of its head and body: parsed header fields and the state of its attempts.
+const REQUEST_OVERHEAD_BYTES: usize = 8 << 10;
 
 /// Limits on a request and its connection.
 #[derive(Clone, Copy, Debug)]
@@ -69,23 +75,24 @@
 impl Request {
     /// Reads the next request of a connection.
     ///
+    /// `team_of` returns the team of a request with a body, by which the buffer budget is shared.
+    ///
     /// # Errors
     ///
-    /// Returns the refusal to send if the request is invalid, too large or too slow, or another error if the connection
-    /// ended.
-    pub async fn read(socket: &mut Socket, limits: RequestLimits) -> Result<Self, Error> {
-        if socket.input().is_empty() {
-            socket.shrink();
-            match monoio::time::timeout(limits.idle_timeout, socket.fill()).await {
-                Err(_) | Ok(Ok(0)) => return Err(Error::Closed),
-                Ok(result) => result?,
-            };
-        }
-        let request = read_request(socket, limits);
-        match monoio::time::timeout(limits.read_timeout, request).await {
-            Ok(result) => result,
-            Err(_) => Err(too_slow()),
-        }
+    /// Returns the refusal to send if the request is invalid, too large or too slow, or if there is no memory for it, or
+    /// another error if the connection ended.
+    pub async fn read(
+        socket: &mut Socket,
+        limits: RequestLimits,
+        team_of: impl Fn(&RequestHead) -> Option<CompactString>,
+    ) -> Result<Self, Error> {
+        let Some(account) = socket.account().cloned() else {
+            return read_next(socket, limits, team_of).await;
+        };
+        account
+            .run_until_evicted(read_next(socket, limits, team_of))
+            .await
+            .unwrap_or_else(|| Err(evicted()))
     }
 
     /// Returns the value of a header, if it is present and consists of visible ASCII characters.
@@ -94,9 +101,36 @@
     }
 }
 
-async fn read_request(socket: &mut Socket, limits: RequestLimits) -> Result<Request, Error> {
+/// Waits for a request and reads it.
+async fn read_next(
+    socket: &mut Socket,
+    limits: RequestLimits,
+    team_of: impl Fn(&RequestHead) -> Option<CompactString>,
+) -> Result<Request, Error> {
+    if socket.input().is_empty() {
+        socket.shrink();
+        match monoio::time::timeout(limits.idle_timeout, socket.fill()).await {
+            Err(_) | Ok(Ok(0)) => return Err(Error::Closed),
+            Ok(result) => result?,
+        };
+    }
+    if let Some(account) = socket.account() {
+        account.begin_request();
+    }
+    let request = read_request(socket, limits, team_of);
+    match monoio::time::timeout(limits.read_timeout, request).await {
+        Ok(result) => result,
+        Err(_) => Err(too_slow()),
+    }
+}
+
+async fn read_request(
+    socket: &mut Socket,
+    limits: RequestLimits,
+    team_of: impl Fn(&RequestHead) -> Option<CompactString>,
+) -> Result<Request, Error> {
     let head = read_head(socket, limits.head_bytes);
-    let head = match monoio::time::timeout(limits.head_timeout, head).await {
+    let (head, head_bytes) = match monoio::time::timeout(limits.head_timeout, head).await {
         Ok(result) => result?,
         Err(_) => return Err(too_slow()),
     };
@@ -104,15 +138,26 @@
     if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
         return Err(body_too_large());
     }
-    if head.headers.contains_key(EXPECT) && !matches!(framing, Framing::Length(0)) {
-        socket
-            .write_all(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))
-            .await?;
+    if let (Some(account), false) = (socket.account(), matches!(framing, Framing::Length(0))) {
+        account.set_team(team_of(&head));
+    }
+    let mut body = Body::new(head_bytes + REQUEST_OVERHEAD_BYTES);
+    match framing {
+        Framing::Length(0) => {}
+        Framing::Length(length) => {
+            check_declared(socket, length)?;
+            send_continue(socket, &head).await?;
+            body.read_fixed(socket, length).await?;
+        }
+        Framing::Chunked => {
+            send_continue(socket, &head).await?;
+            body.read_chunked(socket, limits.body_bytes).await?;
+        }
+    }
+    let body = body.finish(socket)?;
+    if let Some(account) = socket.account() {
+        account.begin_serving();
     }
-    let body = match framing {
-        Framing::Length(length) => read_fixed(socket, length).await?,
-        Framing::Chunked => read_chunked(socket, limits.body_bytes).await?,
-    };
     let keep_alive = keeps_alive(head.version, &head.headers);
     Ok(Request {
         method: head.method,
@@ -123,10 +168,36 @@
     })
 }
 
-async fn read_head(
-    socket: &mut Socket,
-    limit_bytes: usize,
-) -> Result<monoio_http::common::request::RequestHead, Error> {
+/// Refuses a declared body that does not fit now, before the caller sends it.
+fn check_declared(socket: &Socket, length: usize) -> Result<(), Error> {
+    let checked = socket
+        .account()
+        .map(|account| account.check_declared(length));
+    checked.unwrap_or(Ok(())).map_err(|_| buffers_full())
+}
+
+async fn send_continue(socket: &mut Socket, head: &RequestHead) -> Result<(), Error> {
+    if head.headers.contains_key(EXPECT) {
+        let interim = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
+        socket.write_all(interim).await?;
+    }
+    Ok(())
+}
+
+/// Reads more input, and accounts for it together with what else the request holds.
+async fn fill(socket: &mut Socket, held_bytes: usize) -> Result<usize, Error> {
+    let count = socket.fill().await?;
+    let input_bytes = socket.input_capacity();
+    if let Some(account) = socket.account() {
+        account.record_received(count);
+        account
+            .resize_input(held_bytes + input_bytes)
+            .map_err(|_| buffers_full())?;
+    }
+    Ok(count)
+}
+
+async fn read_head(socket: &mut Socket, limit_bytes: usize) -> Result<(RequestHead, usize), Error> {
     let mut decoder = RequestHeadDecoder;
     loop {
         let received_bytes = socket.input().len();
@@ -135,12 +206,12 @@
             Ok(Decoded::Some(_)) if received_bytes - socket.input().len() > limit_bytes => {
                 return Err(head_too_large());
             }
-            Ok(Decoded::Some(head)) => return Ok(head),
+            Ok(Decoded::Some(head)) => return Ok((head, received_bytes - socket.input().len())),
             Ok(_) if received_bytes > limit_bytes => return Err(head_too_large()),
             Ok(_) => {}
             Err(_) => return Err(bad_request("the request head is not valid HTTP/1.1")),
         }
-        if socket.fill().await? == 0 {
+        if fill(socket, 0).await? == 0 {
             return Err(bad_request("the request head is truncated"));
         }
     }
@@ -183,38 +254,90 @@
     }
 }
 
-async fn read_fixed(socket: &mut Socket, length: usize) -> Result<Bytes, Error> {
-    while socket.input().len() < length {
-        if socket.fill().await? == 0 {
-            return Err(truncated());
+/// A body that is being received.
+///
+/// Its memory grows with the bytes that have arrived, in steps that the buffer budget has to allow before. Chunks are
+/// copied, because each would keep the buffer alive that it was received in.
+struct Body {
+    bytes: Vec<u8>,
+    /// What the request holds beside the body.
+    head_bytes: usize,
+}
+
+impl Body {
+    fn new(head_bytes: usize) -> Self {
+        Self {
+            bytes: Vec::new(),
+            head_bytes,
         }
     }
-    Ok(socket.input().split_to(length).freeze())
-}
 
-async fn read_chunked(socket: &mut Socket, limit_bytes: usize) -> Result<Bytes, Error> {
-    let mut decoder = ChunkedBodyDecoder::default();
-    let mut body = BytesMut::new();
-    loop {
-        match decoder.decode(socket.input()) {
-            Ok(Decoded::Some(None)) => return Ok(body.freeze()),
-            Ok(Decoded::Some(Some(chunk))) => {
-                if body.len() + chunk.len() > limit_bytes {
+    async fn read_fixed(&mut self, socket: &mut Socket, length: usize) -> Result<(), Error> {
+        loop {
+            let left = length - self.bytes.len();
+            let count = left.min(socket.input_len());
+            let part = socket.input().split_to(count);
+            self.push(socket, &part, length)?;
+            if count == left {
+                return Ok(());
+            }
+            self.fill(socket).await?;
+        }
+    }
+
+    async fn read_chunked(&mut self, socket: &mut Socket, limit: usize) -> Result<(), Error> {
+        let mut decoder = ChunkedDecoder::default();
+        loop {
+            match decoder.decode(socket.input()) {
+                Ok(DecodedChunk::Ended) => return Ok(()),
+                Ok(DecodedChunk::Data(part)) if self.bytes.len() + part.len() > limit => {
                     return Err(body_too_large());
                 }
-                body.extend_from_slice(&chunk);
-                continue;
-            }
-            Ok(_) if socket.input().len() > limit_bytes + CHUNK_OVERHEAD_BYTES => {
-                return Err(body_too_large());
+                Ok(DecodedChunk::Data(part)) => self.push(socket, &part, limit)?,
+                Ok(DecodedChunk::NeedsInput) => self.fill(socket).await?,
+                Err(_) => return Err(bad_request("the chunked body is not valid")),
             }
-            Ok(_) => {}
-            Err(_) => return Err(bad_request("the chunked body is not valid")),
         }
-        if socket.fill().await? == 0 {
-            return Err(truncated());
+    }
+
+    async fn fill(&self, socket: &mut Socket) -> Result<(), Error> {
+        // An empty buffer is released, so that it is not kept beside the next one.
+        socket.shrink();
+        let held_bytes = self.head_bytes + self.bytes.capacity();
+        match fill(socket, held_bytes).await? {
+            0 => Err(truncated()),
+            _ => Ok(()),
         }
     }
+
+    /// Appends a part of the body, which has at most `limit` bytes.
+    fn push(&mut self, socket: &Socket, part: &[u8], limit: usize) -> Result<(), Error> {
+        let needed = self.bytes.len() + part.len();
+        let capacity = self.bytes.capacity();
+        if needed > capacity {
+            let growth = BODY_GROWTH_BYTES.max(capacity / 4);
+            let wanted = (capacity + growth).min(limit).max(needed);
+            self.account_for(socket, wanted)?;
+            self.bytes.reserve_exact(wanted - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(part);
+        Ok(())
+    }
+
+    /// Returns the body in an allocation of its size.
+    fn finish(mut self, socket: &Socket) -> Result<Bytes, Error> {
+        self.bytes.shrink_to_fit();
+        self.account_for(socket, self.bytes.capacity())?;
+        Ok(self.bytes.into())
+    }
+
+    fn account_for(&self, socket: &Socket, body_bytes: usize) -> Result<(), Error> {
+        let Some(account) = socket.account() else {
+            return Ok(());
+        };
+        let held_bytes = self.head_bytes + socket.input_capacity() + body_bytes;
+        account.resize_input(held_bytes).map_err(|_| buffers_full())
+    }
 }
 
 fn keeps_alive(version: Version, headers: &HeaderMap) -> bool {
@@ -254,6 +377,17 @@
     )
 }
 
+fn buffers_full() -> Error {
+    Error::Refused(Refusal::BuffersFull, "the memory for requests is used up")
+}
+
+fn evicted() -> Error {
+    Error::Refused(
+        Refusal::BuffersFull,
+        "the request made no progress while others needed its place",
+    )
+}
+
 fn truncated() -> Error {
     bad_request("the request body is truncated")
 }
--- a/src/server/socket.rs
+++ b/src/server/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with an input buffer and non-blocking reads and writes.
 
 use std::io;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -8,9 +9,21 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRent};
 use monoio::net::TcpStream;
 
+use super::BufferAccount;
+
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 << 10;
 
+/// Number of reads after which input that arrives without pause is set aside for [`TURN_PAUSE`].
+const READS_PER_TURN: u32 = 8;
+
+/// Time within which that many reads count as being without pause: at 512 Mbit/s, above the links of gateways.
+const TURN_TIME: Duration = Duration::from_millis(2);
+
+/// Pause of such input. The event loop processes timers and other connections only when no task is ready, which would
+/// never happen beside peers that send faster than their input is processed.
+const TURN_PAUSE: Duration = Duration::from_millis(1);
+
 /// Time limit for discarding input after an early refusal.
 ///
 /// Closing a socket with unread input resets the connection, and the caller might not receive the response.
@@ -27,6 +40,11 @@
 pub struct Socket {
     stream: TcpStream,
     input: BytesMut,
+    /// Share of the buffer budget; `None` for connections that are no caller's.
+    account: Option<Rc<BufferAccount>>,
+    /// Reads without waiting in this turn, and its start.
+    turn_reads: u32,
+    turn_started: Instant,
 }
 
 impl Socket {
@@ -37,9 +55,25 @@
         Self {
             stream,
             input: BytesMut::new(),
+            account: None,
+            turn_reads: 0,
+            turn_started: Instant::now(),
+        }
+    }
+
+    /// Wraps the connection of a caller, which draws on the buffer budget.
+    pub fn of_caller(stream: TcpStream, account: BufferAccount) -> Self {
+        Self {
+            account: Some(Rc::new(account)),
+            ..Self::new(stream)
         }
     }
 
+    /// Returns the share of the buffer budget of a caller's connection.
+    pub fn account(&self) -> Option<&Rc<BufferAccount>> {
+        self.account.as_ref()
+    }
+
     /// Returns the input that was read and not yet consumed.
     pub fn input(&mut self) -> &mut BytesMut {
         &mut self.input
@@ -50,6 +84,26 @@
         self.input.len()
     }
 
+    /// Returns whether the connection has lost its place to another caller.
+    pub fn is_evicted(&self) -> bool {
+        self.account
+            .as_ref()
+            .is_some_and(|account| account.is_evicted())
+    }
+
+    /// Releases what the last request held.
+    pub fn end_request(&mut self) {
+        self.shrink();
+        if let Some(account) = &self.account {
+            account.end_request();
+        }
+    }
+
+    /// Returns the memory of the input buffer.
+    pub(super) fn input_capacity(&self) -> usize {
+        self.input.capacity()
+    }
+
     /// Releases the memory of the input buffer if it is empty.
     pub fn shrink(&mut self) {
         if self.input.is_empty() {
@@ -87,14 +141,35 @@
     ///
     /// Returns an error if the connection fails.
     pub async fn fill_up_to(&mut self, limit_bytes: usize) -> io::Result<usize> {
+        if self.account.is_some() && self.turn_reads >= READS_PER_TURN {
+            if self.turn_started.elapsed() < TURN_TIME {
+                monoio::time::sleep(TURN_PAUSE).await;
+            }
+            self.begin_turn();
+        }
+        self.turn_reads += 1;
         loop {
             if let Some(result) = self.try_fill_up_to(limit_bytes) {
                 return result;
             }
             self.readable().await?;
+            self.begin_turn();
+        }
+    }
+
+    /// Lets the event loop turn if the caller has sent its next request already. Requests that are refused at once would
+    /// otherwise keep it from all other connections.
+    pub async fn pause_if_pipelined(&self) {
+        if !self.input.is_empty() {
+            monoio::time::sleep(TURN_PAUSE).await;
         }
     }
 
+    fn begin_turn(&mut self) {
+        self.turn_reads = 0;
+        self.turn_started = Instant::now();
+    }
+
     /// Waits until a read may return data or the end of the stream.
     ///
     /// # Errors
@@ -149,6 +224,13 @@
         let _ = self.stream.shutdown().await;
     }
 
+    /// Sends the last response to a caller that has lost its place, without waiting for it to read. Such a caller sends
+    /// nothing, so there is no input to discard.
+    pub async fn close_evicted(&mut self, response: impl Into<Bytes>) {
+        let _ = self.try_write(&mut response.into());
+        self.shutdown().await;
+    }
+
     /// Calls [`Socket::linger`] if there is unconsumed input.
     pub async fn linger_if_unread(&mut self) {
         if !self.input.is_empty() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -73,10 +73,25 @@
     pub reader_idle_timeout_ms: u64,
     /// Memory of the whole process for response data that callers have not read yet.
     pub reader_buffer_bytes: u64,
+    /// Memory of the whole process for requests; the default is [`Limits::request_buffer_bytes`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request_buffer_bytes: Option<u64>,
     /// Time limit of a graceful shutdown.
     pub shutdown_timeout_ms: u64,
 }
 
+/// Default memory of the whole process for requests.
+const REQUEST_BUFFER_BYTES: u64 = 64 << 20;
+
+impl Limits {
+    /// Returns the memory of the whole process for requests: 64 MiB if none is set, or twice the largest body if that is
+    /// more, so that one customer's share holds a body.
+    pub fn request_buffer_bytes(&self) -> u64 {
+        let default = REQUEST_BUFFER_BYTES.max(2 * self.body_bytes);
+        self.request_buffer_bytes.unwrap_or(default)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -86,6 +101,7 @@
             request_read_timeout_ms: 10_000,
             reader_idle_timeout_ms: 120_000,
             reader_buffer_bytes: 48 << 20,
+            request_buffer_bytes: None,
             shutdown_timeout_ms: 120_000,
         }
     }
--- a/src/settings/rules.rs
+++ b/src/settings/rules.rs
@@ -20,6 +20,12 @@
 /// Smallest and largest memory for responses, in bytes; less than the minimum cannot hold one event of each priority.
 const READER_BUFFER_BYTES: (u64, u64) = (64 << 10, 16 << 30);
 
+/// Smallest and largest memory for requests, in bytes; less than the minimum cannot hold two heads of the usual limit.
+const REQUEST_BUFFER_BYTES: (u64, u64) = (64 << 10, 16 << 30);
+
+/// Number of largest bodies that the memory for requests must hold. A customer's share is smaller than the whole.
+const BODIES_IN_REQUEST_BUFFER: u64 = 2;
+
 const SETTINGS: Schema = Schema(&[
     field("vm", FieldType::Name),
     field("data_centre", FieldType::Name),
@@ -60,6 +66,11 @@
         READER_BUFFER_BYTES.0,
         READER_BUFFER_BYTES.1,
     ),
+    bytes(
+        "request_buffer_bytes",
+        REQUEST_BUFFER_BYTES.0,
+        REQUEST_BUFFER_BYTES.1,
+    ),
     timeout("shutdown_timeout_ms"),
 ]);
 
@@ -118,6 +129,7 @@
     fn check_relations(value: &Value, problems: &mut ProblemCollector) {
         check_listen(value, problems);
         check_shutdown(value, problems);
+        check_request_buffer(value, problems);
         check_timing(value, problems);
     }
 }
@@ -170,6 +182,26 @@
     }
 }
 
+/// Rejects memory for requests that the share of one customer of it could not hold a body of the largest size in.
+fn check_request_buffer(value: &Value, problems: &mut ProblemCollector) {
+    let Some(limits) = value.get("limits") else {
+        return;
+    };
+    let limits = Section::new("limits", limits, serde_json::to_value(Limits::default()));
+    let sizes = (limits.get("request_buffer_bytes"), limits.get("body_bytes"));
+    let (Some(buffer_bytes), Some(body_bytes)) = sizes else {
+        return;
+    };
+    let least_bytes = body_bytes.saturating_mul(BODIES_IN_REQUEST_BUFFER);
+    if buffer_bytes < least_bytes {
+        problems.add(
+            "limits.request_buffer_bytes",
+            &buffer_bytes.into(),
+            format!("at least {least_bytes}, twice body_bytes, so that a share holds a body"),
+        );
+    }
+}
+
 /// Rejects intervals with which a healthy process would be considered dead, or an incarnation would end too early.
 fn check_timing(value: &Value, problems: &mut ProblemCollector) {
     let Some(timing) = value.get("timing") else {
--- a/src/upstream_client.rs
+++ b/src/upstream_client.rs
@@ -4,12 +4,12 @@
 //! request may have reached the upstream, because only a request that was never sent may be reported as not run. See
 //! `docs/design.md`, section 5.
 
-mod chunked;
 mod client;
 mod engine_api;
 mod response;
 mod sse;
 
+pub(crate) use client::join_small_body;
 pub use client::{Client, UpstreamRequest};
 pub use engine_api::{CacheEvent, CacheEventPage, EngineLoad, OrderRequest, OrderResponse};
 pub use response::UpstreamResponse;
--- a/src/upstream_client/client.rs
+++ b/src/upstream_client/client.rs
@@ -16,6 +16,9 @@
 /// Maximum number of idle connections that are kept for one address.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
+/// Largest body that is copied behind its head.
+const MAX_JOINED_BODY_BYTES: usize = 16 << 10;
+
 /// Time limit for connecting; the round-trip time to an upstream is at most a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -36,7 +39,7 @@
     /// Media type of the body.
     pub content_type: &'a str,
     /// Body; empty if there is none.
-    pub body: &'a [u8],
+    pub body: Bytes,
     /// Whether the request may run more than once. If not, it is only sent on a new connection, because a reused one
     /// may fail after the request was sent.
     pub repeatable: bool,
@@ -51,13 +54,14 @@
             key: None,
             priority: None,
             content_type: "application/json",
-            body: b"",
+            body: Bytes::new(),
             repeatable: true,
         }
     }
 
-    fn encode(&self, address: SocketAddr) -> Bytes {
-        let mut output = BytesMut::with_capacity(self.body.len() + 256);
+    /// Encodes the request as parts to write one after the other.
+    fn encode(&self, address: SocketAddr) -> [Bytes; 2] {
+        let mut output = BytesMut::with_capacity(256);
         // Writing to a growable buffer cannot fail.
         let _ = write!(
             output,
@@ -74,9 +78,19 @@
             let _ = write!(output, "x-priority: {priority}\r\n");
         }
         output.put_slice(b"\r\n");
-        output.put_slice(self.body);
-        output.freeze()
+        join_small_body(output, &self.body)
+    }
+}
+
+/// Returns a head and a body as parts to write; a small body is appended to the head, so that both leave in one segment.
+///
+/// A large body is not copied, because its bytes would be held twice until the upstream has read them.
+pub(crate) fn join_small_body(mut head: BytesMut, body: &Bytes) -> [Bytes; 2] {
+    if body.len() > MAX_JOINED_BODY_BYTES {
+        return [head.freeze(), body.clone()];
     }
+    head.put_slice(body);
+    [head.freeze(), Bytes::new()]
 }
 
 /// HTTP client with a pool of idle connections for each address.
@@ -103,7 +117,7 @@
         let mut may_have_run = false;
         if request.repeatable {
             while let Some(mut socket) = self.take_idle(target) {
-                if socket.write_all(output.clone()).await.is_err() {
+                if write_parts(&mut socket, &output).await.is_err() {
                     continue;
                 }
                 match UpstreamResponse::read_head(socket, address).await {
@@ -124,8 +138,7 @@
             }
             connected => connected?,
         };
-        socket
-            .write_all(output)
+        write_parts(&mut socket, &output)
             .await
             .map_err(|error| Error::Broken("sending", address.into(), error.to_string()))?;
         UpstreamResponse::read_head(socket, address)
@@ -227,6 +240,13 @@
     }
 }
 
+async fn write_parts(socket: &mut Socket, parts: &[Bytes]) -> std::io::Result<()> {
+    for part in parts {
+        socket.write_all(part.clone()).await?;
+    }
+    Ok(())
+}
+
 async fn connect(target: SocketAddr, address: &str) -> Result<Socket, Error> {
     match monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(target)).await {
         Ok(Ok(stream)) => Ok(Socket::new(stream)),
--- a/src/upstream_client/engine_api.rs
+++ b/src/upstream_client/engine_api.rs
@@ -99,7 +99,7 @@
         let body = serde_json::to_vec(order).unwrap_or_default();
         let request = UpstreamRequest {
             method: "POST",
-            body: &body,
+            body: body.into(),
             ..UpstreamRequest::get("/v1/orders")
         };
         self.fetch_json(address, &request).await
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -6,8 +6,8 @@
 use monoio_http::common::response::ResponseHead;
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 
-use super::chunked::{self, ChunkedDecoder};
 use super::Error;
+use crate::chunked::{self, ChunkedDecoder};
 use crate::server::Socket;
 
 /// Maximum size of the head of a response.
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -115,6 +115,11 @@
             "reader_idle_timeout_ms: 600000",
             "limits.reader_idle_timeout_ms: 600000 is not allowed; expected at most shutdown_timeout_ms, 120000, so that a graceful shutdown cuts no request off".into(),
         ),
+        (
+            "shutdown_timeout_ms: 120000",
+            "request_buffer_bytes: 2097151",
+            "limits.request_buffer_bytes: 2097151 is not allowed; expected at least 2097152, twice body_bytes, so that a share holds a body".into(),
+        ),
         (
             "limits:",
             "timing: {heartbeat_timeout_ms: 500}\nlimits:",
@@ -124,7 +129,8 @@
             "limits: {body_bytes: 1048576, request_read_timeout_ms: 10000, shutdown_timeout_ms: 120000}",
             "limits: [1]",
             "limits: [1] is not allowed; expected an object with body_bytes, head_bytes, connections, \
-             request_read_timeout_ms, reader_idle_timeout_ms, reader_buffer_bytes, shutdown_timeout_ms"
+             request_read_timeout_ms, reader_idle_timeout_ms, reader_buffer_bytes, request_buffer_bytes, \
+             shutdown_timeout_ms"
                 .into(),
         ),
     ];
