--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -795,6 +795,8 @@
     pub is_first_start: bool,
     /// Factor and requests by which the rate of a cold upstream may be exceeded.
     pub cold_tolerance: Option<(f64, f64)>,
+    /// Memory of the VM of the gateway, in MiB.
+    pub memory_mb: u64,
 }
 
 impl Default for FleetSettings {
@@ -804,6 +806,7 @@
             retry_slack: 1_000,
             is_first_start: false,
             cold_tolerance: None,
+            memory_mb: 100,
         }
     }
 }
@@ -839,7 +842,7 @@
                        "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0"},
             "store": {"address": store.address.to_string(), "partitions": 4,
                       "writes_per_s": 800, "reads_per_s": 2000},
-            "resources": {"memory_mb": 100, "descriptors": 1024, "processor_cores": 0.25,
+            "resources": {"memory_mb": fleet.memory_mb, "descriptors": 1024, "processor_cores": 0.25,
                           "link_mbps": 1000.0},
             "fleet": {"retry_ratio": fleet.retry_ratio, "retry_slack": fleet.retry_slack,
                       "retry_window_s": 10.0, "stop_grace_s": 8.0,
@@ -914,6 +917,11 @@
         assert_eq!(result, 0, "the signal is delivered");
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the most memory that the process has used so far, in KiB.
     pub fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
