--- a/src/chunked.rs
+++ b/src/chunked.rs
@@ -1,8 +1,8 @@
 //! Decoding of a chunked body in parts.
 //!
 //! The decoder of the HTTP library returns whole chunks and buffers lines of any length, so a caller or an upstream that
-//! sends a chunk extension or a trailer without end would fill the memory. This one passes data on as it arrives and bounds
-//! every line.
+//! sends a chunk extension or a trailer without end would fill the memory. This one passes data on as it arrives and
+//! bounds every line.
 
 use bytes::{Buf, Bytes, BytesMut};
 
