Keep callers away while connects are slow, and let restarted coordinators grant

After a loss of all gateways no coordinator of cold upstreams granted a request for 9 s, and 9,312 requests were refused. Change: while the connects signal holds, a gateway is not ready and closes its connections after their responses, as before, if others can take its callers. The predecessor of a coordinator that starts again on its VM is the ended process there, so it grants after one window.

--- a/src/congestion.rs
+++ b/src/congestion.rs
@@ -193,6 +193,8 @@
     dispatch_delay: SmoothedSignal,
     queued: SmoothedSignal,
     withdrawal: Withdrawal,
+    /// Whether other routers can take callers, by the last decision.
+    can_move_callers: bool,
     /// Whether the VM counted as congested at the last decision.
     was_congested: bool,
     /// Time of the last observation, and the processor time that the process had used by then.
@@ -213,6 +215,7 @@
             dispatch_delay: SmoothedSignal::new(DISPATCH_DELAY_MS),
             queued: SmoothedSignal::new(QUEUED_MS),
             withdrawal: Withdrawal::default(),
+            can_move_callers: true,
             was_congested: false,
             observed_ms: 0,
             observed_processor_ms: 0,
@@ -270,6 +273,7 @@
         let pressure_permille = self.pressure(now_ms).1;
         let withdrawal = &mut self.withdrawal;
         withdrawal.update(pressure_permille, fleet, random, now_ms);
+        self.can_move_callers = fleet.spare_permille() > 0;
         let congestion = self.congestion(now_ms);
         self.was_congested = congestion.is_congested;
         congestion
@@ -285,14 +289,22 @@
             bottleneck,
             is_congested,
             is_suspected: is_congested || self.connects.is_suspected(now_ms),
-            is_ready: !self.withdrawal.is_withdrawn(now_ms),
+            is_ready: !self.withdrawal.is_withdrawn(now_ms) && !self.turns_callers_away(now_ms),
             shed_permille: self.withdrawal.shed_permille(now_ms),
         }
     }
 
     /// Returns whether a connection is to be closed after its present response, and if so counts it.
     pub fn take_close(&mut self, connection: u64, now_ms: u64) -> bool {
-        self.withdrawal.take_close(connection, now_ms)
+        self.turns_callers_away(now_ms) || self.withdrawal.take_close(connection, now_ms)
+    }
+
+    /// Returns whether the router is out of rotation because its link is saturated, which slow connects show.
+    ///
+    /// Requests then wait for seconds, so callers are sent away for as long as it lasts. Withdrawals alone, which are
+    /// short and rare, left 800 connections at a VM that had 340 with this rule.
+    fn turns_callers_away(&self, now_ms: u64) -> bool {
+        self.can_move_callers && self.connects.is_congested(now_ms)
     }
 
     /// Returns the highest pressure and its signal; of equal ones the first.
--- a/src/congestion/withdrawal.rs
+++ b/src/congestion/withdrawal.rs
@@ -55,7 +55,7 @@
     /// congested, nothing from half of them on, in the data centre or in all.
     ///
     /// A router that is alone in its data centre stays in rotation whether it is ready or not.
-    fn spare_permille(&self) -> u32 {
+    pub(super) fn spare_permille(&self) -> u32 {
         let spare = |all: usize, congested: usize| match all {
             0 => 0,
             _ => 1_000_u32.saturating_sub((congested * 2_000 / all) as u32),
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 
 use super::budget::LastEntry;
-use super::{clock, Shared};
+use super::{clock, limits, Shared};
 use crate::allowance::{ClockReading, EntryIntervals, EntryNeed, JournalEntry};
 use crate::notify::Notify;
 use crate::store::{AppendOutcome, Feed, Record, Store};
@@ -149,6 +149,7 @@
         start.fleet_ms = clock.now_ms(start.wall_ms, start.steady_ms);
         age_ms = entry.max_age_at(&start);
     }
+    limits::record_earlier_process(shared, age_ms);
     let difference = entry.clock_difference(&start);
     log::info!(
         step = "predecessor", predecessor = entry.router, reclaim = age_ms.is_some(),
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -42,12 +42,16 @@
     view: Cell<FleetView>,
     /// Time of the last report of presence that the store has accepted.
     reported_ms: Cell<u64>,
+    /// Whether an earlier process ran on this VM until shortly before the start.
+    is_successor: Cell<bool>,
 }
 
 /// Since when this gateway has known the present members of the fleet.
 #[derive(Clone, Copy, Default)]
 struct FleetView {
     generation: u64,
+    /// Number of different views, this one included.
+    views: u32,
     changed_ms: u64,
     checked_ms: u64,
 }
@@ -138,6 +142,13 @@
     shared.limits.reported_ms.set(at_ms);
 }
 
+/// Records that an earlier process on this VM wrote its last entry some time before the start; `None` if that time is
+/// not known.
+pub(super) fn record_earlier_process(shared: &Shared, ended_ms_ago: Option<u64>) {
+    let is_recent = ended_ms_ago.is_none_or(|age_ms| age_ms < PRESENCE_TIMEOUT_MS);
+    shared.limits.is_successor.set(is_recent);
+}
+
 /// Returns since when this gateway has known the present members of the fleet; if the process was stopped for a while,
 /// it forgets its grants for cold upstreams, because another gateway may have replaced it.
 fn fleet_view(shared: &Shared) -> FleetView {
@@ -150,6 +161,7 @@
     }
     if view.generation != generation {
         view.generation = generation;
+        view.views += 1;
         view.changed_ms = now_ms;
     }
     view.checked_ms = now_ms;
@@ -387,13 +399,25 @@
     if may_have_second_coordinator(shared, upstream) {
         rule.tolerated_requests /= 2;
     }
-    let view_change_ms = VIEW_CHANGE_MS * u64::from(shared.interval_factor());
-    let predecessor_until_ms = fleet_view(shared).changed_ms + view_change_ms;
+    let predecessor_until_ms = predecessor_until_ms(shared);
     let now_ms = shared.now_ms();
     let mut limits = shared.limits.state.borrow_mut();
     limits.grant_cold(upstream, id, rule, predecessor_until_ms, now_ms)
 }
 
+/// Returns the time until which another process may have granted requests to the upstreams of which this one is the
+/// coordinator now.
+///
+/// A process that replaces an earlier one on its VM before others notice takes over from that process alone, which has
+/// ended. Otherwise all coordinators would grant nothing for seconds after a restart of the whole fleet.
+fn predecessor_until_ms(shared: &Shared) -> u64 {
+    let view = fleet_view(shared);
+    if view.views <= 1 && shared.limits.is_successor.get() {
+        return 0;
+    }
+    view.changed_ms + VIEW_CHANGE_MS * u64::from(shared.interval_factor())
+}
+
 /// Returns whether another gateway may be granting requests to an upstream of which this one is the coordinator.
 ///
 /// A gateway that is cut off from the store does not learn that it was replaced. So one that could not report its presence
