Accept older proofs of warmth from a known process, and grant nothing at once after a stop

A gateway with a later sign of life of its own ignored the coordinator's proof, withdrew the request and asked again in a fast loop. An older proof now counts within PROOF_MS unless the process states that it is cold; a proof that still does not hold is a denial. A gateway that was stopped is no successor of an ended process any more.

Tests of cold_upstreams: 7 passed, with the new test an_older_proof_makes_the_same_process_warm. The changes in gateway/limits.rs have no test of their own.

--- a/src/cold_upstreams.rs
+++ b/src/cold_upstreams.rs
@@ -49,6 +49,8 @@
     seen_ms: Option<u64>,
     /// Time from which the process is warm, if it lives.
     warm_from_ms: u64,
+    /// Whether the process itself has stated that it is cold.
+    is_stated_cold: bool,
     /// Time up to which signs of life prove nothing, because contact was lost then.
     lost_ms: Option<u64>,
     updated_ms: u64,
@@ -89,20 +91,31 @@
             return;
         }
         if !state.is_same_process(at_ms) {
-            state.warm_from_ms = at_ms + rule.start_ms;
+            state.warm_from_ms = at_ms.saturating_add(rule.start_ms);
+            state.is_stated_cold = false;
         }
         state.seen_ms = state.seen_ms.max(Some(at_ms));
     }
 
     /// Records that a process of the upstream lived at a time and was or will be warm at another one, as it has stated
-    /// itself; an earlier statement cannot be newer.
+    /// itself. An earlier statement that it was warm counts if it comes from the process that gave the last sign of life
+    /// and that process has not stated that it is cold.
     pub fn record_stated(&mut self, upstream: &str, at_ms: u64, warm_from_ms: u64, now_ms: u64) {
         let state = self.state(upstream, now_ms);
-        let is_older = state.seen_ms.is_some_and(|seen_ms| at_ms < seen_ms);
-        if state.is_before_loss(at_ms) || is_older && warm_from_ms <= now_ms {
+        if state.is_before_loss(at_ms) {
             return;
         }
+        let is_stated_cold = warm_from_ms > now_ms;
+        if let Some(seen_ms) = state.seen_ms.filter(|seen_ms| at_ms < *seen_ms) {
+            if !is_stated_cold {
+                if seen_ms - at_ms < PROOF_MS && !state.is_stated_cold {
+                    state.warm_from_ms = state.warm_from_ms.min(warm_from_ms);
+                }
+                return;
+            }
+        }
         state.warm_from_ms = warm_from_ms;
+        state.is_stated_cold = is_stated_cold;
         state.seen_ms = state.seen_ms.max(Some(at_ms));
     }
 
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -157,6 +157,8 @@
     let mut view = shared.limits.view.get();
     if now_ms.saturating_sub(view.checked_ms) > MAX_STOP_MS {
         shared.limits.state.borrow_mut().forget_cold_grants();
+        // Its predecessor is now the gateway that may have replaced it, not an earlier process that has ended.
+        shared.limits.is_successor.set(false);
         view.changed_ms = now_ms;
     }
     if view.generation != generation {
@@ -262,7 +264,12 @@
             if let Some(age_ms) = proof_age_ms {
                 let seen_ms = asked_ms.saturating_sub(age_ms);
                 cold_upstreams::record_proof(shared, upstream, seen_ms);
-                return Permission::Granted(None);
+                if !cold_upstreams::needs_permission(shared, upstream) {
+                    return Permission::Granted(None);
+                }
+                // The proof does not hold here, so the request would be withdrawn and ask again at once.
+                record_denial(shared, upstream, weight, may_be_cold, NO_REPLY_DENIAL_MS);
+                return Permission::Denied;
             }
             let until_ms = asked_ms + COLD_PERMIT_MS;
             Permission::Granted(Some(ColdPermit {
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -52,6 +52,33 @@
     assert_eq!(warmth.cold_count(7_200), 1);
 }
 
+/// Guards against a proof of warmth that a router ignores because it has seen a later sign of life itself, and against
+/// one that outweighs the statement of the process that it is cold, the loss of contact or a gap.
+#[test]
+fn an_older_proof_makes_the_same_process_warm() {
+    let proof_ms = 9_500;
+    let cases = [
+        ("same process", 10_000, None, None, true),
+        ("another process", proof_ms + PROOF_MS, None, None, false),
+        ("states that it is cold", 10_000, Some(20_000), None, false),
+        ("states the largest time", 10_000, Some(u64::MAX), None, false),
+        ("contact lost since", 10_000, None, Some(9_800), false),
+    ];
+    for (name, seen_ms, cold_until_ms, lost_ms, is_warm) in cases {
+        let mut warmth = UpstreamWarmth::default();
+        if let Some(lost_ms) = lost_ms {
+            warmth.record_lost(UPSTREAM, lost_ms);
+        }
+        warmth.record_alive(UPSTREAM, seen_ms, RULE, seen_ms);
+        if let Some(until_ms) = cold_until_ms {
+            warmth.record_stated(UPSTREAM, seen_ms, until_ms, seen_ms);
+        }
+        assert!(!warmth.is_warm(UPSTREAM, seen_ms), "{name}");
+        warmth.record_stated(UPSTREAM, proof_ms, proof_ms, seen_ms);
+        assert_eq!(warmth.is_warm(UPSTREAM, seen_ms), is_warm, "{name}");
+    }
+}
+
 /// Guards against a cold upstream that stays unused beside warm ones that are much slower, or that is preferred to warm
 /// ones that are as fast.
 #[test]
