End proofs of warmth on lost contact only, and bound times from messages

A complete 5xx response ended the proof although it shows that the process lives; a connect without an answer and a report of a gone process did not end it. Sums with times from entries and responses could overflow; a ramp is bounded by NO_DEADLINE_MS. A failed response that is relayed was counted twice for the comparison of versions, and the preference for warm upstreams could change the version. No tests of their own.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -199,13 +199,14 @@
                 if !is_retryable(call, attempts, &response, is_resumption) {
                     return Ok((response, in_flight));
                 }
-                in_flight.set_outcome(Outcome::Failed);
-                in_flight.record_response(call, Response::Failed);
+                in_flight.set_failed_response();
                 let status = response.upstream_response.status();
                 attempts.last = format_compact!("{}: status {status}", in_flight.id);
+                // A response that is relayed is counted for the comparison of versions then.
                 if !may_retry(shared, call, attempts) {
                     return Ok((response, in_flight));
                 }
+                in_flight.record_response(call, Response::Failed);
             }
             AttemptResult::NotRun(reason) => {
                 attempts.record_not_run(call, &in_flight.id, &reason);
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -111,10 +111,21 @@
         if !may_be_cold(best) {
             return Ok(best);
         }
+        // A first choice of the new version falls back to the present one if no upstream of the new one is left.
+        let is_same_version = |warm: &str| {
+            matches!(versions, Versions::Any)
+                || directory.get(warm).is_some_and(is_new)
+                    == directory.get(best).is_some_and(is_new)
+        };
         let delay_ms =
             |id: &str| placement.expected_delay_ms(id, call.meta.prompt.as_ref(), now_ms);
         match choose_of_version(weight, narrowing(true)) {
-            Ok(warm) if prefers_warm(delay_ms(best), delay_ms(warm), shared.random()) => Ok(warm),
+            Ok(warm)
+                if is_same_version(warm)
+                    && prefers_warm(delay_ms(best), delay_ms(warm), shared.random()) =>
+            {
+                Ok(warm)
+            }
             _ => Ok(best),
         }
     };
--- a/src/gateway/attempt/in_flight.rs
+++ b/src/gateway/attempt/in_flight.rs
@@ -26,6 +26,8 @@
     version: CompactString,
     sent_ms: u64,
     outcome: Outcome,
+    /// Whether a failure is a response, which proves that the process lives.
+    has_responded: bool,
     awaits_first_byte: bool,
     /// Prefill work of the request, if the engine was idle; see [`crate::placement::Placement::idle_prefill_work`].
     pub(super) idle_prefill_work: Option<f64>,
@@ -68,6 +70,7 @@
             version: entry.version.clone(),
             sent_ms: now_ms,
             outcome: Outcome::Neutral,
+            has_responded: false,
             awaits_first_byte: true,
             idle_prefill_work,
             cold_rule: None,
@@ -139,19 +142,32 @@
     /// Sets the outcome that is recorded for the upstream when this value is dropped.
     pub(in crate::gateway) fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
+        self.has_responded = false;
+    }
+
+    /// Sets the outcome to a failure that the process has stated in a response.
+    pub(super) fn set_failed_response(&mut self) {
+        self.outcome = Outcome::Failed;
+        self.has_responded = true;
+    }
+
+    /// Returns whether the outcome ends the proof that the upstream is warm. On a VM whose network may be congested,
+    /// connects time out for reasons of its own.
+    fn is_contact_lost(&self) -> bool {
+        match self.outcome {
+            Outcome::Failed => !self.has_responded,
+            Outcome::Replaced | Outcome::Unreachable => true,
+            Outcome::Unanswered => !self.shared.load.state().is_suspected,
+            _ => false,
+        }
     }
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
         self.end_first_byte_wait();
-        match self.outcome {
-            Outcome::Failed | Outcome::Replaced | Outcome::Unreachable
-                if self.cold_rule.is_some() =>
-            {
-                cold_upstreams::record_lost(self.shared, &self.id);
-            }
-            _ => {}
+        if self.cold_rule.is_some() && self.is_contact_lost() {
+            cold_upstreams::record_lost(self.shared, &self.id);
         }
         let now_ms = self.shared.now_ms();
         let mut placement = self.shared.placement.borrow_mut();
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -2,7 +2,7 @@
 
 use super::availability::process;
 use super::peers::{Content, GoneReason, UpstreamGone};
-use super::Shared;
+use super::{cold_upstreams, Shared};
 use crate::directory::UpstreamEntry;
 use crate::placement::Outcome;
 use crate::upstream_availability::UpstreamProcess;
@@ -89,6 +89,7 @@
             placement.record_unreachable(id, Outcome::Unreachable, now_ms);
         }
     }
+    cold_upstreams::record_lost(shared, id);
     shared.metrics.add("upstreams_gone_learned", 1);
     log::info!(
         step = "upstream_gone", upstream = id, started_ms = entry.started_ms,
--- a/src/gateway/cold_upstreams.rs
+++ b/src/gateway/cold_upstreams.rs
@@ -76,7 +76,7 @@
     }
     match headers::cold_left_ms(fields) {
         Some(0) => warmth.record_stated(upstream, sent_ms, sent_ms, now_ms),
-        Some(left_ms) => warmth.record_stated(upstream, sent_ms, now_ms + left_ms, now_ms),
+        Some(left_ms) => warmth.record_stated(upstream, sent_ms, now_ms.saturating_add(left_ms), now_ms),
         None => warmth.record_alive(upstream, sent_ms, rule, now_ms),
     }
 }
@@ -85,7 +85,7 @@
 /// opened after that.
 pub(super) fn record_served(shared: &Shared, upstream: &str, rule: ColdRule, granted_ms: u64) {
     let rule = ColdRule {
-        start_ms: rule.start_ms + COLD_PERMIT_MS,
+        start_ms: rule.start_ms.saturating_add(COLD_PERMIT_MS),
         ..rule
     };
     let now_ms = shared.now_ms();
@@ -121,7 +121,7 @@
     let now_ms = shared.now_ms();
     let warm_from_ms = match entry.cold_left_ms {
         0 => written_after_ms,
-        left_ms => now_ms + left_ms,
+        left_ms => now_ms.saturating_add(left_ms),
     };
     let mut warmth = shared.cold_upstreams.warmth.borrow_mut();
     if entry.cold_left_ms > 0 && !warmth.is_cold(upstream, now_ms) {
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -10,6 +10,7 @@
 
 use crate::directory::UpstreamEntry;
 use crate::evacuation::OrderRecord;
+use crate::rollout_completion::NO_DEADLINE_MS;
 use crate::routing::{CallerLimits, RetrySemantics, Route, RoutingConfiguration, Service, Team};
 use crate::version_canary::{RolloutOrder, RolloutState};
 
@@ -297,7 +298,7 @@
         ramp_ms: document
             .ramp_s
             .filter(|ramp_s| *ramp_s > 0.0)
-            .map(|ramp_s| (ramp_s * 1_000.0) as u64),
+            .map(|ramp_s| ((ramp_s * 1_000.0) as u64).min(NO_DEADLINE_MS)),
     })
 }
 
