Let congestion leave coordinators in office, and wait for the status of an order

A gateway that has read an order but not its status feed could send to a version that was rolled back; it sends to the present version until then.

The wait for the status has no test of its own.

--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -93,7 +93,12 @@
     };
     let routers = shared.routers.borrow();
     let slack_requests = routers.share(&shared.settings.vm, EVIDENCE_SLACK_REQUESTS);
-    canary.choose(&call.route().name, slack_requests, shared.now_ms())
+    let choice = canary.choose(&call.route().name, slack_requests, shared.now_ms());
+    match choice {
+        // The status feed, which is read after the order, may state that the version was rolled back.
+        Choice::New if shared.rollouts.position.get().is_none() => Choice::Present,
+        choice => choice,
+    }
 }
 
 /// Returns which version a repeated request may be sent to.
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -94,6 +94,7 @@
     /// Routers that have neither left nor reported in time, with the time of their last report.
     expired: FastMap<CompactString, (Presence, u64)>,
     generation: u64,
+    candidate_generation: u64,
 }
 
 impl ActiveRouters {
@@ -122,13 +123,22 @@
                 };
                 let after = candidate(&presence);
                 let before = self.present.insert(vm, (presence, now_ms));
-                if before.map(|(before, _)| candidate(&before)) != Some(after) {
+                let before = before.map(|(before, _)| candidate(&before));
+                if before.as_ref() != Some(&after) {
                     self.generation += 1;
                 }
+                let (data_centre, address, weight_permille, _) = after;
+                let is_same_candidate = before.is_some_and(|(before, at, weight, _)| {
+                    before == data_centre && at == address && weight == weight_permille
+                });
+                if !is_same_candidate {
+                    self.candidate_generation += 1;
+                }
             }
             _ => {
                 if self.present.remove(&vm).is_some() {
                     self.generation += 1;
+                    self.candidate_generation += 1;
                 }
             }
         }
@@ -185,6 +195,7 @@
         expired.retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < EXPIRED_RETENTION_MS);
         if self.present.len() < before {
             self.generation += 1;
+            self.candidate_generation += 1;
         }
     }
 
@@ -199,6 +210,12 @@
         self.generation
     }
 
+    /// Returns a number that changes whenever [`ActiveRouters::candidates`] or their addresses do; congestion of VMs
+    /// changes neither.
+    pub fn candidate_generation(&self) -> u64 {
+        self.candidate_generation
+    }
+
     /// Returns the routers that can hold rights, with little weight for those on congested VMs.
     ///
     /// If more than half of the routers of a data centre are congested, the reason is not one of their VMs, and the rights stay.
--- a/tests/congestion.rs
+++ b/tests/congestion.rs
@@ -271,6 +271,49 @@
     assert_ne!(routers.generation(), before);
 }
 
+/// Guards against coordinators that grant nothing for seconds because the network of some VM is congested, and against
+/// ones that don't learn of a change of coordinators.
+#[test]
+fn only_a_change_of_candidates_changes_their_generation() {
+    let known = Presence {
+        data_centre: "kv-a".into(),
+        router: 3,
+        weight_permille: 500,
+        ..Presence::default()
+    };
+    let congested = Presence {
+        is_congested: true,
+        ..known.clone()
+    };
+    let lighter = Presence {
+        weight_permille: 400,
+        ..known.clone()
+    };
+    let moved = Presence {
+        data_centre: "kv-b".into(),
+        ..known.clone()
+    };
+    let cases = [
+        ("same", Some(known.clone()), false),
+        ("congested", Some(congested), false),
+        ("lighter", Some(lighter), true),
+        ("moved", Some(moved), true),
+        ("gone", None, true),
+    ];
+    for (name, presence, is_change) in cases {
+        let mut routers = fleet(&[]);
+        routers.apply("edge-3".into(), Some(known.clone()), 1);
+        let before = routers.candidate_generation();
+        routers.apply("edge-3".into(), presence, 2);
+        let is_changed = routers.candidate_generation() != before;
+        assert_eq!(is_changed, is_change, "{name}");
+    }
+    let mut routers = fleet(&[]);
+    let before = routers.candidate_generation();
+    routers.expire(u64::MAX);
+    assert_ne!(routers.candidate_generation(), before, "expired");
+}
+
 /// Guards against rights that move back and forth with a load that comes and goes, and against a short disturbance that
 /// moves any.
 #[test]
