Send nothing to former processes, and keep no belief about them

The process of an id may be replaced while a request waits for permission or a connection. It was sent to the old address and its socket pooled for the new process; beliefs about the former process replaced those about the present one. A cancelled wait for a permission left its id in the table of replies.

gateway_beliefs 2 passed, gateway_limits 3, gateway_http 32, gateway_evacuations 4, gateway_cold_upstreams 5. No tests of their own.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -33,7 +33,8 @@
 use crate::version_canary::Response;
 
 use choice::{
-    choose_upstream, is_still_allowed, is_still_permitted, limited_wait_ms, paused_wait_ms, Choice,
+    choose_upstream, is_same_process, is_still_allowed, is_still_permitted, limited_wait_ms,
+    paused_wait_ms, Choice,
 };
 use exchange::HeadResult;
 use handover::await_result;
@@ -303,8 +304,9 @@
                 call.add_wait_since(shared, waiting_ms);
                 if let Err(failure) = authorised {
                     attempts.withdraw_last(call, "requests like it crashed upstreams meanwhile");
-                    let now_ms = shared.now_ms();
-                    shared.pool.put(&choice.id, socket, None, now_ms);
+                    if is_same_process(shared, &choice) {
+                        shared.pool.put(&choice.id, socket, None, shared.now_ms());
+                    }
                     return Err(failure);
                 }
                 // A suspected request has waited for its turn.
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -160,11 +160,23 @@
 /// Its state may have changed while the request waited for a permission or a connection, so this is checked right before
 /// the request is sent.
 pub(super) fn is_still_allowed(shared: &Shared, call: &Call<'_>, choice: &Choice) -> bool {
-    availability::is_available(shared, &choice.id, &choice.entry)
+    is_same_process(shared, choice)
+        && availability::is_available(shared, &choice.id, &choice.entry)
         && !evacuations::is_evacuated(shared, &choice.entry)
         && !rollouts::is_rolled_back(shared, &call.service, &choice.entry.version)
 }
 
+/// Returns whether the directory still has the chosen process, and not as draining. Otherwise a connection to it may not
+/// be kept for its upstream.
+pub(super) fn is_same_process(shared: &Shared, choice: &Choice) -> bool {
+    let directory = shared.directory.borrow();
+    directory.get(&choice.id).is_some_and(|entry| {
+        !entry.is_draining
+            && entry.address == choice.entry.address
+            && entry.started_ms == choice.entry.started_ms
+    })
+}
+
 /// Returns whether the chosen upstream is still warm, or the permit for the request is still valid.
 pub(super) fn is_still_permitted(shared: &Shared, choice: &Choice) -> bool {
     choice.cold_rule.is_none() || limits::is_permitted(shared, &choice.id, choice.cold_permit)
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -11,7 +11,9 @@
 use compact_str::{format_compact, CompactString};
 use futures_util::future::{select, Either};
 
-use super::choice::{choose_upstream, is_still_allowed, is_still_permitted, Choice};
+use super::choice::{
+    choose_upstream, is_same_process, is_still_allowed, is_still_permitted, Choice,
+};
 use super::exchange::{Exchange, HeadResult};
 use super::interrupt::{run_until_interrupted, Interrupt};
 use super::{
@@ -118,7 +120,9 @@
         && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, true);
     if !is_allowed {
-        shared.pool.put(&choice.id, socket, None, shared.now_ms());
+        if is_same_process(shared, &choice) {
+            shared.pool.put(&choice.id, socket, None, shared.now_ms());
+        }
         return None;
     }
     Some(Successor { choice, socket })
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -25,14 +25,28 @@
 
 /// Records that a process has answered.
 pub(super) fn record_answer(shared: &Shared, id: &str, entry: &UpstreamEntry) {
+    let process = process(id, entry);
+    if !is_known(shared, process) {
+        return;
+    }
     let mut beliefs = shared.beliefs.borrow_mut();
-    beliefs.record_answer(process(id, entry), shared.now_ms());
+    beliefs.record_answer(process, shared.now_ms());
+}
+
+/// Returns whether a process is the one in the directory; a belief about a former one would replace that about it.
+fn is_known(shared: &Shared, process: UpstreamProcess<'_>) -> bool {
+    let directory = shared.directory.borrow();
+    let entry = directory.get(process.id);
+    entry.is_some_and(|entry| entry.started_ms == process.started_ms)
 }
 
 /// Records that a process is gone, and tells the other gateways once.
 ///
 /// On a VM whose network is congested connections fail for reasons of its own, so it tells nothing.
 pub(super) fn record_gone(shared: &Shared, gone: UpstreamProcess<'_>, kind: GoneKind) {
+    if !is_known(shared, gone) {
+        return;
+    }
     let now_ms = shared.now_ms();
     let mut beliefs = shared.beliefs.borrow_mut();
     let is_news = beliefs.record_discovery(gone, kind, now_ms);
--- a/src/gateway/cold_upstreams.rs
+++ b/src/gateway/cold_upstreams.rs
@@ -76,7 +76,9 @@
     }
     match headers::cold_left_ms(fields) {
         Some(0) => warmth.record_stated(upstream, sent_ms, sent_ms, now_ms),
-        Some(left_ms) => warmth.record_stated(upstream, sent_ms, now_ms.saturating_add(left_ms), now_ms),
+        Some(left_ms) => {
+            warmth.record_stated(upstream, sent_ms, now_ms.saturating_add(left_ms), now_ms)
+        }
         None => warmth.record_alive(upstream, sent_ms, rule, now_ms),
     }
 }
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -153,7 +153,7 @@
 /// it forgets its grants for cold upstreams, because another gateway may have replaced it.
 fn fleet_view(shared: &Shared) -> FleetView {
     let now_ms = shared.now_ms();
-    let generation = shared.routers.borrow().generation();
+    let generation = shared.routers.borrow().candidate_generation();
     let mut view = shared.limits.view.get();
     if now_ms.saturating_sub(view.checked_ms) > MAX_STOP_MS {
         shared.limits.state.borrow_mut().forget_cold_grants();
@@ -446,11 +446,30 @@
         .is_some_and(|first| first.vm != shared.settings.vm)
 }
 
+/// A request for permission that awaits its reply until it is dropped; the wait may be cancelled.
+struct AwaitedReply<'a> {
+    limits: &'a Limits,
+    id: u64,
+}
+
+impl<'a> AwaitedReply<'a> {
+    fn new(limits: &'a Limits, id: u64) -> Self {
+        limits.replies.borrow_mut().insert(id, None);
+        Self { limits, id }
+    }
+}
+
+impl Drop for AwaitedReply<'_> {
+    fn drop(&mut self) {
+        self.limits.replies.borrow_mut().remove(&self.id);
+    }
+}
+
 /// Asks the coordinator of a limit for permission to send one request.
 async fn ask(shared: &Shared, request: LimitRequest, peer: SocketAddr) -> Decision {
     let limits = &shared.limits;
     let id = request.id;
-    limits.replies.borrow_mut().insert(id, None);
+    let _awaited = AwaitedReply::new(limits, id);
     let mut reply = None;
     for _ in 0..MAX_SENDS {
         let content = Content::LimitRequest(request.clone());
@@ -463,7 +482,6 @@
             break;
         }
     }
-    limits.replies.borrow_mut().remove(&id);
     reply.unwrap_or_else(|| {
         log::info!(
             step = "limit", upstream = request.upstream.as_str(), peer = peer.to_string().as_str(),
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -61,7 +61,13 @@
         ("same process", 10_000, None, None, true),
         ("another process", proof_ms + PROOF_MS, None, None, false),
         ("states that it is cold", 10_000, Some(20_000), None, false),
-        ("states the largest time", 10_000, Some(u64::MAX), None, false),
+        (
+            "states the largest time",
+            10_000,
+            Some(u64::MAX),
+            None,
+            false,
+        ),
         ("contact lost since", 10_000, None, Some(9_800), false),
     ];
     for (name, seen_ms, cold_until_ms, lost_ms, is_warm) in cases {
