--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -248,7 +248,7 @@
             }
             HandOver::Successor(response, in_flight) => {
                 let reason = format_compact!("status {}", response.upstream_response.status());
-                attempts.record_failed_run(call, in_flight, &reason);
+                attempts.record_failed_response(call, in_flight, &reason);
                 timeout = timeout.map(|_| SEARCH_INTERVAL);
             }
             HandOver::Unanswered(next) => {
@@ -302,6 +302,22 @@
     ) {
         self.runs += 1;
         in_flight.set_outcome(Outcome::Failed);
+        self.record_failure(call, &in_flight, reason);
+    }
+
+    /// Records an attempt whose response is a server error.
+    fn record_failed_response(
+        &mut self,
+        call: &Call<'_>,
+        mut in_flight: InFlight<'_>,
+        reason: &str,
+    ) {
+        self.runs += 1;
+        in_flight.set_failed_response();
+        self.record_failure(call, &in_flight, reason);
+    }
+
+    fn record_failure(&mut self, call: &Call<'_>, in_flight: &InFlight<'_>, reason: &str) {
         in_flight.record_response(call, Response::Failed);
         self.last = format_compact!("{}: {reason}", in_flight.id);
         log::info!(
--- a/tests/version_canary.rs
+++ b/tests/version_canary.rs
@@ -197,3 +197,12 @@
     assert!(!ordered_again.is_repeated("v4", OrderSource::AfterReturn));
     assert!(ordered_again.is_repeated("v3", OrderSource::AfterReturn));
 }
+
+/// Guards against a sum of times that overflows because an order states a ramp that never ends.
+#[test]
+fn the_longest_ramp_is_the_one_without_a_deadline() {
+    let order = br#"{"service": "desk", "target": "v2", "ramp_s": 1e300}"#;
+    let order = monsoonfield::platform::documents::decode_rollout_order(order).unwrap();
+    let longest_ms = monsoonfield::rollout_completion::NO_DEADLINE_MS;
+    assert_eq!(order.ramp_ms, Some(longest_ms));
+}
