Set pipelining callers aside for longer after refusals

Cause: after a 503 or 429 the next request of the same connection followed after 1 ms, so that a crowd which pipelines without reading took each slot that became free, and callers that wait for their Retry-After got none.

Change: if more input is waiting after such a refusal, the connection is set aside for 20 ms; the pause doubles with each refusal, up to the stated Retry-After and 1 s, and halves with each served request. Callers that wait for their responses are not affected.

The token counts have a test in gateway_http.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -33,6 +33,10 @@
 /// Time in which a caller must take a refusal. A caller that reads no responses would keep its connection forever.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum of each stated number of tokens, far above any context length. Larger numbers would overflow the sum that is
+/// reserved.
+const MAX_STATED_TOKENS: u64 = 1 << 40;
+
 /// A request with its route, team, service and deadline.
 pub(super) struct Call<'a> {
     pub(super) request: &'a Request,
@@ -207,6 +211,14 @@
             ..Refused::new(Refusal::NoUpstream, "no configuration has been read yet")
         });
     };
+    if meta.input_tokens.max(meta.max_output_tokens) > MAX_STATED_TOKENS {
+        let reason = format_compact!(
+            "x-token-count is {},{}; at most {MAX_STATED_TOKENS} tokens each are allowed",
+            meta.input_tokens,
+            meta.max_output_tokens
+        );
+        return Err(Refused::new(Refusal::BadRequest, reason));
+    }
     let host = request.header("host").unwrap_or_default();
     let host = request.uri.host().unwrap_or(host);
     let Some(route_index) = table.find_route(host, request.uri.path()) else {
@@ -280,7 +292,10 @@
         log_refusal(shared, &call.meta.id, &refused, call.started_ms);
         return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
     }
-    let needed_tokens = call.meta.input_tokens + call.meta.max_output_tokens;
+    let needed_tokens = call
+        .meta
+        .input_tokens
+        .saturating_add(call.meta.max_output_tokens);
     let reserving_ms = shared.now_ms();
     let reservation = match call.team_name() {
         Some(team) if needed_tokens > 0 => {
@@ -423,6 +438,7 @@
     refused: &Refused,
 ) -> bool {
     shared.metrics.count_refusal(refused.refusal);
+    caller.record_refusal(refused.refusal.status(), refused.retry_after_ms);
     let keep_alive = shared.keeps_connection(request, caller);
     let output = refusal_response(refused.refusal, id, refused.retry_after_ms, keep_alive);
     let write = monoio::time::timeout(REFUSAL_TIMEOUT, caller.write_all(output));
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -75,7 +75,7 @@
             Ok(request) => {
                 // The future of a request is large. Boxed, it takes no memory while the connection waits for a request.
                 connection = Box::pin(handle_request(shared, socket, request)).await;
-                if let Some(socket) = &connection {
+                if let Some(socket) = &mut connection {
                     socket.pause_if_pipelined().await;
                 }
             }
@@ -255,6 +255,7 @@
     keep_alive: bool,
 ) {
     shared.metrics.count_refusal(refused.refusal);
+    socket.record_refusal(refused.refusal.status(), refused.retry_after_ms);
     if let Some(key) = key {
         shared.record_decision(key, refused.explanation());
     }
--- a/src/server/socket.rs
+++ b/src/server/socket.rs
@@ -25,6 +25,13 @@
 /// never happen beside peers that send faster than their input is processed.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 
+/// First pause of a connection that has sent its next request before it received a refusal; it doubles with each
+/// further refusal and halves with each served request.
+const FIRST_REFUSAL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Maximum pause after a refusal, also if a longer retry delay was stated.
+const MAX_REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time limit for discarding input after an early refusal.
 ///
 /// Closing a socket with unread input resets the connection, and the caller might not receive the response.
@@ -46,6 +53,10 @@
     /// Reads without waiting in this turn, and its start.
     turn_reads: u32,
     turn_started: Instant,
+    /// Pause before the next request if it is pipelined.
+    pipeline_pause: Duration,
+    /// Retry delay of the refusal of the last request; `None` if it was not refused.
+    refused_for: Option<Duration>,
 }
 
 impl Socket {
@@ -59,6 +70,8 @@
             account: None,
             turn_reads: 0,
             turn_started: Instant::now(),
+            pipeline_pause: TURN_PAUSE,
+            refused_for: None,
         }
     }
 
@@ -163,11 +176,23 @@
         }
     }
 
-    /// Lets the event loop turn if the caller has sent its next request already. Requests that are refused at once would
-    /// otherwise keep it from all other connections.
-    pub async fn pause_if_pipelined(&self) {
+    /// Records that the current request is refused for lack of capacity, with the retry delay that the caller is told.
+    pub fn record_refusal(&mut self, status: u16, retry_after_ms: Option<u64>) {
+        if matches!(status, 429 | 503) {
+            let retry_after = retry_after_ms.map(Duration::from_millis);
+            self.refused_for = Some(retry_after.unwrap_or(FIRST_REFUSAL_PAUSE));
+        }
+    }
+
+    /// Sets the connection aside if the caller has sent its next request already.
+    ///
+    /// Requests that are refused at once would otherwise keep the event loop from all other connections, and callers
+    /// that ignore refusals would take each place that becomes free before those that wait for their retry delay.
+    pub async fn pause_if_pipelined(&mut self) {
+        let refused_for = self.refused_for.take();
+        self.pipeline_pause = next_pipeline_pause(self.pipeline_pause, refused_for);
         if !self.input.is_empty() {
-            monoio::time::sleep(TURN_PAUSE).await;
+            monoio::time::sleep(self.pipeline_pause).await;
         }
     }
 
@@ -261,3 +286,14 @@
         }
     }
 }
+
+/// Returns the pause before the next pipelined request; `refused_for` is the retry delay if the last one was refused.
+fn next_pipeline_pause(pause: Duration, refused_for: Option<Duration>) -> Duration {
+    match refused_for {
+        Some(retry_after) => {
+            let limit = retry_after.clamp(FIRST_REFUSAL_PAUSE, MAX_REFUSAL_PAUSE);
+            (2 * pause).clamp(FIRST_REFUSAL_PAUSE, limit)
+        }
+        None => (pause / 2).max(TURN_PAUSE),
+    }
+}
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -895,3 +895,21 @@
         let _ = std::fs::remove_file(path);
     }
 }
+
+/// Guards against token counts whose sum overflows, so that a request reserves nothing of the budget of its team.
+#[test]
+fn token_counts_beyond_any_context_are_refused() {
+    let upstream = start_token_stream_upstream();
+    let (_store, gateway) = start_fleet(1_000_000, &[&upstream]);
+    for headers in [
+        "X-Token-Count: 18446744073709551615,1\r\n",
+        "X-Token-Count: 1,1099511627777\r\n",
+    ] {
+        let request = CallerRequest {
+            headers,
+            ..stream_request("/stream/1")
+        };
+        assert_eq!(request.send(&gateway).status(), 400, "{headers}");
+    }
+    assert!(upstream.requests().is_empty());
+}
