Count connections and input from their first byte

Cause: the input of the first read, and that left after a refusal, was not counted in the buffer budget; a gateway counted a connection only when its task ran, so a burst passed the limit; a connection that had sent no request counted as idle, kept its place for 5 s and let kept ones be evicted first; requests without a body shared the part of unknown callers.

Change: the input counts when the request begins, and during the pause of a pipelined one; the connection counts before its task is spawned; the request before ends only after it was served; the input that is discarded after a refusal is freed after each read; the team is set for all requests.

There is no test of its own for these rules; connections_without_progress_make_place_for_new_ones states the order of eviction.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -41,6 +41,8 @@
             Ok((stream, peer)) if has_place(&shared, limit) => {
                 let account = shared.buffers.open(peer.ip());
                 let socket = Socket::of_caller(stream, account);
+                // Counted before the task runs, so that a burst of connections does not exceed the limit.
+                shared.connections.set(shared.connections.get() + 1);
                 monoio::spawn(serve_connection(Rc::clone(&shared), socket));
             }
             Ok(_) => shared.metrics.add("connections_rejected", 1),
@@ -58,7 +60,6 @@
 }
 
 async fn serve_connection(shared: Rc<Shared>, mut socket: Socket) {
-    shared.connections.set(shared.connections.get() + 1);
     serve_requests(&shared, &mut socket).await;
     shared.connections.set(shared.connections.get() - 1);
 }
@@ -73,10 +74,13 @@
         match Request::read(socket, request_limits(shared), team_of).await {
             Ok(request) => {
                 // The future of a request is large, so it is boxed: an idle connection does not hold it.
-                if !Box::pin(request::serve(shared, socket, &request)).await {
+                let keeps_connection = Box::pin(request::serve(shared, socket, &request)).await;
+                drop(request);
+                if !keeps_connection {
                     socket.linger_if_unread().await;
                     return;
                 }
+                socket.end_request();
                 socket.pause_if_pipelined().await;
             }
             Err(Error::Refused(refusal, message)) => {
@@ -132,7 +136,6 @@
 /// connections, because a request that is in transit while its connection is closed is lost. For the same reason a new
 /// configuration can only extend the idle timeout of a connection that is idle already; its caller may rely on either.
 async fn wait_for_input(shared: &Shared, socket: &mut Socket) -> bool {
-    socket.end_request();
     let Some(account) = socket.account().cloned() else {
         return false;
     };
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -69,13 +69,13 @@
 async fn serve(shared: &Rc<Shared>, socket: Socket) {
     let mut connection = Some(socket);
     while let Some(mut socket) = connection.take() {
-        socket.end_request();
         let team_of = |head: &RequestHead| team_of(shared, head);
         match Request::read(&mut socket, request_limits(shared), team_of).await {
             Ok(request) => {
                 // The future of a request is large. Boxed, it takes no memory while the connection waits for a request.
                 connection = Box::pin(handle_request(shared, socket, request)).await;
                 if let Some(socket) = &mut connection {
+                    socket.end_request();
                     socket.pause_if_pipelined().await;
                 }
             }
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -75,7 +75,7 @@
 impl Request {
     /// Reads the next request of a connection.
     ///
-    /// `team_of` returns the team of a request with a body, by which the buffer budget is shared.
+    /// `team_of` returns the team of a request, by which the buffer budget is shared.
     ///
     /// # Errors
     ///
@@ -134,6 +134,12 @@
     limits: RequestLimits,
     team_of: impl Fn(&RequestHead) -> Option<CompactString>,
 ) -> Result<Request, Error> {
+    if let Some(account) = socket.account() {
+        // The first bytes were read before the request began.
+        account
+            .resize_input(socket.input_capacity())
+            .map_err(|_| buffers_full())?;
+    }
     let head = read_head(socket, limits.head_bytes);
     let (head, head_bytes) = match monoio::time::timeout(limits.head_timeout, head).await {
         Ok(result) => result?,
@@ -143,7 +149,7 @@
     if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
         return Err(body_too_large());
     }
-    if let (Some(account), false) = (socket.account(), matches!(framing, Framing::Length(0))) {
+    if let Some(account) = socket.account() {
         account.set_team(team_of(&head));
     }
     let mut body = Body::new(head_bytes + REQUEST_OVERHEAD_BYTES);
--- a/src/server/socket.rs
+++ b/src/server/socket.rs
@@ -192,6 +192,10 @@
         let refused_for = self.refused_for.take();
         self.pipeline_pause = next_pipeline_pause(self.pipeline_pause, refused_for);
         if !self.input.is_empty() {
+            if let Some(account) = &self.account {
+                // If it does not fit, the request is refused when it begins.
+                let _ = account.resize_input(self.input.capacity());
+            }
             monoio::time::sleep(self.pipeline_pause).await;
         }
     }
@@ -272,6 +276,8 @@
     /// Closes the sending direction and discards input for a limited time, so that the peer can read the last response.
     pub async fn linger(&mut self) {
         self.shutdown().await;
+        // The buffer is replaced, because clearing it would keep its memory.
+        self.input = BytesMut::new();
         let end = Instant::now() + LINGER_TIMEOUT;
         let mut discarded_bytes = 0;
         while discarded_bytes < MAX_LINGER_BYTES {
@@ -282,7 +288,7 @@
                 Ok(Ok(count @ 1..)) => discarded_bytes += count,
                 _ => return,
             }
-            self.input.clear();
+            self.input = BytesMut::new();
         }
     }
 }
