Keep slow readers out of the output time, and let large heads go on

Cause: the time for which a caller did not read was measured as time of the engine. A response whose held head has 2 KiB or more was not read on once the buffer budget was used up, and the head cannot be written before the body.

Change: the measurement begins again with the next event after a wait for the caller and after a change of the upstream, and one measurement counts as a quarter to four times the known time. A held head does not stop the reading.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -141,7 +141,8 @@
     /// Time of the first event of the current response, and the number of its events.
     first_event_ms: u64,
     response_events: u64,
-    /// Time and number of the event at which the measurement of the time per output token began.
+    /// Time and number of the event at which the measurement of the time per output token began; `(0, 0)` if it begins
+    /// with the next event.
     measured_from: (u64, u64),
     is_watching_caller: bool,
     /// Whether the buffer budget contains the unread output.
@@ -394,6 +395,7 @@
         self.splitter = EventSplitter::default();
         self.has_body = false;
         self.has_event = false;
+        self.measured_from = (0, 0);
         self.silence_timeout = SILENCE_TIMEOUT;
     }
 
@@ -467,6 +469,10 @@
             } else {
                 self.read_permit_bytes(caller)
             };
+            if read_bytes == 0 && !is_ended {
+                // The time until the next read is that of the caller, not of the engine.
+                self.measured_from = (0, 0);
+            }
             let silence = (may_move && read_bytes > 0).then_some(self.silence_timeout);
             let successor =
                 find_successor(self.shared, self.call, &attempts.tried, silence, || true);
@@ -531,9 +537,12 @@
                 crashes::record_served(self.shared, self.call);
                 self.first_event_ms = self.shared.now_ms();
                 self.response_events = 0;
-                self.measured_from = (self.first_event_ms, 1);
+                self.measured_from = (0, 0);
             }
             self.response_events += 1;
+            if self.measured_from.1 == 0 {
+                self.measured_from = (self.shared.now_ms(), self.response_events);
+            }
             self.enqueue(&event.raw);
             self.event_ends.push_back(self.queued_bytes);
         }
@@ -583,13 +592,14 @@
     /// Returns how many bytes may be read from the upstream now; 0 until the caller has taken some of the output.
     ///
     /// Only output that a caller leaves unread is accounted for, so that fast readers cost nothing. A response that has
-    /// nothing unread goes on in small steps even if the budget is used up.
+    /// nothing unread goes on in small steps even if the budget is used up, and so does one whose head is held back,
+    /// which can be written only with the first part of the body.
     fn read_permit_bytes(&mut self, caller: &Socket) -> usize {
         let unread_bytes = self.writing.len() + self.queued.len();
         let Some(account) = caller.account() else {
             return READ_BYTES;
         };
-        if unread_bytes < MIN_READ_BYTES {
+        if self.holds_head || unread_bytes < MIN_READ_BYTES {
             if std::mem::take(&mut self.accounts_for_output) {
                 account.hold_output(0);
             }
--- a/src/request_cost.rs
+++ b/src/request_cost.rs
@@ -38,6 +38,10 @@
 /// Weight of one measurement in the average of the output time of one token.
 const OUTPUT_TIME_EWMA_WEIGHT: f64 = 0.02;
 
+/// Factor by which one measurement of the output time counts as differing from the known time at most. A caller that
+/// reads slowly or in bursts can make one measurement differ far more.
+const MAX_OUTPUT_TIME_FACTOR: f64 = 4.0;
+
 /// Weight of one response in the average output of all requests and in the errors of its predictions.
 const MEAN_OUTPUT_EWMA_WEIGHT: f64 = 0.02;
 
@@ -141,8 +145,12 @@
         }
         let ms_per_token = elapsed_ms as f64 / tokens as f64;
         let ratio = ms_per_token / self.ms_per_output_token;
-        self.ms_per_output_token +=
-            OUTPUT_TIME_EWMA_WEIGHT * (ms_per_token / speed - self.ms_per_output_token);
+        let known_ms = self.ms_per_output_token;
+        let usual_ms = (ms_per_token / speed).clamp(
+            known_ms / MAX_OUTPUT_TIME_FACTOR,
+            known_ms * MAX_OUTPUT_TIME_FACTOR,
+        );
+        self.ms_per_output_token += OUTPUT_TIME_EWMA_WEIGHT * (usual_ms - known_ms);
         Some(ratio)
     }
 
