Bound figures of prompts, notices and load reports

Cause: a prompt that states tokens made an engine look occupied at all gateways, and sums of reported requests overflowed.

Change: shared and own tokens count as 2^21 at most, work in a notice as 60 s; sums of requests saturate. The module documentation of the choice by cost states the weight of the own work as it is.

The bound of notices has no test.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -32,6 +32,9 @@
 };
 use messages::{Datagram, SpeedMessage};
 
+/// Maximum prefill and work of one prompt in a notice; no request is waited for longer.
+const MAX_NOTICE_WORK_US: u64 = 60_000_000;
+
 /// Prefill time from which on a prompt is announced as far as the rate limit allows, in milliseconds.
 const MIN_PREFILL_MS: f64 = 3.0;
 
@@ -279,11 +282,12 @@
         };
         placement.record_peer_speed(&figure, now_ms);
     }
+    let work_us = notice.work_us.unwrap_or(notice.prefill_us);
     let prompt = PeerPrompt {
         session: notice.session,
         parts: &notice.parts,
-        prefill_ms: notice.prefill_us as f64 / 1_000.0,
-        work_ms: notice.work_us.unwrap_or(notice.prefill_us) as f64 / 1_000.0,
+        prefill_ms: notice.prefill_us.min(MAX_NOTICE_WORK_US) as f64 / 1_000.0,
+        work_ms: work_us.min(MAX_NOTICE_WORK_US) as f64 / 1_000.0,
     };
     placement.record_peer_prompt(&notice.upstream, &prompt, now_ms);
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -179,7 +179,7 @@
         };
         let age_ms = now_ms.saturating_sub(at_ms).min(REPORT_DECAY_MS);
         let others = u64::from(self.others_requests) * (REPORT_DECAY_MS - age_ms) / REPORT_DECAY_MS;
-        self.own_requests + others as u32
+        self.own_requests.saturating_add(others as u32)
     }
 
     fn is_silent(&self, now_ms: u64) -> bool {
@@ -444,7 +444,10 @@
     /// Records the load that an upstream reported with a response.
     pub fn record_load(&mut self, id: &str, report: LoadReport, now_ms: u64) {
         let load = self.load(id);
-        load.others_requests = (report.running + report.waiting).saturating_sub(load.own_requests);
+        load.others_requests = report
+            .running
+            .saturating_add(report.waiting)
+            .saturating_sub(load.own_requests);
         load.reported_at_ms = Some(now_ms);
         if let Some(work_percent) = report.work_percent {
             self.record_stated_speed(id, work_percent, now_ms);
--- a/src/placement/cost_choice.rs
+++ b/src/placement/cost_choice.rs
@@ -1,8 +1,8 @@
 //! Choice among upstreams that state their speed: the least expected cost.
 //!
-//! The cost of an upstream is the expected time to the first byte, a share of the error of that time, and a share of
-//! the work for the request itself, because others wait for that work. The last part keeps prompts where they are
-//! cached. All routers read the same figures, so among near equals two are taken by rendezvous hashing of the session,
+//! The cost of an upstream is the expected time to the first byte, a share of the error of that time, and a
+//! multiple of the work for the request itself at usual speed, because others wait for that work. The last part keeps
+//! prompts where they are cached. All routers read the same figures, so among near equals two are taken by rendezvous hashing of the session,
 //! and one of the two at random: sessions spread over the near equals, and one session is cached at two of them.
 
 use super::usual_choice::rendezvous_score;
@@ -110,7 +110,10 @@
     now_ms: u64,
 ) -> f64 {
     let slots = candidate.slots.max(1);
-    let ahead = (load.total_requests(now_ms) + 1).saturating_sub(slots);
+    let ahead = load
+        .total_requests(now_ms)
+        .saturating_add(1)
+        .saturating_sub(slots);
     f64::from(ahead) * request_ms / f64::from(slots)
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -275,6 +275,10 @@
     Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
 }
 
+/// Maximum number of tokens that a prompt counts as, above the context length of any engine. Larger figures would make
+/// an engine look occupied for hours, at all gateways.
+const MAX_PROMPT_TOKENS: u64 = 1 << 21;
+
 /// Reads the parts of a prompt. The last part belongs to this request alone, the one before it identifies the session.
 fn prompt(headers: &HeaderMap, input_tokens: u64) -> Option<Prompt> {
     let parts: Vec<(&str, u64)> = field_text(headers, &PROMPT_PREFIX)?
@@ -289,7 +293,7 @@
     let mut shared_tokens: u64 = 0;
     let mut beginnings = PromptParts::default();
     for (id, tokens) in shared {
-        shared_tokens = shared_tokens.saturating_add(*tokens);
+        shared_tokens = shared_tokens.saturating_add(*tokens).min(MAX_PROMPT_TOKENS);
         beginnings.push(PromptPart {
             id: xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
             end_tokens: shared_tokens,
@@ -298,7 +302,9 @@
     Some(Prompt {
         session: xxhash_rust::xxh3::xxh3_64(session.as_bytes()),
         shared_tokens,
-        own_tokens: input_tokens.saturating_sub(shared_tokens),
+        own_tokens: input_tokens
+            .saturating_sub(shared_tokens)
+            .min(MAX_PROMPT_TOKENS),
         parts: beginnings,
     })
 }
--- a/tests/placement_costs.rs
+++ b/tests/placement_costs.rs
@@ -396,3 +396,53 @@
     assert_eq!(ends.collect::<Vec<_>>(), [10, 30, 60, 150]);
     assert_eq!(prompt.parts.as_slice()[3].id, prompt.session);
 }
+
+/// Guards against a caller that states an endless prompt, which would make an engine look occupied for hours.
+#[test]
+fn stated_prompt_lengths_are_bounded() {
+    for (tokens, prefix) in [
+        ("5,1", "a:999999999999999999,b:1"),
+        ("1099511627776,1", "a:0,b:1"),
+    ] {
+        let mut fields = HeaderMap::new();
+        fields.insert("x-token-count", HeaderValue::from_static(tokens));
+        fields.insert("x-prompt-prefix", HeaderValue::from_static(prefix));
+
+        let prompt = headers::request_meta(&fields).prompt.expect("a prompt");
+
+        assert!(prompt.shared_tokens <= 1 << 21, "{prefix}");
+        assert!(prompt.own_tokens <= 1 << 21, "{tokens}");
+    }
+}
+
+/// Guards against one measurement beside a stalled caller that spoils the learned output time.
+#[test]
+fn one_output_time_moves_the_learned_one_by_a_bounded_amount() {
+    let mut slow = CostModel::default();
+    let mut bounded = CostModel::default();
+    let usual_ms = slow.ms_per_output_token();
+
+    slow.record_output_time(1, 1_000_000, 1.0);
+    bounded.record_output_time(1, (4.0 * usual_ms) as u64, 1.0);
+
+    assert_eq!(slow.ms_per_output_token(), bounded.ms_per_output_token());
+}
+
+/// Guards against an upstream whose report overflows the sum of its requests, which then looks idle.
+#[test]
+fn a_report_beyond_any_load_counts_as_full() {
+    let mut placement = Placement::with_seed(1);
+    let full = LoadReport {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 8,
+        work_percent: Some(100),
+    };
+    placement.record_load("full", full, 0);
+    placement.record_load("idle", report(100), 0);
+
+    for _ in 0..20 {
+        let chosen = placement.choose(&candidates(&["full", "idle"], 8), None, &[], 0);
+        assert_eq!(chosen, Ok("idle"));
+    }
+}
