--- a/src/congestion.rs
+++ b/src/congestion.rs
@@ -10,8 +10,9 @@
 //! | bytes of responses that callers' hosts have not acknowledged | responses that queue at the link |
 //!
 //! The load balancer hashes callers to routers, so a caller whose connection is closed comes back to the same router
-//! unless that one is out of rotation. Callers are therefore moved in short withdrawals, see [`Withdrawal`]. The design
-//! is in `docs/design/congested-vm.md`.
+//! unless that one is out of rotation. Callers are therefore moved in short withdrawals, see [`Withdrawal`]. While
+//! connects are slow, the router is not ready and closes connections for as long as that lasts, unless half of the other
+//! routers are congested, too. The design is in `docs/design/congested-vm.md`.
 
 mod connects;
 mod withdrawal;
--- a/src/congestion/withdrawal.rs
+++ b/src/congestion/withdrawal.rs
@@ -40,7 +40,7 @@
 /// How many routers are congested, by what they report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FleetCongestion {
-    /// Other routers of the fleet, and those of them that are congested.
+    /// Other routers of the fleet.
     pub others: usize,
     /// Those of them that are congested.
     pub congested_others: usize,
