--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -75,7 +75,7 @@
 impl Request {
     /// Reads the next request of a connection.
     ///
-    /// `team_of` returns the team of a request, by which the buffer budget is shared.
+    /// `team_of` returns the team of a request with a body, by which the buffer budget is shared.
     ///
     /// # Errors
     ///
@@ -149,7 +149,7 @@
     if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
         return Err(body_too_large());
     }
-    if let Some(account) = socket.account() {
+    if let (Some(account), false) = (socket.account(), matches!(framing, Framing::Length(0))) {
         account.set_team(team_of(&head));
     }
     let mut body = Body::new(head_bytes + REQUEST_OVERHEAD_BYTES);
