--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -134,6 +134,12 @@
     limits: RequestLimits,
     team_of: impl Fn(&RequestHead) -> Option<CompactString>,
 ) -> Result<Request, Error> {
+    if let Some(account) = socket.account() {
+        // The first bytes were read before the request began.
+        account
+            .resize_input(socket.input_capacity())
+            .map_err(|_| buffers_full())?;
+    }
     let head = read_head(socket, limits.head_bytes);
     let (head, head_bytes) = match monoio::time::timeout(limits.head_timeout, head).await {
         Ok(result) => result?,
