Prefer warm upstreams for 10 ms only, and keep the pauses of a connection small

A complete 5xx response that is relayed does not end the proof of warmth. The pauses of a connection are 16-bit milliseconds, because the larger type made an enum of the router uneven.

--- a/src/cold_upstreams.rs
+++ b/src/cold_upstreams.rs
@@ -26,8 +26,8 @@
 const RETENTION_MS: u64 = 60_000;
 
 /// Difference in expected delay up to which a warm upstream is preferred to one without proof; a request for permission
-/// takes some milliseconds, and permissions are few.
-const WARM_PREFERENCE_MS: f64 = 20.0;
+/// takes some milliseconds. A larger preference makes sessions leave the engines that have cached their prompts.
+const WARM_PREFERENCE_MS: f64 = 10.0;
 
 /// One of this many requests ignores the preference, so that an upstream without proof gets requests, and with their
 /// responses proof, while no entries can be read.
--- a/src/gateway/attempt/in_flight.rs
+++ b/src/gateway/attempt/in_flight.rs
@@ -146,7 +146,7 @@
     }
 
     /// Sets the outcome to a failure that the process has stated in a response.
-    pub(super) fn set_failed_response(&mut self) {
+    pub(in crate::gateway) fn set_failed_response(&mut self) {
         self.outcome = Outcome::Failed;
         self.has_responded = true;
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -211,11 +211,11 @@
                 if !is_failure && !is_event_stream {
                     crashes::record_served(shared, call);
                 }
-                in_flight.set_outcome(if is_failure {
-                    Outcome::Failed
+                if is_failure {
+                    in_flight.set_failed_response();
                 } else {
-                    Outcome::Served
-                });
+                    in_flight.set_outcome(Outcome::Served);
+                }
                 let outcome = if is_failure {
                     Some(Response::Failed)
                 } else {
--- a/src/server/socket.rs
+++ b/src/server/socket.rs
@@ -53,10 +53,10 @@
     /// Reads without waiting in this turn, and its start.
     turn_reads: u32,
     turn_started: Instant,
-    /// Pause before the next request if it is pipelined.
-    pipeline_pause: Duration,
-    /// Retry delay of the refusal of the last request; `None` if it was not refused.
-    refused_for: Option<Duration>,
+    /// Pause before the next request if it is pipelined, in milliseconds.
+    pipeline_pause_ms: u16,
+    /// Pause that the refusal of the last request allows at most; 0 if it was not refused.
+    refused_for_ms: u16,
 }
 
 impl Socket {
@@ -70,8 +70,8 @@
             account: None,
             turn_reads: 0,
             turn_started: Instant::now(),
-            pipeline_pause: TURN_PAUSE,
-            refused_for: None,
+            pipeline_pause_ms: TURN_PAUSE.as_millis() as u16,
+            refused_for_ms: 0,
         }
     }
 
@@ -179,8 +179,9 @@
     /// Records that the current request is refused for lack of capacity, with the retry delay that the caller is told.
     pub fn record_refusal(&mut self, status: u16, retry_after_ms: Option<u64>) {
         if matches!(status, 429 | 503) {
-            let retry_after = retry_after_ms.map(Duration::from_millis);
-            self.refused_for = Some(retry_after.unwrap_or(FIRST_REFUSAL_PAUSE));
+            let first_ms = FIRST_REFUSAL_PAUSE.as_millis() as u64;
+            let most_ms = MAX_REFUSAL_PAUSE.as_millis() as u64;
+            self.refused_for_ms = retry_after_ms.unwrap_or(first_ms).clamp(1, most_ms) as u16;
         }
     }
 
@@ -189,14 +190,18 @@
     /// Requests that are refused at once would otherwise keep the event loop from all other connections, and callers
     /// that ignore refusals would take each place that becomes free before those that wait for their retry delay.
     pub async fn pause_if_pipelined(&mut self) {
-        let refused_for = self.refused_for.take();
-        self.pipeline_pause = next_pipeline_pause(self.pipeline_pause, refused_for);
+        let refused_for_ms = std::mem::take(&mut self.refused_for_ms);
+        let refused_for =
+            (refused_for_ms > 0).then(|| Duration::from_millis(refused_for_ms.into()));
+        let pause = Duration::from_millis(self.pipeline_pause_ms.into());
+        let pause = next_pipeline_pause(pause, refused_for);
+        self.pipeline_pause_ms = pause.as_millis() as u16;
         if !self.input.is_empty() {
             if let Some(account) = &self.account {
                 // If it does not fit, the request is refused when it begins.
                 let _ = account.resize_input(self.input.capacity());
             }
-            monoio::time::sleep(self.pipeline_pause).await;
+            monoio::time::sleep(pause).await;
         }
     }
 
