--- a/src/directory.rs
+++ b/src/directory.rs
@@ -47,6 +47,8 @@
     pub started_ms: Option<u64>,
     /// Number of reports of the process; it rises with each one.
     pub report_sequence: Option<u64>,
+    /// Time for which it is still cold after its start; see [`crate::cold_upstreams`].
+    pub cold_left_ms: u64,
 }
 
 impl UpstreamEntry {
@@ -277,6 +279,12 @@
             .filter(move |(_, entry)| entry.service == service && !entry.is_draining)
     }
 
+    /// Returns whether an upstream in a data centre is known.
+    pub fn has_data_centre(&self, data_centre: &str) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.data_centre == data_centre)
+    }
+
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 //! | choose upstreams, send, retry | `attempt` |
 //! | connections to upstreams | `pool` |
 //! | what upstreams state about new requests | `availability` |
+//! | which processes of upstreams are gone, as gateways tell each other | `beliefs` |
 //! | relay the response, count what is delivered | `relay` |
 //!
 //! Background tasks run beside the requests:
@@ -21,8 +22,11 @@
 //! | write journal entries, which limit how far the rights may be spent | `journal` |
 //! | sample the wall clocks of other gateways | `clock` |
 //! | relate crashes of upstreams to requests, refuse requests that cause them | `crashes` |
+//! | know which upstreams may be cold | `cold_upstreams` |
+//! | keep requests away from evacuated data centres | `evacuations` |
+//! | observe the load of this VM, move callers away from it | `load` |
 //! | keep to the limits on requests that upstreams state | `limits` |
-//! | try new versions of services, roll back bad ones | `rollouts` |
+//! | try new versions of services, complete good ones, roll back bad ones | `rollouts` |
 //! | report presence, from which fleet-wide limits are split | `presence` |
 //! | exchange datagrams with other gateways | `peers` |
 //! | answer readiness probes and metric scrapes | `probes` |
@@ -30,18 +34,24 @@
 //!
 //! Decisions are made without input or output, in [`crate::routing`], [`crate::directory`], [`crate::placement`],
 //! [`crate::allowance`], [`crate::crash_attribution`], [`crate::holders`], [`crate::reservations`],
-//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::upstream_availability`], [`crate::upstream_limits`],
-//! [`crate::version_canary`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`] call a gateway process a router.
+//! [`crate::fleet_clock`], [`crate::congestion`], [`crate::cold_upstreams`], [`crate::evacuation`],
+//! [`crate::upstream_availability`], [`crate::upstream_beliefs`], [`crate::upstream_limits`], [`crate::version_canary`],
+//! [`crate::rollout_completion`] and [`crate::shared_limits`]. These modules, [`crate::store`] and [`crate::platform`]
+//! call a gateway process a router.
 //! The design is in `docs/design.md`, section 10.
 
 mod attempt;
 mod availability;
+mod beliefs;
 mod budget;
 mod callers;
 mod clock;
+mod cold_upstreams;
 mod crashes;
+mod evacuations;
 mod journal;
 mod limits;
+mod load;
 mod peers;
 mod pool;
 mod presence;
@@ -65,11 +75,11 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::collections::FastMap;
-use crate::congestion::CongestionDetector;
 use crate::directory::UpstreamDirectory;
 use crate::event_loop;
 use crate::fleet_clock::FleetClock;
 use crate::holders::PeerMonitor;
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::notify::Notify;
 use crate::placement::{Placement, Prompt};
@@ -79,6 +89,7 @@
 use crate::shared_limits::{ActiveRouters, RetryLimiter};
 use crate::store::Store;
 use crate::upstream_availability::UpstreamAvailability;
+use crate::upstream_beliefs::UpstreamBeliefs;
 use store_health::ObservedStore;
 
 pub use settings::{FleetLimits, Listen, Resources, Settings, StoreSettings};
@@ -105,6 +116,8 @@
     pub input_tokens: u64,
     /// Maximum number of tokens in the response.
     pub max_output_tokens: u64,
+    /// Number of tokens that the caller expects in the response.
+    pub output_hint_tokens: Option<u64>,
     /// Prompt of a request to a model engine; `None` for plain services.
     pub prompt: Option<Prompt>,
     /// Hashes of the parts of the prompt that other requests may share, in order.
@@ -145,8 +158,7 @@
     peer_socket: peers::PeerSocket,
     journal: journal::Journal,
     clock: RefCell<FleetClock>,
-    congestion: RefCell<CongestionDetector>,
-    was_congested: Cell<bool>,
+    load: load::Load,
     routers: RefCell<ActiveRouters>,
     /// Number of presence reports of this process.
     reports: Cell<u64>,
@@ -156,8 +168,11 @@
     stranger_seen: Notify,
     is_stranger_seen: Cell<bool>,
     crashes: crashes::Crashes,
+    cold_upstreams: cold_upstreams::ColdUpstreams,
+    evacuations: evacuations::Evacuations,
     limits: limits::Limits,
     availability: RefCell<UpstreamAvailability>,
+    beliefs: RefCell<UpstreamBeliefs>,
     rollouts: rollouts::Rollouts,
     /// Retry limiters by service.
     retries: RefCell<FastMap<CompactString, RetryLimiter>>,
@@ -165,6 +180,8 @@
     random: RefCell<Pcg64Mcg>,
     open_requests: Cell<usize>,
     connections: Cell<usize>,
+    /// Memory for the requests of callers and for unread responses.
+    buffers: Rc<server::CallerBuffers>,
 }
 
 impl Shared {
@@ -189,39 +206,10 @@
     /// Returns whether the load balancer should send new connections here.
     fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && !self.is_congested()
+            && self.load.state().is_ready
             && self.table.borrow().is_some()
             && self.is_directory_loaded.get()
     }
-
-    /// Returns whether the network of this VM is congested, so that callers should use other gateways.
-    fn is_congested(&self) -> bool {
-        self.congestion.borrow().is_congested(self.now_ms())
-    }
-
-    /// Returns whether the connection to the caller is kept open after the response to a request.
-    fn keeps_connection(&self, request: &server::Request) -> bool {
-        request.keep_alive && !self.is_stopping() && !self.is_congested()
-    }
-
-    /// Records how long connecting to an upstream took, and logs when congestion begins or ends.
-    fn record_connect(&self, upstream: &str, elapsed_ms: u64) {
-        let now_ms = self.now_ms();
-        let mut congestion = self.congestion.borrow_mut();
-        congestion.record_connect(upstream, elapsed_ms, now_ms);
-        let is_congested = congestion.is_congested(now_ms);
-        if self.was_congested.replace(is_congested) != is_congested {
-            log::info!(
-                step = "congestion", congested = is_congested, connections = self.connections.get(),
-                open_requests = self.open_requests.get(), at_ms = now_ms;
-                "{}", if is_congested {
-                    "network congested at this VM, sending callers to other gateways"
-                } else {
-                    "congestion ended, accepting callers again"
-                }
-            );
-        }
-    }
 }
 
 /// Runs a gateway until it has shut down.
@@ -231,6 +219,7 @@
 /// Returns an error if the event loop cannot be started, an address cannot be bound or the signal handlers cannot be
 /// registered.
 pub fn run(settings: Settings) -> Result<(), Error> {
+    memory::configure_allocator();
     event_loop::block_on(serve(settings))
         .map_err(|error| Error::Start("starting the event loop", error))?
 }
@@ -269,6 +258,7 @@
     monoio::spawn(crashes::judge_suspects(Rc::clone(&shared)));
     monoio::spawn(rollouts::watch(Rc::clone(&shared)));
     monoio::spawn(rollouts::report(Rc::clone(&shared)));
+    monoio::spawn(rollouts::decide(Rc::clone(&shared)));
     monoio::spawn(presence::watch(Rc::clone(&shared)));
     monoio::spawn(presence::report(Rc::clone(&shared)));
     monoio::spawn(peers::receive(Rc::clone(&shared)));
@@ -277,7 +267,9 @@
     monoio::spawn(budget::run(Rc::clone(&shared)));
     monoio::spawn(budget::remote::send_outgoing(Rc::clone(&shared)));
     monoio::spawn(budget::serving::expire(Rc::clone(&shared)));
+    monoio::spawn(load::run(Rc::clone(&shared)));
     monoio::spawn(run_housekeeping(Rc::clone(&shared)));
+    monoio::spawn(Rc::clone(&shared.buffers).run_housekeeping());
     shutdown::wait_and_drain(&shared, &mut signals).await;
     Ok(())
 }
@@ -288,7 +280,11 @@
     let store = StoreClient::new(&store.address, &settings.vm, store.partitions);
     let store = ObservedStore::new(store, started);
     let mut random = Pcg64Mcg::from_os_rng();
+    let placement = RefCell::new(Placement::with_seed(random.random()));
+    let metrics = Metrics::new();
+    let buffer_bytes = settings.resources.buffer_bytes();
     Shared {
+        buffers: server::CallerBuffers::new(buffer_bytes, metrics.clone()),
         router_id: random.random(),
         started,
         phase: Cell::new(Phase::Running),
@@ -299,25 +295,27 @@
         directory: RefCell::default(),
         is_directory_loaded: Cell::new(false),
         directory_read_ms: Cell::new(0),
-        placement: RefCell::default(),
+        placement,
         pool: pool::Pool::default(),
         budgets: budget::Budgets::new(started, settings.fleet.is_first_start),
         peer_socket,
         journal: journal::Journal::default(),
         clock: RefCell::default(),
-        congestion: RefCell::default(),
-        was_congested: Cell::new(false),
+        load: load::Load::new(&settings.resources),
         routers: RefCell::default(),
         reports: Cell::new(0),
         peer_monitor: RefCell::default(),
         stranger_seen: Notify::default(),
         is_stranger_seen: Cell::new(false),
         crashes: crashes::Crashes::default(),
+        cold_upstreams: cold_upstreams::ColdUpstreams::default(),
+        evacuations: evacuations::Evacuations::default(),
         limits: limits::Limits::default(),
         availability: RefCell::default(),
+        beliefs: RefCell::default(),
         rollouts: rollouts::Rollouts::default(),
         retries: RefCell::default(),
-        metrics: Metrics::new(),
+        metrics,
         random: RefCell::new(random),
         open_requests: Cell::new(0),
         connections: Cell::new(0),
@@ -342,6 +340,8 @@
         }
         shared.pool.close_expired(now_ms);
         limits::tidy(&shared);
+        cold_upstreams::tidy(&shared);
+        evacuations::tidy(&shared);
         shared
             .placement
             .borrow_mut()
@@ -353,7 +353,20 @@
             .metrics
             .set("connections", shared.connections.get() as u64);
         shared.metrics.set("store_epoch", shared.store.epoch());
+        set_cost_gauges(&shared);
+    }
+}
+
+/// Sets the gauges of the learned costs, if requests are placed by them.
+fn set_cost_gauges(shared: &Shared) {
+    let placement = shared.placement.borrow();
+    if !placement.weighs_costs() {
+        return;
     }
+    let model = placement.cost_model();
+    let gauge = |name: &str, value: f64| shared.metrics.set(name, value as u64);
+    gauge("prefill_ns_per_token", model.ms_per_token() * 1e6);
+    gauge("output_us_per_token", model.ms_per_output_token() * 1e3);
 }
 
 /// Logs the current view of the configuration, the upstreams and the other gateways, with the age of each.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,27 +17,35 @@
 use compact_str::{format_compact, CompactString};
 
 use super::crashes::{self, CrashRefusal};
+use super::evacuations::{self, EVACUATED_REASON, RETRY_AFTER_EVACUATION_MS};
+use super::limits::Permission;
 use super::request::Call;
-use super::{availability, limits, pool, rollouts, Shared};
+use super::{availability, beliefs, cold_upstreams, limits, pool, rollouts, Shared};
+use crate::congestion::SLOW_CONNECT_MS;
 use crate::directory::UpstreamEntry;
-use crate::placement::{Outcome, PlacementError};
+use crate::placement::{LoadReport, Outcome, PlacementError};
 use crate::platform::headers;
 use crate::refusal::Refusal;
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
+use crate::upstream_beliefs::{GoneKind, Retry};
 use crate::upstream_client::UpstreamResponse;
 use crate::version_canary::Response;
 
-use choice::{choose_upstream, limited_wait_ms, paused_wait_ms, Choice};
+use choice::{
+    choose_upstream, is_same_process, is_still_allowed, is_still_permitted, limited_wait_ms,
+    paused_wait_ms, Choice,
+};
 use exchange::HeadResult;
 use handover::await_result;
 use interrupt::run_until_interrupted;
+use pool::ConnectError;
 
 pub(super) use encode::put_fields;
 pub(super) use exchange::Exchange;
 pub(super) use handover::{find_successor, hand_over, HandOver, Successor, SEARCH_INTERVAL};
 pub(super) use in_flight::InFlight;
-pub(super) use interrupt::Interrupt;
+pub(super) use interrupt::{Interrupt, WATCH_BYTES};
 
 /// Longest time for which a pooled connection may have been idle to carry a request that may run only once. If the
 /// upstream closed the connection unnoticed, it would be unknown whether such a request ran.
@@ -56,6 +64,12 @@
 /// Number of attempts that did not run, for example refused connections, after which a request is given up.
 const MAX_NOT_RUN: u32 = 4;
 
+/// Reason in the log for a request that was not sent to the chosen upstream.
+const NOT_ALLOWED_REASON: &str = "the upstream takes no new requests since it was chosen";
+
+/// Reason in the log for a request to a cold upstream whose permit has expired.
+const PERMIT_EXPIRED_REASON: &str = "the permit for an upstream that may be cold has expired";
+
 /// Status of a process that has taken over the address of the intended upstream.
 pub(super) const MISDIRECTED_REQUEST: u16 = 421;
 
@@ -64,7 +78,7 @@
     /// Id of the upstream.
     pub(super) upstream: CompactString,
     /// The response; its body is still to be read.
-    pub(super) upstream_response: UpstreamResponse,
+    pub(super) upstream_response: Box<UpstreamResponse>,
     /// Whether the whole request was written, so that the connection can be reused.
     pub(super) is_reusable: bool,
 }
@@ -102,6 +116,16 @@
     pub(super) last: CompactString,
     /// Expected time until the upstream of the last attempt has prefilled the prompt, for the log.
     pub(super) expected_ms: u64,
+    /// Expected time of the prefill alone, for the log; 0 if upstreams do not state their speed.
+    pub(super) expected_prefill_ms: u64,
+    /// Expected time of the output at usual speed, for the log.
+    pub(super) expected_output_ms: u64,
+    /// Time spent waiting for rights, for the log.
+    pub(super) rights_wait_ms: u64,
+    /// Time spent waiting for permissions of limited upstreams, for the log.
+    pub(super) permission_wait_ms: u64,
+    /// Time spent waiting for connections, for the log.
+    pub(super) connect_wait_ms: u64,
 }
 
 impl Attempts {
@@ -176,13 +200,14 @@
                 if !is_retryable(call, attempts, &response, is_resumption) {
                     return Ok((response, in_flight));
                 }
-                in_flight.set_outcome(Outcome::Failed);
-                in_flight.record_response(call, Response::Failed);
+                in_flight.set_failed_response();
                 let status = response.upstream_response.status();
                 attempts.last = format_compact!("{}: status {status}", in_flight.id);
+                // A response that is relayed is counted for the comparison of versions then.
                 if !may_retry(shared, call, attempts) {
                     return Ok((response, in_flight));
                 }
+                in_flight.record_response(call, Response::Failed);
             }
             AttemptResult::NotRun(reason) => {
                 attempts.record_not_run(call, &in_flight.id, &reason);
@@ -218,7 +243,7 @@
     last_event_id: Option<u64>,
 ) -> Result<Exchange<'a, 'c>, Failure> {
     let is_first = attempts.tried.is_empty();
-    let first_versions = is_first.then(|| rollouts::choose(shared, &call.service));
+    let first_versions = is_first.then(|| rollouts::choose(shared, call));
     loop {
         if call.remaining_ms(shared) < MIN_REMAINING_MS {
             return Err(give_up(
@@ -231,19 +256,24 @@
         if let Err(refusal) = crashes::admit(shared, call) {
             return Err(crash_refusal(call, attempts, &refusal));
         }
-        let versions = match first_versions.filter(|_| attempts.tried.is_empty()) {
+        let is_in_force = attempts.tried.is_empty() && rollouts::is_running(shared, &call.service);
+        let versions = match first_versions.filter(|_| is_in_force) {
             Some(versions) => versions,
             None => rollouts::choose_again(shared, &call.service),
         };
-        let choice = match choose_upstream(shared, call, &attempts.tried, versions) {
+        let mut choice = match choose_upstream(shared, call, &attempts.tried, versions) {
             Ok(choice) => choice,
             Err(error) => return Err(placement_failure(shared, call, attempts, error)),
         };
-        let permission = limits::acquire(shared, &choice.id, choice.weight);
-        match run_until_interrupted(shared, call, caller, permission).await {
-            Ok(true) => {}
+        let asked_ms = shared.now_ms();
+        let permission = limits::acquire(shared, &choice.id, choice.weight, choice.cold_rule);
+        let permission = run_until_interrupted(shared, call, caller, permission).await;
+        attempts.permission_wait_ms += shared.now_ms().saturating_sub(asked_ms);
+        call.add_wait_since(shared, asked_ms);
+        match permission {
+            Ok(Permission::Granted(permit)) => choice.cold_permit = permit,
             // The upstream is no candidate for some time, so another one is chosen.
-            Ok(false) => continue,
+            Ok(Permission::Denied) => continue,
             Err(Interrupt::CallerGone) => return Err(Failure::CallerGone),
             Err(Interrupt::Deadline) => {
                 let reason = "no permission of a limited upstream before the deadline";
@@ -259,20 +289,37 @@
             ));
         }
         let mut in_flight = begin_attempt(shared, call, attempts, &choice);
-        match connect(shared, call, caller, &choice).await {
+        let connecting_ms = shared.now_ms();
+        let connected = connect(shared, call, caller, &choice).await;
+        attempts.connect_wait_ms += shared.now_ms().saturating_sub(connecting_ms);
+        match connected {
             Ok(Ok(socket)) => {
-                // The upstream may have stated that while the request waited for permission or for the connection.
-                if !availability::is_available(shared, &choice.id, &choice.entry) {
-                    let reason = "the upstream has stated meanwhile that it takes no new requests";
-                    attempts.withdraw_last(call, reason);
+                // The request has waited for permission and for the connection.
+                if !is_still_allowed(shared, call, &choice) {
+                    attempts.withdraw_last(call, NOT_ALLOWED_REASON);
                     continue;
                 }
-                if let Err(failure) = authorise(shared, call, caller, attempts).await {
+                let waiting_ms = shared.now_ms();
+                let authorised = authorise(shared, call, caller, attempts).await;
+                call.add_wait_since(shared, waiting_ms);
+                if let Err(failure) = authorised {
                     attempts.withdraw_last(call, "requests like it crashed upstreams meanwhile");
-                    let now_ms = shared.now_ms();
-                    shared.pool.put(&choice.id, socket, None, now_ms);
+                    if is_same_process(shared, &choice) {
+                        shared.pool.put(&choice.id, socket, None, shared.now_ms());
+                    }
                     return Err(failure);
                 }
+                // A suspected request has waited for its turn.
+                if !is_still_allowed(shared, call, &choice) {
+                    attempts.withdraw_last(call, NOT_ALLOWED_REASON);
+                    continue;
+                }
+                if !is_still_permitted(shared, &choice) {
+                    // With an open connection the next permit is used in time.
+                    shared.pool.put(&choice.id, socket, None, shared.now_ms());
+                    attempts.withdraw_last(call, PERMIT_EXPIRED_REASON);
+                    continue;
+                }
                 let target = Target {
                     id: &choice.id,
                     entry: &choice.entry,
@@ -280,9 +327,11 @@
                 };
                 return Ok(Exchange::start(shared, call, &target, socket, in_flight));
             }
-            Ok(Err(reason)) => {
-                in_flight.set_outcome(Outcome::Unreachable);
-                attempts.record_not_run(call, &choice.id, &reason);
+            Ok(Err(error)) => {
+                call.add_wait_since(shared, connecting_ms);
+                in_flight.set_outcome(error.outcome());
+                record_refusal(shared, &choice, &error);
+                attempts.record_not_run(call, &choice.id, &error.to_string());
                 check_not_run(shared, call, attempts)?;
             }
             Err(Interrupt::CallerGone) => return Err(Failure::CallerGone),
@@ -384,6 +433,10 @@
     attempts: &Attempts,
     error: PlacementError,
 ) -> Failure {
+    if evacuations::is_service_evacuated(shared, &call.service) {
+        let failure = give_up(call, attempts, Refusal::NoUpstream, EVACUATED_REASON);
+        return retry_after_wait(failure, RETRY_AFTER_EVACUATION_MS);
+    }
     if let Some(wait_ms) = paused_wait_ms(shared, call) {
         let reason = "all upstreams of the service have asked for a pause";
         let failure = give_up(call, attempts, Refusal::Overloaded, reason);
@@ -441,13 +494,28 @@
     }
 }
 
+/// Returns whether the next attempt repeats the request, and whether the retry limit of the fleet allows more than that.
+fn retry_need(shared: &Shared, call: &Call<'_>, tried: &[CompactString]) -> Retry {
+    if tried.is_empty() {
+        return Retry::None;
+    }
+    let rule = shared.settings.fleet.retry_rule();
+    let slack = retry_slack(shared);
+    let mut retries = shared.retries.borrow_mut();
+    let limit = retries.entry(call.service.clone()).or_default();
+    match limit.remaining_retries(rule, slack, shared.now_ms()) {
+        0 | 1 => Retry::Last,
+        _ => Retry::Allowed,
+    }
+}
+
 /// Opens or reuses a connection to the upstream of an attempt.
 async fn connect(
     shared: &Shared,
     call: &Call<'_>,
     caller: &mut Socket,
     choice: &Choice,
-) -> Result<Result<Socket, CompactString>, Interrupt> {
+) -> Result<Result<Socket, ConnectError>, Interrupt> {
     let is_at_most_once = call.route().retry_semantics == RetrySemantics::AtMostOnce;
     let max_idle_ms = if is_at_most_once {
         AT_MOST_ONCE_MAX_IDLE_MS
@@ -461,10 +529,22 @@
     let connecting_ms = shared.now_ms();
     let connecting = pool::connect(choice.entry.address);
     let connected = run_until_interrupted(shared, call, caller, connecting).await;
-    shared.record_connect(&choice.id, shared.now_ms().saturating_sub(connecting_ms));
+    let elapsed_ms = shared.now_ms().saturating_sub(connecting_ms);
+    // A connect that was interrupted early may have become a slow one.
+    if connected.is_ok() || elapsed_ms >= SLOW_CONNECT_MS {
+        shared.record_connect(&choice.id, connecting_ms);
+    }
     connected
 }
 
+/// Tells the other gateways that the address of an upstream refuses connections, if it does.
+fn record_refusal(shared: &Shared, choice: &Choice, error: &ConnectError) {
+    if error.is_refused() {
+        let gone = availability::process(&choice.id, &choice.entry);
+        beliefs::record_gone(shared, gone, GoneKind::Unreachable);
+    }
+}
+
 /// Starts to send a request on a connection to an upstream.
 fn start_exchange<'a: 'c, 'c>(
     shared: &'a Shared,
@@ -491,13 +571,18 @@
     choice: &Choice,
 ) -> InFlight<'a> {
     let Choice { id, entry, .. } = choice;
-    rollouts::record_sent(shared, &call.service, &entry.version);
+    rollouts::record_sent(shared, call, &entry.version);
     attempts.tried.push(id.clone());
     attempts.expected_ms = {
         let placement = shared.placement.borrow();
         placement.expected_delay_ms(id, call.meta.prompt.as_ref(), shared.now_ms()) as u64
     };
-    InFlight::new(shared, id, entry, call.meta.prompt.as_ref())
+    let mut in_flight = InFlight::new(shared, id, entry, call.meta.prompt.as_ref());
+    in_flight.cold_rule = choice.cold_rule;
+    in_flight.cold_permit = choice.cold_permit;
+    let expected_cost = in_flight.expected_cost.as_ref();
+    attempts.expected_prefill_ms = expected_cost.map_or(0, |cost| cost.work_time_ms() as u64);
+    in_flight
 }
 
 /// Classifies the result of an exchange.
@@ -538,6 +623,20 @@
     call.route().is_stream && !shared.placement.borrow().is_silent(id, shared.now_ms())
 }
 
+/// Records the load that an upstream reported; logs when the first upstream states its speed.
+fn record_load(shared: &Shared, upstream: &str, report: LoadReport, now_ms: u64) {
+    let mut placement = shared.placement.borrow_mut();
+    let was_by_cost = placement.weighs_costs();
+    placement.record_load(upstream, report, now_ms);
+    if placement.weighs_costs() && !was_by_cost {
+        log::info!(
+            step = "placement", upstream = upstream, work_percent = report.work_percent,
+            at_ms = now_ms;
+            "upstreams state their speed, requests to their services are placed by expected cost"
+        );
+    }
+}
+
 /// Classifies an attempt by the head of its response, and records the load and the latency of the upstream.
 fn classify_response(
     shared: &Shared,
@@ -549,13 +648,22 @@
     let now_ms = shared.now_ms();
     let status = response.upstream_response.status();
     let fields = response.upstream_response.headers();
-    if let Some(report) = headers::load_report(fields) {
-        let mut placement = shared.placement.borrow_mut();
-        placement.record_load(&response.upstream, report, now_ms);
+    let report = headers::load_report(fields);
+    if let Some(report) = report {
+        record_load(shared, &response.upstream, report, now_ms);
     }
     if status != MISDIRECTED_REQUEST {
         limits::record_response(shared, &response.upstream, fields);
     }
+    if let Some(rule) = in_flight.cold_rule {
+        let sent_ms = now_ms.saturating_sub(elapsed_ms);
+        let head = (status, fields);
+        cold_upstreams::record_response(shared, &response.upstream, rule, head, sent_ms);
+        let permit = in_flight.cold_permit.take();
+        if let Some(permit) = permit.filter(|_| status != MISDIRECTED_REQUEST) {
+            limits::report_served(shared, &response.upstream, permit);
+        }
+    }
     if headers::is_not_executed(status, fields) {
         in_flight.set_outcome(if status == MISDIRECTED_REQUEST {
             Outcome::Replaced
@@ -576,6 +684,8 @@
         if let Some(work) = in_flight.idle_prefill_work {
             placement.record_prefill(&response.upstream, work, elapsed_ms);
         }
+        drop(placement);
+        in_flight.record_first_byte(report, elapsed_ms);
     }
     AttemptResult::Response(response)
 }
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -2,11 +2,15 @@
 
 use compact_str::CompactString;
 
+use super::retry_need;
+use crate::cold_upstreams::{prefers_warm, ColdRule};
 use crate::directory::{UpstreamDirectory, UpstreamEntry};
+use crate::gateway::limits::{self, ColdPermit};
 use crate::gateway::request::Call;
-use crate::gateway::{availability, rollouts, Shared};
+use crate::gateway::{availability, beliefs, cold_upstreams, evacuations, rollouts, Shared};
 use crate::placement::{Candidate, PlacementError};
 use crate::upstream_availability::Availability;
+use crate::upstream_beliefs::{Preference, RequestNeed};
 use crate::upstream_limits::Weight;
 use crate::version_canary::Choice as Versions;
 
@@ -16,6 +20,19 @@
     pub(super) entry: UpstreamEntry,
     /// Weight of the request for the limit of the upstream.
     pub(super) weight: Weight,
+    /// What the upstream tolerates if it is cold; `None` if it never is.
+    pub(super) cold_rule: Option<ColdRule>,
+    /// Permit for the request, if the upstream may be cold.
+    pub(super) cold_permit: Option<ColdPermit>,
+}
+
+/// Which upstreams are left out of a first choice.
+#[derive(Clone, Copy)]
+struct Narrowing {
+    /// Only upstreams that have answered since this time.
+    answered_since_ms: Option<u64>,
+    /// Only upstreams that are known to be warm.
+    is_warm_only: bool,
 }
 
 /// Chooses an upstream to which this gateway may open another connection.
@@ -30,20 +47,32 @@
     let limit = connection_limit(shared, call);
     let serving: Vec<_> = staying(shared, call, &directory).collect();
     let now_ms = shared.now_ms();
-    let choose_among = |versions: Versions, weight: Weight| {
+    let cold_rule = cold_upstreams::rule(shared, &call.service);
+    let may_be_cold =
+        |id: &str| cold_rule.is_some() && cold_upstreams::needs_permission(shared, id);
+    let preference = preference(shared, call, tried, &serving);
+    let choose_among = |versions: Versions, weight: Weight, narrowing: Narrowing| {
         let candidates: Vec<_> = serving
             .iter()
             .filter(|(_, entry)| match versions {
                 Versions::Any => true,
-                Versions::New => rollouts::is_new(shared, &call.service, &entry.version),
+                Versions::New | Versions::Replacement => {
+                    rollouts::is_new(shared, &call.service, &entry.version)
+                }
                 Versions::Present | Versions::PresentOnly => {
                     !rollouts::is_new(shared, &call.service, &entry.version)
                 }
             })
+            .filter(|(id, entry)| {
+                let since_ms = narrowing.answered_since_ms;
+                since_ms.is_none_or(|since_ms| has_answered(shared, id, entry, since_ms))
+            })
             .filter(|(id, entry)| {
                 placement.open_requests(id) < limit
                     && shared.limits.may_ask(id, weight, now_ms)
                     && availability::is_available(shared, id, entry)
+                    && (!may_be_cold(id)
+                        || !narrowing.is_warm_only && shared.limits.may_ask_cold(id, now_ms))
             })
             .map(|(id, entry)| Candidate {
                 id: id.as_str(),
@@ -56,15 +85,59 @@
         }
         placement.choose(&candidates, call.meta.prompt.as_ref(), tried, now_ms)
     };
-    let mut entries = serving.iter().map(|(_, entry)| entry);
-    let has_present = entries.any(|entry| !rollouts::is_new(shared, &call.service, &entry.version));
+    let is_new = |entry: &UpstreamEntry| rollouts::is_new(shared, &call.service, &entry.version);
+    let has_version = |is_wanted_new| {
+        let mut entries = serving.iter();
+        entries.any(|(_, entry)| is_new(entry) == is_wanted_new)
+    };
     let versions = match versions {
-        Versions::Present if !has_present => Versions::Any,
+        Versions::Present if !has_version(false) => Versions::Any,
+        Versions::Replacement if !has_version(true) => Versions::Any,
         other => other,
     };
-    let choose = |weight: Weight| match (choose_among(versions, weight), versions) {
-        (Err(_), Versions::New) => choose_among(Versions::Present, weight),
-        (chosen, _) => chosen,
+    let choose_of_version = |weight: Weight, narrowing: Narrowing| {
+        let chosen = choose_among(versions, weight, narrowing);
+        match (chosen, versions) {
+            (Err(_), Versions::New) => choose_among(Versions::Present, weight, narrowing),
+            (chosen, _) => chosen,
+        }
+    };
+    let choose_warm_first = |weight: Weight, answered_since_ms: Option<u64>| {
+        let narrowing = |is_warm_only| Narrowing {
+            answered_since_ms,
+            is_warm_only,
+        };
+        let best = choose_of_version(weight, narrowing(false))?;
+        if !may_be_cold(best) {
+            return Ok(best);
+        }
+        // A first choice of the new version falls back to the present one if no upstream of the new one is left.
+        let is_same_version = |warm: &str| {
+            matches!(versions, Versions::Any)
+                || directory.get(warm).is_some_and(is_new)
+                    == directory.get(best).is_some_and(is_new)
+        };
+        let delay_ms =
+            |id: &str| placement.expected_delay_ms(id, call.meta.prompt.as_ref(), now_ms);
+        match choose_of_version(weight, narrowing(true)) {
+            Ok(warm)
+                if is_same_version(warm)
+                    && prefers_warm(delay_ms(best), delay_ms(warm), shared.random()) =>
+            {
+                Ok(warm)
+            }
+            _ => Ok(best),
+        }
+    };
+    let choose = |weight: Weight| match preference {
+        Preference::None => choose_warm_first(weight, None),
+        Preference::Answered { since_ms } => {
+            let preferred = choose_warm_first(weight, Some(since_ms));
+            preferred.or_else(|_| choose_warm_first(weight, None))
+        }
+        Preference::OnlyAnswered { since_ms } => {
+            choose_warm_first(weight, Some(since_ms)).map_err(|_| PlacementError::NoUpstream)
+        }
     };
     let weight = placement.weight(call.meta.prompt.as_ref());
     let (id, weight) = match choose(weight) {
@@ -77,10 +150,66 @@
         id: id.into(),
         entry: entry.clone(),
         weight,
+        cold_rule,
+        cold_permit: None,
     })
 }
 
-/// Returns the upstreams of the service that neither their entries nor their own responses say to be leaving.
+/// Returns whether the chosen upstream still takes new requests.
+///
+/// Its state may have changed while the request waited for a permission or a connection, so this is checked right before
+/// the request is sent.
+pub(super) fn is_still_allowed(shared: &Shared, call: &Call<'_>, choice: &Choice) -> bool {
+    is_same_process(shared, choice)
+        && availability::is_available(shared, &choice.id, &choice.entry)
+        && !evacuations::is_evacuated(shared, &choice.entry)
+        && !rollouts::is_rolled_back(shared, &call.service, &choice.entry.version)
+}
+
+/// Returns whether the directory still has the chosen process, and not as draining. Otherwise a connection to it may not
+/// be kept for its upstream.
+pub(super) fn is_same_process(shared: &Shared, choice: &Choice) -> bool {
+    let directory = shared.directory.borrow();
+    directory.get(&choice.id).is_some_and(|entry| {
+        !entry.is_draining
+            && entry.address == choice.entry.address
+            && entry.started_ms == choice.entry.started_ms
+    })
+}
+
+/// Returns whether the chosen upstream is still warm, or the permit for the request is still valid.
+pub(super) fn is_still_permitted(shared: &Shared, choice: &Choice) -> bool {
+    choice.cold_rule.is_none() || limits::is_permitted(shared, &choice.id, choice.cold_permit)
+}
+
+/// Returns which upstreams go first while the directory is stale.
+fn preference(
+    shared: &Shared,
+    call: &Call<'_>,
+    tried: &[CompactString],
+    serving: &[(&CompactString, &UpstreamEntry)],
+) -> Preference {
+    let Some(since_ms) = beliefs::stale_since_ms(shared) else {
+        return Preference::None;
+    };
+    let answered = serving.iter();
+    let answered = answered.filter(|(id, entry)| has_answered(shared, id, entry, since_ms));
+    let need = RequestNeed {
+        retry: retry_need(shared, call, tried),
+        serving: serving.len(),
+        answered: answered.count(),
+    };
+    shared.beliefs.borrow().preference(Some(since_ms), &need)
+}
+
+fn has_answered(shared: &Shared, id: &str, entry: &UpstreamEntry, since_ms: u64) -> bool {
+    let process = availability::process(id, entry);
+    let beliefs = shared.beliefs.borrow();
+    beliefs.has_answered_since(process, since_ms)
+}
+
+/// Returns the upstreams of the service outside evacuated data centres that neither their entries nor their own
+/// responses say to be leaving, and whose processes are not known to be gone.
 fn staying<'a>(
     shared: &'a Shared,
     call: &'a Call<'_>,
@@ -88,6 +217,8 @@
 ) -> impl Iterator<Item = (&'a CompactString, &'a UpstreamEntry)> {
     directory.serving(&call.service).filter(|(id, entry)| {
         availability::availability(shared, id, entry) != Availability::Leaving
+            && !evacuations::is_evacuated(shared, entry)
+            && !beliefs::is_gone(shared, id, entry)
     })
 }
 
@@ -106,13 +237,25 @@
     part.max(MIN_CONNECTIONS) as u32
 }
 
+/// Returns the time until the coordinator of an upstream grants a request, as far as it has refused one.
+fn limit_wait_ms(shared: &Shared, call: &Call<'_>, id: &str, now_ms: u64) -> u64 {
+    let stated_ms = shared.limits.wait_ms(id, now_ms);
+    let may_be_cold = cold_upstreams::rule(shared, &call.service).is_some()
+        && cold_upstreams::needs_permission(shared, id);
+    if may_be_cold {
+        stated_ms.max(shared.limits.cold_wait_ms(id, now_ms))
+    } else {
+        stated_ms
+    }
+}
+
 /// Returns the time until an upstream of the service takes a request again, if one with a limit is the first that may.
 pub(super) fn limited_wait_ms(shared: &Shared, call: &Call<'_>) -> Option<u64> {
     let directory = shared.directory.borrow();
     let now_ms = shared.now_ms();
     let available = staying(shared, call, &directory)
         .filter(|(id, entry)| availability::is_available(shared, id, entry));
-    let waits = available.map(|(id, _)| shared.limits.wait_ms(id, now_ms));
+    let waits = available.map(|(id, _)| limit_wait_ms(shared, call, id, now_ms));
     waits.filter(|wait_ms| *wait_ms > 0).min()
 }
 
@@ -125,7 +268,7 @@
         let Availability::Paused { wait_ms } = availability::availability(shared, id, entry) else {
             return None;
         };
-        let wait_ms = wait_ms.max(shared.limits.wait_ms(id, now_ms));
+        let wait_ms = wait_ms.max(limit_wait_ms(shared, call, id, now_ms));
         shortest_ms =
             Some(shortest_ms.map_or(wait_ms, |shortest_ms: u64| shortest_ms.min(wait_ms)));
     }
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -65,12 +65,13 @@
     call: &Call<'_>,
     (id, entry): (CompactString, UpstreamEntry),
     mut socket: Socket,
-    output: Bytes,
+    output: [Bytes; 2],
 ) -> HeadResult {
     let record_availability = |response: &UpstreamResponse| {
         let (status, fields) = (response.status(), response.headers());
         availability::record_response(shared, &id, &entry, status, fields);
     };
+    shared.record_dispatch(call);
     let written = pool::write_request(&mut socket, output).await;
     let is_reusable = written.map_err(|error| format_compact!("sending: {error}"))?;
     let started = UpstreamResponse::read_head(socket, &id).await;
@@ -94,7 +95,7 @@
         .record_activity(&id, shared.now_ms());
     Ok(StartedResponse {
         upstream: id,
-        upstream_response,
+        upstream_response: Box::new(upstream_response),
         is_reusable,
     })
 }
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -11,15 +11,19 @@
 use compact_str::{format_compact, CompactString};
 use futures_util::future::{select, Either};
 
-use super::choice::{choose_upstream, Choice};
+use super::choice::{
+    choose_upstream, is_same_process, is_still_allowed, is_still_permitted, Choice,
+};
 use super::exchange::{Exchange, HeadResult};
 use super::interrupt::{run_until_interrupted, Interrupt};
 use super::{
-    attempt_timeout, conclude, is_retry_allowed, is_sending_to_others, start_exchange,
-    AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN, MIN_REMAINING_MS,
+    attempt_timeout, conclude, is_retry_allowed, is_sending_to_others, record_refusal,
+    start_exchange, AttemptResult, Attempts, InFlight, StartedResponse, MAX_NOT_RUN,
+    MIN_REMAINING_MS,
 };
+use crate::gateway::limits::Permission;
 use crate::gateway::request::Call;
-use crate::gateway::{availability, crashes, limits, pool, rollouts, Shared};
+use crate::gateway::{cold_upstreams, crashes, limits, pool, rollouts, Shared};
 use crate::placement::Outcome;
 use crate::server::Socket;
 use crate::version_canary::Response;
@@ -83,31 +87,42 @@
         return None;
     }
     let versions = rollouts::choose_again(shared, &call.service);
-    let choice = choose_upstream(shared, call, tried, versions).ok()?;
+    let mut choice = choose_upstream(shared, call, tried, versions).ok()?;
     // A new connection, because one from the pool does not show that the host is reachable.
     shared.metrics.add("upstream_connects", 1);
     let connecting_ms = shared.now_ms();
     let connected = pool::connect(choice.entry.address).await;
     let now_ms = shared.now_ms();
-    shared.record_connect(&choice.id, now_ms.saturating_sub(connecting_ms));
+    shared.record_connect(&choice.id, connecting_ms);
     let socket = match connected {
         Ok(socket) => socket,
-        Err(reason) => {
+        Err(error) => {
             log::info!(
                 step = "attempt", request_id = call.meta.id.as_str(), upstream = choice.id.as_str();
-                "cannot take over the request: {reason}"
+                "cannot take over the request: {error}"
             );
             let mut placement = shared.placement.borrow_mut();
-            placement.record_unreachable(&choice.id, now_ms);
+            let outcome = error.outcome();
+            placement.record_unreachable(&choice.id, outcome, now_ms);
+            drop(placement);
+            cold_upstreams::record_lost(shared, &choice.id);
+            record_refusal(shared, &choice, &error);
             return None;
         }
     };
-    let is_allowed = limits::acquire(shared, &choice.id, choice.weight).await
-        && availability::is_available(shared, &choice.id, &choice.entry)
+    let permission = limits::acquire(shared, &choice.id, choice.weight, choice.cold_rule).await;
+    if let Permission::Granted(permit) = permission {
+        choice.cold_permit = permit;
+    }
+    let is_allowed = matches!(permission, Permission::Granted(_))
+        && is_still_allowed(shared, call, &choice)
+        && is_still_permitted(shared, &choice)
         && crashes::is_allowed(shared, call)
         && is_retry_allowed(shared, call, true);
     if !is_allowed {
-        shared.pool.put(&choice.id, socket, None, shared.now_ms());
+        if is_same_process(shared, &choice) {
+            shared.pool.put(&choice.id, socket, None, shared.now_ms());
+        }
         return None;
     }
     Some(Successor { choice, socket })
@@ -188,12 +203,16 @@
             let successor = find_successor(shared, call, &attempts.tried, silence, is_needed);
             let successor = pin!(successor);
             let either = select(&mut exchange, successor);
-            let either = run_until_interrupted(shared, call, caller, either).await?;
-            match either {
+            let either = run_until_interrupted(shared, call, caller, either).await;
+            either.map(|either| match either {
                 Either::Left((head, _)) => Either::Left(head),
                 Either::Right((successor, _)) => Either::Right(successor),
-            }
+            })
         };
+        if let Err(Interrupt::Deadline) = &event {
+            exchange.in_flight.record_response(call, Response::Failed);
+        }
+        let event = event?;
         let successor = match event {
             Either::Left(head) => return Ok(conclude(shared, call, exchange, head).await),
             Either::Right(successor) => successor,
@@ -229,7 +248,7 @@
             }
             HandOver::Successor(response, in_flight) => {
                 let reason = format_compact!("status {}", response.upstream_response.status());
-                attempts.record_failed_run(call, in_flight, &reason);
+                attempts.record_failed_response(call, in_flight, &reason);
                 timeout = timeout.map(|_| SEARCH_INTERVAL);
             }
             HandOver::Unanswered(next) => {
@@ -283,6 +302,22 @@
     ) {
         self.runs += 1;
         in_flight.set_outcome(Outcome::Failed);
+        self.record_failure(call, &in_flight, reason);
+    }
+
+    /// Records an attempt whose response is a server error.
+    fn record_failed_response(
+        &mut self,
+        call: &Call<'_>,
+        mut in_flight: InFlight<'_>,
+        reason: &str,
+    ) {
+        self.runs += 1;
+        in_flight.set_failed_response();
+        self.record_failure(call, &in_flight, reason);
+    }
+
+    fn record_failure(&mut self, call: &Call<'_>, in_flight: &InFlight<'_>, reason: &str) {
         in_flight.record_response(call, Response::Failed);
         self.last = format_compact!("{}: {reason}", in_flight.id);
         log::info!(
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -10,7 +10,7 @@
     /// Content of the datagram.
     #[prost(
         oneof = "Content",
-        tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30"
     )]
     pub(super) content: Option<Content>,
 }
@@ -56,6 +56,14 @@
     RecordQuery(RecordQuery),
     #[prost(message, tag = "19")]
     RecordQueryReply(RecordQueryReply),
+    /// Permission to send requests to a new version only, shortly before its rollout is completed.
+    #[prost(message, tag = "20")]
+    MoveNotice(MoveNotice),
+    /// The process of an upstream is gone.
+    #[prost(message, tag = "21")]
+    UpstreamGone(UpstreamGone),
+    #[prost(message, tag = "30")]
+    LimitServed(LimitServed),
 }
 
 /// The version of a team's record that a gateway has written.
@@ -173,6 +181,29 @@
     /// Time that the engine takes to prefill the prompt, in microseconds.
     #[prost(uint64, tag = "3")]
     pub(in crate::gateway) prefill_us: u64,
+    /// The same at usual speed, if engines state their speed.
+    #[prost(uint64, optional, tag = "4")]
+    pub(in crate::gateway) work_us: Option<u64>,
+    /// Hashes of the other parts that prompts of other sessions share, if engines state their speed.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub(in crate::gateway) parts: Vec<u64>,
+    /// Statements of engines about their speed that the sender has received lately.
+    #[prost(message, repeated, tag = "6")]
+    pub(in crate::gateway) speeds: Vec<SpeedMessage>,
+}
+
+/// A statement of an engine about its speed.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct SpeedMessage {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) upstream: String,
+    /// Time that its work takes, in percent of the usual time.
+    #[prost(uint32, tag = "2")]
+    pub(in crate::gateway) work_percent: u32,
+    /// Time since the statement arrived.
+    #[prost(uint32, tag = "3")]
+    pub(in crate::gateway) age_ms: u32,
 }
 
 /// A request to reserve the largest possible charge of a caller's request at a holder of the team's rights.
@@ -273,7 +304,7 @@
     pub(in crate::gateway) known_ms: u64,
 }
 
-/// A request for permission to send one request to an upstream that has stated a limit.
+/// A request for permission to send one request to an upstream that has stated a limit or may be cold.
 #[derive(Clone, PartialEq, Message)]
 pub(in crate::gateway) struct LimitRequest {
     /// Random id of the request.
@@ -282,15 +313,32 @@
     /// Id of the upstream.
     #[prost(string, tag = "2")]
     pub(in crate::gateway) upstream: String,
-    /// Limit as the sender knows it, in thousandths of a request a second.
-    #[prost(uint64, tag = "3")]
-    pub(in crate::gateway) limit_milli_per_s: u64,
+    /// Limit as the sender knows it, in thousandths of a request a second; `None` if the upstream states none.
+    #[prost(uint64, optional, tag = "3")]
+    pub(in crate::gateway) limit_milli_per_s: Option<u64>,
     /// Time for which the sender has known the limit.
     #[prost(uint64, tag = "4")]
     pub(in crate::gateway) known_ms: u64,
     /// Whether the request is light, so that others go first.
     #[prost(bool, tag = "5")]
     pub(in crate::gateway) is_light: bool,
+    /// Whether the sender has no proof that the upstream is warm.
+    #[prost(bool, tag = "6")]
+    pub(in crate::gateway) may_be_cold: bool,
+    /// Time since the sender lost contact with the upstream; older signs of life prove nothing to it.
+    #[prost(uint64, optional, tag = "7")]
+    pub(in crate::gateway) lost_age_ms: Option<u64>,
+}
+
+/// Tells the coordinator that a request which it has granted was answered, so that the upstream lives.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct LimitServed {
+    /// Id of the request for permission.
+    #[prost(fixed64, tag = "1")]
+    pub(in crate::gateway) id: u64,
+    /// Id of the upstream.
+    #[prost(string, tag = "2")]
+    pub(in crate::gateway) upstream: String,
 }
 
 /// Reply to a [`LimitRequest`].
@@ -302,6 +350,9 @@
     /// Time until the upstream takes the next request; `None` if the request may be sent now.
     #[prost(uint64, optional, tag = "2")]
     pub(in crate::gateway) denied_ms: Option<u64>,
+    /// Age of the last sign of life, if the request needed no grant because the upstream is proved to be warm.
+    #[prost(uint64, optional, tag = "3")]
+    pub(in crate::gateway) proof_age_ms: Option<u64>,
 }
 
 /// Responses of both versions of a service that the sender has counted since the order to move it.
@@ -328,4 +379,100 @@
     /// Bad ones among them.
     #[prost(uint64, tag = "7")]
     pub(in crate::gateway) old_bad: u64,
+    /// Random id of the sender's process; its counts begin with it.
+    #[prost(fixed64, tag = "8")]
+    pub(in crate::gateway) router: u64,
+    /// Requests of callers for the service.
+    #[prost(uint64, tag = "9")]
+    pub(in crate::gateway) requests: u64,
+    /// Requests that were sent to the new version.
+    #[prost(uint64, tag = "10")]
+    pub(in crate::gateway) new_requests: u64,
+    /// Time since the sender read the order.
+    #[prost(uint64, tag = "11")]
+    pub(in crate::gateway) age_ms: u64,
+    /// Responses by route.
+    #[prost(message, repeated, tag = "12")]
+    pub(in crate::gateway) routes: Vec<RouteReport>,
+}
+
+/// Responses of both versions on one route.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct RouteReport {
+    /// Name of the route.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) route: String,
+    /// Responses of the new version.
+    #[prost(uint64, tag = "2")]
+    pub(in crate::gateway) new_responses: u64,
+    /// Bad ones among them.
+    #[prost(uint64, tag = "3")]
+    pub(in crate::gateway) new_bad: u64,
+    /// Responses of the present version.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) old_responses: u64,
+    /// Bad ones among them.
+    #[prost(uint64, tag = "5")]
+    pub(in crate::gateway) old_bad: u64,
+    /// Responses from which the speed of the present version was measured.
+    #[prost(uint64, tag = "6")]
+    pub(in crate::gateway) reference_responses: u64,
+    /// Mean time per unit of work of these responses.
+    #[prost(double, tag = "7")]
+    pub(in crate::gateway) reference_unit_ms: f64,
+    /// Times per unit of work of responses of the new version that could not be compared yet.
+    #[prost(double, repeated, tag = "8")]
+    pub(in crate::gateway) unjudged_ms: Vec<f64>,
+}
+
+/// Permission of a decider to send requests to a new version only.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct MoveNotice {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) service: String,
+    /// The new version.
+    #[prost(string, tag = "2")]
+    pub(in crate::gateway) target: String,
+    /// Random id of the process to which the permission applies.
+    #[prost(fixed64, tag = "3")]
+    pub(in crate::gateway) router: u64,
+    /// Highest number of requests that the process may have sent to the version since the order.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) new_requests: u64,
+    /// Time for which the permission is valid.
+    #[prost(uint64, tag = "5")]
+    pub(in crate::gateway) valid_ms: u64,
+    /// Time until the completion is written.
+    #[prost(uint64, tag = "6")]
+    pub(in crate::gateway) complete_in_ms: u64,
+}
+
+/// How the process of an upstream turned out to be gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub(in crate::gateway) enum GoneReason {
+    /// Not used; a report without a known reason is ignored.
+    Unspecified = 0,
+    /// Another process responded at its address.
+    Replaced = 1,
+    /// Its address refuses connections.
+    Unreachable = 2,
+}
+
+/// A process of an upstream that the sender found gone.
+#[derive(Clone, PartialEq, Message)]
+pub(in crate::gateway) struct UpstreamGone {
+    /// Id of the upstream.
+    #[prost(string, tag = "1")]
+    pub(in crate::gateway) upstream: String,
+    /// Start of the process by its own clock.
+    #[prost(uint64, optional, tag = "2")]
+    pub(in crate::gateway) started_ms: Option<u64>,
+    /// How the sender found out.
+    #[prost(enumeration = "GoneReason", tag = "3")]
+    pub(in crate::gateway) kind: i32,
+    /// Time since the sender found out.
+    #[prost(uint64, tag = "4")]
+    pub(in crate::gateway) age_ms: u64,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::{
     self, find_successor, hand_over, Attempts, Exchange, Failure, HandOver, InFlight, Interrupt,
-    StartedResponse, Successor, SEARCH_INTERVAL,
+    StartedResponse, Successor, SEARCH_INTERVAL, WATCH_BYTES,
 };
 use super::request::Call;
 use super::{crashes, Shared};
@@ -37,6 +37,10 @@
 /// Bytes that are read from an upstream at once.
 const READ_BYTES: usize = 16 << 10;
 
+/// Unread bytes of one response from which on they are accounted for, and bytes that are read at once while the buffer
+/// budget is nearly used up.
+const MIN_READ_BYTES: usize = 2 << 10;
+
 /// Time without a byte after which a resumable stream may move to another upstream; callers give up after 2 s.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -50,6 +54,10 @@
 /// would never happen beside an upstream that sends as fast as its caller reads.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 
+/// Number of events over which the time per output token is measured. One pause says little, and each measurement takes
+/// processor time.
+const EVENTS_PER_MEASUREMENT: u64 = 4;
+
 /// Reason in the log for a stream that has left a silent upstream.
 const SILENCE_REASON: &str = "the upstream is silent";
 
@@ -133,7 +141,12 @@
     /// Time of the first event of the current response, and the number of its events.
     first_event_ms: u64,
     response_events: u64,
+    /// Time and number of the event at which the measurement of the time per output token began; `(0, 0)` if it begins
+    /// with the next event.
+    measured_from: (u64, u64),
     is_watching_caller: bool,
+    /// Whether the buffer budget contains the unread output.
+    accounts_for_output: bool,
     /// Time without a byte after which another upstream is sought.
     silence_timeout: Duration,
 }
@@ -147,7 +160,8 @@
     mut in_flight: InFlight<'a>,
     attempts: &mut Attempts,
 ) -> Delivery {
-    let keep_alive = shared.keeps_connection(call.request);
+    let keep_alive = shared.keeps_connection(call.request, caller);
+    let _sending = shared.load.begin_sending(caller);
     let mut response = response;
     let status = response.upstream_response.status();
     let is_event_stream = call.route().is_stream && status == 200;
@@ -174,13 +188,22 @@
         has_event: false,
         first_event_ms: 0,
         response_events: 0,
+        measured_from: (0, 0),
         is_watching_caller: caller.input_len() == 0,
+        accounts_for_output: false,
         silence_timeout: SILENCE_TIMEOUT,
     };
     relay.delivery.status = status;
     loop {
         let end = relay
-            .relay_body(caller, &mut response, attempts, is_event_stream, may_resume)
+            .relay_body(
+                caller,
+                &mut response,
+                &in_flight,
+                attempts,
+                is_event_stream,
+                may_resume,
+            )
             .await;
         let is_failure = status >= 500;
         let (reason, exchange) = match end {
@@ -188,11 +211,11 @@
                 if !is_failure && !is_event_stream {
                     crashes::record_served(shared, call);
                 }
-                in_flight.set_outcome(if is_failure {
-                    Outcome::Failed
+                if is_failure {
+                    in_flight.set_failed_response();
                 } else {
-                    Outcome::Served
-                });
+                    in_flight.set_outcome(Outcome::Served);
+                }
                 let outcome = if is_failure {
                     Some(Response::Failed)
                 } else {
@@ -201,6 +224,7 @@
                 if let Some(outcome) = outcome {
                     in_flight.record_response(call, outcome);
                 }
+                relay.record_output(is_event_stream && !is_failure);
                 return_to_pool(shared, response, &in_flight);
                 relay.delivery.keeps_connection = keep_alive;
                 return relay.delivery;
@@ -241,7 +265,11 @@
                 }
             }
             End::CallerGone => return relay.abandoned(),
-            End::Deadline => return relay.truncated(Refusal::TimedOut, DEADLINE_REASON),
+            End::Deadline => {
+                // A version that is several times slower shows in responses that never end in time.
+                in_flight.record_response(call, Response::Failed);
+                return relay.truncated(Refusal::TimedOut, DEADLINE_REASON);
+            }
         };
         relay.log_resume(&response, &reason);
         drop(in_flight);
@@ -367,6 +395,7 @@
         self.splitter = EventSplitter::default();
         self.has_body = false;
         self.has_event = false;
+        self.measured_from = (0, 0);
         self.silence_timeout = SILENCE_TIMEOUT;
     }
 
@@ -384,6 +413,7 @@
         &mut self,
         caller: &mut Socket,
         response: &mut StartedResponse,
+        in_flight: &InFlight<'_>,
         attempts: &Attempts,
         is_event_stream: bool,
         may_resume: bool,
@@ -434,14 +464,22 @@
             if is_ended && is_written {
                 return End::Complete;
             }
-            let can_read = !is_ended && self.queued.len() < MAX_BUFFERED_BYTES;
-            let silence = (may_move && can_read).then_some(self.silence_timeout);
+            let read_bytes = if is_ended {
+                0
+            } else {
+                self.read_permit_bytes(caller)
+            };
+            if read_bytes == 0 && !is_ended {
+                // The time until the next read is that of the caller, not of the engine.
+                self.measured_from = (0, 0);
+            }
+            let silence = (may_move && read_bytes > 0).then_some(self.silence_timeout);
             let successor =
                 find_successor(self.shared, self.call, &attempts.tried, silence, || true);
             let event = wait(
                 caller,
                 response,
-                can_read,
+                read_bytes,
                 !is_written,
                 self.is_watching_caller,
                 successor,
@@ -450,6 +488,7 @@
             match event.await {
                 WaitEvent::Received(Ok(())) => {
                     self.record_received(response);
+                    self.measure_output_time(in_flight);
                     reads += 1;
                     if reads.is_multiple_of(READS_PER_TURN) {
                         if turn_started.elapsed() < TURN_TIME {
@@ -462,7 +501,7 @@
                     return End::UpstreamLost(format_compact!("{error}"));
                 }
                 WaitEvent::Writable => {}
-                WaitEvent::CallerReadable => match caller.try_fill() {
+                WaitEvent::CallerReadable => match caller.try_fill_up_to(WATCH_BYTES) {
                     Some(Ok(0) | Err(_)) => return End::CallerGone,
                     Some(Ok(_)) => self.is_watching_caller = false,
                     None => {}
@@ -498,8 +537,12 @@
                 crashes::record_served(self.shared, self.call);
                 self.first_event_ms = self.shared.now_ms();
                 self.response_events = 0;
+                self.measured_from = (0, 0);
             }
             self.response_events += 1;
+            if self.measured_from.1 == 0 {
+                self.measured_from = (self.shared.now_ms(), self.response_events);
+            }
             self.enqueue(&event.raw);
             self.event_ends.push_back(self.queued_bytes);
         }
@@ -521,6 +564,60 @@
         Some(Response::Served { unit_ms })
     }
 
+    /// Measures the time per output token each time some more events have arrived.
+    fn measure_output_time(&mut self, in_flight: &InFlight<'_>) {
+        let (from_ms, from_event) = self.measured_from;
+        let events = self.response_events.saturating_sub(from_event);
+        if events < EVENTS_PER_MEASUREMENT || from_event == 0 {
+            return;
+        }
+        let now_ms = self.delivery.last_byte_ms;
+        self.measured_from = (now_ms, self.response_events);
+        let tokens = events * self.call.event_tokens();
+        in_flight.record_output_time(tokens, now_ms.saturating_sub(from_ms));
+    }
+
+    /// Records the number of output tokens of a complete response, unless its caller had received a part of it before.
+    fn record_output(&self, is_stream: bool) {
+        if !is_stream || self.call.meta.last_event_id.is_some() {
+            return;
+        }
+        if let Some(key) = self.call.output_key() {
+            let tokens = self.delivery.events * self.call.event_tokens();
+            let mut placement = self.shared.placement.borrow_mut();
+            placement.record_output_tokens(&key, tokens);
+        }
+    }
+
+    /// Returns how many bytes may be read from the upstream now; 0 until the caller has taken some of the output.
+    ///
+    /// Only output that a caller leaves unread is accounted for, so that fast readers cost nothing. A response that has
+    /// nothing unread goes on in small steps even if the budget is used up, and so does one whose head is held back,
+    /// which can be written only with the first part of the body.
+    fn read_permit_bytes(&mut self, caller: &Socket) -> usize {
+        let unread_bytes = self.writing.len() + self.queued.len();
+        let Some(account) = caller.account() else {
+            return READ_BYTES;
+        };
+        if self.holds_head || unread_bytes < MIN_READ_BYTES {
+            if std::mem::take(&mut self.accounts_for_output) {
+                account.hold_output(0);
+            }
+            return if account.is_scarce() {
+                MIN_READ_BYTES
+            } else {
+                READ_BYTES
+            };
+        }
+        self.accounts_for_output = true;
+        if unread_bytes < MAX_BUFFERED_BYTES && account.try_resize_output(unread_bytes + READ_BYTES)
+        {
+            return READ_BYTES;
+        }
+        account.hold_output(unread_bytes);
+        0
+    }
+
     /// Returns whether the stream may end here: after an event, and not before the first one.
     fn is_at_event_end(&self) -> bool {
         self.splitter.pending_bytes() == 0 && (self.has_event || self.last_event_id.is_some())
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
 use compact_str::{format_compact, CompactString};
@@ -10,6 +11,7 @@
 use super::budget::remote::Need;
 use super::budget::Shortage;
 use super::crashes::{self, CrashRefusal};
+use super::evacuations::{self, EVACUATED_REASON, RETRY_AFTER_EVACUATION_MS};
 use super::relay::{self, Delivery};
 use super::Shared;
 use crate::allowance::ReserveError;
@@ -17,6 +19,7 @@
 use crate::crash_attribution::Feature;
 use crate::platform::headers;
 use crate::refusal::Refusal;
+use crate::request_cost::OutputKey;
 use crate::routing::{Route, RouteIndex, RoutingTable, TeamIndex};
 use crate::server::{Request, Socket};
 
@@ -27,6 +30,13 @@
 /// spread.
 const RETRY_AFTER_MS: u64 = 250;
 
+/// Time in which a caller must take a refusal. A caller that reads no responses would keep its connection forever.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Maximum of each stated number of tokens, far above any context length. Larger numbers would overflow the sum that is
+/// reserved.
+const MAX_STATED_TOKENS: u64 = 1 << 40;
+
 /// A request with its route, team, service and deadline.
 pub(super) struct Call<'a> {
     pub(super) request: &'a Request,
@@ -38,6 +48,10 @@
     pub(super) service: CompactString,
     started_ms: u64,
     end_ms: u64,
+    /// Time that the request has waited for rights, permissions or connections that failed, before it was sent.
+    waited_ms: Cell<u64>,
+    /// Whether the request has been sent to an upstream.
+    is_dispatched: Cell<bool>,
     retry_jitter_ms: u64,
     /// Whether the request is sent to find out whether it still crashes upstreams.
     pub(super) is_trial: Cell<bool>,
@@ -66,6 +80,18 @@
         self.end_ms.saturating_sub(shared.now_ms())
     }
 
+    /// Counts a wait since a time that does not show the load of this VM.
+    pub(super) fn add_wait_since(&self, shared: &Shared, since_ms: u64) {
+        let waited_ms = shared.now_ms().saturating_sub(since_ms);
+        self.waited_ms.set(self.waited_ms.get() + waited_ms);
+    }
+
+    /// Records that the request is sent; the first time, returns when it was read and how long it has waited since.
+    pub(super) fn take_dispatch(&self) -> Option<(u64, u64)> {
+        let is_first = !self.is_dispatched.replace(true);
+        is_first.then(|| (self.started_ms, self.waited_ms.get()))
+    }
+
     /// Returns the request target as the caller sent it.
     pub(super) fn request_target(&self) -> &str {
         let uri = &self.request.uri;
@@ -98,6 +124,18 @@
             .unwrap_or(0)
     }
 
+    /// Returns what may tell the number of output tokens; `None` for plain services.
+    pub(super) fn output_key(&self) -> Option<OutputKey> {
+        let prompt = self.meta.prompt.as_ref()?;
+        let route = self.route().name.as_bytes();
+        Some(OutputKey {
+            route: xxhash_rust::xxh3::xxh3_64(route),
+            session: prompt.session,
+            hint_tokens: self.meta.output_hint_tokens,
+            max_tokens: self.meta.max_output_tokens,
+        })
+    }
+
     fn priority_class(&self) -> Priority {
         match self.route().priority {
             0 => Priority::High,
@@ -173,6 +211,14 @@
             ..Refused::new(Refusal::NoUpstream, "no configuration has been read yet")
         });
     };
+    if meta.input_tokens.max(meta.max_output_tokens) > MAX_STATED_TOKENS {
+        let reason = format_compact!(
+            "x-token-count is {},{}; at most {MAX_STATED_TOKENS} tokens each are allowed",
+            meta.input_tokens,
+            meta.max_output_tokens
+        );
+        return Err(Refused::new(Refusal::BadRequest, reason));
+    }
     let host = request.header("host").unwrap_or_default();
     let host = request.uri.host().unwrap_or(host);
     let Some(route_index) = table.find_route(host, request.uri.path()) else {
@@ -207,6 +253,8 @@
         service,
         started_ms,
         end_ms,
+        waited_ms: Cell::new(0),
+        is_dispatched: Cell::new(false),
         retry_jitter_ms,
         is_trial: Cell::new(false),
         features: OnceCell::new(),
@@ -236,7 +284,19 @@
         log_refusal(shared, &call.meta.id, &refused, call.started_ms);
         return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
     }
-    let needed_tokens = call.meta.input_tokens + call.meta.max_output_tokens;
+    if evacuations::is_service_evacuated(shared, &call.service) {
+        let refused = Refused {
+            retry_after_ms: Some(RETRY_AFTER_EVACUATION_MS + call.retry_jitter_ms),
+            ..Refused::new(Refusal::NoUpstream, EVACUATED_REASON)
+        };
+        log_refusal(shared, &call.meta.id, &refused, call.started_ms);
+        return send_refusal(shared, caller, call.request, &call.meta.id, &refused).await;
+    }
+    let needed_tokens = call
+        .meta
+        .input_tokens
+        .saturating_add(call.meta.max_output_tokens);
+    let reserving_ms = shared.now_ms();
     let reservation = match call.team_name() {
         Some(team) if needed_tokens > 0 => {
             let need = Need {
@@ -248,6 +308,7 @@
         }
         _ => Ok(None),
     };
+    call.add_wait_since(shared, reserving_ms);
     let reservation = match reservation {
         Ok(reservation) => reservation,
         Err(shortage) => {
@@ -258,7 +319,14 @@
     };
     let holder = reservation.as_ref().map(|reserved| reserved.holder.clone());
     let holder = holder.unwrap_or_default();
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts {
+        rights_wait_ms: shared.now_ms().saturating_sub(reserving_ms),
+        expected_output_ms: call.output_key().map_or(0, |key| {
+            let placement = shared.placement.borrow();
+            placement.expected_output_ms(&key) as u64
+        }),
+        ..Attempts::default()
+    };
     let last_event_id = call.meta.last_event_id;
     let result = attempt::run(shared, call, caller, &mut attempts, last_event_id, None).await;
     let charge_input = |attempts: &Attempts| {
@@ -370,9 +438,11 @@
     refused: &Refused,
 ) -> bool {
     shared.metrics.count_refusal(refused.refusal);
-    let keep_alive = shared.keeps_connection(request);
+    caller.record_refusal(refused.refusal.status(), refused.retry_after_ms);
+    let keep_alive = shared.keeps_connection(request, caller);
     let output = refusal_response(refused.refusal, id, refused.retry_after_ms, keep_alive);
-    caller.write_all(output).await.is_ok() && keep_alive
+    let write = monoio::time::timeout(REFUSAL_TIMEOUT, caller.write_all(output));
+    matches!(write.await, Ok(Ok(()))) && keep_alive
 }
 
 /// Encodes a refusal, which has no body.
@@ -438,7 +508,12 @@
         input_tokens = call.meta.input_tokens, charge_tokens = charge,
         holder = holder,
         at_ms = now_ms, elapsed_ms = elapsed_ms,
+        rights_wait_ms = attempts.rights_wait_ms,
+        permission_wait_ms = attempts.permission_wait_ms,
+        connect_wait_ms = attempts.connect_wait_ms,
         expected_ms = attempts.expected_ms,
+        expected_prefill_ms = attempts.expected_prefill_ms,
+        expected_output_ms = attempts.expected_output_ms,
         first_byte_ms = delivery.first_byte_ms.saturating_sub(call.started_ms),
         silent_ms = now_ms.saturating_sub(delivery.last_byte_ms.max(call.started_ms)),
         directory_age_ms = now_ms.saturating_sub(shared.directory_read_ms.get()); "{}", delivery.end
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::cold_upstreams::ColdRule;
+use crate::routing::Service;
 use crate::shared_limits::RetryRule;
 use crate::validation::Error;
 use crate::validation::{self, field, Document, Field, FieldType, ProblemCollector, Schema};
@@ -70,9 +72,23 @@
     pub processor_cores: f64,
     /// Bandwidth of the VM's network link, in Mbit/s.
     pub link_mbps: f64,
+    /// Part of the memory that holds requests of callers and responses that they have not read, in percent.
+    #[serde(default = "default_buffer_percent")]
+    pub buffer_percent: u64,
+}
+
+/// Returns the default of `buffer_percent`. The process itself and its connections take up to 27 MB, which leaves a
+/// margin on the smallest VMs, of 88 MB.
+fn default_buffer_percent() -> u64 {
+    50
 }
 
 impl Resources {
+    /// Returns the memory for requests of callers and for unread responses.
+    pub fn buffer_bytes(&self) -> usize {
+        ((self.memory_mb << 20) / 100 * self.buffer_percent) as usize
+    }
+
     /// Returns the capacity of the VM for the rights of teams, in thousandths of an ordinary one.
     ///
     /// A reservation costs some tens of microseconds and some hundred bytes, so the processor decides unless the link
@@ -103,6 +119,13 @@
     /// Whether the whole fleet starts for the first time, so that no budget has been used yet.
     #[serde(default)]
     pub is_first_start: bool,
+    /// Factor by which requests to a cold upstream may exceed the rate that it takes; without it no upstream counts as
+    /// cold.
+    #[serde(default)]
+    pub cold_overshoot_ratio: Option<f64>,
+    /// Requests to a cold upstream that are tolerated beyond that in a second.
+    #[serde(default)]
+    pub cold_slack_requests: Option<f64>,
 }
 
 impl FleetLimits {
@@ -114,6 +137,20 @@
             window_ms: (self.retry_window_s * 1_000.0) as u64,
         }
     }
+
+    /// Returns what upstreams of a service tolerate while they are cold; `None` if they never are.
+    pub fn cold_rule(&self, service: &Service) -> Option<ColdRule> {
+        let ratio = self.cold_overshoot_ratio?;
+        let per_s = service.cold_requests_milli_per_s as f64 / 1_000.0;
+        if service.cold_start_ms == 0 || service.cold_requests_milli_per_s == 0 {
+            return None;
+        }
+        let tolerated = per_s * ratio + self.cold_slack_requests.unwrap_or(0.0);
+        Some(ColdRule {
+            start_ms: service.cold_start_ms,
+            tolerated_requests: tolerated as u64,
+        })
+    }
 }
 
 const SETTINGS: Schema = Schema(&[
@@ -144,6 +181,7 @@
     integer("descriptors", 256, 1 << 20, "descriptors"),
     number("processor_cores", 0.01, 1_024.0),
     number("link_mbps", 0.1, 1_000_000.0),
+    integer("buffer_percent", 10, 80, "percent").optional(),
 ]);
 
 const FLEET: Schema = Schema(&[
@@ -152,6 +190,8 @@
     number("retry_window_s", 0.1, 3_600.0),
     number("stop_grace_s", 0.1, 3_600.0),
     field("is_first_start", FieldType::Boolean).optional(),
+    number("cold_overshoot_ratio", 0.0, 100.0).optional(),
+    number("cold_slack_requests", 0.0, 1_000_000.0).optional(),
 ]);
 
 const fn integer(name: &'static str, min: u64, max: u64, unit: &'static str) -> Field {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,40 +11,43 @@
 //! requests that this router has open there plus those of other routers, according to the newest response that carried
 //! a load report. The contribution of others decays to zero within two seconds, because an older report says nothing
 //! about the present load.
+//!
+//! If upstreams of a service state how long their work takes at present, all choices among them compare expected costs
+//! instead; see `docs/design/request-cost.md`.
+
+mod cost_choice;
+mod costs;
+mod prefill_queue;
+mod prefix_cache;
+mod request;
+mod usual_choice;
 
 use std::cmp::Ordering;
 
 use compact_str::CompactString;
 
 use crate::collections::FastMap;
+use crate::request_cost::{prefill_work, INITIAL_MS_PER_TOKEN, MS_PER_TOKEN_BOUNDS};
 use crate::upstream_limits::Weight;
 
+use costs::{FleetCosts, UpstreamCosts};
+use usual_choice::{expected_wait_ms, min_delay_candidate};
+
+pub use costs::{ExpectedCost, PeerPrompt, SpeedFigure};
+pub use request::{Candidate, LoadReport, Prompt, PromptPart, PromptParts};
+
 /// Age at which a load report no longer counts; its weight decreases linearly until then.
 const REPORT_DECAY_MS: u64 = 2_000;
 
-/// Difference in expected delay up to which engines count as equal, in milliseconds.
-const TIE_MARGIN_MS: f64 = 4.0;
-
 /// Delay that each running request adds by its share of every engine step, in milliseconds.
 const RUNNING_REQUEST_DELAY_MS: f64 = 0.7;
 
-/// Prefill time of one token that is assumed before the first measurement, in milliseconds.
-const INITIAL_MS_PER_TOKEN: f64 = 0.012;
-
-/// Bounds on the measured prefill time of one token, in milliseconds.
-const MS_PER_TOKEN_BOUNDS: (f64, f64) = (0.001, 0.2);
-
 /// Weight of one measurement in the moving average of the prefill time of one token.
 const MS_PER_TOKEN_EWMA_WEIGHT: f64 = 0.05;
 
 /// Weight of one prompt in the moving average of the prefill work.
 const WORK_EWMA_WEIGHT: f64 = 0.02;
 
-/// Prompt length at which attention takes as long as all other computation, in tokens.
-///
-/// The engines in use, of 70 billion parameters, state 90,000 to 110,000.
-const ATTENTION_PARITY_TOKENS: f64 = 100_000.0;
-
 /// Weight of one measurement in the moving average of an engine's slowdown.
 const SLOWDOWN_EWMA_WEIGHT: f64 = 0.2;
 
@@ -104,45 +107,14 @@
     Rejected,
     /// Another process listens on the address; the upstream is gone even if it still has an entry.
     Replaced,
-    /// No connection could be opened.
+    /// No connection could be opened, for a reason that is not this VM's, for example because its host refused it.
     Unreachable,
+    /// An attempt to connect was not answered in time, by a fault of the upstream or of this VM's own network.
+    Unanswered,
     /// The caller disconnected or the deadline passed, which says nothing about the upstream.
     Neutral,
 }
 
-/// Load that an upstream reported with a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Running requests.
-    pub running: u32,
-    /// Queued requests.
-    pub waiting: u32,
-    /// Requests that can run concurrently.
-    pub slots: u32,
-}
-
-/// The prompt of a request to a model engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Prompt {
-    /// Hash that identifies the session, whose requests share the beginning of their prompts.
-    pub session: u64,
-    /// Tokens of the beginning that the requests of the session share.
-    pub shared_tokens: u64,
-    /// Tokens that follow the shared beginning.
-    pub own_tokens: u64,
-}
-
-/// An upstream that may be chosen.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate<'a> {
-    /// Id of the upstream.
-    pub id: &'a str,
-    /// Requests that it can run concurrently.
-    pub slots: u32,
-    /// Whether it is in the same data centre as this router.
-    pub is_local: bool,
-}
-
 /// Why no upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementError {
@@ -160,6 +132,10 @@
     failure_rate: f64,
     latency_ms: f64,
     backoff_until_ms: u64,
+    /// End of the backoff after a connect that timed out.
+    unanswered_until_ms: u64,
+    /// Whether this VM may have been the reason for it.
+    is_unanswered_in_doubt: bool,
     consecutive_failures: u32,
     /// Requests that wait for the first byte of their response.
     awaiting_first_byte: u32,
@@ -172,6 +148,7 @@
     slowdown: f64,
     /// Sessions whose prompts were sent to the engine, with the time of the last one.
     sessions: FastMap<u64, u64>,
+    costs: UpstreamCosts,
 }
 
 impl UpstreamLoad {
@@ -183,6 +160,8 @@
             failure_rate: 0.0,
             latency_ms: INITIAL_LATENCY_MS,
             backoff_until_ms: 0,
+            unanswered_until_ms: 0,
+            is_unanswered_in_doubt: false,
             consecutive_failures: 0,
             awaiting_first_byte: 0,
             silent_since_ms: 0,
@@ -190,6 +169,7 @@
             prefill_until_ms: 0.0,
             slowdown: 1.0,
             sessions: FastMap::default(),
+            costs: UpstreamCosts::default(),
         }
     }
 
@@ -199,7 +179,7 @@
         };
         let age_ms = now_ms.saturating_sub(at_ms).min(REPORT_DECAY_MS);
         let others = u64::from(self.others_requests) * (REPORT_DECAY_MS - age_ms) / REPORT_DECAY_MS;
-        self.own_requests + others as u32
+        self.own_requests.saturating_add(others as u32)
     }
 
     fn is_silent(&self, now_ms: u64) -> bool {
@@ -209,6 +189,11 @@
 
     fn is_usable(&self, now_ms: u64) -> bool {
         now_ms >= self.backoff_until_ms
+    }
+
+    /// Returns whether the upstream answers, as far as is known; a silent one counts again when a probe is due.
+    fn is_responsive(&self, now_ms: u64) -> bool {
+        now_ms >= self.unanswered_until_ms
             && (!self.is_silent(now_ms) || now_ms >= self.probed_at_ms + SILENT_PROBE_INTERVAL_MS)
     }
 
@@ -228,7 +213,9 @@
 
     /// Returns the expected prefill time of a prompt.
     fn prefill_ms(&self, prompt: &Prompt, ms_per_token: f64, now_ms: u64) -> f64 {
-        prefill_work(prompt, self.uncached_tokens(prompt, now_ms)) * ms_per_token * self.slowdown
+        prefill_work(prompt.total_tokens(), self.uncached_tokens(prompt, now_ms))
+            * ms_per_token
+            * self.slowdown
     }
 
     fn backlog_ms(&self, now_ms: u64) -> f64 {
@@ -244,10 +231,20 @@
         self.sessions.insert(session, now_ms);
     }
 
-    fn back_off(&mut self, base_ms: u64, now_ms: u64) {
-        let delay_ms = base_ms << self.consecutive_failures.min(3);
+    /// Returns the end of the backoff after a failed connect, which grows with each consecutive failure.
+    fn next_backoff_end_ms(&mut self, now_ms: u64) -> u64 {
+        let delay_ms = CONNECT_BACKOFF_MS << self.consecutive_failures.min(3);
         self.consecutive_failures += 1;
-        self.backoff_until_ms = now_ms + delay_ms.min(MAX_CONNECT_BACKOFF_MS);
+        now_ms + delay_ms.min(MAX_CONNECT_BACKOFF_MS)
+    }
+
+    fn record_unreachable(&mut self, now_ms: u64) {
+        self.backoff_until_ms = self.next_backoff_end_ms(now_ms);
+    }
+
+    fn record_unanswered(&mut self, is_own_congestion_suspected: bool, now_ms: u64) {
+        self.unanswered_until_ms = self.next_backoff_end_ms(now_ms);
+        self.is_unanswered_in_doubt = is_own_congestion_suspected;
     }
 }
 
@@ -259,6 +256,9 @@
     ms_per_token: f64,
     /// Moving average of the prefill work of prompts.
     mean_work: f64,
+    /// Whether this VM may be the reason why upstreams do not answer, see [`crate::congestion`].
+    is_own_congestion_suspected: bool,
+    costs: FleetCosts,
 }
 
 impl Default for Placement {
@@ -267,6 +267,8 @@
             loads: FastMap::default(),
             ms_per_token: INITIAL_MS_PER_TOKEN,
             mean_work: 0.0,
+            is_own_congestion_suspected: false,
+            costs: FleetCosts::default(),
         }
     }
 }
@@ -292,6 +294,14 @@
             .filter(|candidate| load(candidate).is_usable(now_ms))
             .copied()
             .collect();
+        let is_responsive = |candidate: &Candidate<'_>| load(candidate).is_responsive(now_ms);
+        if usable.iter().any(is_responsive) {
+            usable.retain(is_responsive);
+        } else {
+            usable.retain(|candidate| {
+                self.is_own_congestion_suspected || load(candidate).is_unanswered_in_doubt
+            });
+        }
         if usable.is_empty() {
             return Err(PlacementError::NoUpstream);
         }
@@ -308,6 +318,14 @@
         if usable.is_empty() {
             return Err(PlacementError::Full);
         }
+        if usable
+            .iter()
+            .any(|candidate| load(candidate).costs.speed.is_stated())
+        {
+            return self
+                .choose_by_cost(&usable, prompt, now_ms)
+                .ok_or(PlacementError::NoUpstream);
+        }
         let chosen = match prompt {
             Some(prompt) => min_delay_candidate(&usable, prompt.session, |candidate| {
                 self.delay_ms(load(candidate), prompt, now_ms)
@@ -326,7 +344,7 @@
     /// Returns the weight of a request compared with the others; requests to plain services are alike.
     pub fn weight(&self, prompt: Option<&Prompt>) -> Weight {
         let is_light = prompt.is_some_and(|prompt| {
-            prefill_work(prompt, prompt.own_tokens + prompt.shared_tokens) < self.mean_work
+            prefill_work(prompt.total_tokens(), prompt.total_tokens()) < self.mean_work
         });
         if is_light {
             Weight::Light
@@ -338,6 +356,9 @@
     /// Returns the expected time until an engine has prefilled a prompt; 0 without a prompt or for an unknown engine.
     pub fn expected_delay_ms(&self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
         match (self.loads.get(id), prompt) {
+            (Some(load), _) if load.costs.speed.is_stated() => {
+                self.cost_at(load, prompt, now_ms).first_byte_ms()
+            }
             (Some(load), Some(prompt)) => self.delay_ms(load, prompt, now_ms),
             _ => 0.0,
         }
@@ -347,7 +368,7 @@
     pub fn record_sent(&mut self, id: &str, prompt: Option<&Prompt>, now_ms: u64) -> f64 {
         let ms_per_token = self.ms_per_token;
         if let Some(prompt) = prompt {
-            let work = prefill_work(prompt, prompt.own_tokens + prompt.shared_tokens);
+            let work = prefill_work(prompt.total_tokens(), prompt.total_tokens());
             self.mean_work += WORK_EWMA_WEIGHT * (work - self.mean_work);
         }
         let load = self.load(id);
@@ -364,6 +385,7 @@
             load.silent_since_ms = now_ms;
         }
         load.awaiting_first_byte += 1;
+        self.record_sent_cost(id, prompt, now_ms);
         prefill_ms
     }
 
@@ -396,7 +418,7 @@
             Some(load) if load.backlog_ms(now_ms) == 0.0 => load.uncached_tokens(prompt, now_ms),
             Some(_) => return None,
         };
-        Some(prefill_work(prompt, uncached_tokens))
+        Some(prefill_work(prompt.total_tokens(), uncached_tokens))
     }
 
     /// Records that an upstream sent some bytes.
@@ -422,32 +444,55 @@
     /// Records the load that an upstream reported with a response.
     pub fn record_load(&mut self, id: &str, report: LoadReport, now_ms: u64) {
         let load = self.load(id);
-        load.others_requests = (report.running + report.waiting).saturating_sub(load.own_requests);
+        load.others_requests = report
+            .running
+            .saturating_add(report.waiting)
+            .saturating_sub(load.own_requests);
         load.reported_at_ms = Some(now_ms);
+        if let Some(work_percent) = report.work_percent {
+            self.record_stated_speed(id, work_percent, now_ms);
+        }
     }
 
     /// Records the end of a request.
     pub fn record_finished(&mut self, id: &str, outcome: Outcome, now_ms: u64) {
+        let is_own_congestion_suspected = self.is_own_congestion_suspected;
         let load = self.load(id);
         load.own_requests = load.own_requests.saturating_sub(1);
         match outcome {
             Outcome::Served => {
                 load.failure_rate -= FAILURE_EWMA_WEIGHT * load.failure_rate;
                 load.consecutive_failures = 0;
+                load.is_unanswered_in_doubt = false;
             }
             Outcome::Failed => {
                 load.failure_rate += FAILURE_EWMA_WEIGHT * (1.0 - load.failure_rate);
             }
             Outcome::Replaced => load.backoff_until_ms = now_ms + REPLACED_BACKOFF_MS,
             Outcome::Rejected => load.backoff_until_ms = now_ms + REJECTED_BACKOFF_MS,
-            Outcome::Unreachable => load.back_off(CONNECT_BACKOFF_MS, now_ms),
+            Outcome::Unreachable => load.record_unreachable(now_ms),
+            Outcome::Unanswered => load.record_unanswered(is_own_congestion_suspected, now_ms),
             Outcome::Neutral => {}
         }
     }
 
     /// Records that no connection to an upstream could be opened for a request that is in flight elsewhere.
-    pub fn record_unreachable(&mut self, id: &str, now_ms: u64) {
-        self.load(id).back_off(CONNECT_BACKOFF_MS, now_ms);
+    pub fn record_unreachable(&mut self, id: &str, outcome: Outcome, now_ms: u64) {
+        let is_own_congestion_suspected = self.is_own_congestion_suspected;
+        let load = self.load(id);
+        if outcome == Outcome::Unanswered {
+            load.record_unanswered(is_own_congestion_suspected, now_ms);
+        } else {
+            load.record_unreachable(now_ms);
+        }
+    }
+
+    /// Sets whether this VM may be the reason why upstreams do not answer.
+    ///
+    /// Upstreams that do not answer then, or did not earlier while it was suspected, are still avoided, but used if no
+    /// other one is left, because the request would otherwise be refused for a fault that no upstream has.
+    pub fn suspect_own_congestion(&mut self, is_suspected: bool) {
+        self.is_own_congestion_suspected = is_suspected;
     }
 
     /// Returns the number of requests that this router has open at an upstream.
@@ -497,45 +542,3 @@
             .or_insert_with(UpstreamLoad::new)
     }
 }
-
-/// Returns the candidate with the smallest delay; ties are broken by rendezvous hashing of the session.
-fn min_delay_candidate<'c, 'a>(
-    candidates: &'c [Candidate<'a>],
-    session: u64,
-    delay_ms: impl Fn(&Candidate<'_>) -> f64,
-) -> Option<&'c Candidate<'a>> {
-    let delays: Vec<f64> = candidates.iter().map(delay_ms).collect();
-    let least = delays.iter().copied().fold(f64::INFINITY, f64::min);
-    candidates
-        .iter()
-        .zip(&delays)
-        .filter(|(_, delay)| **delay <= least + TIE_MARGIN_MS)
-        .map(|(candidate, _)| candidate)
-        .max_by_key(|candidate| rendezvous_score(session, candidate.id))
-}
-
-/// Returns the prefill work of a prompt, as the number of tokens that would take as long without attention.
-///
-/// Attention makes the work grow with the square of the prompt length; cached tokens are not computed again.
-fn prefill_work(prompt: &Prompt, uncached_tokens: u64) -> f64 {
-    let total = (prompt.own_tokens + prompt.shared_tokens) as f64;
-    let cached = total - uncached_tokens as f64;
-    uncached_tokens as f64 + (total * total - cached * cached) / ATTENTION_PARITY_TOKENS
-}
-
-fn rendezvous_score(session: u64, id: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), session)
-}
-
-/// Returns the expected wait at an upstream, derived from its mean time to the first byte and its occupancy.
-fn expected_wait_ms(load: &UpstreamLoad, candidate: &Candidate<'_>, now_ms: u64) -> f64 {
-    /// Penalty of an upstream in another data centre; the time of a round trip between data centres.
-    const REMOTE_PENALTY_MS: f64 = 2.0;
-    let occupied = f64::from(load.total_requests(now_ms)) / f64::from(candidate.slots.max(1));
-    let penalty_ms = if candidate.is_local {
-        0.0
-    } else {
-        REMOTE_PENALTY_MS
-    };
-    load.latency_ms * (0.5 + occupied) * (1.0 + 2.0 * load.failure_rate) + penalty_ms
-}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,7 +3,8 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::gateway::RequestMeta;
-use crate::placement::{LoadReport, Prompt};
+use crate::placement::{LoadReport, Prompt, PromptPart, PromptParts};
+use crate::upstream_speed::WORK_PERCENT_BOUNDS;
 
 /// Id of one attempt of a caller; responses repeat it.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -20,9 +21,11 @@
 const TEAM: HeaderName = HeaderName::from_static("x-tenant");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 const REQUEST_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const COLD_MS: HeaderName = HeaderName::from_static("x-cold-ms");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 
@@ -78,6 +81,8 @@
         deadline_ms: field_text(headers, &DEADLINE_MS).and_then(|value| value.trim().parse().ok()),
         input_tokens,
         max_output_tokens,
+        output_hint_tokens: field_text(headers, &LENGTH_HINT)
+            .and_then(|value| value.trim().parse().ok()),
         prompt: prompt(headers, input_tokens),
         shared_parts: shared_parts(headers),
         last_event_id: field_text(headers, &LAST_EVENT_ID)
@@ -169,18 +174,35 @@
     headers.contains_key(REQUEST_ID)
 }
 
-/// Returns the load that an upstream reported with a response: running requests, waiting requests, slots.
+/// Returns the load that an upstream reported with a response: running requests, waiting requests, slots, and the time
+/// that work takes at present, in percent of the usual time.
 pub fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
-    let mut parts = field_text(headers, &LOAD)?
-        .split(',')
-        .map(|part| part.trim().parse().ok());
+    let mut parts = field_text(headers, &LOAD)?.split(',').map(str::trim);
+    let mut count = || parts.next()?.parse().ok();
     Some(LoadReport {
-        running: parts.next()??,
-        waiting: parts.next()??,
-        slots: parts.next()??,
+        running: count()?,
+        waiting: count()?,
+        slots: count()?,
+        work_percent: parts.next().and_then(work_percent),
     })
 }
 
+/// Reads the fourth figure of a load report. A figure out of bounds is logged once and counts as not stated.
+fn work_percent(text: &str) -> Option<u32> {
+    static LOGGED: std::sync::Once = std::sync::Once::new();
+    let percent = text.parse().ok();
+    let percent = percent.filter(|percent| WORK_PERCENT_BOUNDS.contains(percent));
+    if percent.is_none() {
+        LOGGED.call_once(|| {
+            log::warn!(
+                step = "read header", header = LOAD.as_str();
+                "the fourth figure is not a percentage from 10 to 10000: {text}; further ones are not logged"
+            );
+        });
+    }
+    percent
+}
+
 /// Returns the requests a second that an upstream takes from all routers together, in thousandths; `None` if it states
 /// no limit.
 pub fn request_limit_milli_per_s(headers: &HeaderMap) -> Option<u64> {
@@ -194,6 +216,19 @@
     }
 }
 
+/// Returns the time for which the upstream that sent a response is still cold; `None` if it states none. Health
+/// responses state it, other responses may.
+pub fn cold_left_ms(headers: &HeaderMap) -> Option<u64> {
+    let text = field_text(headers, &COLD_MS)?.trim();
+    match text.parse::<f64>() {
+        Ok(left_ms) if left_ms.is_finite() && left_ms >= 0.0 => Some(left_ms.ceil() as u64),
+        _ => {
+            log::warn!(step = "read header", header = COLD_MS.as_str(); "not a time: {text}");
+            None
+        }
+    }
+}
+
 /// Returns whether the upstream that sent a response leaves and takes no new requests.
 pub fn is_leaving(headers: &HeaderMap) -> bool {
     match field_text(headers, &LEAVING).map(str::trim) {
@@ -240,6 +275,10 @@
     Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
 }
 
+/// Maximum number of tokens that a prompt counts as, above the context length of any engine. Larger figures would make
+/// an engine look occupied for hours, at all gateways.
+const MAX_PROMPT_TOKENS: u64 = 1 << 21;
+
 /// Reads the parts of a prompt. The last part belongs to this request alone, the one before it identifies the session.
 fn prompt(headers: &HeaderMap, input_tokens: u64) -> Option<Prompt> {
     let parts: Vec<(&str, u64)> = field_text(headers, &PROMPT_PREFIX)?
@@ -251,11 +290,22 @@
         .collect();
     let (own, shared) = parts.split_last()?;
     let (session, _) = shared.last().unwrap_or(own);
-    let shared_tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+    let mut shared_tokens: u64 = 0;
+    let mut beginnings = PromptParts::default();
+    for (id, tokens) in shared {
+        shared_tokens = shared_tokens.saturating_add(*tokens).min(MAX_PROMPT_TOKENS);
+        beginnings.push(PromptPart {
+            id: xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
+            end_tokens: shared_tokens,
+        });
+    }
     Some(Prompt {
         session: xxhash_rust::xxh3::xxh3_64(session.as_bytes()),
         shared_tokens,
-        own_tokens: input_tokens.saturating_sub(shared_tokens),
+        own_tokens: input_tokens
+            .saturating_sub(shared_tokens)
+            .min(MAX_PROMPT_TOKENS),
+        parts: beginnings,
     })
 }
 
--- a/src/shared_limits.rs
+++ b/src/shared_limits.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::collections::FastMap;
+use crate::congestion::FleetCongestion;
 use crate::holders::Candidate;
 
 /// Time without a report after which a router of a small fleet counts as gone; three report intervals.
@@ -35,9 +36,17 @@
 /// Share of the allowed retries that is used, in percent; the rest covers differences between the windows of routers.
 const RETRY_UTILISATION_PERCENT: u64 = 70;
 
+/// Time for which a router that has not reported in time may still run, cut off from the store.
+const EXPIRED_RETENTION_MS: u64 = 600_000;
+
 /// Maximum number of processes whose last reports are remembered.
 const MAX_KNOWN_PROCESSES: usize = 1_024;
 
+/// Divisor of the weight of a congested VM in the choice of the routers that hold rights.
+///
+/// It is so large that such a VM keeps hardly any team, and finite so that the order stays defined if all are congested.
+const CONGESTED_WEIGHT_DIVISOR: u32 = 64;
+
 /// What a router reports about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Presence {
@@ -54,6 +63,9 @@
     pub weight_permille: u32,
     /// Whether the router is shutting down.
     pub is_leaving: bool,
+    /// Whether the VM has been congested for some time, see [`crate::congestion`].
+    #[serde(default)]
+    pub is_congested: bool,
     /// Number of the report, counted by the process; earlier versions state none.
     #[serde(default)]
     pub sequence: Option<u64>,
@@ -79,7 +91,10 @@
     present: FastMap<CompactString, (Presence, u64)>,
     /// Processes by their random ids, whether they are present or not.
     known: FastMap<u64, KnownProcess>,
+    /// Routers that have neither left nor reported in time, with the time of their last report.
+    expired: FastMap<CompactString, (Presence, u64)>,
     generation: u64,
+    candidate_generation: u64,
 }
 
 impl ActiveRouters {
@@ -92,21 +107,38 @@
             }
             self.remember(&vm, presence, now_ms);
         }
+        self.expired.remove(&vm);
         match presence {
             Some(presence) if !presence.is_leaving => {
                 let candidate = |presence: &Presence| {
                     let data_centre = presence.data_centre.clone();
-                    (data_centre, presence.peer_address, presence.weight_permille)
+                    let weight_permille = presence.weight_permille;
+                    let is_congested = presence.is_congested;
+                    (
+                        data_centre,
+                        presence.peer_address,
+                        weight_permille,
+                        is_congested,
+                    )
                 };
                 let after = candidate(&presence);
                 let before = self.present.insert(vm, (presence, now_ms));
-                if before.map(|(before, _)| candidate(&before)) != Some(after) {
+                let before = before.map(|(before, _)| candidate(&before));
+                if before.as_ref() != Some(&after) {
                     self.generation += 1;
                 }
+                let (data_centre, address, weight_permille, _) = after;
+                let is_same_candidate = before.is_some_and(|(before, at, weight, _)| {
+                    before == data_centre && at == address && weight == weight_permille
+                });
+                if !is_same_candidate {
+                    self.candidate_generation += 1;
+                }
             }
             _ => {
                 if self.present.remove(&vm).is_some() {
                     self.generation += 1;
+                    self.candidate_generation += 1;
                 }
             }
         }
@@ -152,25 +184,81 @@
     pub fn expire(&mut self, now_ms: u64) {
         let timeout_ms = PRESENCE_TIMEOUT_MS * self.interval_factor();
         let before = self.present.len();
-        self.present
-            .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < timeout_ms);
+        let expired = &mut self.expired;
+        self.present.retain(|vm, (presence, at_ms)| {
+            let is_present = now_ms.saturating_sub(*at_ms) < timeout_ms;
+            if !is_present {
+                expired.insert(vm.clone(), (presence.clone(), *at_ms));
+            }
+            is_present
+        });
+        expired.retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < EXPIRED_RETENTION_MS);
         if self.present.len() < before {
             self.generation += 1;
+            self.candidate_generation += 1;
         }
     }
 
-    /// Returns a number that changes whenever [`ActiveRouters::candidates`] does.
+    /// Returns the routers that may still run although they have not reported in time, because they are cut off from the
+    /// store.
+    pub fn expired_candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
+        candidates_of(&self.expired)
+    }
+
+    /// Returns a number that changes whenever [`ActiveRouters::candidates`] or [`ActiveRouters::rights_candidates`] does.
     pub fn generation(&self) -> u64 {
         self.generation
     }
 
-    /// Returns the routers that can hold rights.
+    /// Returns a number that changes whenever [`ActiveRouters::candidates`] or their addresses do; congestion of VMs
+    /// changes neither.
+    pub fn candidate_generation(&self) -> u64 {
+        self.candidate_generation
+    }
+
+    /// Returns the routers that can hold rights, with little weight for those on congested VMs.
+    ///
+    /// If more than half of the routers of a data centre are congested, the reason is not one of their VMs, and the rights stay.
+    pub fn rights_candidates(&self) -> Vec<Candidate<'_>> {
+        let mut congested: FastMap<&str, (usize, usize)> = FastMap::default();
+        for (presence, _) in self.present.values() {
+            let (all, count) = congested.entry(&presence.data_centre).or_default();
+            *all += 1;
+            *count += usize::from(presence.is_congested);
+        }
+        let is_exception = |data_centre: &str| {
+            let counts = congested.get(data_centre);
+            counts.is_some_and(|(all, count)| count * 2 <= *all)
+        };
+        let mut candidates: Vec<_> = self.candidates().collect();
+        for candidate in &mut candidates {
+            let is_congested = self.present[candidate.vm].0.is_congested;
+            if is_congested && is_exception(candidate.data_centre) {
+                candidate.weight_permille /= CONGESTED_WEIGHT_DIVISOR;
+            }
+        }
+        candidates
+    }
+
+    /// Returns how many of the routers except the one on `vm` are congested.
+    pub fn congestion_beside(&self, vm: &str, data_centre: &str) -> FleetCongestion {
+        let mut fleet = FleetCongestion::default();
+        let others = self.present.iter().filter(|(name, _)| *name != vm);
+        for (_, (presence, _)) in others {
+            let congested = usize::from(presence.is_congested);
+            fleet.others += 1;
+            fleet.congested_others += congested;
+            if presence.data_centre == data_centre {
+                fleet.local_others += 1;
+                fleet.congested_local_others += congested;
+            }
+        }
+        fleet
+    }
+
+    /// Returns the routers with the weights of their VMs.
     pub fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
-        self.present.iter().map(|(vm, (presence, _))| Candidate {
-            vm,
-            data_centre: &presence.data_centre,
-            weight_permille: presence.weight_permille,
-        })
+        candidates_of(&self.present)
     }
 
     /// Returns the address for datagrams of the router on a VM.
@@ -183,6 +271,13 @@
         self.present.values().map(|(presence, _)| presence.router)
     }
 
+    /// Returns the address for datagrams of a router's process.
+    pub fn process_address(&self, router: u64) -> Option<SocketAddr> {
+        let mut present = self.present.values();
+        let (presence, _) = present.find(|(presence, _)| presence.router == router)?;
+        presence.peer_address
+    }
+
     /// Returns whether an address is that of a router.
     pub fn is_member(&self, address: SocketAddr) -> bool {
         let mut present = self.present.values();
@@ -227,6 +322,16 @@
     }
 }
 
+fn candidates_of(
+    reports: &FastMap<CompactString, (Presence, u64)>,
+) -> impl Iterator<Item = Candidate<'_>> {
+    reports.iter().map(|(vm, (presence, _))| Candidate {
+        vm,
+        data_centre: &presence.data_centre,
+        weight_permille: presence.weight_permille,
+    })
+}
+
 /// Counts events in a sliding window of whole buckets.
 #[derive(Clone, Debug, Default)]
 struct SlidingWindowCounter {
@@ -287,10 +392,15 @@
 
     /// Returns whether the limit allows a retry; `slack` is this router's share of [`RetryRule::slack`].
     pub fn allows_retry(&mut self, rule: RetryRule, slack: u64, now_ms: u64) -> bool {
+        self.remaining_retries(rule, slack, now_ms) > 0
+    }
+
+    /// Returns how many retries the limit allows now.
+    pub fn remaining_retries(&mut self, rule: RetryRule, slack: u64, now_ms: u64) -> u64 {
         let requests = self.requests.sum(rule.window_ms, now_ms);
         let allowed =
             (requests * rule.ratio_permille / 1_000 + slack) * RETRY_UTILISATION_PERCENT / 100;
-        self.retries.sum(rule.window_ms, now_ms) < allowed
+        allowed.saturating_sub(self.retries.sum(rule.window_ms, now_ms))
     }
 
     /// Counts a retry if the limit allows one; returns whether it does.
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -1,6 +1,8 @@
 //! Stubs of the platform's store and of upstreams, and a gateway process that uses them.
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod coordinator;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -561,7 +563,8 @@
     }
 
     /// Ends all connections and the listener.
-    fn crash(&self, down: Duration) {
+    /// Resets all connections and refuses new ones for a time.
+    pub fn crash(&self, down: Duration) {
         *self.down.lock().unwrap() = down;
         self.crashes.fetch_add(1, Ordering::SeqCst);
         // Wakes the listener, which then closes.
@@ -790,6 +793,10 @@
     pub retry_slack: u64,
     /// Whether no gateway of the fleet has run before.
     pub is_first_start: bool,
+    /// Factor and requests by which the rate of a cold upstream may be exceeded.
+    pub cold_tolerance: Option<(f64, f64)>,
+    /// Memory of the VM of the gateway, in MiB.
+    pub memory_mb: u64,
 }
 
 impl Default for FleetSettings {
@@ -798,6 +805,8 @@
             retry_ratio: 0.2,
             retry_slack: 1_000,
             is_first_start: false,
+            cold_tolerance: None,
+            memory_mb: 100,
         }
     }
 }
@@ -826,19 +835,23 @@
 
     /// Starts a gateway of a fleet with these settings.
     pub fn start_in(store: &StoreStub, vm: &str, fleet: &FleetSettings) -> Self {
-        let settings = json!({
+        let mut settings = json!({
             "vm": vm,
             "data_centre": "kv-a",
             "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
                        "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0"},
             "store": {"address": store.address.to_string(), "partitions": 4,
                       "writes_per_s": 800, "reads_per_s": 2000},
-            "resources": {"memory_mb": 100, "descriptors": 1024, "processor_cores": 0.25,
+            "resources": {"memory_mb": fleet.memory_mb, "descriptors": 1024, "processor_cores": 0.25,
                           "link_mbps": 1000.0},
             "fleet": {"retry_ratio": fleet.retry_ratio, "retry_slack": fleet.retry_slack,
                       "retry_window_s": 10.0, "stop_grace_s": 8.0,
                       "is_first_start": fleet.is_first_start},
         });
+        if let Some((ratio, requests)) = fleet.cold_tolerance {
+            settings["fleet"]["cold_overshoot_ratio"] = ratio.into();
+            settings["fleet"]["cold_slack_requests"] = requests.into();
+        }
         let path = write_settings(&settings.to_string());
         let mut child = Command::new(env!("CARGO_BIN_EXE_monsoonfield"))
             .args(["gateway", "--settings", &path])
@@ -904,6 +917,11 @@
         assert_eq!(result, 0, "the signal is delivered");
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the most memory that the process has used so far, in KiB.
     pub fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
