--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,7 +9,7 @@
 //! | choose upstreams, send, retry | `attempt` |
 //! | connections to upstreams | `pool` |
 //! | what upstreams state about new requests | `availability` |
-//! | which processes of upstreams are gone, as gateways tell each other | `beliefs` |
+//! | which processes of upstreams are gone, by reports of other gateways | `beliefs` |
 //! | relay the response, count what is delivered | `relay` |
 //!
 //! Background tasks run beside the requests:
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -8,7 +8,7 @@
 use crate::gateway::limits::{self, ColdPermit};
 use crate::gateway::request::Call;
 use crate::gateway::{availability, beliefs, cold_upstreams, evacuations, rollouts, Shared};
-use crate::placement::{Candidate, PlacementError};
+use crate::placement::{Candidate, Placement, PlacementError};
 use crate::upstream_availability::Availability;
 use crate::upstream_beliefs::{Preference, RequestNeed};
 use crate::upstream_limits::Weight;
@@ -44,115 +44,198 @@
 ) -> Result<Choice, PlacementError> {
     let directory = shared.directory.borrow();
     let placement = shared.placement.borrow();
-    let limit = connection_limit(shared, call);
-    let serving: Vec<_> = staying(shared, call, &directory).collect();
-    let now_ms = shared.now_ms();
-    let cold_rule = cold_upstreams::rule(shared, &call.service);
-    let may_be_cold =
-        |id: &str| cold_rule.is_some() && cold_upstreams::needs_permission(shared, id);
-    let preference = preference(shared, call, tried, &serving);
-    let choose_among = |versions: Versions, weight: Weight, narrowing: Narrowing| {
-        let candidates: Vec<_> = serving
-            .iter()
-            .filter(|(_, entry)| match versions {
-                Versions::Any => true,
-                Versions::New | Versions::Replacement => {
-                    rollouts::is_new(shared, &call.service, &entry.version)
-                }
-                Versions::Present | Versions::PresentOnly => {
-                    !rollouts::is_new(shared, &call.service, &entry.version)
-                }
-            })
-            .filter(|(id, entry)| {
-                let since_ms = narrowing.answered_since_ms;
-                since_ms.is_none_or(|since_ms| has_answered(shared, id, entry, since_ms))
-            })
-            .filter(|(id, entry)| {
-                placement.open_requests(id) < limit
-                    && shared.limits.may_ask(id, weight, now_ms)
-                    && availability::is_available(shared, id, entry)
-                    && (!may_be_cold(id)
-                        || !narrowing.is_warm_only && shared.limits.may_ask_cold(id, now_ms))
-            })
-            .map(|(id, entry)| Candidate {
-                id: id.as_str(),
-                slots: entry.slots,
-                is_local: entry.data_centre == shared.settings.data_centre,
-            })
-            .collect();
-        if candidates.is_empty() && !serving.is_empty() {
-            return Err(PlacementError::Full);
+    let selection = Selection::new(shared, call, tried, &directory, &placement, versions);
+    let preference = preference(shared, call, tried, &selection.serving);
+    let weight = placement.weight(call.meta.prompt.as_ref());
+    let (id, weight) = match selection.choose(weight, preference) {
+        // A light request that no other upstream takes counts as a heavy one.
+        Err(_) if weight == Weight::Light => {
+            (selection.choose(Weight::Heavy, preference)?, Weight::Heavy)
         }
-        placement.choose(&candidates, call.meta.prompt.as_ref(), tried, now_ms)
-    };
-    let is_new = |entry: &UpstreamEntry| rollouts::is_new(shared, &call.service, &entry.version);
-    let has_version = |is_wanted_new| {
-        let mut entries = serving.iter();
-        entries.any(|(_, entry)| is_new(entry) == is_wanted_new)
-    };
-    let versions = match versions {
-        Versions::Present if !has_version(false) => Versions::Any,
-        Versions::Replacement if !has_version(true) => Versions::Any,
-        other => other,
+        chosen => (chosen?, weight),
     };
-    let choose_of_version = |weight: Weight, narrowing: Narrowing| {
-        let chosen = choose_among(versions, weight, narrowing);
-        match (chosen, versions) {
-            (Err(_), Versions::New) => choose_among(Versions::Present, weight, narrowing),
-            (chosen, _) => chosen,
+    let entry = directory.get(id).ok_or(PlacementError::NoUpstream)?;
+    Ok(Choice {
+        id: id.into(),
+        entry: entry.clone(),
+        weight,
+        cold_rule: selection.cold_rule,
+        cold_permit: None,
+    })
+}
+
+/// Selection among the upstreams of the service of one request.
+struct Selection<'a> {
+    shared: &'a Shared,
+    call: &'a Call<'a>,
+    tried: &'a [CompactString],
+    directory: &'a UpstreamDirectory,
+    placement: &'a Placement,
+    serving: Vec<(&'a CompactString, &'a UpstreamEntry)>,
+    versions: Versions,
+    /// Maximum number of connections from this gateway to one upstream.
+    connection_limit: u32,
+    cold_rule: Option<ColdRule>,
+    now_ms: u64,
+}
+
+impl<'a> Selection<'a> {
+    fn new(
+        shared: &'a Shared,
+        call: &'a Call<'a>,
+        tried: &'a [CompactString],
+        directory: &'a UpstreamDirectory,
+        placement: &'a Placement,
+        versions: Versions,
+    ) -> Self {
+        let mut selection = Self {
+            shared,
+            call,
+            tried,
+            directory,
+            placement,
+            serving: staying(shared, call, directory).collect(),
+            versions,
+            connection_limit: connection_limit(shared, call),
+            cold_rule: cold_upstreams::rule(shared, &call.service),
+            now_ms: shared.now_ms(),
+        };
+        selection.versions = match versions {
+            Versions::Present if !selection.has_version(false) => Versions::Any,
+            Versions::Replacement if !selection.has_version(true) => Versions::Any,
+            other => other,
+        };
+        selection
+    }
+
+    fn is_new(&self, entry: &UpstreamEntry) -> bool {
+        rollouts::is_new(self.shared, &self.call.service, &entry.version)
+    }
+
+    fn has_version(&self, is_wanted_new: bool) -> bool {
+        let mut entries = self.serving.iter();
+        entries.any(|(_, entry)| self.is_new(entry) == is_wanted_new)
+    }
+
+    fn may_be_cold(&self, id: &str) -> bool {
+        self.cold_rule.is_some() && cold_upstreams::needs_permission(self.shared, id)
+    }
+
+    /// Chooses an upstream, those first that the preference names.
+    fn choose(&self, weight: Weight, preference: Preference) -> Result<&'a str, PlacementError> {
+        match preference {
+            Preference::None => self.choose_warm_first(weight, None),
+            Preference::Answered { since_ms } => {
+                let preferred = self.choose_warm_first(weight, Some(since_ms));
+                preferred.or_else(|_| self.choose_warm_first(weight, None))
+            }
+            Preference::OnlyAnswered { since_ms } => self
+                .choose_warm_first(weight, Some(since_ms))
+                .map_err(|_| PlacementError::NoUpstream),
         }
-    };
-    let choose_warm_first = |weight: Weight, answered_since_ms: Option<u64>| {
+    }
+
+    /// Chooses the best upstream, or a warm one that is nearly as good if that one may be cold.
+    fn choose_warm_first(
+        &self,
+        weight: Weight,
+        answered_since_ms: Option<u64>,
+    ) -> Result<&'a str, PlacementError> {
         let narrowing = |is_warm_only| Narrowing {
             answered_since_ms,
             is_warm_only,
         };
-        let best = choose_of_version(weight, narrowing(false))?;
-        if !may_be_cold(best) {
+        let best = self.choose_of_version(weight, narrowing(false))?;
+        if !self.may_be_cold(best) {
             return Ok(best);
         }
-        // A first choice of the new version falls back to the present one if no upstream of the new one is left.
-        let is_same_version = |warm: &str| {
-            matches!(versions, Versions::Any)
-                || directory.get(warm).is_some_and(is_new)
-                    == directory.get(best).is_some_and(is_new)
+        let delay_ms = |id: &str| {
+            let prompt = self.call.meta.prompt.as_ref();
+            self.placement.expected_delay_ms(id, prompt, self.now_ms)
         };
-        let delay_ms =
-            |id: &str| placement.expected_delay_ms(id, call.meta.prompt.as_ref(), now_ms);
-        match choose_of_version(weight, narrowing(true)) {
+        match self.choose_of_version(weight, narrowing(true)) {
             Ok(warm)
-                if is_same_version(warm)
-                    && prefers_warm(delay_ms(best), delay_ms(warm), shared.random()) =>
+                if self.is_same_version(warm, best)
+                    && prefers_warm(delay_ms(best), delay_ms(warm), self.shared.random()) =>
             {
                 Ok(warm)
             }
             _ => Ok(best),
         }
-    };
-    let choose = |weight: Weight| match preference {
-        Preference::None => choose_warm_first(weight, None),
-        Preference::Answered { since_ms } => {
-            let preferred = choose_warm_first(weight, Some(since_ms));
-            preferred.or_else(|_| choose_warm_first(weight, None))
+    }
+
+    /// Returns whether two upstreams have the same version, if versions matter.
+    ///
+    /// A first choice of the new version falls back to the present one if no upstream of the new one is left.
+    fn is_same_version(&self, one: &str, other: &str) -> bool {
+        let is_new = |id: &str| {
+            let entry = self.directory.get(id);
+            entry.is_some_and(|entry| self.is_new(entry))
+        };
+        matches!(self.versions, Versions::Any) || is_new(one) == is_new(other)
+    }
+
+    fn choose_of_version(
+        &self,
+        weight: Weight,
+        narrowing: Narrowing,
+    ) -> Result<&'a str, PlacementError> {
+        let chosen = self.choose_among(self.versions, weight, narrowing);
+        match (chosen, self.versions) {
+            (Err(_), Versions::New) => self.choose_among(Versions::Present, weight, narrowing),
+            (chosen, _) => chosen,
         }
-        Preference::OnlyAnswered { since_ms } => {
-            choose_warm_first(weight, Some(since_ms)).map_err(|_| PlacementError::NoUpstream)
+    }
+
+    fn choose_among(
+        &self,
+        versions: Versions,
+        weight: Weight,
+        narrowing: Narrowing,
+    ) -> Result<&'a str, PlacementError> {
+        let candidates: Vec<_> = self
+            .serving
+            .iter()
+            .filter(|(_, entry)| self.has_allowed_version(entry, versions))
+            .filter(|(id, entry)| self.is_candidate(id, entry, weight, narrowing))
+            .map(|(id, entry)| Candidate {
+                id: id.as_str(),
+                slots: entry.slots,
+                is_local: entry.data_centre == self.shared.settings.data_centre,
+            })
+            .collect();
+        if candidates.is_empty() && !self.serving.is_empty() {
+            return Err(PlacementError::Full);
         }
-    };
-    let weight = placement.weight(call.meta.prompt.as_ref());
-    let (id, weight) = match choose(weight) {
-        // A light request that no other upstream takes counts as a heavy one.
-        Err(_) if weight == Weight::Light => (choose(Weight::Heavy)?, Weight::Heavy),
-        chosen => (chosen?, weight),
-    };
-    let entry = directory.get(id).ok_or(PlacementError::NoUpstream)?;
-    Ok(Choice {
-        id: id.into(),
-        entry: entry.clone(),
-        weight,
-        cold_rule,
-        cold_permit: None,
-    })
+        let prompt = self.call.meta.prompt.as_ref();
+        self.placement
+            .choose(&candidates, prompt, self.tried, self.now_ms)
+    }
+
+    fn has_allowed_version(&self, entry: &UpstreamEntry, versions: Versions) -> bool {
+        match versions {
+            Versions::Any => true,
+            Versions::New | Versions::Replacement => self.is_new(entry),
+            Versions::Present | Versions::PresentOnly => !self.is_new(entry),
+        }
+    }
+
+    fn is_candidate(
+        &self,
+        id: &str,
+        entry: &UpstreamEntry,
+        weight: Weight,
+        narrowing: Narrowing,
+    ) -> bool {
+        let limits = &self.shared.limits;
+        let has_answered = |since_ms| has_answered(self.shared, id, entry, since_ms);
+        narrowing.answered_since_ms.is_none_or(has_answered)
+            && self.placement.open_requests(id) < self.connection_limit
+            && limits.may_ask(id, weight, self.now_ms)
+            && availability::is_available(self.shared, id, entry)
+            && (!self.may_be_cold(id)
+                || !narrowing.is_warm_only && limits.may_ask_cold(id, self.now_ms))
+    }
 }
 
 /// Returns whether the chosen upstream still takes new requests.
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -1,4 +1,4 @@
-//! Upstreams whose processes are gone, as gateways tell each other.
+//! Upstreams whose processes are gone, as gateways report to each other.
 
 use super::availability::process;
 use super::peers::{Content, GoneReason, UpstreamGone};
@@ -40,28 +40,28 @@
     entry.is_some_and(|entry| entry.started_ms == process.started_ms)
 }
 
-/// Records that a process is gone, and tells the other gateways once.
+/// Records that a process is gone, and reports it to the other gateways once.
 ///
-/// On a VM whose network is congested connections fail for reasons of its own, so it tells nothing.
+/// On a VM whose network is congested connections fail for reasons of its own, so it reports nothing.
 pub(super) fn record_gone(shared: &Shared, gone: UpstreamProcess<'_>, kind: GoneKind) {
     if !is_known(shared, gone) {
         return;
     }
     let now_ms = shared.now_ms();
     let mut beliefs = shared.beliefs.borrow_mut();
-    let is_news = beliefs.record_discovery(gone, kind, now_ms);
-    if !is_news || shared.load.state().is_congested {
+    let is_new = beliefs.record_discovery(gone, kind, now_ms);
+    if !is_new || shared.load.state().is_congested {
         return;
     }
     log::info!(
         step = "upstream_gone", upstream = gone.id, started_ms = gone.started_ms,
         replaced = kind == GoneKind::Replaced, at_ms = now_ms;
         "{}", match kind {
-            GoneKind::Replaced => "another process responds at the address, telling the other gateways",
-            GoneKind::Unreachable => "the address refuses connections, telling the other gateways",
+            GoneKind::Replaced => "another process responds at the address, reporting it to the other gateways",
+            GoneKind::Unreachable => "the address refuses connections, reporting it to the other gateways",
         }
     );
-    shared.metrics.add("upstreams_gone_told", 1);
+    shared.metrics.add("upstreams_gone_reported", 1);
     let reason = match kind {
         GoneKind::Replaced => GoneReason::Replaced,
         GoneKind::Unreachable => GoneReason::Unreachable,
@@ -104,7 +104,7 @@
         }
     }
     cold_upstreams::record_lost(shared, id);
-    shared.metrics.add("upstreams_gone_learned", 1);
+    shared.metrics.add("upstreams_gone_received", 1);
     log::info!(
         step = "upstream_gone", upstream = id, started_ms = entry.started_ms,
         replaced = kind == GoneKind::Replaced, at_ms = now_ms;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -46,7 +46,7 @@
 const MAX_NOTICES_PER_S: u64 = 400;
 
 /// Maximum number of statements about the speed of engines in one notice. A gateway receives about as many responses as
-/// it sends notices, and tells only what has changed.
+/// it sends notices, and reports only what has changed.
 const MAX_SPEEDS: usize = 3;
 
 /// Time for which the id of a handover is remembered; the network does not hold a datagram for longer.
@@ -119,7 +119,7 @@
             prefill_us: (prefill_ms * 1_000.0) as u64,
             work_us: work_ms.map(|work_ms| (work_ms * 1_000.0) as u64),
             parts: work_ms.map_or_else(Vec::new, |_| other_parts(prompt)),
-            speeds: work_ms.map_or_else(Vec::new, |_| speeds_to_tell(shared)),
+            speeds: work_ms.map_or_else(Vec::new, |_| pending_speeds(shared)),
         };
         self.broadcast(shared, Content::PromptNotice(notice));
     }
@@ -255,7 +255,7 @@
 }
 
 /// Takes the statements about the speed of engines that the other gateways should know.
-fn speeds_to_tell(shared: &Shared) -> Vec<SpeedMessage> {
+fn pending_speeds(shared: &Shared) -> Vec<SpeedMessage> {
     let now_ms = shared.now_ms();
     let mut placement = shared.placement.borrow_mut();
     let figures = std::iter::from_fn(|| placement.take_figure(now_ms)).take(MAX_SPEEDS);
--- a/src/placement/costs.rs
+++ b/src/placement/costs.rs
@@ -14,8 +14,8 @@
 /// Weight of one response in the average time of a plain request at an upstream of usual speed.
 const SERVICE_EWMA_WEIGHT: f64 = 0.1;
 
-/// Change of a stated figure, in percent of the known one, from which other routers are told.
-const TOLD_CHANGE_PERCENT: u32 = 25;
+/// Change of a stated figure, in percent of the known one, from which it is reported to other routers.
+const REPORT_CHANGE_PERCENT: u32 = 25;
 
 /// Figure from which an upstream counts as slow.
 const SLOW_PERCENT: u32 = 150;
@@ -26,14 +26,14 @@
 /// Weight of one figure in the average of the figures of slow upstreams.
 const SLOW_EWMA_WEIGHT: f64 = 0.05;
 
-/// Age of the known figure from which they are told in any case.
-const TOLD_AGE_MS: u64 = 1_000;
+/// Age of the known figure from which a new one is reported in any case.
+const REPORT_AGE_MS: u64 = 1_000;
 
-/// Number of figures that wait to be told; the oldest are dropped.
-const MAX_WAITING_FIGURES: usize = 8;
+/// Number of figures that wait to be reported; the oldest are dropped.
+const MAX_PENDING_FIGURES: usize = 8;
 
-/// Age from which a figure that waits is not told any more.
-const MAX_WAITING_MS: u64 = 500;
+/// Age from which a pending figure is dropped.
+const MAX_PENDING_MS: u64 = 500;
 
 /// A statement of an upstream about its speed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,7 +68,7 @@
     /// Moving average of the time of plain requests at usual speed.
     pub(super) service_ms: Option<f64>,
     /// When the other routers last learned of the speed, and the figure.
-    told: Option<(u32, u64)>,
+    reported: Option<(u32, u64)>,
 }
 
 impl UpstreamCosts {
@@ -88,13 +88,13 @@
         Pace { expected, slow }
     }
 
-    /// Returns whether a figure differs so much from what the other routers know that they should be told.
-    fn is_news(&self, work_percent: u32, now_ms: u64) -> bool {
-        let Some((known, at_ms)) = self.told else {
+    /// Returns whether a figure differs so much from what the other routers know that it should be reported.
+    fn needs_report(&self, work_percent: u32, now_ms: u64) -> bool {
+        let Some((known, at_ms)) = self.reported else {
             return true;
         };
-        known.abs_diff(work_percent) * 100 >= known.max(1) * TOLD_CHANGE_PERCENT
-            || now_ms.saturating_sub(at_ms) >= TOLD_AGE_MS
+        known.abs_diff(work_percent) * 100 >= known.max(1) * REPORT_CHANGE_PERCENT
+            || now_ms.saturating_sub(at_ms) >= REPORT_AGE_MS
     }
 }
 
@@ -107,8 +107,8 @@
     pub(super) outputs: OutputLengths,
     /// Average of the figures of slow upstreams, as a ratio.
     slow: f64,
-    /// Figures that the other routers have not been told.
-    waiting_figures: VecDeque<SpeedFigure>,
+    /// Figures that have not been reported to the other routers.
+    pending_figures: VecDeque<SpeedFigure>,
     /// Seed and number of random draws.
     seed: u64,
     draws: u64,
@@ -121,7 +121,7 @@
             model: CostModel::default(),
             outputs: OutputLengths::default(),
             slow: INITIAL_SLOW,
-            waiting_figures: VecDeque::new(),
+            pending_figures: VecDeque::new(),
             seed: 0,
             draws: 0,
         }
@@ -397,15 +397,15 @@
         self.costs.record_figure(work_percent);
         let slow = self.costs.slow;
         let costs = &mut self.load(id).costs;
-        let is_news = costs.is_news(work_percent, now_ms);
+        let needs_report = costs.needs_report(work_percent, now_ms);
         costs.set_speed(work_percent, now_ms, slow, now_ms);
-        if !is_news {
+        if !needs_report {
             return;
         }
-        costs.told = Some((work_percent, now_ms));
-        let waiting = &mut self.costs.waiting_figures;
+        costs.reported = Some((work_percent, now_ms));
+        let waiting = &mut self.costs.pending_figures;
         waiting.retain(|figure| figure.upstream != id);
-        if waiting.len() >= MAX_WAITING_FIGURES {
+        if waiting.len() >= MAX_PENDING_FIGURES {
             waiting.pop_front();
         }
         waiting.push_back(SpeedFigure {
@@ -424,15 +424,15 @@
         let slow = self.costs.slow;
         let costs = &mut self.load(&figure.upstream).costs;
         if costs.set_speed(figure.work_percent, figure.at_ms, slow, now_ms) {
-            costs.told = Some((figure.work_percent, figure.at_ms));
-            let waiting = &mut self.costs.waiting_figures;
-            waiting.retain(|known| known.upstream != figure.upstream);
+            costs.reported = Some((figure.work_percent, figure.at_ms));
+            let pending = &mut self.costs.pending_figures;
+            pending.retain(|known| known.upstream != figure.upstream);
         }
     }
 
-    /// Returns the newest figure that the other routers should be told, once.
+    /// Returns the newest figure that is to be reported to the other routers, once.
     pub fn take_figure(&mut self, now_ms: u64) -> Option<SpeedFigure> {
-        let figure = self.costs.waiting_figures.pop_back()?;
-        (now_ms.saturating_sub(figure.at_ms) < MAX_WAITING_MS).then_some(figure)
+        let figure = self.costs.pending_figures.pop_back()?;
+        (now_ms.saturating_sub(figure.at_ms) < MAX_PENDING_MS).then_some(figure)
     }
 }
--- a/src/upstream_beliefs.rs
+++ b/src/upstream_beliefs.rs
@@ -2,7 +2,7 @@
 //!
 //! A process that was replaced or has crashed would be discovered by each router for itself, by a response of another
 //! process or a refused connection, each of which costs a retry. The router that discovers it tells the others once;
-//! those that are told do not tell others. What is known concerns one process, identified by the upstream's id and the
+//! those that receive a report do not repeat it. What is known concerns one process, identified by the upstream's id and the
 //! start of the process, so an entry of a later process ends it. See `docs/design/upstream-beliefs.md`.
 
 use compact_str::CompactString;
@@ -69,7 +69,7 @@
 }
 
 impl UpstreamBeliefs {
-    /// Records that this router has discovered that a process is gone; returns whether the others have to be told.
+    /// Records that this router has discovered that a process is gone; returns whether it has to be reported to the others.
     pub fn record_discovery(
         &mut self,
         process: UpstreamProcess<'_>,
--- a/tests/gateway_beliefs.rs
+++ b/tests/gateway_beliefs.rs
@@ -59,11 +59,11 @@
         assert_eq!(CallerRequest::default().send(&gateways[1]).status(), 200);
     }
     assert_eq!(replaced.requests().len(), 1);
-    let told = gateways[1].log_lines_with_step("upstream_gone");
+    let reports = gateways[1].log_lines_with_step("upstream_gone");
     assert_eq!(
-        told.len(),
+        reports.len(),
         1,
-        "a gateway that was told tells nobody: {told:?}"
+        "a gateway that received the report repeats it: {reports:?}"
     );
 
     store.set_mode(StoreMode::Available);
@@ -78,7 +78,7 @@
 
 /// Guards against each gateway discovering for itself that an address refuses connections.
 #[test]
-fn a_refused_connection_is_told_to_the_other_gateways() {
+fn a_refused_connection_is_reported_to_the_other_gateways() {
     let sound = start_slow_upstream();
     // An address at which nothing listens any more.
     let unused = TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/tests/placement_costs.rs
+++ b/tests/placement_costs.rs
@@ -306,9 +306,9 @@
 }
 
 /// Guards against control traffic for figures that everybody knows, against old or impossible figures of others that
-/// replace newer ones, and against telling again what others have told.
+/// replace newer ones, and against repeating what others have reported.
 #[test]
-fn only_news_about_speeds_is_told() {
+fn only_changed_speeds_are_reported() {
     let mut placement = informed(&["a"], 1);
     let figure = |work_percent, at_ms| SpeedFigure {
         upstream: "a".into(),
@@ -320,7 +320,11 @@
     assert_eq!(placement.take_figure(20), None, "a small change");
     placement.record_load("a", report(300), 30);
     placement.record_peer_speed(&figure(310, 40), 45);
-    assert_eq!(placement.take_figure(50), None, "another gateway told it");
+    assert_eq!(
+        placement.take_figure(50),
+        None,
+        "another gateway reported it"
+    );
     placement.record_peer_speed(&figure(100, 20), 50);
     placement.record_peer_speed(&figure(0, 60), 60);
     let mut uninformed = Placement::default();
@@ -331,7 +335,7 @@
     assert!(prefill_ms > 2.5 * usual_ms, "{prefill_ms} {usual_ms}");
 }
 
-/// Scenario: every other response waited in a queue that no notice told of, or at a busy VM. Guards against expected
+/// Scenario: every other response waited in a queue of which no notice arrived, or at a busy VM. Guards against expected
 /// costs that grow with the gateway's own trouble.
 #[test]
 fn hidden_waits_hardly_change_the_learned_prefill_time() {
--- a/tests/upstream_beliefs.rs
+++ b/tests/upstream_beliefs.rs
@@ -55,9 +55,9 @@
     assert_eq!(old, ReportEffect::None);
 }
 
-/// Guards against a router that tells others what it was told, or tells the same twice.
+/// Guards against a router that repeats the report of another one, or reports the same twice.
 #[test]
-fn a_process_is_reported_once_by_each_router_that_was_not_told() {
+fn a_process_is_reported_once_by_each_router_that_received_no_report() {
     let known = process("i-1", 5);
     for kind in [GoneKind::Replaced, GoneKind::Unreachable] {
         let mut beliefs = UpstreamBeliefs::default();
@@ -67,9 +67,9 @@
             beliefs.record_discovery(process("i-1", 6), kind, 300),
             "a later process"
         );
-        let mut told = UpstreamBeliefs::default();
-        told.record_report(known, kind, 0, 100);
-        assert!(!told.record_discovery(known, kind, 101), "{kind:?}");
+        let mut receiver = UpstreamBeliefs::default();
+        receiver.record_report(known, kind, 0, 100);
+        assert!(!receiver.record_discovery(known, kind, 101), "{kind:?}");
     }
 }
 
@@ -140,13 +140,13 @@
         }
         misdirected += 1;
         let gone = process(&ids[chosen], 1);
-        let is_news = routers[router].record_discovery(gone, GoneKind::Replaced, now_ms);
+        let is_new = routers[router].record_discovery(gone, GoneKind::Replaced, now_ms);
         for (_, other) in routers
             .iter_mut()
             .enumerate()
             .filter(|(other, _)| *other != router)
         {
-            if tells && is_news {
+            if tells && is_new {
                 datagrams += 1;
                 if random.random_range(0..100) >= lost_percent {
                     other.record_report(gone, GoneKind::Replaced, 0, now_ms);
