Pass the tolerance for cold upstreams as variables of the role

Change: the two figures come as variables or arguments of the command and override the settings; the template is as before.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -148,13 +148,17 @@
 
 fn run_gateway(arguments: &ArgMatches) -> CommandOutput {
     let path = path_argument(arguments, "settings");
-    let settings = match gateway::Settings::load(&path) {
+    let mut settings = match gateway::Settings::load(&path) {
         Ok(settings) => settings,
         Err(error) => {
             let messages = error.messages(&path.display().to_string());
             return CommandOutput::failure(ExitCode::InvalidInput, messages);
         }
     };
+    settings.fleet.override_cold_tolerance(
+        optional_number(arguments, "cold-overshoot-ratio"),
+        optional_number(arguments, "cold-slack-requests"),
+    );
     logging::init_stdout(log_level(arguments));
     let result = gateway::run(settings);
     log::logger().flush();
@@ -164,6 +168,11 @@
     }
 }
 
+/// Returns the value of an argument that may be missing or empty.
+fn optional_number(arguments: &ArgMatches, name: &str) -> Option<f64> {
+    arguments.get_one::<Option<f64>>(name).copied().flatten()
+}
+
 fn log_level(arguments: &ArgMatches) -> log::LevelFilter {
     let level = arguments.get_one::<String>("log-level");
     level
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -59,6 +59,31 @@
                 .env("MONSOONFIELD_SETTINGS"),
         )
         .arg(log_level_arg("Lowest severity that is logged to standard output"))
+        .arg(
+            optional_number_arg("cold-overshoot-ratio", 100.0)
+                .env("MONSOONFIELD_COLD_OVERSHOOT_RATIO")
+                .help("Overrides fleet.cold_overshoot_ratio of the settings unless empty"),
+        )
+        .arg(
+            optional_number_arg("cold-slack-requests", 1_000_000.0)
+                .env("MONSOONFIELD_COLD_SLACK_REQUESTS")
+                .help("Overrides fleet.cold_slack_requests of the settings unless empty"),
+        )
+}
+
+/// Returns an argument for a number from 0 to a maximum.
+///
+/// It may be empty, because a deployment renders an empty value for a figure that it does not state.
+fn optional_number_arg(name: &'static str, max: f64) -> Arg {
+    let parse = move |text: &str| match text.parse() {
+        _ if text.is_empty() => Ok(None),
+        Ok(number) if (0.0..=max).contains(&number) => Ok(Some(number)),
+        _ => Err(format!("expected a number from 0 to {max}, or nothing")),
+    };
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .value_parser(parse)
 }
 
 fn log_level_arg(help: &'static str) -> Arg {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -129,6 +129,16 @@
 }
 
 impl FleetLimits {
+    /// Replaces the tolerance for cold upstreams by the figures that are given.
+    pub fn override_cold_tolerance(
+        &mut self,
+        overshoot_ratio: Option<f64>,
+        slack_requests: Option<f64>,
+    ) {
+        self.cold_overshoot_ratio = overshoot_ratio.or(self.cold_overshoot_ratio);
+        self.cold_slack_requests = slack_requests.or(self.cold_slack_requests);
+    }
+
     /// Returns the limit on retries.
     pub fn retry_rule(&self) -> RetryRule {
         RetryRule {
--- a/tests/gateway_cold_upstreams.rs
+++ b/tests/gateway_cold_upstreams.rs
@@ -311,11 +311,12 @@
     let template = std::fs::read_to_string("deploy/settings.yaml").expect("the template");
     for (overshoot, slack, tolerated) in [
         (None, None, None),
-        (Some("1.5"), Some("5"), Some(21)),
-        (Some("1.5"), None, Some(16)),
+        (Some(1.5), Some(5.0), Some(21)),
+        (Some(1.5), None, Some(16)),
     ] {
-        let text = render(&template, overshoot, slack);
-        let settings = Settings::from_yaml(&text).expect("valid settings");
+        let text = render(&template);
+        let mut settings = Settings::from_yaml(&text).expect("valid settings");
+        settings.fleet.override_cold_tolerance(overshoot, slack);
         let rule = settings.fleet.cold_rule(&with);
         assert_eq!(
             rule.map(|rule| rule.tolerated_requests),
@@ -326,26 +327,9 @@
     }
 }
 
-/// Renders the template of the settings like the platform, with these values for cold upstreams and any others.
-fn render(template: &str, overshoot: Option<&str>, slack: Option<&str>) -> String {
+/// Renders the template of the settings like the platform, with any values.
+fn render(template: &str) -> String {
     let mut output = template.to_owned();
-    for (name, value) in [("cold_overshoot", overshoot), ("cold_slack", slack)] {
-        let (begin, end) = (
-            format!("{{{{#bounds.{name}}}}}"),
-            format!("{{{{/bounds.{name}}}}}"),
-        );
-        let (start, stop) = (
-            output.find(&begin).expect("begin"),
-            output.find(&end).expect("end"),
-        );
-        let section = match value {
-            Some(value) => {
-                output[start + begin.len()..stop].replace(&format!("{{{{bounds.{name}}}}}"), value)
-            }
-            None => String::new(),
-        };
-        output.replace_range(start..stop + end.len(), &section);
-    }
     for (placeholder, value) in [
         ("{{node|json}}", "\"edge-1\""),
         ("{{zone|json}}", "\"kv-a\""),
