Look up gone processes once for a choice, and share four checks

Cause: a choice of an upstream asked for each candidate twice whether its process is gone, since the serving ones were filtered by it already; whether an upstream may be cold, whether an entry describes a process, whether a deadline is near, the host of a request and the part of the retry limit were written twice or three times. Change: one function for each. No behaviour changes. Two comments were stale.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -52,6 +52,11 @@
 }
 
 impl UpstreamEntry {
+    /// Returns whether the entry describes the process with this address and start.
+    pub fn is_process(&self, address: SocketAddr, started_ms: Option<u64>) -> bool {
+        self.address == address && self.started_ms == started_ms
+    }
+
     /// Returns a key that orders the entries of one upstream by age, if the entry has the fields for it.
     fn order(&self) -> Option<EntryOrder> {
         Some(EntryOrder {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -28,6 +28,7 @@
 use crate::refusal::Refusal;
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
+use crate::shared_limits::{RetryLimiter, RetryRule};
 use crate::upstream_beliefs::{GoneKind, Retry};
 use crate::upstream_client::UpstreamResponse;
 use crate::version_canary::Response;
@@ -480,18 +481,28 @@
     shared.routers.borrow().share(&shared.settings.vm, slack)
 }
 
-/// Returns whether the retry limit of the fleet allows a retry; with `consume` the retry is counted.
-fn is_retry_allowed(shared: &Shared, call: &Call<'_>, consume: bool) -> bool {
+/// Looks at this gateway's part of the retry limit of the service; `look` gets the limiter, the rule, the slack and the
+/// time.
+fn with_retry_limiter<T>(
+    shared: &Shared,
+    call: &Call<'_>,
+    look: impl FnOnce(&mut RetryLimiter, RetryRule, u64, u64) -> T,
+) -> T {
     let rule = shared.settings.fleet.retry_rule();
     let slack = retry_slack(shared);
-    let now_ms = shared.now_ms();
     let mut retries = shared.retries.borrow_mut();
-    let limit = retries.entry(call.service.clone()).or_default();
-    if consume {
-        limit.try_retry(rule, slack, now_ms)
+    let limiter = retries.entry(call.service.clone()).or_default();
+    look(limiter, rule, slack, shared.now_ms())
+}
+
+/// Returns whether the retry limit of the fleet allows a retry; with `consume` the retry is counted.
+fn is_retry_allowed(shared: &Shared, call: &Call<'_>, consume: bool) -> bool {
+    let look = if consume {
+        RetryLimiter::try_retry
     } else {
-        limit.allows_retry(rule, slack, now_ms)
-    }
+        RetryLimiter::allows_retry
+    };
+    with_retry_limiter(shared, call, look)
 }
 
 /// Returns whether the next attempt repeats the request, and whether the retry limit of the fleet allows more than that.
@@ -499,11 +510,7 @@
     if tried.is_empty() {
         return Retry::None;
     }
-    let rule = shared.settings.fleet.retry_rule();
-    let slack = retry_slack(shared);
-    let mut retries = shared.retries.borrow_mut();
-    let limit = retries.entry(call.service.clone()).or_default();
-    match limit.remaining_retries(rule, slack, shared.now_ms()) {
+    match with_retry_limiter(shared, call, RetryLimiter::remaining_retries) {
         0 | 1 => Retry::Last,
         _ => Retry::Allowed,
     }
--- a/src/gateway/attempt/choice.rs
+++ b/src/gateway/attempt/choice.rs
@@ -118,7 +118,12 @@
     }
 
     fn may_be_cold(&self, id: &str) -> bool {
-        self.cold_rule.is_some() && cold_upstreams::needs_permission(self.shared, id)
+        cold_upstreams::may_be_cold(self.shared, self.cold_rule, id)
+    }
+
+    /// Returns whether an upstream takes a request now. Processes that are gone are not among the serving ones.
+    fn is_available(&self, id: &str, entry: &UpstreamEntry) -> bool {
+        availability::availability(self.shared, id, entry) == Availability::Available
     }
 
     /// Chooses an upstream, those first that the preference names.
@@ -232,7 +237,7 @@
         narrowing.answered_since_ms.is_none_or(has_answered)
             && self.placement.open_requests(id) < self.connection_limit
             && limits.may_ask(id, weight, self.now_ms)
-            && availability::is_available(self.shared, id, entry)
+            && self.is_available(id, entry)
             && (!self.may_be_cold(id)
                 || !narrowing.is_warm_only && limits.may_ask_cold(id, self.now_ms))
     }
@@ -254,9 +259,7 @@
 pub(super) fn is_same_process(shared: &Shared, choice: &Choice) -> bool {
     let directory = shared.directory.borrow();
     directory.get(&choice.id).is_some_and(|entry| {
-        !entry.is_draining
-            && entry.address == choice.entry.address
-            && entry.started_ms == choice.entry.started_ms
+        !entry.is_draining && entry.is_process(choice.entry.address, choice.entry.started_ms)
     })
 }
 
@@ -323,9 +326,8 @@
 /// Returns the time until the coordinator of an upstream grants a request, as far as it has refused one.
 fn limit_wait_ms(shared: &Shared, call: &Call<'_>, id: &str, now_ms: u64) -> u64 {
     let stated_ms = shared.limits.wait_ms(id, now_ms);
-    let may_be_cold = cold_upstreams::rule(shared, &call.service).is_some()
-        && cold_upstreams::needs_permission(shared, id);
-    if may_be_cold {
+    let rule = cold_upstreams::rule(shared, &call.service);
+    if cold_upstreams::may_be_cold(shared, rule, id) {
         stated_ms.max(shared.limits.cold_wait_ms(id, now_ms))
     } else {
         stated_ms
--- a/src/gateway/attempt/in_flight.rs
+++ b/src/gateway/attempt/in_flight.rs
@@ -131,7 +131,7 @@
 
     /// Returns whether the process that was sent the request is the one that an entry of its upstream describes.
     pub(in crate::gateway) fn is_at(&self, entry: &UpstreamEntry) -> bool {
-        self.address == entry.address && self.started_ms == entry.started_ms
+        entry.is_process(self.address, self.started_ms)
     }
 
     /// Returns the time since the request was sent.
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use http::header::HOST;
 use monoio::net::TcpListener;
 use monoio_http::common::request::RequestHead;
 
@@ -21,7 +20,7 @@
 /// Share of the file descriptors that is reserved for connections to upstreams and to the store, in percent.
 const OUTGOING_DESCRIPTORS_PERCENT: u64 = 40;
 
-/// Memory budget of one connection: its request, and a response that waits for a slow reader.
+/// Memory of one connection beside what it holds of the buffer budget, from which the maximum number follows.
 const CONNECTION_BYTES: u64 = 24 << 10;
 
 /// Time in which a caller must take a refusal of a request that it has not sent to its end.
@@ -122,8 +121,7 @@
 fn team_of(shared: &Shared, head: &RequestHead) -> Option<CompactString> {
     let table = shared.table.borrow();
     let table = table.as_ref()?;
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = head.uri.host().or(host).unwrap_or_default();
+    let host = request::host_of(&head.uri, &head.headers);
     let route = table.route(table.find_route(host, head.uri.path())?);
     let key = headers::bearer_key(&head.headers);
     let team = table.authenticate(route, key).ok()??;
--- a/src/gateway/cold_upstreams.rs
+++ b/src/gateway/cold_upstreams.rs
@@ -38,6 +38,11 @@
     !warmth.is_warm(upstream, shared.now_ms())
 }
 
+/// Returns whether an upstream may be cold; `rule` is that of its service.
+pub(super) fn may_be_cold(shared: &Shared, rule: Option<ColdRule>, upstream: &str) -> bool {
+    rule.is_some() && needs_permission(shared, upstream)
+}
+
 /// Returns the age of the last sign of life of an upstream that is proved to be warm; only a sign after the loss of
 /// contact counts, whose age is given.
 pub(super) fn proof_age_ms(
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -1,5 +1,5 @@
-//! Limits on the rate of requests to single upstreams, stated or because they may be cold: exchange with other gateways, and permission
-//! for each request.
+//! Permission for each request to an upstream that states a limit or may be cold, and the exchange with other gateways
+//! about it.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -240,7 +240,7 @@
 ) -> Permission {
     let asked_ms = shared.now_ms();
     let known = shared.limits.state.borrow().known(upstream, asked_ms);
-    let may_be_cold = rule.is_some() && cold_upstreams::needs_permission(shared, upstream);
+    let may_be_cold = cold_upstreams::may_be_cold(shared, rule, upstream);
     if known.is_none() && !may_be_cold {
         return Permission::Granted(None);
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -6,6 +6,8 @@
 
 use bytes::{BufMut, BytesMut};
 use compact_str::{format_compact, CompactString};
+use http::header::HOST;
+use http::{HeaderMap, Uri};
 
 use super::attempt::{self, Attempts, Failure};
 use super::budget::remote::Need;
@@ -197,6 +199,12 @@
     }
 }
 
+/// Returns the host of a request; that of its target takes precedence over the header field.
+pub(super) fn host_of<'a>(uri: &'a Uri, fields: &'a HeaderMap) -> &'a str {
+    let host = fields.get(HOST).and_then(|host| host.to_str().ok());
+    uri.host().or(host).unwrap_or_default()
+}
+
 /// Resolves the route, the team and the service of a request.
 fn prepare<'a>(
     shared: &Shared,
@@ -219,8 +227,7 @@
         );
         return Err(Refused::new(Refusal::BadRequest, reason));
     }
-    let host = request.header("host").unwrap_or_default();
-    let host = request.uri.host().unwrap_or(host);
+    let host = host_of(&request.uri, &request.headers);
     let Some(route_index) = table.find_route(host, request.uri.path()) else {
         let reason = format_compact!(
             "no route matches in configuration version {}",
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -85,6 +85,14 @@
     );
 }
 
+/// Returns whether the deadline of any order is near.
+fn is_near_deadline(shared: &Shared) -> bool {
+    let now_ms = shared.now_ms();
+    let canaries = shared.rollouts.canaries.borrow();
+    let mut canaries = canaries.values();
+    canaries.any(|canary| canary.is_near_deadline(now_ms))
+}
+
 /// Counts a request and returns which version it may be sent to.
 pub(super) fn choose(shared: &Shared, call: &Call<'_>) -> Choice {
     let mut canaries = shared.rollouts.canaries.borrow_mut();
--- a/src/gateway/rollouts/decisions.rs
+++ b/src/gateway/rollouts/decisions.rs
@@ -7,8 +7,8 @@
 
 use super::super::peers::{Content, MoveNotice};
 use super::super::Shared;
-use super::record_status;
 use super::reports::{decider_position, process_of};
+use super::{is_near_deadline, record_status};
 use crate::collections::FastSet;
 use crate::platform::documents;
 use crate::rollout_completion::{split_grant, Missing, MovePlan, Step, Tally, Trial, Verdict};
@@ -44,12 +44,7 @@
 }
 
 fn interval(shared: &Shared) -> Duration {
-    let now_ms = shared.now_ms();
-    let canaries = shared.rollouts.canaries.borrow();
-    let is_near = canaries
-        .values()
-        .any(|canary| canary.is_near_deadline(now_ms));
-    if is_near {
+    if is_near_deadline(shared) {
         DEADLINE_DECISION_INTERVAL
     } else {
         DECISION_INTERVAL
--- a/src/gateway/rollouts/reports.rs
+++ b/src/gateway/rollouts/reports.rs
@@ -8,6 +8,7 @@
 
 use super::super::peers::{Content, RouteReport, VersionReport};
 use super::super::Shared;
+use super::is_near_deadline;
 use crate::holders;
 use crate::rollout_completion::{RouteTally, Tally};
 use crate::version_canary::{Canary, Reference, RolloutState, VersionCounts};
@@ -61,12 +62,7 @@
 }
 
 fn interval(shared: &Shared) -> Duration {
-    let now_ms = shared.now_ms();
-    let canaries = shared.rollouts.canaries.borrow();
-    let is_near = canaries
-        .values()
-        .any(|canary| canary.is_near_deadline(now_ms));
-    if is_near {
+    if is_near_deadline(shared) {
         let routers = shared.routers.borrow().count();
         let interval_ms = routers * 1_000 / MAX_REPORTS_PER_S;
         return Duration::from_millis(interval_ms.max(DEADLINE_REPORT_INTERVAL_MS));
--- a/src/placement/costs.rs
+++ b/src/placement/costs.rs
@@ -403,12 +403,12 @@
             return;
         }
         costs.reported = Some((work_percent, now_ms));
-        let waiting = &mut self.costs.pending_figures;
-        waiting.retain(|figure| figure.upstream != id);
-        if waiting.len() >= MAX_PENDING_FIGURES {
-            waiting.pop_front();
+        let pending = &mut self.costs.pending_figures;
+        pending.retain(|figure| figure.upstream != id);
+        if pending.len() >= MAX_PENDING_FIGURES {
+            pending.pop_front();
         }
-        waiting.push_back(SpeedFigure {
+        pending.push_back(SpeedFigure {
             upstream: id.into(),
             work_percent,
             at_ms: now_ms,
