--- a/review/standins-2/case_7.rs
+++ b/review/standins-2/case_8.rs
@@ -1,5 +1,5 @@
 
-// ----------------------------------------------------------------------------------------------------------- case 7
+// ----------------------------------------------------------------------------------------------------------- case 8
 
 /// Connections that the clients without control hold, and the threads that serve them.
 const CROWD: usize = 1_200;
@@ -53,7 +53,7 @@
 ///
 /// "What must hold: no process ends or hangs, each stays within the memory of its machine, and ordinary callers still
 /// get answers."
-fn case_7(record: &Recorder, is_trouble: bool) -> Option<bool> {
+fn case_8(record: &Recorder, is_trouble: bool) -> Option<bool> {
     let store = Store::start();
     let billing = listen(|stream| serve_plainly(stream, Duration::from_millis(30)));
     store.put("keyed.op", "config", &configuration(7, 2_941_641));
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,7 +3,7 @@
 
 include!("rig.rs");
 include!("case_6.rs");
-include!("case_7.rs");
+include!("case_8.rs");
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
@@ -15,7 +15,7 @@
     let record = Recorder::new(&format!("{folder}/record.txt"));
     let held = match case.as_str() {
         "6" => case_6(&record, is_trouble),
-        "7" => case_7(&record, is_trouble),
+        "8" => case_8(&record, is_trouble),
         _ => None,
     };
     let (text, code) = match held {
