Review case 9: an entry of another writer without all fields is used

An entry without version and seq is decoded and replaces the known one, so charges go to the worker of another service.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 include!("rig.rs");
 include!("case_6.rs");
 include!("case_8.rs");
+include!("case_9.rs");
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
@@ -16,6 +17,7 @@
     let held = match case.as_str() {
         "6" => case_6(&record, is_trouble),
         "8" => case_8(&record, is_trouble),
+        "9" => case_9(&record, is_trouble),
         _ => None,
     };
     let (text, code) = match held {
