Review case 7: a budget is granted twice after a kill and a return of the store

Five of six gateways are killed while the store returns from an older copy; the survivor follows the tenant no more, yet what it knew at first counts as the newest version.

--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitCode, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -47,10 +48,11 @@
 
 // ------------------------------------------------------------------------------------------------------------ HTTP
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Head {
     start: String,
     fields: Vec<(String, String)>,
+    read_at: Instant,
 }
 
 impl Head {
@@ -62,6 +64,7 @@
         let mut head = Self {
             start: line.trim_end().to_owned(),
             fields: Vec::new(),
+            read_at: Instant::now(),
         };
         loop {
             line.clear();
@@ -111,6 +114,9 @@
 struct Store {
     address: SocketAddr,
     topics: Arc<(Mutex<BTreeMap<String, Records>>, Condvar)>,
+    /// Number that the header `Store-Era` states, and whether the store is away and answers 503.
+    era: Arc<AtomicU64>,
+    is_away: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -119,6 +125,8 @@
         let store = Self {
             address: listener.local_addr().unwrap(),
             topics: Arc::default(),
+            era: Arc::new(AtomicU64::new(1)),
+            is_away: Arc::default(),
         };
         let served = store.clone();
         thread::spawn(move || {
@@ -138,6 +146,29 @@
         self.topics.1.notify_all();
     }
 
+    /// Returns a copy of all records.
+    #[allow(dead_code)]
+    fn copy(&self) -> BTreeMap<String, Records> {
+        self.topics.0.lock().unwrap().clone()
+    }
+
+    /// Is away for a moment: answers 503 and does nothing.
+    #[allow(dead_code)]
+    fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.topics.1.notify_all();
+    }
+
+    /// Comes back from an older copy; what was written since is gone.
+    #[allow(dead_code)]
+    fn return_from(&self, copy: BTreeMap<String, Records>) {
+        let mut topics = self.topics.0.lock().unwrap();
+        *topics = copy;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+        self.topics.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut output = stream.try_clone().expect("a socket");
@@ -147,9 +178,9 @@
             if reader.read_exact(&mut body).is_err() {
                 return;
             }
-            let (status, answer) = self.answer(&head, &body);
+            let ((status, answer), era) = self.answer(&head, &body);
             let mut response = format!(
-                "HTTP/1.1 {status} x\r\nContent-Length: {}\r\nStore-Era: 1\r\n\r\n",
+                "HTTP/1.1 {status} x\r\nContent-Length: {}\r\nStore-Era: {era}\r\n\r\n",
                 answer.len()
             )
             .into_bytes();
@@ -160,7 +191,32 @@
         }
     }
 
-    fn answer(&self, head: &Head, body: &[u8]) -> (u16, Vec<u8>) {
+    /// Returns the answer to a call with the era in which it was made.
+    fn answer(&self, head: &Head, body: &[u8]) -> ((u16, Vec<u8>), u64) {
+        let mut topics = self.topics.0.lock().unwrap();
+        loop {
+            let era = self.era.load(Ordering::SeqCst);
+            if self.is_away.load(Ordering::SeqCst) {
+                return ((503, Vec::new()), era);
+            }
+            match self.try_answer(&mut topics, head, body) {
+                Ok(answer) => return (answer, era),
+                Err(end) => {
+                    let left = end.saturating_duration_since(Instant::now());
+                    let left = left.max(Duration::from_millis(1));
+                    topics = self.topics.1.wait_timeout(topics, left).unwrap().0;
+                }
+            }
+        }
+    }
+
+    /// Answers a call, or returns until when it waits for a record.
+    fn try_answer(
+        &self,
+        topics: &mut BTreeMap<String, Records>,
+        head: &Head,
+        body: &[u8],
+    ) -> Result<(u16, Vec<u8>), Instant> {
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let query: BTreeMap<&str, &str> = query
             .split('&')
@@ -169,13 +225,12 @@
         let text = |name: &str| query.get(name).copied().unwrap_or_default();
         let number = |name: &str| text(name).parse::<u64>().ok();
         let name = format!("{}/{}", text("topic"), text("part"));
-        let mut topics = self.topics.0.lock().unwrap();
-        match path {
+        Ok(match path {
             "/api/log-append" => {
                 let records = topics.entry(name).or_default();
                 let end = records.len() as u64;
                 if number("at").is_some_and(|at| at != end) {
-                    return (412, format!("{{\"end\":{end}}}").into_bytes());
+                    return Ok((412, format!("{{\"end\":{end}}}").into_bytes()));
                 }
                 let mut rest = body;
                 while rest.len() > 4 {
@@ -211,18 +266,18 @@
             }
             "/api/log-read" => {
                 let from = number("from").unwrap_or(0) as usize;
-                let end = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
-                loop {
-                    let records = topics.entry(name.clone()).or_default();
-                    let left = end.saturating_duration_since(Instant::now());
-                    if from < records.len() || left.is_zero() {
-                        return (200, encode_records(records, from));
-                    }
-                    topics = self.topics.1.wait_timeout(topics, left).unwrap().0;
+                let records = topics.entry(name).or_default();
+                if from > records.len() {
+                    return Ok((410, b"{\"first\":0}".to_vec()));
                 }
+                let end = head.read_at + Duration::from_millis(number("wait_ms").unwrap_or(0));
+                if from == records.len() && Instant::now() < end {
+                    return Err(end);
+                }
+                (200, encode_records(records, from))
             }
             _ => (404, Vec::new()),
-        }
+        })
     }
 }
 
@@ -299,6 +354,17 @@
 
 // --------------------------------------------------------------------------------------------------------- gateway
 
+/// A machine on which a gateway runs.
+#[derive(Clone)]
+struct Machine {
+    vm: String,
+    zone: String,
+    /// Port for datagrams; 0 for any free one.
+    peer_port: u16,
+    memory_mb: u64,
+    descriptors: u64,
+}
+
 /// A gateway process; it is killed when the value is dropped.
 struct Gateway {
     child: Child,
@@ -313,14 +379,32 @@
     }
 
     fn start_with(store: &Store, vm: &str, memory_mb: u64, descriptors: u64) -> Self {
+        let machine = Machine {
+            vm: vm.to_owned(),
+            zone: "zone-a".to_owned(),
+            peer_port: 0,
+            memory_mb,
+            descriptors,
+        };
+        Self::start_on(store, &machine, true)
+    }
+
+    fn start_on(store: &Store, machine: &Machine, is_first_start: bool) -> Self {
+        let Machine {
+            vm,
+            zone,
+            peer_port,
+            memory_mb,
+            descriptors,
+        } = machine;
         let settings_path =
             std::env::temp_dir().join(format!("review-2-{}-{vm}.yaml", std::process::id()));
         let settings = format!(
-            "vm: \"{vm}\"\ndata_centre: \"zone-a\"\nlisten:\n  callers: \"127.0.0.1:0\"\n  readiness: \"127.0.0.1:0\"\n  \
-             metrics: \"127.0.0.1:0\"\n  peers: \"127.0.0.1:0\"\nstore:\n  address: \"{}\"\n  partitions: 12\n  \
+            "vm: \"{vm}\"\ndata_centre: \"{zone}\"\nlisten:\n  callers: \"127.0.0.1:0\"\n  readiness: \"127.0.0.1:0\"\n  \
+             metrics: \"127.0.0.1:0\"\n  peers: \"127.0.0.1:{peer_port}\"\nstore:\n  address: \"{}\"\n  partitions: 12\n  \
              writes_per_s: 600\n  reads_per_s: 2000\nresources:\n  memory_mb: {memory_mb}\n  descriptors: {descriptors}\n  \
              processor_cores: 0.25\n  link_mbps: 1000.0\nfleet:\n  retry_ratio: 0.2\n  retry_slack: 52\n  \
-             retry_window_s: 10\n  stop_grace_s: 8\n  is_first_start: true\n",
+             retry_window_s: 10\n  stop_grace_s: 8\n  is_first_start: {is_first_start}\n",
             store.address
         );
         std::fs::write(&settings_path, settings).expect("the temporary folder is writable");
