--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -481,8 +481,8 @@
 
 // ---------------------------------------------------------------------------------------------------------- workers
 
-/// Receive buffer of workers, in bytes: links between machines have small windows.
-const WINDOW_BYTES: i32 = 32 << 10;
+/// Receive buffer of workers, in bytes. Links have small windows; the loopback device would take long bodies at once.
+const WINDOW_BYTES: i32 = 4 << 10;
 
 /// Accepts connections and serves each one on a thread of its own.
 fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
