--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -9,5 +9,5 @@
 else
     trouble=1
 fi
-[ -x target/release/monsoonfield ] && [ -x target/review-2/rig ] || exit 2
-TROUBLE=$trouble exec target/review-2/rig 10 "$record"
+[ -x target/release/monsoonfield ] && [ -x target/review-2/standins-3 ] || exit 2
+TROUBLE=$trouble exec target/review-2/standins-3 10 "$record"
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -20,7 +20,7 @@
         "6" => case_6(&record, is_trouble),
         "7" => case_7(&record, is_trouble),
         "8" => case_8(&record, is_trouble),
-        "10" => case_10(&record, is_trouble),
+        "unknown-clients" => case_10(&record, is_trouble),
         _ => None,
     });
     let held = played.unwrap_or(None);
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and checks of the cases 11 to 15.
+//! Stand-ins and checks of the cases 9 and 10, and of the findings in `review/more-2`.
 //!
 //! `standins-3 CASE RECORD` plays a case in the root of the repository, without its disruption if `TROUBLE` is 0. It
 //! exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
@@ -21,7 +21,7 @@
 
 fn play(case: &str, record: &Arc<Recorder>, has_trouble: bool) -> Outcome {
     match case {
-        "11" => {
+        "9" => {
             let variant = Variant {
                 parts: 4,
                 position: 1,
@@ -29,11 +29,8 @@
             };
             poison::play(record, variant, has_trouble)
         }
-        "12" => refused::play(record, has_trouble),
-        "13" => rollout::play(record, Badness::Status, has_trouble),
-        "14" => places::play(record, has_trouble),
-        "15a" => rollout::play(record, Badness::SlowStart, has_trouble),
-        "15" => {
+        "10" => refused::play(record, has_trouble),
+        "many-parts" => {
             let variant = Variant {
                 parts: 70,
                 position: 66,
@@ -41,6 +38,9 @@
             };
             poison::play(record, variant, has_trouble)
         }
+        "bad-statuses" => rollout::play(record, Badness::Status, has_trouble),
+        "slow-starts" => rollout::play(record, Badness::SlowStart, has_trouble),
+        "slow-bodies" => places::play(record, has_trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
--- a/review/standins-3/places.rs
+++ b/review/standins-3/places.rs
@@ -1,4 +1,4 @@
-//! Case 13: clients that aren't controlled send many chunked bodies in very small chunks.
+//! The finding `slow-bodies`: clients that aren't controlled send many chunked bodies in very small chunks.
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
--- a/review/standins-3/poison.rs
+++ b/review/standins-3/poison.rs
@@ -1,4 +1,4 @@
-//! Cases 11 and 15: a prompt part that crashes each worker that begins to write an answer on it.
+//! Case 9, and the finding `many-parts`: a prompt part that crashes each worker that begins to write an answer on it.
 
 use std::collections::BTreeSet;
 use std::io::Write;
--- a/review/standins-3/refused.rs
+++ b/review/standins-3/refused.rs
@@ -1,4 +1,4 @@
-//! Case 12: a worker that fails part of its requests has run a charge and answers 503 without `X-Not-Executed`.
+//! Case 10: a worker that fails part of its requests has run a charge and answers 503 without `X-Not-Executed`.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
--- a/review/standins-3/rollout.rs
+++ b/review/standins-3/rollout.rs
@@ -1,4 +1,4 @@
-//! Cases 12 and 14: a bad version of a service whose roll-out is completed.
+//! The findings `bad-statuses` and `slow-starts`: a bad version of a service whose roll-out is completed.
 
 use std::collections::BTreeMap;
 use std::io::Write;
