Refuse responses whose length is stated twice, wrongly or by an unknown coding

What callers saw: a response with two lengths, a length such as "+4", a length beside a transfer coding, or a coding other than chunked came as a complete response, with a body that was not the upstream's. With status 204 the body was lost. A router took the load report of such a response, so that a report with two lengths drained a sound upstream.

Cause: the reader of responses took the first Content-Length, parsed it like a Rust number, and took any Transfer-Encoding for chunks. The reader of requests refuses all this because of request smuggling.

Change: both readers use one function, BodyLength::of. A body with status 204, and chunks in HTTP/1.0, are refused too. The caller gets 502, or the response of another upstream if the request may be repeated; the log line names the upstream and the reason, for load reports at the level debug. Such a response ends its connection, as every error of the reader does.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod fleet;
 pub mod fleet_clock;
 pub mod fleet_state;
+mod framing;
 pub mod gateway;
 pub mod health;
 pub mod holders;
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -9,6 +9,7 @@
 use crate::collections::FastMap;
 use crate::ids::UpstreamKey;
 use crate::selection::CacheChange;
+use crate::upstream_client::Error;
 
 /// Interval between two rounds. A draining engine gets no new requests after at most one interval and one report.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -52,16 +53,18 @@
 /// Reads the reports of one upstream; returns the index of the next cache event to request.
 async fn read_reports(shared: &Shared, source: &ReportSource, position: u64) -> Option<u64> {
     let reports = async {
-        let load = shared.client.load_report(&source.address).await;
-        if let Ok(load) = load {
-            let mut pools = shared.pools.borrow_mut();
-            pools.set_reported_draining(source.upstream, load.is_leaving);
+        match shared.client.load_report(&source.address).await {
+            Ok(load) => {
+                let mut pools = shared.pools.borrow_mut();
+                pools.set_reported_draining(source.upstream, load.is_leaving);
+            }
+            Err(error) => log_unread(&error),
         }
         if !source.is_engine {
             return None;
         }
         let events = shared.client.cache_events(&source.address, position);
-        events.await.ok()
+        events.await.inspect_err(log_unread).ok()
     };
     // The health of an upstream without reports is derived from the results of its requests alone.
     let page = monoio::time::timeout(REPORT_TIMEOUT, reports)
@@ -90,3 +93,8 @@
     }
     Some(page.next)
 }
+
+/// Logs that a report was not read. Upstreams without reports cause a line in each round, so the level is low.
+fn log_unread(error: &Error) {
+    log::debug!(step = "report"; "{error}");
+}
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
+use http::header::EXPECT;
 use http::{HeaderMap, Method, Uri, Version};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::common::request::RequestHead;
@@ -14,6 +14,7 @@
 
 use super::Socket;
 use crate::chunked::{ChunkedDecoder, Decoded as DecodedChunk};
+use crate::framing::BodyLength;
 use crate::refusal::Refusal;
 
 /// Smallest growth of the memory of a body; larger bodies grow by a quarter.
@@ -145,22 +146,23 @@
         Ok(result) => result?,
         Err(_) => return Err(too_slow()),
     };
-    let framing = Framing::of(&head.headers)?;
-    if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
+    let body_length = BodyLength::of(&head.headers).map_err(bad_request)?;
+    if matches!(body_length, BodyLength::Fixed(length) if length > limits.body_bytes) {
         return Err(body_too_large());
     }
-    if let (Some(account), false) = (socket.account(), matches!(framing, Framing::Length(0))) {
+    let has_body = !matches!(body_length, BodyLength::Unstated | BodyLength::Fixed(0));
+    if let (Some(account), true) = (socket.account(), has_body) {
         account.set_team(team_of(&head));
     }
     let mut body = Body::new(head_bytes + REQUEST_OVERHEAD_BYTES);
-    match framing {
-        Framing::Length(0) => {}
-        Framing::Length(length) => {
+    match body_length {
+        BodyLength::Unstated | BodyLength::Fixed(0) => {}
+        BodyLength::Fixed(length) => {
             check_declared(socket, length)?;
             send_continue(socket, &head).await?;
             body.read_fixed(socket, length).await?;
         }
-        Framing::Chunked => {
+        BodyLength::Chunked => {
             send_continue(socket, &head).await?;
             body.read_chunked(socket, limits.body_bytes).await?;
         }
@@ -228,43 +230,6 @@
     }
 }
 
-/// How the length of a body is determined.
-enum Framing {
-    Length(usize),
-    Chunked,
-}
-
-impl Framing {
-    /// Determines the framing from the headers.
-    ///
-    /// A request that states its length in two ways is refused, because two parsers could disagree on where the next
-    /// request starts, which allows request smuggling.
-    fn of(headers: &HeaderMap) -> Result<Self, Error> {
-        let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-        let length = lengths.next();
-        if lengths.next().is_some() {
-            return Err(bad_request("the content-length header is repeated"));
-        }
-        let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-        match (length, codings.next(), codings.next()) {
-            (None, None, _) => Ok(Self::Length(0)),
-            (Some(length), None, _) => length
-                .to_str()
-                .ok()
-                .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))
-                .and_then(|text| text.parse().ok())
-                .map(Self::Length)
-                .ok_or_else(|| bad_request("content-length is not a number")),
-            (None, Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-                Ok(Self::Chunked)
-            }
-            _ => Err(bad_request(
-                "the framing of the request body is ambiguous or unsupported",
-            )),
-        }
-    }
-}
-
 /// A body that is being received.
 ///
 /// Its memory grows with the bytes that have arrived, in steps that the buffer budget has to allow before. Chunks are
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -1,13 +1,15 @@
 //! Reading of the response of an upstream.
 
 use bytes::Bytes;
-use http::header::{HeaderMap, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{HeaderMap, CONNECTION, CONTENT_TYPE};
+use http::{StatusCode, Version};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::common::response::ResponseHead;
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 
 use super::Error;
 use crate::chunked::{self, ChunkedDecoder};
+use crate::framing::BodyLength;
 use crate::server::Socket;
 
 /// Maximum size of the head of a response.
@@ -27,6 +29,27 @@
     Ended,
 }
 
+impl Framing {
+    /// Determines the framing of the body from the head.
+    fn of(head: &ResponseHead) -> Result<Self, &'static str> {
+        let length = BodyLength::of(&head.headers)?;
+        match (head.status, length) {
+            (StatusCode::NO_CONTENT, BodyLength::Fixed(1..) | BodyLength::Chunked) => {
+                Err("the response has a body, which its status excludes")
+            }
+            (StatusCode::NO_CONTENT, _) => Ok(Self::Ended),
+            (_, BodyLength::Chunked) if head.version != Version::HTTP_11 => {
+                Err("the transfer coding is unknown in this version of HTTP")
+            }
+            (_, BodyLength::Chunked) => Ok(Self::Chunked(ChunkedDecoder::default())),
+            // The length is that of the response without the condition of the request.
+            (StatusCode::NOT_MODIFIED, _) | (_, BodyLength::Fixed(0)) => Ok(Self::Ended),
+            (_, BodyLength::Fixed(length)) => Ok(Self::Length(length)),
+            (_, BodyLength::Unstated) => Ok(Self::UntilClose),
+        }
+    }
+}
+
 /// A response whose body is read in parts.
 pub struct UpstreamResponse {
     socket: Socket,
@@ -80,23 +103,7 @@
     }
 
     fn with_head(socket: Socket, upstream: &str, head: ResponseHead) -> Result<Self, Error> {
-        let length = head.headers.get(CONTENT_LENGTH).map(|value| {
-            value
-                .to_str()
-                .ok()
-                .and_then(|text| text.parse::<usize>().ok())
-                .ok_or_else(|| broken(upstream, "content-length is not a number"))
-        });
-        let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
-        let framing = match length {
-            _ if is_chunked => Framing::Chunked(ChunkedDecoder::default()),
-            _ if matches!(head.status.as_u16(), 204 | 304) => Framing::Ended,
-            Some(length) => match length? {
-                0 => Framing::Ended,
-                length => Framing::Length(length),
-            },
-            None => Framing::UntilClose,
-        };
+        let framing = Framing::of(&head).map_err(|reason| broken(upstream, reason))?;
         let closes = head
             .headers
             .get(CONNECTION)
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -485,6 +485,8 @@
     },
     /// Writes the first bytes, is silent for a time, and then closes the connection.
     PauseAndClose { first: Vec<u8>, pause: Duration },
+    /// Writes these pieces with a pause after each, and closes the connection if that is said.
+    Pieces { pieces: Vec<Vec<u8>>, closes: bool },
     /// Reads without responding until the peer closes the connection, then counts it in `abandoned`.
     Silent,
     /// Writes these bytes and then does the same as `Silent`.
@@ -493,6 +495,9 @@
     Crash { first: Vec<u8>, down: Duration },
 }
 
+/// Pause after each piece of a response, so that it arrives by itself.
+const PIECE_PAUSE: Duration = Duration::from_millis(3);
+
 type Script = Arc<dyn Fn(&Message, usize) -> Action + Send + Sync>;
 
 /// Stub of an upstream that follows a script and records the requests it receives.
@@ -649,6 +654,18 @@
                     let _ = stream.shutdown(Shutdown::Both);
                     return;
                 }
+                Action::Pieces { pieces, closes } => {
+                    for piece in pieces {
+                        if stream.write_all(&piece).is_err() {
+                            return;
+                        }
+                        std::thread::sleep(PIECE_PAUSE);
+                    }
+                    if closes {
+                        let _ = stream.shutdown(Shutdown::Both);
+                        return;
+                    }
+                }
                 Action::Pause { first, pause, rest } => {
                     let is_written = stream.write_all(&first).is_ok();
                     std::thread::sleep(pause);
--- a/tests/http_common/mod.rs
+++ b/tests/http_common/mod.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use monsoonfield::ids::{IncarnationId, RequestKey};
@@ -218,6 +219,29 @@
 
     /// Starts a router process and waits until it is ready and has applied the configuration.
     pub fn router_with(&self, vm: &str, limits: Limits, timing: Timing) -> Router {
+        let mut command = self.router_command(vm, limits, timing);
+        command.args(["--log-level", "warn"]);
+        Router::start(command)
+    }
+
+    /// Starts a router whose log lines are collected, also those of the level `debug`.
+    pub fn router_with_log(&self, vm: &str) -> (Router, Arc<Mutex<Vec<String>>>) {
+        let mut command = self.router_command(vm, Limits::default(), common::short_timing());
+        command.args(["--log-level", "debug"]);
+        command.stderr(Stdio::piped());
+        let mut router = Router::start(command);
+        let log_lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let collected = Arc::clone(&log_lines);
+        let stderr = router.process.child.stderr.take().expect("piped");
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                collected.lock().unwrap().push(line);
+            }
+        });
+        (router, log_lines)
+    }
+
+    fn router_command(&self, vm: &str, limits: Limits, timing: Timing) -> Command {
         let mut settings = self.platform.settings(vm, "dc-1", timing);
         settings.limits = limits;
         let path = settings_path();
@@ -225,15 +249,7 @@
         std::fs::write(&path, text).expect("the settings are written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_monsoonfield"));
         command.arg("router").arg("--settings").arg(&path);
-        command.args(["--log-level", "warn"]);
-        let process = ChildProcess::start(command);
-        let router = Router {
-            callers: process.address("callers"),
-            admin: process.address("admin"),
-            process,
-        };
-        router.wait_until_serving();
-        router
+        command
     }
 
     /// Returns the charges of the bills in the log that were counted for a request.
@@ -271,6 +287,17 @@
 }
 
 impl Router {
+    fn start(command: Command) -> Self {
+        let process = ChildProcess::start(command);
+        let router = Self {
+            callers: process.address("callers"),
+            admin: process.address("admin"),
+            process,
+        };
+        router.wait_until_serving();
+        router
+    }
+
     fn wait_until_serving(&self) {
         let started = Instant::now();
         loop {
