Refuse responses whose head has a lone line feed

What callers saw: one carriage return in the head changed into a line feed, and the response came as a complete one with the sizes of its chunks in the body, or with what followed the head until the end of the connection.

Cause: the head decoder of monoio-http accepts a lone line feed as a line end, ends the head at the first empty line that ends so, and drops the fields up to the next CRLF CRLF, the length and the coding with them.

Change: heads of responses are parsed with httparse directly, and each line feed must follow a carriage return; the parser already refuses the reverse. Parsing begins with the first bytes, so a spoilt line is refused before the head is complete.

--- a/src/upstream_client.rs
+++ b/src/upstream_client.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod engine_api;
+mod head;
 mod response;
 mod sse;
 
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -2,11 +2,8 @@
 
 use bytes::Bytes;
 use http::header::{HeaderMap, CONNECTION, CONTENT_TYPE};
-use http::{StatusCode, Version};
-use monoio_codec::{Decoded, Decoder};
-use monoio_http::common::response::ResponseHead;
-use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 
+use super::head::Head;
 use super::Error;
 use crate::chunked::{self, ChunkedDecoder};
 use crate::framing::BodyLength;
@@ -30,22 +27,15 @@
 }
 
 impl Framing {
-    /// Determines the framing of the body from the head.
-    fn of(head: &ResponseHead) -> Result<Self, &'static str> {
-        let length = BodyLength::of(&head.headers)?;
-        match (head.status, length) {
-            (StatusCode::NO_CONTENT, BodyLength::Fixed(1..) | BodyLength::Chunked) => {
-                Err("the response has a body, which its status excludes")
-            }
-            (StatusCode::NO_CONTENT, _) => Ok(Self::Ended),
-            (_, BodyLength::Chunked) if head.version != Version::HTTP_11 => {
-                Err("the transfer coding is unknown in this version of HTTP")
-            }
-            (_, BodyLength::Chunked) => Ok(Self::Chunked(ChunkedDecoder::default())),
+    /// Determines the framing of the body from a valid head.
+    fn of(head: &Head) -> Self {
+        match (head.status, head.body_length) {
+            (204, _) | (_, BodyLength::Fixed(0)) => Self::Ended,
+            (_, BodyLength::Chunked) => Self::Chunked(ChunkedDecoder::default()),
             // The length is that of the response without the condition of the request.
-            (StatusCode::NOT_MODIFIED, _) | (_, BodyLength::Fixed(0)) => Ok(Self::Ended),
-            (_, BodyLength::Fixed(length)) => Ok(Self::Length(length)),
-            (_, BodyLength::Unstated) => Ok(Self::UntilClose),
+            (304, _) => Self::Ended,
+            (_, BodyLength::Fixed(length)) => Self::Length(length),
+            (_, BodyLength::Unstated) => Self::UntilClose,
         }
     }
 }
@@ -72,25 +62,24 @@
         upstream: &str,
     ) -> Result<Self, (Error, bool)> {
         let mut has_received = false;
-        let mut decoder = ResponseHeadDecoder;
         let mut interim_responses = 0;
         let head = loop {
-            match decoder.decode(socket.input()) {
-                Ok(Decoded::Some(head)) if head.status.is_informational() => {
+            match Head::take(socket.input()) {
+                Ok(Some(head)) if head.is_interim() => {
                     interim_responses += 1;
                     if interim_responses > MAX_INTERIM_RESPONSES {
                         return Err((broken(upstream, "too many interim responses"), true));
                     }
                     continue;
                 }
-                Ok(Decoded::Some(head)) => break head,
-                Ok(_) if socket.input().len() > MAX_HEAD_BYTES => {
+                Ok(Some(head)) => break head,
+                Ok(None) if socket.input().len() > MAX_HEAD_BYTES => {
                     return Err((broken(upstream, "the head is larger than 16 KiB"), true));
                 }
-                Ok(_) if !may_begin_response(socket.input()) => {
+                Ok(None) if !may_begin_response(socket.input()) => {
                     return Err((broken(upstream, "this is no HTTP response"), true));
                 }
-                Ok(_) => {}
+                Ok(None) => {}
                 Err(error) => return Err((broken(upstream, error), true)),
             }
             match socket.fill_up_to(HEAD_READ_BYTES).await {
@@ -99,25 +88,25 @@
                 Err(error) => return Err((broken(upstream, error), has_received)),
             }
         };
-        Self::with_head(socket, upstream, head).map_err(|error| (error, true))
+        Ok(Self::with_head(socket, upstream, head))
     }
 
-    fn with_head(socket: Socket, upstream: &str, head: ResponseHead) -> Result<Self, Error> {
-        let framing = Framing::of(&head).map_err(|reason| broken(upstream, reason))?;
+    fn with_head(socket: Socket, upstream: &str, head: Head) -> Self {
+        let framing = Framing::of(&head);
         let closes = head
-            .headers
+            .fields
             .get(CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        Ok(Self {
+        Self {
             keep_alive: !closes && !matches!(framing, Framing::UntilClose),
             is_unframed: matches!(framing, Framing::UntilClose),
             socket,
             upstream: upstream.into(),
             framing,
-            status: head.status.as_u16(),
-            headers: Box::new(head.headers),
+            status: head.status,
+            headers: Box::new(head.fields),
             is_eof: false,
-        })
+        }
     }
 
     /// Returns the status code.
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -285,6 +285,32 @@
     assert_spoilt(&forms, &ARRIVALS);
 }
 
+/// Guards against a head of which a line feed hides a part: an empty line that ends with one would end the head.
+#[test]
+fn a_response_whose_head_has_a_lone_line_feed_is_not_passed_on() {
+    let mut forms = with_fields(
+        &[
+            ("a line feed", "X-A: b\nContent-Length: 10\r\n"),
+            ("two line feeds", "X-A: b\n\nContent-Length: 10\r\n"),
+            ("an empty line", "X-A: b\r\n\nContent-Length: 10\r\n"),
+            (
+                "a line feed before CRLF",
+                "X-A: b\n\r\nContent-Length: 10\r\n",
+            ),
+        ],
+        BODY,
+    );
+    forms.push(Form::new(
+        "two line feeds before a coding",
+        "X-A: b\n\nTransfer-Encoding: chunked\r\n",
+        CHUNKS,
+    ));
+    forms.push(
+        Form::new("after the status", LENGTH, BODY).with_status_line("HTTP/1.1 200 OK\nX-A: b"),
+    );
+    assert_spoilt(&forms, &ARRIVALS);
+}
+
 /// Guards against a sound response that is taken for a spoilt one.
 #[test]
 fn sound_responses_are_passed_on() {
