Refuse responses with a status above 599

What callers saw: a response whose status was 600 or 999, with the upstream's signature. HTTP has no such status, and clients cannot know whether it is a success or a failure; 000 and 099 were refused already.

Change: a status outside 100 to 599 ends the response as a failure that promises nothing.

--- a/src/upstream_client/head.rs
+++ b/src/upstream_client/head.rs
@@ -57,8 +57,8 @@
         let bytes = &input[..size];
         check_line_ends(bytes)?;
         let status = response.code.unwrap_or_default();
-        if status < 100 {
-            return Err("the status is below 100".into());
+        if !(100..600).contains(&status) {
+            return Err("the status is not between 100 and 599".into());
         }
         let fields = field_map(response.headers)?;
         let body_length = BodyLength::of(&fields)?;
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -311,6 +311,14 @@
     assert_spoilt(&forms, &ARRIVALS);
 }
 
+/// Guards against a status that no client knows how to treat.
+#[test]
+fn a_response_with_a_status_above_599_is_not_passed_on() {
+    let status_lines = ["HTTP/1.1 600 OK", "HTTP/1.1 999 OK"];
+    let of_line = |line| Form::new(line, LENGTH, BODY).with_status_line(line);
+    assert_spoilt(&status_lines.map(of_line), &ARRIVALS);
+}
+
 /// Guards against a sound response that is taken for a spoilt one.
 #[test]
 fn sound_responses_are_passed_on() {
