Refuse unframed responses with a spoilt name of a length field

What callers saw: one byte of "Transfer-Encoding" was changed and the response came as a complete one, with the sizes of the chunks in its body. With a changed byte in "Content-Length" the caller waited until the connection or its deadline ended, and got whatever the upstream sent until then.

Cause: a field with a spoilt name is another field, so the response had neither a length nor chunks and ended with its connection, which is a valid form.

Change: a response with neither is refused if one of its lines is a length or a coding with one byte of the name or the colon changed. Responses that state their length may have fields with similar names.

--- a/src/upstream_client/head.rs
+++ b/src/upstream_client/head.rs
@@ -5,7 +5,7 @@
 //! body. This parser refuses such a head. See `docs/incidents/2026-12-07-spoilt-responses.md`.
 
 use bytes::{Buf, BytesMut};
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::StatusCode;
 use quick_error::quick_error;
 
@@ -64,6 +64,9 @@
         let body_length = BodyLength::of(&fields)?;
         let is_http_11 = response.version == Some(HTTP_11);
         check_body_length(status, is_http_11, body_length)?;
+        if body_length == BodyLength::Unstated && lines(bytes).any(is_spoilt_length_field) {
+            return Err("a field differs in one byte from one that states the length".into());
+        }
         input.advance(size);
         Ok(Some(Self {
             status,
@@ -125,3 +128,19 @@
     }
     Ok(())
 }
+
+/// Returns the lines of a head without their line ends.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+/// Returns whether a line would state the length of the body if one byte of its name or its colon were another.
+fn is_spoilt_length_field(line: &[u8]) -> bool {
+    [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| {
+        let expected = name.as_str().bytes().chain([b':']);
+        let pairs = line.iter().zip(expected);
+        let differing = pairs.filter(|(byte, expected)| !byte.eq_ignore_ascii_case(expected));
+        line.len() > name.as_str().len() && differing.count() == 1
+    })
+}
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -311,6 +311,39 @@
     assert_spoilt(&forms, &ARRIVALS);
 }
 
+/// Guards against a body with the sizes of its chunks in it, or with what follows it, because the name of the field that
+/// states its length is spoilt.
+#[test]
+fn a_response_whose_length_field_has_a_spoilt_name_is_not_passed_on() {
+    let mut forms = with_fields(
+        &[
+            ("the first letter", "Xontent-Length: 10\r\n"),
+            ("the last letter", "Content-Lengt0: 10\r\n"),
+            ("a colon inside", "Con:ent-Length: 10\r\n"),
+        ],
+        BODY,
+    );
+    forms.extend(with_fields(
+        &[
+            (
+                "the first letter of the coding",
+                "xransfer-Encoding: chunked\r\n",
+            ),
+            (
+                "the last letter of the coding",
+                "Transfer-Encodin_: chunked\r\n",
+            ),
+            ("the hyphen of the coding", "Transfer_Encoding: chunked\r\n"),
+            (
+                "a colon inside the coding",
+                "Tr:nsfer-Encoding: chunked\r\n",
+            ),
+        ],
+        CHUNKS,
+    ));
+    assert_spoilt(&forms, &ARRIVALS);
+}
+
 /// Guards against a status that no client knows how to treat.
 #[test]
 fn a_response_with_a_status_above_599_is_not_passed_on() {
