Refuse a padded length if bytes follow the body

What callers saw: a blank or a tab in place of a digit of the length, and the response came as a complete one with a part of its body ("Content-Length: 10" as "Content-Length: 1 ": one byte of ten).

Cause: white space around a value is valid, so the reader took the digits that were left.

Change: a length with more white space than the single leading blank that senders write is accepted, but if bytes that cannot begin a response follow the body then, the response is broken off. The last bytes of the body are held back in that case, as they would complete the response for its caller. Bytes after a body with an ordinary length still only end the connection.

Evidence: a_response_with_a_blank_for_a_digit_of_its_length_is_not_passed_on had 32 faults on; it passes now, and so does the sound form in sound_responses_are_passed_on.

--- a/src/upstream_client/head.rs
+++ b/src/upstream_client/head.rs
@@ -39,6 +39,9 @@
     pub(super) status: u16,
     pub(super) fields: HeaderMap,
     pub(super) body_length: BodyLength,
+    /// Whether the length has more white space around it than the single space that upstreams write. A blank in place
+    /// of a digit looks like that.
+    pub(super) has_padded_length: bool,
 }
 
 impl Head {
@@ -67,12 +70,14 @@
         if body_length == BodyLength::Unstated && lines(bytes).any(is_spoilt_length_field) {
             return Err("a field differs in one byte from one that states the length".into());
         }
-        input.advance(size);
-        Ok(Some(Self {
+        let head = Self {
             status,
             fields,
             body_length,
-        }))
+            has_padded_length: lines(bytes).any(is_padded_length),
+        };
+        input.advance(size);
+        Ok(Some(head))
     }
 
     /// Returns whether another head follows on the connection for the same request.
@@ -144,3 +149,14 @@
         line.len() > name.as_str().len() && differing.count() == 1
     })
 }
+
+/// Returns whether a line states the length of the body with more white space than one leading space.
+fn is_padded_length(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    let value = value.strip_prefix(b" ").unwrap_or(value);
+    let is_length = name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str().as_bytes());
+    is_length && value.trim_ascii().len() < value.len()
+}
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -50,6 +50,8 @@
     keep_alive: bool,
     /// Whether the body has neither a length nor chunks.
     is_unframed: bool,
+    /// Whether the statement of the length may be spoilt, which bytes after the end would confirm.
+    is_end_doubtful: bool,
     is_eof: bool,
 }
 
@@ -100,6 +102,7 @@
         Self {
             keep_alive: !closes && !matches!(framing, Framing::UntilClose),
             is_unframed: matches!(framing, Framing::UntilClose),
+            is_end_doubtful: head.has_padded_length,
             socket,
             upstream: upstream.into(),
             framing,
@@ -161,13 +164,18 @@
     pub fn take_bytes(&mut self) -> Result<Option<Bytes>, Error> {
         let input = self.socket.input();
         let piece = match &mut self.framing {
-            Framing::Ended => None,
+            Framing::Ended => {
+                self.check_end()?;
+                None
+            }
             Framing::Length(remaining) => {
                 let count = input.len().min(*remaining);
                 *remaining -= count;
                 let piece = input.split_to(count).freeze();
                 if *remaining == 0 {
                     self.framing = Framing::Ended;
+                    // The piece would complete the response for its caller.
+                    self.check_end()?;
                 }
                 (count > 0).then_some(piece)
             }
@@ -197,6 +205,15 @@
         Ok(piece)
     }
 
+    /// Checks that no bytes that belong to no response follow a body whose end is doubtful.
+    fn check_end(&mut self) -> Result<(), Error> {
+        if !self.is_end_doubtful || may_begin_response(self.socket.input()) {
+            return Ok(());
+        }
+        let reason = "bytes follow the end of the body, whose length may be spoilt";
+        Err(broken(&self.upstream, reason))
+    }
+
     /// Receives at most `limit_bytes` more bytes of the response; the future can be dropped without losing data.
     ///
     /// # Errors
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -344,6 +344,21 @@
     assert_spoilt(&forms, &ARRIVALS);
 }
 
+/// Guards against a blank in place of a digit of the length, so that the body ends early; what follows it shows that.
+#[test]
+fn a_response_with_a_blank_for_a_digit_of_its_length_is_not_passed_on() {
+    let forms = with_fields(
+        &[
+            ("the last digit", "Content-Length: 1 \r\n"),
+            ("a tab", "Content-Length: 1\t\r\n"),
+            ("the first digit", "Content-Length:  4\r\n"),
+            ("the first of two digits", "Content-Length:  0\r\n"),
+        ],
+        BODY,
+    );
+    assert_spoilt(&forms, &[arrival(true, false), arrival(true, true)]);
+}
+
 /// Guards against a status that no client knows how to treat.
 #[test]
 fn a_response_with_a_status_above_599_is_not_passed_on() {
