Refuse chunk sizes without a digit

What callers saw: the digits of a chunk size changed into a blank, a tab, a semicolon or nothing, and the response or stream ended there as if it were complete.

Cause: httparse::parse_chunk_size, which the decoder used, takes a line without a digit for a size of zero, so it was the last chunk. It also passes over any byte in an extension, line feeds included.

Change: the decoder parses the line itself: 1 to 16 hexadecimal digits, then nothing or extensions without control bytes, and CRLF. Chunked requests are read by the same decoder and refused for the same reasons.

--- a/src/chunked.rs
+++ b/src/chunked.rs
@@ -2,16 +2,22 @@
 //!
 //! The decoder of the HTTP library returns whole chunks and buffers lines of any length, so a caller or an upstream that
 //! sends a chunk extension or a trailer without end would fill the memory. This one passes data on as it arrives and
-//! bounds every line.
+//! bounds every line. It also refuses what the library accepts as a size of zero: a line without a digit, which a single
+//! spoilt byte leaves, would end the body early. See `docs/incidents/2026-12-07-spoilt-responses.md`.
 
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Maximum size of the line with the size of a chunk and its extensions.
 const MAX_SIZE_LINE_BYTES: usize = 256;
 
+/// Maximum number of digits of the size of a chunk, which fill 64 bits.
+const MAX_SIZE_DIGITS: usize = 16;
+
 /// Maximum size of all trailer fields, which are discarded.
 const MAX_TRAILER_BYTES: usize = 8 << 10;
 
+const LINE_END_BYTES: usize = 2;
+
 /// Part of a chunked body that follows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
@@ -54,24 +60,16 @@
     pub(crate) fn decode(&mut self, input: &mut BytesMut) -> Result<Decoded, &'static str> {
         loop {
             match self.state {
-                State::Size => match httparse::parse_chunk_size(input) {
-                    Ok(httparse::Status::Complete((line_bytes, _)))
-                        if line_bytes > MAX_SIZE_LINE_BYTES =>
-                    {
-                        return Err("the line of a chunk size is too long");
-                    }
-                    Ok(httparse::Status::Complete((line_bytes, size))) => {
-                        input.advance(line_bytes);
-                        self.state = match size {
-                            0 => State::Trailer(0),
-                            size => State::Data(size),
+                State::Size => match take_line(input)? {
+                    Some(line) if line.len() <= MAX_SIZE_LINE_BYTES => {
+                        self.state = match parse_size_line(&line) {
+                            Some(0) => State::Trailer(0),
+                            Some(size) => State::Data(size),
+                            None => return Err("a chunk size is invalid"),
                         };
                     }
-                    Ok(httparse::Status::Partial) if input.len() > MAX_SIZE_LINE_BYTES => {
-                        return Err("the line of a chunk size is too long");
-                    }
-                    Ok(httparse::Status::Partial) => return Ok(Decoded::NeedsInput),
-                    Err(_) => return Err("a chunk size is invalid"),
+                    None if input.len() <= MAX_SIZE_LINE_BYTES => return Ok(Decoded::NeedsInput),
+                    _ => return Err("the line of a chunk size is too long"),
                 },
                 State::Data(_) if input.is_empty() => return Ok(Decoded::NeedsInput),
                 State::Data(left) => {
@@ -110,3 +108,34 @@
         }
     }
 }
+
+/// Takes a line from the input, without its line end; returns `None` if it is not complete.
+fn take_line(input: &mut BytesMut) -> Result<Option<BytesMut>, &'static str> {
+    let Some(end) = input.iter().position(|byte| matches!(byte, b'\r' | b'\n')) else {
+        return Ok(None);
+    };
+    match &input[end..] {
+        [b'\r', b'\n', ..] => {
+            let line = input.split_to(end);
+            input.advance(LINE_END_BYTES);
+            Ok(Some(line))
+        }
+        [b'\r'] => Ok(None),
+        _ => Err("a line of the chunked body does not end with CRLF"),
+    }
+}
+
+/// Parses the line with the size of a chunk; returns `None` if it is invalid.
+fn parse_size_line(line: &[u8]) -> Option<u64> {
+    let digits = line.iter().take_while(|byte| byte.is_ascii_hexdigit());
+    let (size, extensions) = line.split_at(digits.count());
+    // White space may only precede the semicolon of an extension, not the line end.
+    let is_size = extensions.is_empty() || extensions.trim_ascii_start().starts_with(b";");
+    let has_control = extensions
+        .iter()
+        .any(|byte| byte.is_ascii_control() && *byte != b'\t');
+    if !is_size || has_control || size.len() > MAX_SIZE_DIGITS {
+        return None;
+    }
+    u64::from_str_radix(std::str::from_utf8(size).ok()?, 16).ok()
+}
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -367,6 +367,71 @@
     assert_spoilt(&status_lines.map(of_line), &ARRIVALS);
 }
 
+/// Guards against a size of a chunk that ends the body early, or that readers understand differently.
+#[test]
+fn a_response_with_a_spoilt_chunk_size_is_not_passed_on() {
+    let forms = with_chunks(&[
+        ("no digit", "4\r\n0123\r\n\r\n456789\r\n0\r\n\r\n"),
+        ("no digit of the first size", "\r\n0123\r\n0\r\n\r\n"),
+        ("a blank", "4\r\n0123\r\n \r\n456789\r\n0\r\n\r\n"),
+        ("a tab", "\t\r\n0123\r\n0\r\n\r\n"),
+        (
+            "only an extension",
+            "4\r\n0123\r\n;a=b\r\n456789\r\n0\r\n\r\n",
+        ),
+        ("a semicolon", "4\r\n0123\r\n;\r\n456789\r\n0\r\n\r\n"),
+        ("a minus sign", "4\r\n0123\r\n-6\r\n456789\r\n0\r\n\r\n"),
+        ("a plus sign", "4\r\n0123\r\n+6\r\n456789\r\n0\r\n\r\n"),
+        ("a prefix", "4\r\n0123\r\n0x6\r\n456789\r\n0\r\n\r\n"),
+        (
+            "no hexadecimal digit",
+            "4\r\n0123\r\ng\r\n456789\r\n0\r\n\r\n",
+        ),
+        ("two sizes", "4\r\n0123\r\n6 6\r\n456789\r\n0\r\n\r\n"),
+        (
+            "a blank before it",
+            "4\r\n0123\r\n 6\r\n456789\r\n0\r\n\r\n",
+        ),
+        ("a blank after it", "4\r\n0123\r\n6 \r\n456789\r\n0\r\n\r\n"),
+        ("a line feed", "4\r\n0123\r\n6\n456789\r\n0\r\n\r\n"),
+        (
+            "a line feed after an extension",
+            "4\r\n0123\r\n6;a\n456789\r\n0\r\n\r\n",
+        ),
+        (
+            "NUL in an extension",
+            "4\r\n0123\r\n6;a\0b\r\n456789\r\n0\r\n\r\n",
+        ),
+        ("a carriage return", "4\r\n0123\r\n6\r456789\r\n0\r\n\r\n"),
+        ("too small", "4\r\n0123\r\n5\r\n456789\r\n0\r\n\r\n"),
+        ("too large by one", "4\r\n0123\r\n7\r\n456789\r\n0\r\n\r\n"),
+        (
+            "more than 64 bits",
+            "4\r\n0123\r\n00000000000000006\r\n456789\r\n0\r\n\r\n",
+        ),
+        (
+            "no CRLF after the data",
+            "4\r\n0123x\n6\r\n456789\r\n0\r\n\r\n",
+        ),
+    ]);
+    assert_spoilt(&forms, &ARRIVALS);
+    let endless = with_chunks(&[
+        (
+            "far too large",
+            "4\r\n0123\r\nffffffffffffffff\r\n456789\r\n0\r\n\r\n",
+        ),
+        (
+            "as large as all that follows",
+            "4\r\n0123\r\nb\r\n456789\r\n0\r\n\r\n",
+        ),
+        (
+            "a last size that is not zero",
+            "4\r\n0123\r\n6\r\n456789\r\n8\r\n\r\n",
+        ),
+    ]);
+    assert_spoilt(&endless, &CLOSING);
+}
+
 /// Guards against a sound response that is taken for a spoilt one.
 #[test]
 fn sound_responses_are_passed_on() {
