Read the trailer of a chunked response strictly

What callers saw: a chunk size in the middle of a body changed into zero, and the response or stream ended there as if it were complete; the rest of the body was dropped as a trailer, whatever its lines were.

Cause: the trailer was skipped up to the first empty line, also one that ends with a lone line feed.

Change: a line of the trailer must be a field and end with CRLF. Data whose lines read like fields is still recognisable: a trailer that the head does not announce makes the end of the body doubtful, so bytes after it break the response off, and an event stream may not end with one at all.

--- a/src/chunked.rs
+++ b/src/chunked.rs
@@ -6,6 +6,7 @@
 //! spoilt byte leaves, would end the body early. See `docs/incidents/2026-12-07-spoilt-responses.md`.
 
 use bytes::{Buf, Bytes, BytesMut};
+use http::header::{HeaderName, HeaderValue};
 
 /// Maximum size of the line with the size of a chunk and its extensions.
 const MAX_SIZE_LINE_BYTES: usize = 256;
@@ -30,8 +31,8 @@
     DataEnd,
     /// Trailer fields, with the number of their bytes so far.
     Trailer(usize),
-    /// Nothing; the body is complete.
-    Ended,
+    /// Nothing; the body is complete. Holds the number of bytes of the trailer fields.
+    Ended(usize),
 }
 
 /// Result of one step of decoding.
@@ -52,6 +53,11 @@
 }
 
 impl ChunkedDecoder {
+    /// Returns whether trailer fields have followed the last chunk of a complete body.
+    pub(crate) fn has_trailer(&self) -> bool {
+        matches!(self.state, State::Ended(1..))
+    }
+
     /// Takes the next part of the body from the input.
     ///
     /// # Errors
@@ -88,22 +94,24 @@
                     [] | [b'\r'] => return Ok(Decoded::NeedsInput),
                     _ => return Err("a chunk is longer than its size"),
                 },
-                State::Trailer(bytes) => {
-                    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
-                        if bytes + input.len() > MAX_TRAILER_BYTES {
+                State::Trailer(bytes) => match take_line(input)? {
+                    Some(line) if line.is_empty() => self.state = State::Ended(bytes),
+                    Some(line) => {
+                        let bytes = bytes + line.len() + LINE_END_BYTES;
+                        if bytes > MAX_TRAILER_BYTES {
                             return Err("the trailer is too large");
                         }
-                        return Ok(Decoded::NeedsInput);
-                    };
-                    let line = input.split_to(end + 1);
-                    let bytes = bytes + line.len();
-                    self.state = match line.as_ref() {
-                        b"\r\n" | b"\n" => State::Ended,
-                        _ if bytes > MAX_TRAILER_BYTES => return Err("the trailer is too large"),
-                        _ => State::Trailer(bytes),
-                    };
-                }
-                State::Ended => return Ok(Decoded::Ended),
+                        if !is_field(&line) {
+                            return Err("a line of the trailer is no field");
+                        }
+                        self.state = State::Trailer(bytes);
+                    }
+                    None if bytes + input.len() > MAX_TRAILER_BYTES => {
+                        return Err("the trailer is too large");
+                    }
+                    None => return Ok(Decoded::NeedsInput),
+                },
+                State::Ended(_) => return Ok(Decoded::Ended),
             }
         }
     }
@@ -139,3 +147,11 @@
     }
     u64::from_str_radix(std::str::from_utf8(size).ok()?, 16).ok()
 }
+
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    HeaderName::from_bytes(name).is_ok() && HeaderValue::from_bytes(value).is_ok()
+}
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -1,7 +1,7 @@
 //! Reading of the response of an upstream.
 
 use bytes::Bytes;
-use http::header::{HeaderMap, CONNECTION, CONTENT_TYPE};
+use http::header::{HeaderMap, CONNECTION, CONTENT_TYPE, TRAILER};
 
 use super::head::Head;
 use super::Error;
@@ -182,7 +182,10 @@
             Framing::Chunked(decoder) => match decoder.decode(input) {
                 Ok(chunked::Decoded::Data(piece)) => Some(piece),
                 Ok(chunked::Decoded::Ended) => {
+                    let has_trailer = decoder.has_trailer();
                     self.framing = Framing::Ended;
+                    self.check_trailer(has_trailer)?;
+                    self.check_end()?;
                     None
                 }
                 Ok(chunked::Decoded::NeedsInput) => None,
@@ -205,6 +208,23 @@
         Ok(piece)
     }
 
+    /// Checks the trailer of a chunked body.
+    ///
+    /// If the size of a chunk is spoilt to zero, the lines of its data read like trailer fields. Events do so in
+    /// particular, because their lines look like header fields.
+    fn check_trailer(&mut self, has_trailer: bool) -> Result<(), Error> {
+        if !has_trailer || self.headers.contains_key(TRAILER) {
+            return Ok(());
+        }
+        self.is_end_doubtful = true;
+        let media_type = self.content_type().split(';').next().unwrap_or_default();
+        if media_type.trim().eq_ignore_ascii_case("text/event-stream") {
+            let reason = "the event stream ends with a trailer that its head does not announce";
+            return Err(broken(&self.upstream, reason));
+        }
+        Ok(())
+    }
+
     /// Checks that no bytes that belong to no response follow a body whose end is doubtful.
     fn check_end(&mut self) -> Result<(), Error> {
         if !self.is_end_doubtful || may_begin_response(self.socket.input()) {
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -432,6 +432,38 @@
     assert_spoilt(&endless, &CLOSING);
 }
 
+/// Guards against data of a chunk that is taken for the trailer, because the size of the chunk is spoilt.
+#[test]
+fn a_response_with_a_spoilt_trailer_is_not_passed_on() {
+    let forms = with_chunks(&[
+        ("a size of zero", "4\r\n0123\r\n0\r\n456789\r\n0\r\n\r\n"),
+        ("a word", "a\r\n0123456789\r\n0\r\nspoilt\r\n\r\n"),
+        (
+            "an empty line that ends with a line feed",
+            "a\r\n0123456789\r\n0\r\n\n",
+        ),
+        ("a line feed", "a\r\n0123456789\r\n0\r\nX-A: b\n\r\n"),
+        (
+            "a control byte in a name",
+            "a\r\n0123456789\r\n0\r\nX\x01A: b\r\n\r\n",
+        ),
+        (
+            "a blank in a name",
+            "a\r\n0123456789\r\n0\r\nX-A : b\r\n\r\n",
+        ),
+        ("a carriage return", "a\r\n0123456789\r\n0\r\n\rx"),
+    ]);
+    assert_spoilt(&forms, &ARRIVALS);
+    let lines = [(
+        "lines like fields",
+        "4\r\n0123\r\n0\r\na: b\r\n\r\n0\r\n\r\n",
+    )];
+    assert_spoilt(
+        &with_chunks(&lines),
+        &[arrival(true, false), arrival(true, true)],
+    );
+}
+
 /// Guards against a sound response that is taken for a spoilt one.
 #[test]
 fn sound_responses_are_passed_on() {
--- a/tests/spoilt_streams.rs
+++ b/tests/spoilt_streams.rs
@@ -50,7 +50,7 @@
 }
 
 /// Spoilt sizes of a chunk with an event: none of them may end the stream as if it were complete.
-const SPOILT_EVENT_SIZES: [&str; 4] = ["", " ", ";", "1"];
+const SPOILT_EVENT_SIZES: [&str; 5] = ["0", "", " ", ";", "1"];
 
 /// Guards against a stream that looks complete although the size of a chunk in its middle is spoilt.
 #[test]
