Read responses of the platform's services like those of upstreams

What was seen: a response of the store, the log or the VM list whose length field had a spoilt name counted as one without a body; its body stayed on the connection, which carried the next call. Two lengths, a length beside a coding and spoilt line ends were accepted. A call whose response was spoilt on a kept connection was sent again, so an append could run twice.

Change: HttpClient uses UpstreamResponse. A call is sent again only if a kept connection ended without a byte of a response; a connection with unread input is not used. Requests have the same fields. put_fields moves to upstream_client, as both clients need it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -42,7 +42,6 @@
 use interrupt::run_until_interrupted;
 use pool::ConnectError;
 
-pub(super) use encode::put_fields;
 pub(super) use exchange::Exchange;
 pub(super) use handover::{find_successor, hand_over, HandOver, Successor, SEARCH_INTERVAL};
 pub(super) use in_flight::InFlight;
--- a/src/gateway/attempt/encode.rs
+++ b/src/gateway/attempt/encode.rs
@@ -1,13 +1,12 @@
 //! Encoding of requests to upstreams.
 
 use bytes::{BufMut, Bytes, BytesMut};
-use http::HeaderMap;
 
 use super::Target;
 use crate::gateway::request::Call;
 use crate::gateway::Shared;
 use crate::platform::headers::{self, RouterFields};
-use crate::upstream_client::join_small_body;
+use crate::upstream_client::{join_small_body, put_fields};
 
 /// Encodes a request, with the header fields that the gateway sets, as parts to write one after the other.
 pub(super) fn encode(shared: &Shared, call: &Call<'_>, target: &Target<'_>) -> [Bytes; 2] {
@@ -35,13 +34,3 @@
     output.put_slice(b"\r\n");
     join_small_body(output, &request.body)
 }
-
-/// Appends header fields in wire format.
-pub(in crate::gateway) fn put_fields(output: &mut BytesMut, fields: &HeaderMap) {
-    for (name, value) in fields {
-        output.put_slice(name.as_str().as_bytes());
-        output.put_slice(b": ");
-        output.put_slice(value.as_bytes());
-        output.put_slice(b"\r\n");
-    }
-}
--- a/src/gateway/relay/head.rs
+++ b/src/gateway/relay/head.rs
@@ -3,8 +3,9 @@
 use bytes::{BufMut, BytesMut};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
-use crate::gateway::attempt::{put_fields, StartedResponse};
+use crate::gateway::attempt::StartedResponse;
 use crate::platform::headers;
+use crate::upstream_client::put_fields;
 
 /// Framing of the body towards the caller.
 #[derive(Clone, Copy, PartialEq, Eq)]
--- a/src/log_client/http_client.rs
+++ b/src/log_client/http_client.rs
@@ -3,17 +3,15 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, HOST};
 use http::{HeaderMap, Method, Request, StatusCode};
-use monoio::io::{sink::SinkExt, stream::Stream};
 use monoio::net::TcpStream;
-use monoio_http::common::body::Body;
-use monoio_http::common::error::HttpError;
-use monoio_http::h1::codec::ClientCodec;
-use monoio_http::h1::payload::{FixedPayload, FramedPayload, Payload};
 use serde::de::DeserializeOwned;
 
 use super::Error;
+use crate::server::Socket;
+use crate::upstream_client::{join_small_body, put_fields, UpstreamResponse};
 
 /// Largest response body that the client accepts, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -32,7 +30,7 @@
 pub(crate) struct HttpClient {
     address: String,
     vm: String,
-    idle: RefCell<Vec<ClientCodec<TcpStream>>>,
+    idle: RefCell<Vec<Socket>>,
 }
 
 impl std::fmt::Debug for HttpClient {
@@ -93,71 +91,84 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response, Error> {
+        let output = self.encode(&method, path, body);
+        let output = output.map_err(|error| self.connection_error(step, error.to_string()))?;
         // A connection returns to the pool only after a complete exchange, so that a cancelled call closes it.
-        let idle = self.idle.borrow_mut().pop();
-        if let Some(codec) = idle {
-            // The server may have closed the idle connection, so after an error the request is sent again on a new one.
-            let result = self.exchange_on(codec, &method, path, body.clone()).await;
-            if let Ok(response) = result {
-                return Ok(response);
+        if let Some(socket) = self.take_idle() {
+            match self.exchange_on(socket, output.clone()).await {
+                Ok(response) => return Ok(response),
+                // The server may have closed the idle connection, so the request is sent again on a new one.
+                Err((_, false)) => {}
+                Err((message, true)) => return Err(self.connection_error(step, message)),
             }
         }
-        let connection_error =
-            |message: String| Error::Connection(step, self.address.clone(), message);
-        let stream = TcpStream::connect(self.address.as_str())
-            .await
-            .map_err(|error| connection_error(error.to_string()))?;
-        let _ = stream.set_nodelay(true);
-        self.exchange_on(ClientCodec::new(stream), &method, path, body)
-            .await
-            .map_err(connection_error)
+        let stream = TcpStream::connect(self.address.as_str()).await;
+        let stream = stream.map_err(|error| self.connection_error(step, error.to_string()))?;
+        let response = self.exchange_on(Socket::new(stream), output).await;
+        response.map_err(|(message, _)| self.connection_error(step, message))
     }
 
-    async fn exchange_on(
-        &self,
-        mut codec: ClientCodec<TcpStream>,
-        method: &Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Response, String> {
-        let request = Request::builder()
+    fn connection_error(&self, step: &'static str, message: String) -> Error {
+        Error::Connection(step, self.address.clone(), message)
+    }
+
+    fn take_idle(&self) -> Option<Socket> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(mut socket) = idle.pop() {
+            // Data or the end of the stream on an idle connection means that the server closed it or will not use it.
+            if socket.try_fill().is_none() {
+                return Some(socket);
+            }
+        }
+        None
+    }
+
+    /// Encodes a request as parts to write one after the other.
+    fn encode(&self, method: &Method, path: &str, body: Bytes) -> http::Result<[Bytes; 2]> {
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header(http::header::HOST, self.address.as_str())
-            .header("x-vm", self.vm.as_str())
-            .body::<Payload<Bytes, HttpError>>(if body.is_empty() {
-                Payload::None
-            } else {
-                Payload::Fixed(FixedPayload::new(body))
-            })
-            .map_err(|error| error.to_string())?;
-        codec
-            .send_and_flush(request)
-            .await
-            .map_err(|error| error.to_string())?;
-        let response = match codec.next().await {
-            Some(Ok(response)) => response,
-            Some(Err(error)) => return Err(error.to_string()),
-            None => return Err("the server closed the connection without a response".into()),
-        };
-        let (head, decoder) = response.into_parts();
-        let mut response_body = BytesMut::new();
-        let mut payload = FramedPayload::new(&mut codec, decoder);
-        while let Some(chunk) = payload.next_data().await {
-            let chunk = chunk.map_err(|error| error.to_string())?;
-            if response_body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-                return Err("the response body is larger than 16 MiB".into());
-            }
-            response_body.extend_from_slice(&chunk);
+            .header(HOST, self.address.as_str())
+            .header("x-vm", self.vm.as_str());
+        if !body.is_empty() {
+            request = request.header(CONTENT_LENGTH, body.len());
         }
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(codec);
+        let request = request.body(body)?;
+        let mut head = BytesMut::with_capacity(256);
+        head.put_slice(format!("{} {} HTTP/1.1\r\n", request.method(), request.uri()).as_bytes());
+        put_fields(&mut head, request.headers());
+        head.put_slice(b"\r\n");
+        Ok(join_small_body(head, request.body()))
+    }
+
+    /// Sends a request and reads the response; an error includes whether any byte of a response was received.
+    async fn exchange_on(
+        &self,
+        mut socket: Socket,
+        output: [Bytes; 2],
+    ) -> Result<Response, (String, bool)> {
+        for part in output {
+            let written = socket.write_all(part).await;
+            written.map_err(|error| (error.to_string(), false))?;
+        }
+        let response = UpstreamResponse::read_head(socket, &self.address).await;
+        let mut response =
+            response.map_err(|(error, has_received)| (error.to_string(), has_received))?;
+        let body = response.read_all(MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|error| (error.to_string(), true))?;
+        let status = StatusCode::from_u16(response.status());
+        let status = status.map_err(|error| (error.to_string(), true))?;
+        let headers = response.headers().clone();
+        if let Some(socket) = response.into_reusable() {
+            let mut idle = self.idle.borrow_mut();
+            if idle.len() < MAX_IDLE_CONNECTIONS {
+                idle.push(socket);
+            }
         }
         Ok(Response {
-            status: head.status,
-            headers: head.headers,
-            body: response_body.freeze(),
+            status,
+            headers,
+            body,
         })
     }
 }
--- a/src/upstream_client.rs
+++ b/src/upstream_client.rs
@@ -10,7 +10,7 @@
 mod response;
 mod sse;
 
-pub(crate) use client::join_small_body;
+pub(crate) use client::{join_small_body, put_fields};
 pub use client::{Client, UpstreamRequest};
 pub use engine_api::{CacheEvent, CacheEventPage, EngineLoad, OrderRequest, OrderResponse};
 pub use response::UpstreamResponse;
--- a/src/upstream_client/client.rs
+++ b/src/upstream_client/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use http::HeaderMap;
 use monoio::net::TcpStream;
 
 use super::{Error, UpstreamResponse};
@@ -93,6 +94,16 @@
     [head.freeze(), Bytes::new()]
 }
 
+/// Appends header fields in wire format.
+pub(crate) fn put_fields(output: &mut BytesMut, fields: &HeaderMap) {
+    for (name, value) in fields {
+        output.put_slice(name.as_str().as_bytes());
+        output.put_slice(b": ");
+        output.put_slice(value.as_bytes());
+        output.put_slice(b"\r\n");
+    }
+}
+
 /// HTTP client with a pool of idle connections for each address.
 #[derive(Default)]
 pub struct Client {
--- a/tests/response_readers.rs
+++ b/tests/response_readers.rs
@@ -7,9 +7,15 @@
 use std::net::{TcpListener, TcpStream};
 use std::ops::Range;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
+use bytes::Bytes;
 use common::run;
+use monsoonfield::log_client::{LogClient, LogService};
 use monsoonfield::upstream_client::{Client, UpstreamRequest};
+use monsoonfield::vm_list::{WeightStore, WeightStoreClient, WeightsResponse};
+
+const TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Body whose lines read like header fields, so that a spoilt chunk size makes a trailer of them.
 const BODY: &str = "id: 1\r\ndata: token\r\n\r\n";
@@ -152,3 +158,63 @@
         });
     }
 }
+
+/// Guards against the same in responses of the platform's services.
+#[test]
+fn no_spoilt_byte_changes_the_body_of_a_service() {
+    for sound in [fixed(), chunked()] {
+        let server = Server::start(Vec::new(), true);
+        run(async {
+            let mut responses = Vec::new();
+            for_each_spoilt(&sound, |spoilt, what| {
+                responses.push((spoilt, what.to_owned()))
+            });
+            for (spoilt, what) in responses {
+                server.set_response(spoilt);
+                let weights = WeightStoreClient::new(&server.address, "vm-1", TIMEOUT);
+                match weights.read("v1").await {
+                    Ok(WeightsResponse::Found(body)) => {
+                        assert_eq!(&body[..], BODY.as_bytes(), "{what} of {sound:?}");
+                    }
+                    Ok(other) => panic!("{what} of {sound:?}: {other:?}"),
+                    Err(_) => {}
+                }
+            }
+        });
+    }
+}
+
+/// Guards against a call that reads the rest of a spoilt response as its own, and against one that the service runs twice
+/// because its response was spoilt.
+#[test]
+fn a_spoilt_response_of_a_service_ends_its_call_and_its_connection() {
+    let sound = b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offset\":41}".to_vec();
+    let spoilt: [(&str, &[u8]); 4] = [
+        ("a spoilt name", b"HTTP/1.1 200 OK\r\nContent-Lengt_: 13\r\n\r\n{\"offset\":40}"),
+        ("two lengths", b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\nContent-Length: 1\r\n\r\n{\"offset\":40}"),
+        ("length and coding", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nContent-Length: 13\r\n\r\n{\"offset\":40}"),
+        ("status 000", b"HTTP/1.1 000 OK\r\nContent-Length: 13\r\n\r\n{\"offset\":40}"),
+    ];
+    for (what, spoilt) in spoilt {
+        let server = Server::start(vec![sound.clone(), spoilt.to_vec(), sound.clone()], false);
+        run(async {
+            let log = LogClient::new(&server.address, "vm-1", TIMEOUT);
+
+            let first = log.append("fleet", Bytes::from_static(b"x")).await;
+            let second = log.append("fleet", Bytes::from_static(b"x")).await;
+            let third = log.append("fleet", Bytes::from_static(b"x")).await;
+
+            assert_eq!(first.expect("an offset"), 41, "{what}");
+            let error = second.expect_err(what).to_string();
+            assert!(error.contains(&server.address), "{what}: {error}");
+            assert!(error.contains("reading the response"), "{what}: {error}");
+            assert_eq!(third.expect("an offset"), 41, "{what}");
+            let connections = server.requests.lock().unwrap().clone();
+            assert_eq!(
+                connections,
+                [0, 0, 1],
+                "{what}: the connection of each call"
+            );
+        });
+    }
+}
