Tests of spoilt responses that were refused already

Lines that are no field, status 000 and other invalid status lines, names with a blank or a control byte, a reset while an upload is still written (through both roles), and an engine's stream with a spoilt chunk size in the router role. Nothing else changes for these forms.

With them: a response to an upload that ends properly while the upload is written is passed on whole.

--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -487,6 +487,16 @@
     PauseAndClose { first: Vec<u8>, pause: Duration },
     /// Writes these pieces with a pause after each, and closes the connection if that is said.
     Pieces { pieces: Vec<Vec<u8>>, closes: bool },
+    /// Writes a response after it has read this much of a body, and resets the connection while the body goes on; with
+    /// `ends_properly` it closes its sending side instead and reads on.
+    AnswerUpload {
+        response: Vec<u8>,
+        after_bytes: usize,
+        /// What happens between the response and the reset.
+        pause: Duration,
+        discarded_bytes: usize,
+        ends_properly: bool,
+    },
     /// Reads without responding until the peer closes the connection, then counts it in `abandoned`.
     Silent,
     /// Writes these bytes and then does the same as `Silent`.
@@ -666,6 +676,25 @@
                         return;
                     }
                 }
+                Action::AnswerUpload {
+                    response,
+                    after_bytes,
+                    pause,
+                    discarded_bytes,
+                    ends_properly,
+                } => {
+                    discard(&mut reader, after_bytes);
+                    let _ = stream.write_all(&response);
+                    if ends_properly {
+                        let _ = stream.shutdown(Shutdown::Write);
+                        discard(&mut reader, usize::MAX);
+                        return;
+                    }
+                    std::thread::sleep(pause);
+                    discard(&mut reader, discarded_bytes);
+                    reset(&stream);
+                    return;
+                }
                 Action::Pause { first, pause, rest } => {
                     let is_written = stream.write_all(&first).is_ok();
                     std::thread::sleep(pause);
@@ -722,6 +751,11 @@
     }
 }
 
+/// Reads this many bytes, or fewer at the end of the stream.
+fn discard(reader: &mut BufReader<TcpStream>, bytes: usize) {
+    let _ = std::io::copy(&mut reader.take(bytes as u64), &mut std::io::sink());
+}
+
 /// Makes closing the connection send a reset.
 fn reset(stream: &TcpStream) {
     let linger = Some(Duration::ZERO);
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -359,6 +359,53 @@
     assert_spoilt(&forms, &[arrival(true, false), arrival(true, true)]);
 }
 
+/// Guards against a line without a name and a value, which may be a spoilt field.
+#[test]
+fn a_response_with_a_line_that_is_no_field_is_not_passed_on() {
+    let forms = with_fields(
+        &[
+            ("a length without a colon", "Content-Length 10\r\n"),
+            ("a word", "Content-Length: 10\r\nspoilt\r\n"),
+            ("a word first", "spoilt\r\nContent-Length: 10\r\n"),
+            ("no name", ": 10\r\nContent-Length: 10\r\n"),
+            ("a folded line", "X-A: b\r\n c\r\nContent-Length: 10\r\n"),
+            ("a folded length", "X-A: b\r\n Content-Length: 10\r\n"),
+            (
+                "a folded coding",
+                "X-A: b\r\n\tTransfer-Encoding: chunked\r\n",
+            ),
+            (
+                "a control byte in a value",
+                "X-A: b\x01c\r\nContent-Length: 10\r\n",
+            ),
+            ("NUL in a value", "X-A: b\0c\r\nContent-Length: 10\r\n"),
+            ("DEL in a value", "X-A: b\x7fc\r\nContent-Length: 10\r\n"),
+        ],
+        BODY,
+    );
+    assert_spoilt(&forms, &ARRIVALS);
+}
+
+/// Guards against a name with a blank or a control byte, which may be a spoilt name of the length.
+#[test]
+fn a_response_with_a_blank_or_control_byte_in_a_name_is_not_passed_on() {
+    let mut forms = Vec::new();
+    for byte in [' ', '\t', '\0', '\x07', '\x1b', '\x7f', '\r'] {
+        let fields = [
+            format!("X{byte}A: b\r\n{LENGTH}"),
+            format!("{byte}X-A: b\r\n{LENGTH}"),
+            format!("X-A{byte}: b\r\n{LENGTH}"),
+            format!("Content{byte}Length: 10\r\n"),
+            format!("Content-Length{byte}: 10\r\n"),
+        ];
+        let names = fields.iter().map(|fields| Form::new(fields, fields, BODY));
+        forms.extend(names);
+        let coding = format!("Transfer{byte}Encoding: chunked\r\n");
+        forms.push(Form::new(&coding, &coding, CHUNKS));
+    }
+    assert_spoilt(&forms, &ARRIVALS);
+}
+
 /// Guards against a status that no client knows how to treat.
 #[test]
 fn a_response_with_a_status_above_599_is_not_passed_on() {
@@ -367,6 +414,26 @@
     assert_spoilt(&status_lines.map(of_line), &ARRIVALS);
 }
 
+/// Guards against a status line that is not one of HTTP/1.
+#[test]
+fn a_response_with_an_invalid_status_line_is_not_passed_on() {
+    let status_lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 -20 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1 200\tOK",
+        "HTTP/1.1 200 O\x01K",
+        "HTTP/2.0 200 OK",
+        "HTTP/1.2 200 OK",
+    ];
+    let of_line = |line| Form::new(line, LENGTH, BODY).with_status_line(line);
+    assert_spoilt(&status_lines.map(of_line), &ARRIVALS);
+}
+
 /// Guards against a size of a chunk that ends the body early, or that readers understand differently.
 #[test]
 fn a_response_with_a_spoilt_chunk_size_is_not_passed_on() {
--- a/tests/spoilt_streams.rs
+++ b/tests/spoilt_streams.rs
@@ -1,12 +1,18 @@
-//! Upstreams in trouble that spoil a chunk of a stream: the caller sees that the response is not complete.
+//! Upstreams in trouble that spoil a chunk of a stream, or break off the response to an upload: the caller sees that the
+//! response is not complete.
 
 mod gateway_common;
 mod http_common;
 mod spoilt_common;
 
-use gateway_common::{event_chunk, signed_head, wait_for};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway_common::{configuration, event_chunk, signed_head, wait_for};
 use gateway_common::{Action, CallerRequest, Gateway, StoreStub, UpstreamStub};
-use spoilt_common::LARGE_BUDGET;
+use http_common::{chat, Deployment, HttpRequest};
+use spoilt_common::{Received, LARGE_BUDGET};
 
 /// Encodes events whose lines end with CRLF as chunks, of which the second one has this size.
 fn stream_with_second_size(size: &str) -> String {
@@ -110,3 +116,157 @@
         }
     }
 }
+
+/// Guards against an engine's stream that ends, or goes on with other events, because the size of a chunk is spoilt.
+#[test]
+fn an_engine_stream_with_a_spoilt_chunk_size_is_resumed() {
+    let event = |index: u64, data: &str| {
+        let event = format!("id: {index}\r\ndata: {data}\r\n\r\n");
+        (format!("{:x}", event.len()), event)
+    };
+    let token = r#"{"choices":[{"delta":{"content":"t"}}]}"#;
+    let usage = r#"{"usage":{"prompt_tokens":1,"completion_tokens":2}}"#;
+    let events = [
+        event(0, token),
+        event(1, token),
+        event(2, usage),
+        event(3, "[DONE]"),
+    ];
+    for size in SPOILT_EVENT_SIZES {
+        let events = events.clone();
+        let upstream = UpstreamStub::start(move |request, _| {
+            let path = request.start.split(' ').nth(1).unwrap_or_default();
+            let from = path
+                .rsplit_once("?from=")
+                .and_then(|(_, from)| from.parse().ok());
+            let is_resumed = path.starts_with("/v1/streams/");
+            if !is_resumed && !path.starts_with("/v1/chat") {
+                return Action::Write(b"HTTP/1.1 404 x\r\ncontent-length: 0\r\n\r\n".to_vec());
+            }
+            let chunks = events.iter().enumerate().skip(from.unwrap_or(0));
+            let chunks = chunks.map(|(index, (sound, event))| {
+                let size = if index == 1 && !is_resumed {
+                    size
+                } else {
+                    sound
+                };
+                format!("{size}\r\n{event}\r\n")
+            });
+            let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let chunks: String = chunks.collect();
+            Action::Write((head.to_owned() + &chunks + "0\r\n\r\n").into_bytes())
+        });
+        let deployment = Deployment::start(&[]);
+        deployment.publish(vec![spoilt_common::router_configuration(&upstream)]);
+        let router = deployment.router("vm-1");
+        let response = chat("stream", "text", 2, true).send(&router.callers);
+        assert!(response.is_complete, "size {size:?}: {response:?}");
+        let (indexes, content) = response.events();
+        assert_eq!(indexes, [0, 1, 2, 3], "size {size:?}");
+        assert_eq!(content, "tt", "size {size:?}");
+    }
+}
+
+/// Size of an upload that the kernel's buffers do not hold.
+const UPLOAD_BYTES: usize = 12 << 20;
+
+/// Number of uploads; whether a write or a read meets the reset first is a matter of chance.
+const UPLOADS: usize = 12;
+
+/// Starts an upstream that answers an upload while it reads it, with a head that states no length and a few bytes. Then it
+/// resets the connection, or ends its side of it and reads on.
+fn start_upload_upstream(ends_properly: bool) -> UpstreamStub {
+    let number = Arc::new(AtomicUsize::new(0));
+    let upstream = UpstreamStub::start(move |request, _| {
+        if request
+            .header("content-length")
+            .is_none_or(|length| length.len() < 4)
+        {
+            return Action::Write(gateway_common::signed_response(request, 200, "served"));
+        }
+        let response = (signed_head(request, "") + "part").into_bytes();
+        let number = number.fetch_add(1, Ordering::SeqCst);
+        Action::AnswerUpload {
+            response,
+            after_bytes: number * (UPLOAD_BYTES / 2 / UPLOADS),
+            pause: Duration::from_millis([0, 0, 2, 20][number % 4]),
+            discarded_bytes: [0, 64 << 10, 1 << 20][number % 3],
+            ends_properly,
+        }
+    });
+    upstream.respond_early();
+    upstream
+}
+
+/// Sends uploads and returns the responses.
+fn upload_through_gateway(upstream: &UpstreamStub) -> Vec<Received> {
+    let (store, gateway) = gateway_common::start_fleet(LARGE_BUDGET, &[upstream]);
+    let mut generous = configuration(2, LARGE_BUDGET);
+    generous["limits"]["max_body_bytes"] = (32 << 20).into();
+    store.configure(&generous);
+    let body = vec![b'x'; UPLOAD_BYTES];
+    let upload = CallerRequest {
+        path: "/book/1",
+        body: &body,
+        ..CallerRequest::default()
+    };
+    wait_for("the configuration", || {
+        upload.send(&gateway).status() != 413
+    });
+    let responses = (0..UPLOADS).map(|_| Received::of_gateway(&upload.send(&gateway)));
+    let responses: Vec<Received> = responses.collect();
+    let small = CallerRequest::default().send(&gateway);
+    assert_eq!((small.status(), small.text().as_str()), (200, "served"));
+    responses
+}
+
+/// Guards against a part of a response that looks complete, because the error of the reset was met by the write of the
+/// request and not by the read of the response.
+#[test]
+fn a_response_to_an_upload_that_is_reset_is_not_complete() {
+    let upstream = start_upload_upstream(false);
+    for received in upload_through_gateway(&upstream) {
+        assert!(received.promises_nothing(), "{received:?}");
+    }
+}
+
+/// Guards against a whole response that looks broken off, because it has arrived while the request was written.
+#[test]
+fn a_response_to_an_upload_that_ends_with_its_connection_is_complete() {
+    let upstream = start_upload_upstream(true);
+    for received in upload_through_gateway(&upstream) {
+        let is_whole = received.status == 200 && received.is_complete && received.body == "part";
+        assert!(is_whole, "{received:?}");
+    }
+}
+
+/// Guards against the same through a router.
+#[test]
+fn a_response_to_an_upload_through_a_router_that_is_reset_is_not_complete() {
+    let upstream = start_upload_upstream(false);
+    let deployment = Deployment::start(&[]);
+    deployment.publish(vec![spoilt_common::router_configuration(&upstream)]);
+    let router = deployment.router_with(
+        "vm-1",
+        monsoonfield::settings::Limits {
+            body_bytes: UPLOAD_BYTES as u64,
+            ..Default::default()
+        },
+        http_common::common::short_timing(),
+    );
+    for number in 0..UPLOADS {
+        let send = |id: &str, body_bytes: usize| {
+            HttpRequest::new("POST", "/services/orders/upload")
+                .customer_headers(&format!("{id}-{number}"))
+                .body(vec![b'x'; body_bytes])
+                .send(&router.callers)
+        };
+        let response = send("upload", UPLOAD_BYTES);
+        assert_eq!(response.status, 502, "{response:?}");
+        assert_eq!(response.error().1, "may_have_run", "{response:?}");
+        // An upstream with many failures would get no more requests.
+        for id in ["a", "b", "c", "d", "e", "f"] {
+            assert_eq!(send(id, 2).status, 200);
+        }
+    }
+}
