Tests of peers' frames with a spoilt length

A frame whose length is zero, too small or too large closes its connection and has no other effect, like the malformed and oversized frames in the same test.

--- a/tests/fleet_peers.rs
+++ b/tests/fleet_peers.rs
@@ -21,6 +21,9 @@
 use prost::Message;
 use rand::SeedableRng;
 
+/// Size of the length field of a frame.
+const LENGTH_BYTES: usize = 4;
+
 fn frame(message: PeerMessage) -> Vec<u8> {
     let body = Frame::from(message).encode_to_vec();
     let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
@@ -70,6 +73,14 @@
         bytes.extend([0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff]);
         bytes
     };
+    let with_length = |length: u8| {
+        let mut bytes = hello(PROTOCOL_VERSION);
+        let mut spoilt = frame(PeerMessage::BillCopyAck(BillCopyAck { id: 300 }));
+        spoilt[LENGTH_BYTES - 1] = length;
+        bytes.extend(spoilt);
+        bytes.extend(frame(PeerMessage::Heartbeat(Heartbeat::default())));
+        bytes
+    };
     let cases = [
         ("garbage", vec![0xa5; 100_000]),
         ("HTTP", b"GET / HTTP/1.1\r\nhost: x\r\n\r\n".to_vec()),
@@ -80,6 +91,9 @@
         ),
         ("an oversized frame", oversized),
         ("a malformed frame", malformed),
+        ("a length of zero", with_length(0)),
+        ("a length that is too small", with_length(3)),
+        ("a length that is too large", with_length(7)),
     ];
     run(async {
         let platform = PlatformStub::start();
