--- a/src/chunked.rs
+++ b/src/chunked.rs
@@ -17,6 +17,7 @@
 /// Maximum size of all trailer fields, which are discarded.
 const MAX_TRAILER_BYTES: usize = 8 << 10;
 
+/// Size of a line end, CRLF.
 const LINE_END_BYTES: usize = 2;
 
 /// Part of a chunked body that follows.
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -225,7 +225,7 @@
         Ok(())
     }
 
-    /// Checks that no bytes that belong to no response follow a body whose end is doubtful.
+    /// Checks that nothing but another response follows a body whose end is doubtful.
     fn check_end(&mut self) -> Result<(), Error> {
         if !self.is_end_doubtful || may_begin_response(self.socket.input()) {
             return Ok(());
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -485,8 +485,8 @@
     },
     /// Writes the first bytes, is silent for a time, and then closes the connection.
     PauseAndClose { first: Vec<u8>, pause: Duration },
-    /// Writes these pieces with a pause after each, and closes the connection if that is said.
-    Pieces { pieces: Vec<Vec<u8>>, closes: bool },
+    /// Writes these pieces with a pause after each, and then does this with the connection.
+    Pieces { pieces: Vec<Vec<u8>>, end: End },
     /// Writes a response after it has read this much of a body, and resets the connection while the body goes on; with
     /// `ends_properly` it closes its sending side instead and reads on.
     AnswerUpload {
@@ -505,6 +505,14 @@
     Crash { first: Vec<u8>, down: Duration },
 }
 
+/// What an upstream does with a connection after a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Keep,
+    Close,
+    Reset,
+}
+
 /// Pause after each piece of a response, so that it arrives by itself.
 const PIECE_PAUSE: Duration = Duration::from_millis(3);
 
@@ -664,16 +672,23 @@
                     let _ = stream.shutdown(Shutdown::Both);
                     return;
                 }
-                Action::Pieces { pieces, closes } => {
+                Action::Pieces { pieces, end } => {
                     for piece in pieces {
                         if stream.write_all(&piece).is_err() {
                             return;
                         }
                         std::thread::sleep(PIECE_PAUSE);
                     }
-                    if closes {
-                        let _ = stream.shutdown(Shutdown::Both);
-                        return;
+                    match end {
+                        End::Keep => {}
+                        End::Close => {
+                            let _ = stream.shutdown(Shutdown::Both);
+                            return;
+                        }
+                        End::Reset => {
+                            reset(&stream);
+                            return;
+                        }
                     }
                 }
                 Action::AnswerUpload {
--- a/tests/spoilt_common/mod.rs
+++ b/tests/spoilt_common/mod.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::gateway_common::{
-    self, Action, CallerRequest, Gateway, Message, StoreStub, UpstreamStub,
+    self, Action, CallerRequest, End, Gateway, Message, StoreStub, UpstreamStub,
 };
 use crate::http_common::{self, Deployment, HttpRequest, Router};
 
@@ -45,9 +45,12 @@
         }
     }
 
-    fn head(&self, request: &Message, closes: bool) -> Vec<u8> {
+    fn head(&self, request: &Message, end: End) -> Vec<u8> {
         let id = request.header("x-request-id").unwrap_or_default();
-        let connection = if closes { "Connection: close\r\n" } else { "" };
+        let connection = match end {
+            End::Keep => "",
+            End::Close | End::Reset => "Connection: close\r\n",
+        };
         format!(
             "{}\r\nX-Request-Id: {id}\r\nX-Server-Signature: s.1\r\n{}{connection}\r\n",
             self.status_line, self.fields
@@ -60,18 +63,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrival {
     pub is_whole: bool,
-    pub closes: bool,
+    pub end: End,
 }
 
 pub const ARRIVALS: [Arrival; 4] = [
-    arrival(true, false),
-    arrival(true, true),
-    arrival(false, false),
-    arrival(false, true),
+    arrival(true, End::Keep),
+    arrival(true, End::Close),
+    arrival(false, End::Keep),
+    arrival(false, End::Close),
 ];
 
-pub const fn arrival(is_whole: bool, closes: bool) -> Arrival {
-    Arrival { is_whole, closes }
+pub const fn arrival(is_whole: bool, end: End) -> Arrival {
+    Arrival { is_whole, end }
 }
 
 /// Size of the pieces of a response that does not arrive as a whole.
@@ -86,7 +89,7 @@
 
 impl Plan {
     fn action(&self, request: &Message) -> Action {
-        let head = self.form.head(request, self.arrival.closes);
+        let head = self.form.head(request, self.arrival.end);
         let content = self.form.content.as_bytes();
         let pieces = if self.arrival.is_whole {
             vec![[head.as_slice(), content].concat()]
@@ -96,7 +99,7 @@
         };
         Action::Pieces {
             pieces,
-            closes: self.arrival.closes,
+            end: self.arrival.end,
         }
     }
 }
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use gateway_common::{signed_head, signed_response, wait_for};
-use gateway_common::{Action, CallerRequest, Message, UpstreamStub};
+use gateway_common::{Action, CallerRequest, End, Message, UpstreamStub};
 use http_common::{Deployment, HttpRequest};
 use spoilt_common::{arrival, Arrival, Form, Plan, Received, Stage, ARRIVALS, BODY, LARGE_BUDGET};
 
@@ -23,7 +23,10 @@
 const CHUNKS: &str = "4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n";
 
 /// Arrivals of responses that only the end of the connection shows to be incomplete.
-const CLOSING: [Arrival; 2] = [arrival(true, true), arrival(false, true)];
+const CLOSING: [Arrival; 2] = [arrival(true, End::Close), arrival(false, End::Close)];
+
+/// Arrivals of responses that what follows them shows to be incomplete.
+const WHOLE: [Arrival; 2] = [arrival(true, End::Keep), arrival(true, End::Close)];
 
 /// Returns forms with the given names and fields, and this content.
 fn with_fields(forms: &[(&str, &str)], content: &str) -> Vec<Form> {
@@ -356,7 +359,7 @@
         ],
         BODY,
     );
-    assert_spoilt(&forms, &[arrival(true, false), arrival(true, true)]);
+    assert_spoilt(&forms, &WHOLE);
 }
 
 /// Guards against a line without a name and a value, which may be a spoilt field.
@@ -525,10 +528,31 @@
         "lines like fields",
         "4\r\n0123\r\n0\r\na: b\r\n\r\n0\r\n\r\n",
     )];
-    assert_spoilt(
-        &with_chunks(&lines),
-        &[arrival(true, false), arrival(true, true)],
-    );
+    assert_spoilt(&with_chunks(&lines), &WHOLE);
+}
+
+/// Guards against a part of a response that looks complete because its connection has ended.
+#[test]
+fn a_response_that_ends_early_is_not_complete() {
+    let with_length = [
+        ("no part of the body", "Content-Length: 10\r\n", ""),
+        ("a part of the body", "Content-Length: 10\r\n", "012345678"),
+        ("a part of a chunk", CHUNKED, "4\r\n0123\r\n6\r\n4567"),
+        ("no last chunk", CHUNKED, "4\r\n0123\r\n6\r\n456789\r\n"),
+        ("a part of a chunk size", CHUNKED, "a\r\n0123456789\r\n0"),
+        (
+            "a part of the trailer",
+            CHUNKED,
+            "a\r\n0123456789\r\n0\r\nX-A: b\r\n",
+        ),
+    ];
+    let form = |(name, fields, content): (&str, &str, &str)| Form::new(name, fields, content);
+    let resets = [arrival(true, End::Reset), arrival(false, End::Reset)];
+    let forms = with_length.map(form);
+    assert_spoilt(&forms, &CLOSING);
+    assert_spoilt(&forms, &resets);
+    let unframed = [("no length, reset", "", BODY), ("no body, reset", "", "")];
+    assert_spoilt(&unframed.map(form), &resets);
 }
 
 /// Guards against a sound response that is taken for a spoilt one.
--- a/tests/spoilt_streams.rs
+++ b/tests/spoilt_streams.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use gateway_common::{configuration, event_chunk, signed_head, wait_for};
-use gateway_common::{Action, CallerRequest, Gateway, StoreStub, UpstreamStub};
+use gateway_common::{Action, CallerRequest, End, Gateway, StoreStub, UpstreamStub};
 use http_common::{chat, Deployment, HttpRequest};
 use spoilt_common::{Received, LARGE_BUDGET};
 
@@ -48,7 +48,7 @@
         };
         Action::Pieces {
             pieces,
-            closes: false,
+            end: End::Keep,
         }
     });
     let (store, gateway) = gateway_common::start_fleet(LARGE_BUDGET, &[&upstream]);
