Close connections of engines whose stream ends with a spoilt trailer

What was seen: a stream whose last event had arrived and whose end was a spoilt trailer left its connection in the pool of a router. With the strict reading of trailers the stream was broken off and resumed instead, also if the trailer was only not announced, and failed if that happened each time.

Cause: the body counted as ended before its trailer was checked, and a router took every error of a stream for a break, also after the last event. A trailer that the head does not announce was refused in all event streams, though it is valid.

Change: the body is ended once its trailer has been checked; an event stream may have such a trailer unless one of its fields is a line of an event; errors after the last event only end the connection.

--- a/src/chunked.rs
+++ b/src/chunked.rs
@@ -31,9 +31,20 @@
     /// The line end after the data of a chunk.
     DataEnd,
     /// Trailer fields, with the number of their bytes so far.
-    Trailer(usize),
-    /// Nothing; the body is complete. Holds the number of bytes of the trailer fields.
-    Ended(usize),
+    Trailer(usize, Trailer),
+    /// Nothing; the body is complete.
+    Ended(Trailer),
+}
+
+/// Fields between the last chunk and the end of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Trailer {
+    /// There are none.
+    Empty,
+    /// There are some.
+    Fields,
+    /// One of them has the name of a line of a server-sent event.
+    EventFields,
 }
 
 /// Result of one step of decoding.
@@ -54,9 +65,12 @@
 }
 
 impl ChunkedDecoder {
-    /// Returns whether trailer fields have followed the last chunk of a complete body.
-    pub(crate) fn has_trailer(&self) -> bool {
-        matches!(self.state, State::Ended(1..))
+    /// Returns the trailer of a complete body.
+    pub(crate) fn trailer(&self) -> Trailer {
+        match self.state {
+            State::Ended(trailer) => trailer,
+            _ => Trailer::Empty,
+        }
     }
 
     /// Takes the next part of the body from the input.
@@ -70,7 +84,7 @@
                 State::Size => match take_line(input)? {
                     Some(line) if line.len() <= MAX_SIZE_LINE_BYTES => {
                         self.state = match parse_size_line(&line) {
-                            Some(0) => State::Trailer(0),
+                            Some(0) => State::Trailer(0, Trailer::Empty),
                             Some(size) => State::Data(size),
                             None => return Err("a chunk size is invalid"),
                         };
@@ -95,17 +109,17 @@
                     [] | [b'\r'] => return Ok(Decoded::NeedsInput),
                     _ => return Err("a chunk is longer than its size"),
                 },
-                State::Trailer(bytes) => match take_line(input)? {
-                    Some(line) if line.is_empty() => self.state = State::Ended(bytes),
+                State::Trailer(bytes, trailer) => match take_line(input)? {
+                    Some(line) if line.is_empty() => self.state = State::Ended(trailer),
                     Some(line) => {
                         let bytes = bytes + line.len() + LINE_END_BYTES;
                         if bytes > MAX_TRAILER_BYTES {
                             return Err("the trailer is too large");
                         }
-                        if !is_field(&line) {
+                        let Some(field) = classify_field(&line) else {
                             return Err("a line of the trailer is no field");
-                        }
-                        self.state = State::Trailer(bytes);
+                        };
+                        self.state = State::Trailer(bytes, trailer.max(field));
                     }
                     None if bytes + input.len() > MAX_TRAILER_BYTES => {
                         return Err("the trailer is too large");
@@ -149,10 +163,13 @@
     u64::from_str_radix(std::str::from_utf8(size).ok()?, 16).ok()
 }
 
-fn is_field(line: &[u8]) -> bool {
-    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
-        return false;
-    };
-    let (name, value) = (&line[..colon], &line[colon + 1..]);
-    HeaderName::from_bytes(name).is_ok() && HeaderValue::from_bytes(value).is_ok()
+/// Returns what a trailer with this line has; `None` if the line is no field.
+fn classify_field(line: &[u8]) -> Option<Trailer> {
+    let colon = line.iter().position(|byte| *byte == b':')?;
+    let name = HeaderName::from_bytes(&line[..colon]).ok()?;
+    HeaderValue::from_bytes(&line[colon + 1..]).ok()?;
+    Some(match name.as_str() {
+        "data" | "event" | "id" | "retry" => Trailer::EventFields,
+        _ => Trailer::Fields,
+    })
 }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -323,7 +323,11 @@
         if is_ended && !self.is_complete {
             return Err(broken("the stream ended without its last event"));
         }
-        failure.map_or(Ok(()), Err)
+        // The last event shows that the response is complete, whatever follows it on the connection.
+        match failure {
+            Some(error) if !self.is_complete => Err(error),
+            _ => Ok(()),
+        }
     }
 
     fn process_event(&mut self, event: Event, batch: &mut Vec<Bytes>) -> Result<(), Error> {
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -5,7 +5,7 @@
 
 use super::head::Head;
 use super::Error;
-use crate::chunked::{self, ChunkedDecoder};
+use crate::chunked::{self, ChunkedDecoder, Trailer};
 use crate::framing::BodyLength;
 use crate::server::Socket;
 
@@ -182,9 +182,9 @@
             Framing::Chunked(decoder) => match decoder.decode(input) {
                 Ok(chunked::Decoded::Data(piece)) => Some(piece),
                 Ok(chunked::Decoded::Ended) => {
-                    let has_trailer = decoder.has_trailer();
+                    let trailer = decoder.trailer();
+                    self.check_trailer(trailer)?;
                     self.framing = Framing::Ended;
-                    self.check_trailer(has_trailer)?;
                     self.check_end()?;
                     None
                 }
@@ -210,16 +210,16 @@
 
     /// Checks the trailer of a chunked body.
     ///
-    /// If the size of a chunk is spoilt to zero, the lines of its data read like trailer fields. Events do so in
-    /// particular, because their lines look like header fields.
-    fn check_trailer(&mut self, has_trailer: bool) -> Result<(), Error> {
-        if !has_trailer || self.headers.contains_key(TRAILER) {
+    /// If the size of a chunk is spoilt to zero, the lines of its data may read like trailer fields; those of events do.
+    fn check_trailer(&mut self, trailer: Trailer) -> Result<(), Error> {
+        if trailer == Trailer::Empty || self.headers.contains_key(TRAILER) {
             return Ok(());
         }
         self.is_end_doubtful = true;
         let media_type = self.content_type().split(';').next().unwrap_or_default();
-        if media_type.trim().eq_ignore_ascii_case("text/event-stream") {
-            let reason = "the event stream ends with a trailer that its head does not announce";
+        let is_event_stream = media_type.trim().eq_ignore_ascii_case("text/event-stream");
+        if is_event_stream && trailer == Trailer::EventFields {
+            let reason = "the lines of an event stand in the trailer";
             return Err(broken(&self.upstream, reason));
         }
         Ok(())
