Answer 502 in place of a refusal of an upstream without a proof

Cause: a response without X-Not-Executed was counted as a run, but it was passed on unchanged, also with a status that states the opposite. The same held for 408 and 429, for a successor of a silent upstream, for a statement about another request, and in the router role.

Change: such a response is an unproven refusal. It may be repeated like a server error; otherwise the caller gets 502 without the upstream's signature. The id of a response is compared before its statement is read. A router answers 502 and records the result as unknown. This works because the gateway learns only in classify_response whether an upstream has run a request, and from there the four statuses arise only as refusals of its own.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,7 +25,7 @@
 use crate::directory::UpstreamEntry;
 use crate::placement::{LoadReport, Outcome, PlacementError};
 use crate::platform::headers;
-use crate::refusal::Refusal;
+use crate::refusal::{self, Refusal};
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
 use crate::shared_limits::{RetryLimiter, RetryRule};
@@ -156,6 +156,8 @@
     NotRun(CompactString),
     /// The request may have run but produced no usable response, for this reason.
     MayHaveRun(CompactString),
+    /// The upstream refused the request, for this reason, without a proof that it did not run.
+    UnprovenRefusal(CompactString),
 }
 
 /// Sends a request until an upstream responds with a head that can be relayed.
@@ -197,7 +199,8 @@
         match result {
             AttemptResult::Response(response) => {
                 attempts.runs += 1;
-                if !is_retryable(call, attempts, &response, is_resumption) {
+                let is_failure = response.upstream_response.status() >= 500;
+                if !is_failure || !may_run_again(call, attempts, is_resumption) {
                     return Ok((response, in_flight));
                 }
                 in_flight.set_failed_response();
@@ -226,6 +229,19 @@
                     ));
                 }
             }
+            AttemptResult::UnprovenRefusal(reason) => {
+                attempts.record_failed_response(call, in_flight, &reason);
+                if !may_run_again(call, attempts, is_resumption)
+                    || !may_retry(shared, call, attempts)
+                {
+                    return Err(give_up(
+                        call,
+                        attempts,
+                        Refusal::UpstreamFailed,
+                        "the upstream refused the request, which may have run",
+                    ));
+                }
+            }
         }
     }
 }
@@ -380,22 +396,16 @@
     })
 }
 
-/// Returns whether a response is a server error that is worth a retry at another upstream.
+/// Returns whether a request that an upstream has failed in a response may run again at another upstream.
 ///
 /// The caller of a stream that is being resumed already has a status, so the server error would end the stream.
-fn is_retryable(
-    call: &Call<'_>,
-    attempts: &Attempts,
-    response: &StartedResponse,
-    is_resumption: bool,
-) -> bool {
-    let is_failure = response.upstream_response.status() >= 500;
+fn may_run_again(call: &Call<'_>, attempts: &Attempts, is_resumption: bool) -> bool {
     let may_run_again = match call.route().retry_semantics {
         RetrySemantics::Idempotent => true,
         RetrySemantics::Resumable => is_resumption,
         RetrySemantics::AtMostOnce => false,
     };
-    is_failure && may_run_again && attempts.runs < call.route().max_attempts
+    may_run_again && attempts.runs < call.route().max_attempts
 }
 
 /// Returns whether a retry is possible: time remains, an upstream is available and the retry limit is not used up.
@@ -670,6 +680,10 @@
             limits::report_served(shared, &response.upstream, permit);
         }
     }
+    // A statement about another request proves nothing about this one.
+    if !headers::matches_request_id(fields, &call.meta.id) {
+        return AttemptResult::MayHaveRun("the response belongs to another request".into());
+    }
     if headers::is_not_executed(status, fields) {
         in_flight.set_outcome(if status == MISDIRECTED_REQUEST {
             Outcome::Replaced
@@ -678,8 +692,10 @@
         });
         return AttemptResult::NotRun(format_compact!("status {status}"));
     }
-    if !headers::matches_request_id(fields, &call.meta.id) {
-        return AttemptResult::MayHaveRun("the response belongs to another request".into());
+    if refusal::states_not_run(status) {
+        return AttemptResult::UnprovenRefusal(format_compact!(
+            "status {status} without a proof that the request did not run"
+        ));
     }
     if (200..300).contains(&status) {
         if !headers::is_signed(fields) || !headers::has_request_id(fields) {
--- a/src/gateway/attempt/handover.rs
+++ b/src/gateway/attempt/handover.rs
@@ -180,6 +180,10 @@
             attempts.record_failed_run(call, in_flight, &reason);
             Ok(HandOver::Refused)
         }
+        AttemptResult::UnprovenRefusal(reason) => {
+            attempts.record_failed_response(call, in_flight, &reason);
+            Ok(HandOver::Refused)
+        }
     }
 }
 
@@ -305,8 +309,8 @@
         self.record_failure(call, &in_flight, reason);
     }
 
-    /// Records an attempt whose response is a server error.
-    fn record_failed_response(
+    /// Records an attempt whose response is a failure.
+    pub(super) fn record_failed_response(
         &mut self,
         call: &Call<'_>,
         mut in_flight: InFlight<'_>,
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -5,6 +5,14 @@
 
 use serde::Serialize;
 
+/// Returns whether a status states that the request has not run and never will.
+///
+/// Callers send a request again after such a status, also one that may run only once. An upstream that uses it without a
+/// proof may have run the request, so the status is not passed on. See `docs/operations/refusals.md`.
+pub fn states_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Whether a refused request may have run at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -18,7 +18,7 @@
 use crate::intent::Claim;
 use crate::message::PeerMessage;
 use crate::record::{Crash, Entry};
-use crate::refusal::{ExecutionStatus, Refusal};
+use crate::refusal::{self, ExecutionStatus, Refusal};
 use crate::upstream_client::{Error, UpstreamRequest, UpstreamResponse};
 
 /// Maximum number of attempts for one request.
@@ -381,6 +381,16 @@
             return Err(on_timeout(attempts, slot).await);
         };
         match result {
+            Ok(response) if refusal::states_not_run(response.status) => {
+                // Upstreams have no way to prove that a call did not run.
+                let reason = format_compact!("refused with status {}", response.status);
+                attempts.record_failure(slot, &reason);
+                if !call.is_repeatable() {
+                    return Err(attempts.failure_refusal(
+                        "the upstream refused the call after it was sent, so it may have run",
+                    ));
+                }
+            }
             Ok(response) if response.status < 500 || !call.is_repeatable() => {
                 let latency_ms = shared.now_ms() - slot.dispatched_ms;
                 attempts.record_success(slot, Some(latency_ms));
@@ -521,8 +531,13 @@
 
 /// Creates the response to a repetition of a call that has run; the original response body is not stored.
 fn repeated_response(status: u16) -> BufferedResponse {
+    let states_not_run = refusal::states_not_run(status);
     BufferedResponse {
-        status,
+        status: if states_not_run {
+            Refusal::UpstreamFailed.status()
+        } else {
+            status
+        },
         content_type: "application/json".into(),
         body: Bytes::from(format!(
             "{{\"outcome\":{{\"status\":{status},\"repeated\":true}}}}"
