End an exchange when the upstream ends its side during an upload

Cause: the write of a body waited until the connection could be written or read. The end of a stream stays readable, so the wait completed at once, again and again, without a return to the event loop. Beside it, a write ended at the first byte of an interim response or of an incomplete head, and a router wrote the whole body before it looked at the response.

Change: one function sends a request and reads the head of its response, for both roles and the clients of the platform's services. What arrives while a body is written is read into the head: writing goes on until the head is complete, and the end of the stream ends the exchange. After a failed write a response that had arrived is read first, and a body without a length or chunks never counts as complete. Each read of the end of the stream leaves the loop, so no wait on an ended stream is repeated.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -79,8 +79,6 @@
     pub(super) upstream: CompactString,
     /// The response; its body is still to be read.
     pub(super) upstream_response: Box<UpstreamResponse>,
-    /// Whether the whole request was written, so that the connection can be reused.
-    pub(super) is_reusable: bool,
 }
 
 /// Why a request got no response.
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -11,7 +11,7 @@
 use super::{InFlight, StartedResponse, Target};
 use crate::directory::UpstreamEntry;
 use crate::gateway::request::Call;
-use crate::gateway::{availability, pool, Shared};
+use crate::gateway::{availability, Shared};
 use crate::platform::headers;
 use crate::server::Socket;
 use crate::upstream_client::UpstreamResponse;
@@ -64,7 +64,7 @@
     shared: &Shared,
     call: &Call<'_>,
     (id, entry): (CompactString, UpstreamEntry),
-    mut socket: Socket,
+    socket: Socket,
     output: [Bytes; 2],
 ) -> HeadResult {
     let record_availability = |response: &UpstreamResponse| {
@@ -72,10 +72,8 @@
         availability::record_response(shared, &id, &entry, status, fields);
     };
     shared.record_dispatch(call);
-    let written = pool::write_request(&mut socket, output).await;
-    let is_reusable = written.map_err(|error| format_compact!("sending: {error}"))?;
-    let started = UpstreamResponse::read_head(socket, &id).await;
-    let mut upstream_response = started.map_err(|(error, _)| format_compact!("{error}"))?;
+    let started = UpstreamResponse::request(socket, output, &id).await;
+    let mut upstream_response = started.map_err(|failed| format_compact!("{}", failed.error))?;
     record_availability(&upstream_response);
     for _ in 0..MAX_SKIPPED_RESPONSES {
         if headers::matches_request_id(upstream_response.headers(), &call.meta.id) {
@@ -96,6 +94,5 @@
     Ok(StartedResponse {
         upstream: id,
         upstream_response: Box::new(upstream_response),
-        is_reusable,
     })
 }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -4,15 +4,11 @@
 //! can be assigned to another one.
 
 use std::cell::RefCell;
-use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, BorrowedFd};
-use std::pin::pin;
-use std::task::Poll;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use monoio::net::TcpStream;
 use quick_error::quick_error;
@@ -182,52 +178,3 @@
         log::debug!(step = "connect"; "setting TCP_USER_TIMEOUT failed: {error}");
     }
 }
-
-/// Writes a request; returns whether all of it was written.
-///
-/// An upstream may respond before it has read a long body. Writing stops at the first byte of such a response, and the
-/// connection cannot be reused, because the upstream would take the next request for the rest of the body.
-///
-/// # Errors
-///
-/// Returns the error of the connection, unless a response may be read.
-pub(super) async fn write_request(socket: &mut Socket, parts: [Bytes; 2]) -> std::io::Result<bool> {
-    for part in parts {
-        if !write_part(socket, part).await? {
-            return Ok(false);
-        }
-    }
-    Ok(true)
-}
-
-async fn write_part(socket: &mut Socket, mut output: Bytes) -> std::io::Result<bool> {
-    while !output.is_empty() {
-        match socket.try_write(&mut output) {
-            Some(Ok(0)) => return Err(std::io::ErrorKind::WriteZero.into()),
-            Some(Ok(_)) => {}
-            Some(Err(error)) => {
-                return match socket.try_fill() {
-                    Some(Ok(1..)) => Ok(false),
-                    _ => Err(error),
-                };
-            }
-            None => {
-                let is_readable = {
-                    let mut readable = pin!(socket.readable());
-                    let mut writable = pin!(socket.writable());
-                    poll_fn(|context| {
-                        if readable.as_mut().poll(context).is_ready() {
-                            return Poll::Ready(true);
-                        }
-                        writable.as_mut().poll(context).map(|_| false)
-                    })
-                    .await
-                };
-                if is_readable && matches!(socket.try_fill(), Some(Ok(1..))) {
-                    return Ok(false);
-                }
-            }
-        }
-    }
-    Ok(true)
-}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -696,7 +696,7 @@
         .borrow()
         .get(&response.upstream)
         .is_some_and(|entry| !entry.is_draining && in_flight.is_at(entry));
-    if !response.is_reusable || !is_current {
+    if !is_current {
         return;
     }
     if let Some(socket) = response.upstream_response.into_reusable() {
--- a/src/log_client/http_client.rs
+++ b/src/log_client/http_client.rs
@@ -11,7 +11,7 @@
 
 use super::Error;
 use crate::server::Socket;
-use crate::upstream_client::{join_small_body, put_fields, UpstreamResponse};
+use crate::upstream_client::{join_small_body, put_fields, Progress, UpstreamResponse};
 
 /// Largest response body that the client accepts, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -98,8 +98,10 @@
             match self.exchange_on(socket, output.clone()).await {
                 Ok(response) => return Ok(response),
                 // The server may have closed the idle connection, so the request is sent again on a new one.
-                Err((_, false)) => {}
-                Err((message, true)) => return Err(self.connection_error(step, message)),
+                Err((_, Progress::Sending | Progress::Waiting)) => {}
+                Err((message, Progress::Responding)) => {
+                    return Err(self.connection_error(step, message));
+                }
             }
         }
         let stream = TcpStream::connect(self.address.as_str()).await;
@@ -141,23 +143,19 @@
         Ok(join_small_body(head, request.body()))
     }
 
-    /// Sends a request and reads the response; an error includes whether any byte of a response was received.
+    /// Sends a request and reads the response; an error includes how far the exchange came.
     async fn exchange_on(
         &self,
-        mut socket: Socket,
+        socket: Socket,
         output: [Bytes; 2],
-    ) -> Result<Response, (String, bool)> {
-        for part in output {
-            let written = socket.write_all(part).await;
-            written.map_err(|error| (error.to_string(), false))?;
-        }
-        let response = UpstreamResponse::read_head(socket, &self.address).await;
+    ) -> Result<Response, (String, Progress)> {
+        let response = UpstreamResponse::request(socket, output, &self.address).await;
         let mut response =
-            response.map_err(|(error, has_received)| (error.to_string(), has_received))?;
+            response.map_err(|failed| (failed.error.to_string(), failed.progress))?;
         let body = response.read_all(MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|error| (error.to_string(), true))?;
+        let body = body.map_err(|error| (error.to_string(), Progress::Responding))?;
         let status = StatusCode::from_u16(response.status());
-        let status = status.map_err(|error| (error.to_string(), true))?;
+        let status = status.map_err(|error| (error.to_string(), Progress::Responding))?;
         let headers = response.headers().clone();
         if let Some(socket) = response.into_reusable() {
             let mut idle = self.idle.borrow_mut();
--- a/src/upstream_client.rs
+++ b/src/upstream_client.rs
@@ -13,6 +13,7 @@
 pub(crate) use client::{join_small_body, put_fields};
 pub use client::{Client, UpstreamRequest};
 pub use engine_api::{CacheEvent, CacheEventPage, EngineLoad, OrderRequest, OrderResponse};
+pub(crate) use response::Progress;
 pub use response::UpstreamResponse;
 pub use sse::{Event, EventSplitter};
 
--- a/src/upstream_client/client.rs
+++ b/src/upstream_client/client.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use monoio::net::TcpStream;
 
-use super::{Error, UpstreamResponse};
+use super::{Error, Progress, UpstreamResponse};
 use crate::collections::FastMap;
 use crate::ids::RequestKey;
 use crate::server::Socket;
@@ -127,34 +127,31 @@
         let output = request.encode(target);
         let mut may_have_run = false;
         if request.repeatable {
-            while let Some(mut socket) = self.take_idle(target) {
-                if write_parts(&mut socket, &output).await.is_err() {
-                    continue;
-                }
-                match UpstreamResponse::read_head(socket, address).await {
+            while let Some(socket) = self.take_idle(target) {
+                let exchanged = UpstreamResponse::request(socket, output.clone(), address).await;
+                match exchanged {
                     Ok(response) => return Ok(response),
-                    // Either the upstream closed the idle connection while the request was in transit, or it crashed
-                    // while it ran the request. Only a new connection shows which.
-                    Err((_, false)) => {
-                        may_have_run = true;
-                        break;
-                    }
-                    Err((error, true)) => return Err(error),
+                    Err(failed) => match failed.progress {
+                        Progress::Sending => {}
+                        // Either the upstream closed the idle connection while the request was in transit, or it crashed
+                        // while it ran the request. Only a new connection shows which.
+                        Progress::Waiting => {
+                            may_have_run = true;
+                            break;
+                        }
+                        Progress::Responding => return Err(failed.error),
+                    },
                 }
             }
         }
-        let mut socket = match connect(target, address).await {
+        let socket = match connect(target, address).await {
             Err(error) if may_have_run => {
                 return Err(Error::Broken("sending", address.into(), error.to_string()));
             }
             connected => connected?,
         };
-        write_parts(&mut socket, &output)
-            .await
-            .map_err(|error| Error::Broken("sending", address.into(), error.to_string()))?;
-        UpstreamResponse::read_head(socket, address)
-            .await
-            .map_err(|(error, _)| error)
+        let exchanged = UpstreamResponse::request(socket, output, address).await;
+        exchanged.map_err(|failed| failed.error)
     }
 
     /// Keeps the connection of a completely read response for the next request, if it can be reused.
@@ -251,13 +248,6 @@
     }
 }
 
-async fn write_parts(socket: &mut Socket, parts: &[Bytes]) -> std::io::Result<()> {
-    for part in parts {
-        socket.write_all(part.clone()).await?;
-    }
-    Ok(())
-}
-
 async fn connect(target: SocketAddr, address: &str) -> Result<Socket, Error> {
     match monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(target)).await {
         Ok(Ok(stream)) => Ok(Socket::new(stream)),
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -1,6 +1,11 @@
-//! Reading of the response of an upstream.
+//! Exchange of a request for the response of an upstream.
 
-use bytes::Bytes;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::pin::pin;
+use std::task::Poll;
+
+use bytes::{Bytes, BytesMut};
 use http::header::{HeaderMap, CONNECTION, CONTENT_TYPE, TRAILER};
 
 use super::head::Head;
@@ -40,6 +45,158 @@
     }
 }
 
+/// How much of the request had been sent when the head of its response was complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sending {
+    Complete,
+    /// The upstream responded first. It would take the next request for the rest of this one.
+    Stopped,
+    /// The connection failed. The error may have been reported to the write alone, so that the end of the stream does
+    /// not show that a body without framing is complete.
+    Failed,
+}
+
+/// How far an exchange came that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// The request could not be written.
+    Sending,
+    /// The upstream sent nothing.
+    Waiting,
+    /// A part of a response arrived.
+    Responding,
+}
+
+/// Why a request got no response, and how far the exchange came.
+#[derive(Debug)]
+pub(crate) struct ExchangeError {
+    pub(crate) error: Error,
+    pub(crate) progress: Progress,
+}
+
+/// Reader of the head of a response, which interim responses may precede.
+struct HeadReader<'u> {
+    upstream: &'u str,
+    interim_responses: u32,
+    has_received: bool,
+}
+
+impl<'u> HeadReader<'u> {
+    fn new(upstream: &'u str) -> Self {
+        Self {
+            upstream,
+            interim_responses: 0,
+            has_received: false,
+        }
+    }
+
+    /// Takes the head of the final response from the input; returns `None` if more input is needed.
+    fn take(&mut self, input: &mut BytesMut) -> Result<Option<Head>, ExchangeError> {
+        self.has_received |= !input.is_empty();
+        loop {
+            let reason = match Head::take(input) {
+                Ok(Some(head)) if head.is_interim() => {
+                    self.interim_responses += 1;
+                    if self.interim_responses <= MAX_INTERIM_RESPONSES {
+                        continue;
+                    }
+                    "too many interim responses".to_owned()
+                }
+                Ok(Some(head)) => return Ok(Some(head)),
+                Ok(None) if input.len() > MAX_HEAD_BYTES => {
+                    "the head is larger than 16 KiB".to_owned()
+                }
+                Ok(None) if !may_begin_response(input) => "this is no HTTP response".to_owned(),
+                Ok(None) => return Ok(None),
+                Err(error) => error.to_string(),
+            };
+            return Err(self.failed(reason));
+        }
+    }
+
+    /// Reads until the head of the final response is complete.
+    async fn read(&mut self, socket: &mut Socket) -> Result<Head, ExchangeError> {
+        loop {
+            if let Some(head) = self.take(socket.input())? {
+                return Ok(head);
+            }
+            self.check_received(socket.fill_up_to(HEAD_READ_BYTES).await)?;
+        }
+    }
+
+    /// Checks that a read has returned bytes.
+    fn check_received(&self, result: io::Result<usize>) -> Result<(), ExchangeError> {
+        match result {
+            Ok(0) => Err(self.failed("connection closed")),
+            Ok(_) => Ok(()),
+            Err(error) => Err(self.failed(error)),
+        }
+    }
+
+    fn failed(&self, reason: impl ToString) -> ExchangeError {
+        ExchangeError {
+            error: broken(self.upstream, reason),
+            progress: if self.has_received {
+                Progress::Responding
+            } else {
+                Progress::Waiting
+            },
+        }
+    }
+}
+
+/// Writes a part of a request; returns the head of the response if the upstream responds before it has read all of it.
+///
+/// The connection is read whenever the upstream takes no more bytes. An upstream that closes its sending side without a
+/// response sends none later, so the end of the stream ends the exchange: it stays readable, and waiting for more input
+/// would keep the event loop from everything else.
+async fn write_part(
+    socket: &mut Socket,
+    mut part: Bytes,
+    reader: &mut HeadReader<'_>,
+) -> Result<Option<(Head, Sending)>, ExchangeError> {
+    while !part.is_empty() {
+        match socket.try_write(&mut part) {
+            Some(Ok(1..)) => {}
+            Some(result) => {
+                // The response may have arrived before the connection failed.
+                let error = result.err().unwrap_or(io::ErrorKind::WriteZero.into());
+                return match reader.read(socket).await {
+                    Ok(head) => Ok(Some((head, Sending::Failed))),
+                    Err(failed) if failed.progress == Progress::Responding => Err(failed),
+                    Err(_) => Err(ExchangeError {
+                        error: Error::Broken("sending", reader.upstream.into(), error.to_string()),
+                        progress: Progress::Sending,
+                    }),
+                };
+            }
+            None if is_readable_first(socket).await => {
+                if let Some(result) = socket.try_fill_up_to(HEAD_READ_BYTES) {
+                    reader.check_received(result)?;
+                    if let Some(head) = reader.take(socket.input())? {
+                        return Ok(Some((head, Sending::Stopped)));
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+    Ok(None)
+}
+
+/// Waits until a connection can be read or written; returns whether it can be read.
+async fn is_readable_first(socket: &Socket) -> bool {
+    let mut readable = pin!(socket.readable());
+    let mut writable = pin!(socket.writable());
+    poll_fn(|context| {
+        if readable.as_mut().poll(context).is_ready() {
+            return Poll::Ready(true);
+        }
+        writable.as_mut().poll(context).map(|_| false)
+    })
+    .await
+}
+
 /// A response whose body is read in parts.
 pub struct UpstreamResponse {
     socket: Socket,
@@ -53,47 +210,33 @@
     /// Whether the statement of the length may be spoilt, which bytes after the end would confirm.
     is_end_doubtful: bool,
     is_eof: bool,
+    sending: Sending,
 }
 
 impl UpstreamResponse {
-    /// Reads the head of a response.
+    /// Sends a request, whose parts are written one after the other, and reads the head of its response.
     ///
-    /// The error includes whether any byte of the response was received.
-    pub(crate) async fn read_head(
+    /// # Errors
+    ///
+    /// Returns why there is no response and how far the exchange came.
+    pub(crate) async fn request(
         mut socket: Socket,
+        parts: [Bytes; 2],
         upstream: &str,
-    ) -> Result<Self, (Error, bool)> {
-        let mut has_received = false;
-        let mut interim_responses = 0;
-        let head = loop {
-            match Head::take(socket.input()) {
-                Ok(Some(head)) if head.is_interim() => {
-                    interim_responses += 1;
-                    if interim_responses > MAX_INTERIM_RESPONSES {
-                        return Err((broken(upstream, "too many interim responses"), true));
-                    }
-                    continue;
-                }
-                Ok(Some(head)) => break head,
-                Ok(None) if socket.input().len() > MAX_HEAD_BYTES => {
-                    return Err((broken(upstream, "the head is larger than 16 KiB"), true));
-                }
-                Ok(None) if !may_begin_response(socket.input()) => {
-                    return Err((broken(upstream, "this is no HTTP response"), true));
-                }
-                Ok(None) => {}
-                Err(error) => return Err((broken(upstream, error), true)),
+    ) -> Result<Self, ExchangeError> {
+        let mut reader = HeadReader::new(upstream);
+        // Each part is released when it is written.
+        for part in parts {
+            let answered = write_part(&mut socket, part, &mut reader).await?;
+            if let Some((head, sending)) = answered {
+                return Ok(Self::with_head(socket, upstream, head, sending));
             }
-            match socket.fill_up_to(HEAD_READ_BYTES).await {
-                Ok(0) => return Err((broken(upstream, "connection closed"), has_received)),
-                Ok(_) => has_received = true,
-                Err(error) => return Err((broken(upstream, error), has_received)),
-            }
-        };
-        Ok(Self::with_head(socket, upstream, head))
+        }
+        let head = reader.read(&mut socket).await?;
+        Ok(Self::with_head(socket, upstream, head, Sending::Complete))
     }
 
-    fn with_head(socket: Socket, upstream: &str, head: Head) -> Self {
+    fn with_head(socket: Socket, upstream: &str, head: Head, sending: Sending) -> Self {
         let framing = Framing::of(&head);
         let closes = head
             .fields
@@ -109,6 +252,7 @@
             status: head.status,
             headers: Box::new(head.fields),
             is_eof: false,
+            sending,
         }
     }
 
@@ -193,7 +337,7 @@
             },
             Framing::UntilClose => {
                 let piece = input.split().freeze();
-                if piece.is_empty() && self.is_eof {
+                if piece.is_empty() && self.is_eof && self.sending != Sending::Failed {
                     self.framing = Framing::Ended;
                 }
                 (!piece.is_empty()).then_some(piece)
@@ -279,13 +423,16 @@
     pub(crate) async fn skip(mut self, limit_bytes: usize) -> Result<Self, Error> {
         self.read_all(limit_bytes).await?;
         let upstream = std::mem::take(&mut self.upstream);
-        let next = Self::read_head(self.socket, &upstream).await;
-        next.map_err(|(error, _)| error)
+        let mut reader = HeadReader::new(&upstream);
+        let head = reader.read(&mut self.socket).await;
+        let head = head.map_err(|failed| failed.error)?;
+        Ok(Self::with_head(self.socket, &upstream, head, self.sending))
     }
 
     /// Returns the connection if it can be used for another request.
     pub(crate) fn into_reusable(mut self) -> Option<Socket> {
-        let is_clean = self.is_ended() && self.keep_alive && !self.is_eof;
+        let is_sent = self.sending == Sending::Complete;
+        let is_clean = self.is_ended() && self.keep_alive && !self.is_eof && is_sent;
         (is_clean && self.socket.input().is_empty()).then(|| {
             self.socket.shrink();
             self.socket
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -497,6 +497,8 @@
         discarded_bytes: usize,
         ends_properly: bool,
     },
+    /// Does these things one after the other, and then closes the connection.
+    Steps(Vec<Step>),
     /// Reads without responding until the peer closes the connection, then counts it in `abandoned`.
     Silent,
     /// Writes these bytes and then does the same as `Silent`.
@@ -513,6 +515,17 @@
     Reset,
 }
 
+/// Something that an upstream does with a connection while it is sent the body of a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Reads this many bytes, or fewer at the end of the stream.
+    Read(usize),
+    Write(Vec<u8>),
+    Pause(Duration),
+    /// Closes its sending side.
+    EndSending,
+}
+
 /// Pause after each piece of a response, so that it arrives by itself.
 const PIECE_PAUSE: Duration = Duration::from_millis(3);
 
@@ -710,6 +723,21 @@
                     reset(&stream);
                     return;
                 }
+                Action::Steps(steps) => {
+                    for step in steps {
+                        match step {
+                            Step::Read(bytes) => discard(&mut reader, bytes),
+                            Step::Write(bytes) => {
+                                let _ = stream.write_all(&bytes);
+                            }
+                            Step::Pause(pause) => std::thread::sleep(pause),
+                            Step::EndSending => {
+                                let _ = stream.shutdown(Shutdown::Write);
+                            }
+                        }
+                    }
+                    return;
+                }
                 Action::Pause { first, pause, rest } => {
                     let is_written = stream.write_all(&first).is_ok();
                     std::thread::sleep(pause);
@@ -988,6 +1016,11 @@
         self.child.id()
     }
 
+    /// Returns the processor time that the process has used so far.
+    pub fn processor_time(&self) -> Duration {
+        processor_time(self.child.id())
+    }
+
     /// Returns the most memory that the process has used so far, in KiB.
     pub fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
@@ -1015,6 +1048,21 @@
     }
 }
 
+/// Returns the processor time that a process has used so far.
+pub fn processor_time(process: u32) -> Duration {
+    let path = format!("/proc/{process}/stat");
+    let stat = std::fs::read_to_string(path).expect("a running process");
+    // The fields after the name in parentheses; the name may contain spaces.
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    let ticks: u64 = ticks
+        .map(|field| field.parse::<u64>().expect("ticks"))
+        .sum();
+    // SAFETY: sysconf only reads a constant of the system.
+    let ticks_per_s = unsafe { libc::sysconf(libc::_SC_CLK_TCK) } as u64;
+    Duration::from_millis(ticks * 1_000 / ticks_per_s)
+}
+
 pub fn write_settings(text: &str) -> String {
     let name = format!(
         "monsoonfield-gateway-{}-{}.yaml",
