Bound each figure that others state where it is read

Nothing bounded the limit. Deadlines, idle times, times and slots of the configuration and entries, budgets, and waits in datagrams were believed too, and overflowed sums, products or the timers of the runtime.

Change: each figure is bounded once, where it is read, at a value that no sound sender meets, with one warning for each field; a datagram with a figure out of bounds is ignored. A limit above 10,000 requests a second is no limit. The grants of a predecessor are a number and a time, so memory does not depend on the limit.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -214,6 +214,10 @@
         socket.ignore(shared, peer, "its content is of an unknown kind");
         return;
     };
+    if !content.is_within_bounds() {
+        socket.ignore(shared, peer, "a figure in it is out of bounds");
+        return;
+    }
     let needs_member = !matches!(content, Content::PromptNotice(_) | Content::Clock(_));
     if needs_member && !shared.routers.borrow().is_member(peer) {
         shared.is_stranger_seen.set(true);
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -3,6 +3,19 @@
 use prost::{Enumeration, Message, Oneof};
 
 use crate::allowance::BudgetRecord;
+use crate::upstream_limits::MAX_LIMIT_MILLI_PER_S;
+
+/// Longest wait in a datagram; no request waits for longer.
+const MAX_WAIT_MS: u64 = 86_400_000;
+
+/// Largest age and reading of a wall clock in a datagram, in the year 37,648.
+const MAX_TIME_MS: u64 = 1 << 50;
+
+/// Largest number of tokens in a datagram, that of the largest budget.
+const MAX_TOKENS: u64 = 1 << 50;
+
+/// Largest number of requests or responses in a datagram.
+const MAX_COUNT: u64 = 1 << 40;
 
 /// Envelope of all datagrams.
 #[derive(Clone, PartialEq, Message)]
@@ -66,6 +79,44 @@
     LimitServed(LimitServed),
 }
 
+impl Content {
+    /// Returns whether all figures are within the bounds that gateways keep, so that sums of them fit.
+    pub(super) fn is_within_bounds(&self) -> bool {
+        let wait_fits = |wait_ms: Option<u64>| wait_ms.is_none_or(|ms| ms <= MAX_WAIT_MS);
+        let limit_fits =
+            |limit: Option<u64>| limit.is_none_or(|limit| limit <= MAX_LIMIT_MILLI_PER_S);
+        match self {
+            Self::Handover(handover) => handover.tokens <= MAX_TOKENS,
+            Self::Clock(clock) => clock.wall_ms <= MAX_TIME_MS,
+            Self::Reserve(request) => {
+                request.tokens <= MAX_TOKENS && request.remaining_ms <= MAX_WAIT_MS
+            }
+            Self::ReserveReply(reply) => {
+                wait_fits(reply.wait_ms) && reply.retry_after_ms <= MAX_WAIT_MS
+            }
+            Self::Settle(settlement) => settlement.charge_tokens <= MAX_TOKENS,
+            Self::RightsRequest(request) => request.tokens <= MAX_TOKENS,
+            Self::Limit(message) => limit_fits(message.limit_milli_per_s),
+            Self::LimitRequest(request) => limit_fits(request.limit_milli_per_s),
+            Self::LimitReply(reply) => wait_fits(reply.denied_ms),
+            Self::VersionReport(report) => report.is_within_bounds(),
+            Self::MoveNotice(notice) => {
+                let times_ms = [notice.valid_ms, notice.complete_in_ms];
+                notice.new_requests <= MAX_COUNT && times_ms.iter().all(|ms| *ms <= MAX_TIME_MS)
+            }
+            Self::UpstreamGone(message) => message.age_ms <= MAX_TIME_MS,
+            Self::PromptNotice(_)
+            | Self::SettleReply(_)
+            | Self::HandoverReply(_)
+            | Self::RecordNotice(_)
+            | Self::RecordNoticeReply(_)
+            | Self::RecordQuery(_)
+            | Self::RecordQueryReply(_)
+            | Self::LimitServed(_) => true,
+        }
+    }
+}
+
 /// The version of a team's record that a gateway has written.
 #[derive(Clone, PartialEq, Message)]
 pub(in crate::gateway) struct RecordNotice {
@@ -396,6 +447,39 @@
     pub(in crate::gateway) routes: Vec<RouteReport>,
 }
 
+impl VersionReport {
+    fn is_within_bounds(&self) -> bool {
+        let counts = [
+            self.new_responses,
+            self.new_bad,
+            self.old_responses,
+            self.old_bad,
+            self.requests,
+            self.new_requests,
+        ];
+        counts.iter().all(|count| *count <= MAX_COUNT)
+            && self.age_ms <= MAX_TIME_MS
+            && self.routes.iter().all(RouteReport::is_within_bounds)
+    }
+}
+
+impl RouteReport {
+    fn is_within_bounds(&self) -> bool {
+        let counts = [
+            self.new_responses,
+            self.new_bad,
+            self.old_responses,
+            self.old_bad,
+            self.reference_responses,
+        ];
+        let times = self.unjudged_ms.iter().chain([&self.reference_unit_ms]);
+        counts.iter().all(|count| *count <= MAX_COUNT)
+            && times
+                .into_iter()
+                .all(|ms| (0.0..=MAX_TIME_MS as f64).contains(ms))
+    }
+}
+
 /// Responses of both versions on one route.
 #[derive(Clone, PartialEq, Message)]
 pub(in crate::gateway) struct RouteReport {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,6 +4,7 @@
 //! [`crate::store`] and [`crate::gateway`]. This module makes no decisions, and no other module knows the names of the
 //! platform. See `docs/design.md`, section 10.
 
+mod bounds;
 pub mod documents;
 pub mod headers;
 mod store_client;
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -8,12 +8,17 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+use super::bounds::{bounded, MAX_EVENT_TOKENS, MAX_REQUESTS, MAX_TIME_MS, MAX_TOKENS};
 use crate::directory::UpstreamEntry;
 use crate::evacuation::OrderRecord;
 use crate::rollout_completion::NO_DEADLINE_MS;
 use crate::routing::{CallerLimits, RetrySemantics, Route, RoutingConfiguration, Service, Team};
+use crate::upstream_limits::MAX_LIMIT_MILLI_PER_S;
 use crate::version_canary::{RolloutOrder, RolloutState};
 
+/// Step in the log.
+const CONFIGURATION: &str = "configuration";
+
 /// Key of the configuration in the feed of the operator.
 pub const CONFIGURATION_KEY: &str = "config";
 
@@ -125,9 +130,8 @@
 ///
 /// Returns an error that names the first field that is missing, has another type or an unknown value.
 pub fn decode_configuration(bytes: &[u8]) -> Result<RoutingConfiguration, Error> {
-    const STEP: &str = "configuration";
-    let document: ConfigurationDocument =
-        serde_json::from_slice(bytes).map_err(|error| Error::Syntax(STEP, error.to_string()))?;
+    let document: ConfigurationDocument = serde_json::from_slice(bytes)
+        .map_err(|error| Error::Syntax(CONFIGURATION, error.to_string()))?;
     let routes = document.routes.into_iter().map(route);
     Ok(RoutingConfiguration {
         version: document.version,
@@ -137,19 +141,23 @@
         limits: CallerLimits {
             head_bytes: document.limits.max_header_bytes,
             body_bytes: document.limits.max_body_bytes,
-            head_timeout_ms: document.limits.header_timeout_ms as u64,
-            idle_timeout_ms: document.limits.idle_timeout_ms as u64,
+            head_timeout_ms: time_ms("header_timeout_ms", document.limits.header_timeout_ms),
+            idle_timeout_ms: time_ms("idle_timeout_ms", document.limits.idle_timeout_ms),
         },
     })
 }
 
+fn time_ms(field: &str, value_ms: f64) -> u64 {
+    bounded(CONFIGURATION, field, value_ms, MAX_TIME_MS)
+}
+
 fn route(document: RouteDocument) -> Result<Route, Error> {
     let (retry_semantics, is_stream) = match document.kind.as_str() {
         "idempotent" => (RetrySemantics::Idempotent, false),
         "non_idempotent" => (RetrySemantics::AtMostOnce, false),
         "streaming" if document.resumable => (RetrySemantics::Resumable, true),
         "streaming" => (RetrySemantics::AtMostOnce, true),
-        other => return Err(Error::Value("configuration", "kind", other.into())),
+        other => return Err(Error::Value(CONFIGURATION, "kind", other.into())),
     };
     let split = document.weighted_split.into_iter();
     let mut targets: Vec<_> = split
@@ -164,8 +172,8 @@
         path_prefix: document.path_prefix,
         retry_semantics,
         is_stream,
-        timeout_ms: document.timeout_ms as u64,
-        target_latency_ms: document.target_latency_ms as u64,
+        timeout_ms: time_ms("timeout_ms", document.timeout_ms),
+        target_latency_ms: time_ms("target_latency_ms", document.target_latency_ms),
         priority: document.priority,
         targets,
         max_attempts: document.max_attempts.max(1),
@@ -177,9 +185,17 @@
     Service {
         name: document.name,
         max_connections: document.max_conns.unwrap_or(u32::MAX),
-        event_tokens: document.engine.map(|engine| engine.stride.max(1)),
-        cold_start_ms: (document.cold_start_s * 1_000.0) as u64,
-        cold_requests_milli_per_s: (document.cold_per_s * 1_000.0) as u64,
+        event_tokens: document.engine.map(|engine| {
+            let tokens = engine.stride.max(1) as f64;
+            bounded(CONFIGURATION, "stride", tokens, MAX_EVENT_TOKENS)
+        }),
+        cold_start_ms: time_ms("cold_start_s", document.cold_start_s * 1_000.0),
+        cold_requests_milli_per_s: bounded(
+            CONFIGURATION,
+            "cold_per_s",
+            document.cold_per_s * 1_000.0,
+            MAX_LIMIT_MILLI_PER_S,
+        ),
     }
 }
 
@@ -188,7 +204,9 @@
         name: document.name,
         api_keys: document.api_keys,
         priority: document.priority,
-        prepaid_tokens: document.prepaid.map(|tokens| tokens.max(0.0) as u64),
+        prepaid_tokens: document
+            .prepaid
+            .map(|tokens| bounded(CONFIGURATION, "prepaid", tokens, MAX_TOKENS)),
     }
 }
 
@@ -226,11 +244,16 @@
         address: document.addr,
         data_centre: document.zone,
         version: document.version,
-        slots: document.slots,
+        slots: bounded(STEP, "slots", document.slots.into(), MAX_REQUESTS.into()) as u32,
         is_draining,
         started_ms: Some(document.born),
         report_sequence: document.seq,
-        cold_left_ms: document.cold_left_ms.ceil() as u64,
+        cold_left_ms: bounded(
+            STEP,
+            "cold_left_ms",
+            document.cold_left_ms.ceil(),
+            MAX_TIME_MS,
+        ),
     })
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,9 +1,13 @@
 //! Header fields of requests and responses between callers, routers and upstreams.
 
+use std::fmt;
+
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
+use super::bounds::{bounded, warn_once, MAX_REQUESTS, MAX_TIME_MS};
 use crate::gateway::RequestMeta;
 use crate::placement::{LoadReport, Prompt, PromptPart, PromptParts};
+use crate::upstream_limits::MAX_LIMIT_MILLI_PER_S;
 use crate::upstream_speed::WORK_PERCENT_BOUNDS;
 
 /// Id of one attempt of a caller; responses repeat it.
@@ -17,6 +21,10 @@
 /// Time for which a caller should wait before a retry, in seconds with fractions.
 pub const RETRY_AFTER: HeaderName = HeaderName::from_static("retry-after");
 
+/// Step in the log.
+const STEP: &str = "read header";
+
+const KEEP_ALIVE: &str = "keep-alive";
 const TARGET_INSTANCE: HeaderName = HeaderName::from_static("x-target-instance");
 const TEAM: HeaderName = HeaderName::from_static("x-tenant");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
@@ -46,7 +54,7 @@
 /// Fields that apply to a single connection.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
-    "keep-alive",
+    KEEP_ALIVE,
     "proxy-connection",
     "proxy-authenticate",
     "proxy-authorization",
@@ -78,7 +86,9 @@
     let (input_tokens, max_output_tokens) = token_count(headers).unwrap_or((0, 0));
     RequestMeta {
         id: field_text(headers, &REQUEST_ID).unwrap_or_default().into(),
-        deadline_ms: field_text(headers, &DEADLINE_MS).and_then(|value| value.trim().parse().ok()),
+        deadline_ms: field_text(headers, &DEADLINE_MS)
+            .and_then(|value| value.trim().parse().ok())
+            .map(|deadline_ms: u64| deadline_ms.min(MAX_TIME_MS)),
         input_tokens,
         max_output_tokens,
         output_hint_tokens: field_text(headers, &LENGTH_HINT)
@@ -175,55 +185,71 @@
 }
 
 /// Returns the load that an upstream reported with a response: running requests, waiting requests, slots, and the time
-/// that work takes at present, in percent of the usual time.
+/// that work takes at present, in percent of the usual time. A report out of bounds is logged once and counts as none.
 pub fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
-    let mut parts = field_text(headers, &LOAD)?.split(',').map(str::trim);
+    let text = field_text(headers, &LOAD)?;
+    let mut parts = text.split(',').map(str::trim);
     let mut count = || parts.next()?.parse().ok();
+    let (running, waiting, slots) = (count()?, count()?, count()?);
+    if [running, waiting, slots]
+        .iter()
+        .any(|count| *count > MAX_REQUESTS)
+    {
+        warn(
+            &LOAD,
+            format_args!("more than {MAX_REQUESTS} requests or slots: {text}"),
+        );
+        return None;
+    }
     Some(LoadReport {
-        running: count()?,
-        waiting: count()?,
-        slots: count()?,
+        running,
+        waiting,
+        slots,
         work_percent: parts.next().and_then(work_percent),
     })
 }
 
 /// Reads the fourth figure of a load report. A figure out of bounds is logged once and counts as not stated.
 fn work_percent(text: &str) -> Option<u32> {
-    static LOGGED: std::sync::Once = std::sync::Once::new();
     let percent = text.parse().ok();
     let percent = percent.filter(|percent| WORK_PERCENT_BOUNDS.contains(percent));
     if percent.is_none() {
-        LOGGED.call_once(|| {
-            log::warn!(
-                step = "read header", header = LOAD.as_str();
-                "the fourth figure is not a percentage from 10 to 10000: {text}; further ones are not logged"
-            );
-        });
+        let reason = format_args!("the fourth figure is not a percentage from 10 to 10000: {text}");
+        warn(&LOAD, reason);
     }
     percent
 }
 
 /// Returns the requests a second that an upstream takes from all routers together, in thousandths; `None` if it states
-/// no limit.
+/// no limit, or one above [`MAX_LIMIT_MILLI_PER_S`], which is logged once.
 pub fn request_limit_milli_per_s(headers: &HeaderMap) -> Option<u64> {
     let text = field_text(headers, &REQUEST_LIMIT)?.trim();
     match text.parse::<f64>() {
-        Ok(per_s) if per_s.is_finite() && per_s >= 0.0 => Some((per_s * 1_000.0) as u64),
+        Ok(per_s) if per_s * 1_000.0 > MAX_LIMIT_MILLI_PER_S as f64 => {
+            warn(
+                &REQUEST_LIMIT,
+                format_args!("too high to limit anything: {text}"),
+            );
+            None
+        }
+        Ok(per_s) if per_s >= 0.0 => Some((per_s * 1_000.0) as u64),
         _ => {
-            log::warn!(step = "read header", header = REQUEST_LIMIT.as_str(); "not a rate: {text}");
+            log::warn!(step = STEP, header = REQUEST_LIMIT.as_str(); "not a rate: {text}");
             None
         }
     }
 }
 
 /// Returns the time for which the upstream that sent a response is still cold; `None` if it states none. Health
-/// responses state it, other responses may.
+/// responses state it, other responses may. A time of more than a day is logged once and counts as a day.
 pub fn cold_left_ms(headers: &HeaderMap) -> Option<u64> {
     let text = field_text(headers, &COLD_MS)?.trim();
     match text.parse::<f64>() {
-        Ok(left_ms) if left_ms.is_finite() && left_ms >= 0.0 => Some(left_ms.ceil() as u64),
+        Ok(left_ms) if left_ms >= 0.0 => {
+            Some(bounded(STEP, COLD_MS.as_str(), left_ms.ceil(), MAX_TIME_MS))
+        }
         _ => {
-            log::warn!(step = "read header", header = COLD_MS.as_str(); "not a time: {text}");
+            log::warn!(step = STEP, header = COLD_MS.as_str(); "not a time: {text}");
             None
         }
     }
@@ -235,7 +261,7 @@
         None | Some("0") => false,
         Some("1") => true,
         Some(text) => {
-            log::warn!(step = "read header", header = LEAVING.as_str(); "neither 0 nor 1: {text}");
+            log::warn!(step = STEP, header = LEAVING.as_str(); "neither 0 nor 1: {text}");
             false
         }
     }
@@ -255,7 +281,7 @@
         }
         _ => {
             log::warn!(
-                step = "read header", header = RETRY_AFTER.as_str();
+                step = STEP, header = RETRY_AFTER.as_str();
                 "not a number of seconds: {value:?}"
             );
             None
@@ -263,11 +289,19 @@
     }
 }
 
-/// Returns the idle time after which the sender closes the connection, in whole seconds.
+/// Returns the idle time after which the sender closes the connection, in whole seconds. A time of more than a day is
+/// logged once and counts as a day.
 pub fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let mut parts = value.split(',');
-    parts.find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())
+    let seconds: u64 =
+        parts.find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())?;
+    Some(bounded(
+        STEP,
+        KEEP_ALIVE,
+        seconds as f64,
+        MAX_TIME_MS / 1_000,
+    ))
 }
 
 fn token_count(headers: &HeaderMap) -> Option<(u64, u64)> {
@@ -322,6 +356,10 @@
     hashes
 }
 
+fn warn(name: &HeaderName, reason: fmt::Arguments<'_>) {
+    warn_once(STEP, name.as_str(), reason);
+}
+
 fn field_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -80,7 +80,7 @@
         if event.index != expected {
             pools.record_cache_gap(source.upstream);
         }
-        expected = event.index + 1;
+        expected = event.index.saturating_add(1);
         let change = if event.stored {
             CacheChange::Stored(event.prefix)
         } else {
--- a/src/upstream_limits.rs
+++ b/src/upstream_limits.rs
@@ -42,6 +42,10 @@
 /// than those before them.
 const GRANTED_PERCENT: u64 = 90;
 
+/// Highest limit that is obeyed, in thousandths of a request a second: above the rate of a whole fleet to one upstream, so
+/// that a higher one limits nothing.
+pub const MAX_LIMIT_MILLI_PER_S: u64 = 10_000_000;
+
 /// Rate that is assumed for a lower limit, in thousandths of a request a second; without any request nobody would learn
 /// that the limit has ended.
 const MIN_LIMIT_MILLI_PER_S: u64 = 100;
@@ -143,11 +147,52 @@
     }
 }
 
+/// Grants of a coordinator that count in the present window.
+#[derive(Clone, Debug, Default)]
+struct Grants {
+    /// Number of grants that an earlier coordinator may have made, and the time of the last one. They are not kept one by
+    /// one, because their number follows from what an upstream states.
+    predecessor: Option<(usize, u64)>,
+    /// Times of the own grants with the ids of the requests.
+    own: VecDeque<(u64, u64)>,
+}
+
+impl Grants {
+    fn len(&self) -> usize {
+        self.predecessor_len() + self.own.len()
+    }
+
+    fn predecessor_len(&self) -> usize {
+        self.predecessor.map_or(0, |(count, _)| count)
+    }
+
+    /// Forgets grants that no longer count.
+    fn expire(&mut self, window_ms: u64, now_ms: u64) {
+        let is_over = |at_ms: u64| now_ms.saturating_sub(at_ms) >= window_ms;
+        self.predecessor = self.predecessor.filter(|(_, at_ms)| !is_over(*at_ms));
+        while self.own.front().is_some_and(|(at_ms, _)| is_over(*at_ms)) {
+            self.own.pop_front();
+        }
+    }
+
+    fn contains(&self, id: u64) -> bool {
+        self.own.iter().any(|(_, granted)| *granted == id)
+    }
+
+    /// Returns the time of a grant, by its position from the oldest one.
+    fn at_ms(&self, position: usize) -> Option<u64> {
+        match (self.predecessor, self.predecessor_len()) {
+            (Some((_, at_ms)), count) if position < count => Some(at_ms),
+            (_, count) => self.own.get(position - count).map(|(at_ms, _)| *at_ms),
+        }
+    }
+}
+
 /// Grants for the requests to one upstream, and what its coordinator has said.
 #[derive(Clone, Debug, Default)]
 struct Permissions {
-    /// Times of the grants in the window with the ids of the requests, if this router is the coordinator.
-    grants: Option<VecDeque<(u64, u64)>>,
+    /// Grants, if this router is the coordinator.
+    grants: Option<Grants>,
     /// Time until which the coordinator is not asked.
     denied_until_ms: u64,
     /// Time until which it is not asked for light requests.
@@ -168,28 +213,23 @@
         now_ms: u64,
     ) -> Grant {
         let window_ms = kind.window_ms();
-        let grants = self.grants.get_or_insert_with(|| {
-            let missed = kind.granted_requests(Weight::Heavy);
-            let missed = predecessor_until_ms.map(|at_ms| std::iter::repeat_n((at_ms, 0), missed));
-            missed.into_iter().flatten().collect()
+        let grants = self.grants.get_or_insert_with(|| Grants {
+            predecessor: predecessor_until_ms
+                .map(|at_ms| (kind.granted_requests(Weight::Heavy), at_ms)),
+            own: VecDeque::new(),
         });
-        while grants
-            .front()
-            .is_some_and(|(at_ms, _)| now_ms.saturating_sub(*at_ms) >= window_ms)
-        {
-            grants.pop_front();
-        }
-        if grants.iter().any(|(_, granted)| *granted == id) {
+        grants.expire(window_ms, now_ms);
+        if grants.contains(id) {
             return Grant::Granted;
         }
         let most = kind.granted_requests(weight);
         if grants.len() < most {
-            grants.push_back((now_ms, id));
+            grants.own.push_back((now_ms, id));
             return Grant::Granted;
         }
         // Several grants must leave the window for a light request, or if the limit was higher before.
-        let next = grants.get(grants.len() - most);
-        let next_ms = next.map_or(now_ms, |(at_ms, _)| at_ms + window_ms);
+        let next_ms = grants.at_ms(grants.len() - most);
+        let next_ms = next_ms.map_or(now_ms, |at_ms| at_ms + window_ms);
         Grant::Denied {
             wait_ms: next_ms.saturating_sub(now_ms),
         }
@@ -407,7 +447,7 @@
     /// Returns the time at which this router has granted a request to an upstream that may be cold.
     pub fn cold_granted_ms(&self, upstream: &str, id: u64) -> Option<u64> {
         let grants = self.cold.get(upstream)?.permissions.grants.as_ref()?;
-        let mut of_request = grants.iter().filter(|(_, granted)| *granted == id);
+        let mut of_request = grants.own.iter().filter(|(_, granted)| *granted == id);
         of_request.next().map(|(at_ms, _)| *at_ms)
     }
 
