--- a/tests/interrupted_uploads.rs
+++ b/tests/interrupted_uploads.rs
@@ -145,8 +145,10 @@
     }
 }
 
-const STAGES: [(&str, fn(&UpstreamStub) -> Stage); 2] =
-    [("gateway", Stage::gateway), ("router", Stage::router)];
+/// Starts a role in front of an upstream.
+type Start = fn(&UpstreamStub) -> Stage;
+
+const STAGES: [(&str, Start); 2] = [("gateway", Stage::gateway), ("router", Stage::router)];
 
 /// Sends an upload to an upstream that takes some steps, and returns the answer in each role.
 fn upload_to(steps: impl Fn(&Message) -> Vec<Step> + Clone + Send + Sync + 'static) -> [Answer; 2] {
