Answer 502 if no upstream is left after an attempt that may have run

Callers of a router got 503, the status of a call that has not run, with `may_have_run` in its body only, if the first attempt had failed at an upstream and no other one was left; if the contract allowed no version any more, the body said `not_run` too.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -83,7 +83,8 @@
                 return Err(self.failure_refusal("all attempts at upstreams failed"));
             }
             // The version is chosen again, because evidence against it may have arrived since.
-            let version = pools::choose_version(self.shared, self.call)?;
+            let version = pools::choose_version(self.shared, self.call)
+                .map_err(|refused| self.with_execution_status(refused))?;
             self.version = ChosenVersion {
                 arm: None,
                 ..version
@@ -235,10 +236,14 @@
         Refused::new(refusal, message).retry_after(500)
     }
 
-    /// Marks a refusal as "may have run" if an earlier attempt may have run the request.
+    /// Marks a refusal as "may have run" if an earlier attempt may have run the request; it then has no status that states
+    /// the opposite.
     pub(super) fn with_execution_status(&self, mut refused: Refused) -> Refused {
         if self.may_have_run {
             refused.execution_status = ExecutionStatus::MayHaveRun;
+            if refusal::states_not_run(refused.refusal.status()) {
+                refused.refusal = Refusal::UpstreamFailed;
+            }
         }
         refused
     }
--- a/tests/unproven_refusals.rs
+++ b/tests/unproven_refusals.rs
@@ -5,14 +5,17 @@
 mod spoilt_common;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use gateway_common::{
-    event_chunk, signed_head, signed_response, start_fleet, Action, CallerRequest, End, Message,
-    UpstreamStub,
+    event_chunk, signed_head, signed_response, start_fleet, wait_for, Action, CallerRequest, End,
+    Message, UpstreamStub, TEST_TIMEOUT,
 };
-use spoilt_common::{Arrival, Form, Plan, Stage, LARGE_BUDGET};
+use http_common::{Deployment, HttpRequest};
+use monsoonfield::record::{ConfigurationEntry, Entry};
+use serde_json::Value;
+use spoilt_common::{router_configuration, Arrival, Form, Plan, Stage, LARGE_BUDGET};
 
 /// Statuses by which callers know that a request has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -186,7 +189,7 @@
 
         let response = std::thread::scope(|scope| {
             let response = scope.spawn(|| request.send(&gateway));
-            gateway_common::wait_for("the request", || !silent.requests().is_empty());
+            wait_for("the request", || !silent.requests().is_empty());
             let entry = refusing.entry("desk", "ready").to_string();
             store.put("keyed.servers", &refusing.id, entry.as_bytes());
             response.join().expect("a response")
@@ -198,6 +201,66 @@
     }
 }
 
+/// Returns a configuration of the router role in which no upstream serves `prices` any more.
+fn configuration_without_prices(upstream: &UpstreamStub) -> Entry {
+    let Entry::Configuration(configuration) = router_configuration(upstream) else {
+        unreachable!("it is a configuration");
+    };
+    let mut body: Value = serde_json::from_slice(&configuration.body_json).expect("JSON");
+    let upstreams = body["upstreams"].as_array_mut().expect("a list");
+    upstreams.retain(|entry| entry["serves"] != "prices");
+    Entry::Configuration(ConfigurationEntry {
+        revision: configuration.revision + 1,
+        replaces: configuration.revision,
+        body_json: body.to_string().into_bytes(),
+    })
+}
+
+/// Guards against a refusal of a router with a status that says "not run", because no upstream is left for a second attempt.
+#[test]
+fn a_router_without_an_upstream_for_a_second_attempt_promises_nothing() {
+    let (release, released) = std::sync::mpsc::channel::<()>();
+    let released = Mutex::new(released);
+    let upstream = UpstreamStub::start(move |request, _| {
+        if !request.start.contains("/fails") {
+            return Action::Write(signed_response(request, 200, "served"));
+        }
+        // Until the configuration has changed, or the test has ended.
+        let _ = released.lock().unwrap().recv_timeout(TEST_TIMEOUT);
+        Action::Write(signed_response(request, 500, "failed"))
+    });
+    let deployment = Deployment::start(&[]);
+    deployment.publish(vec![router_configuration(&upstream)]);
+    let router = deployment.router("vm-1");
+    let send = |id: &str| {
+        let request = HttpRequest::new("POST", &format!("/services/prices/{id}"));
+        let request = request.customer_headers(id).body("{}");
+        request.send(&router.callers)
+    };
+
+    let response = std::thread::scope(|scope| {
+        let response = scope.spawn(|| send("fails"));
+        wait_for("the first attempt", || {
+            let requests = upstream.requests();
+            requests
+                .iter()
+                .any(|request| request.start.contains("/fails"))
+        });
+        deployment.publish(vec![configuration_without_prices(&upstream)]);
+        let mut number = 0;
+        wait_for("the new configuration", || {
+            number += 1;
+            send(&format!("probe-{number}")).status != 200
+        });
+        release.send(()).expect("the upstream waits");
+        response.join().expect("a response")
+    });
+
+    assert_eq!(response.status, 502, "{response:?}");
+    let expected = ("upstream_failed".to_owned(), "may_have_run".to_owned());
+    assert_eq!(response.error(), expected);
+}
+
 /// Guards against a stricter reading than the pages have: other failures of an upstream are passed on with its signature.
 #[test]
 fn a_failure_that_promises_nothing_is_passed_on() {
