Share the bound of budgets and the start of a fleet in tests

The bound stood in two places, and two tests of this change repeated start_fleet. Behaviour stays as it is; stated_figures, interrupted_uploads and gateway_crashes pass.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -45,6 +45,9 @@
 
 /// Length of an outage that the tokens held by a router cover at its current rate.
 ///
+/// Largest budget of a team, in tokens; its parts in percent and per mille fit too.
+pub const MAX_BUDGET_TOKENS: u64 = 1 << 50;
+
 /// Outages of the path to the store last up to nine seconds.
 pub const COVERED_OUTAGE_MS: u64 = 10_000;
 
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -2,7 +2,7 @@
 
 use prost::{Enumeration, Message, Oneof};
 
-use crate::allowance::BudgetRecord;
+use crate::allowance::{BudgetRecord, MAX_BUDGET_TOKENS};
 use crate::upstream_limits::MAX_LIMIT_MILLI_PER_S;
 
 /// Longest wait in a datagram; no request waits for longer.
@@ -11,9 +11,6 @@
 /// Largest age and reading of a wall clock in a datagram, in the year 37,648.
 const MAX_TIME_MS: u64 = 1 << 50;
 
-/// Largest number of tokens in a datagram, that of the largest budget.
-const MAX_TOKENS: u64 = 1 << 50;
-
 /// Largest number of requests or responses in a datagram.
 const MAX_COUNT: u64 = 1 << 40;
 
@@ -86,16 +83,16 @@
         let limit_fits =
             |limit: Option<u64>| limit.is_none_or(|limit| limit <= MAX_LIMIT_MILLI_PER_S);
         match self {
-            Self::Handover(handover) => handover.tokens <= MAX_TOKENS,
+            Self::Handover(handover) => handover.tokens <= MAX_BUDGET_TOKENS,
             Self::Clock(clock) => clock.wall_ms <= MAX_TIME_MS,
             Self::Reserve(request) => {
-                request.tokens <= MAX_TOKENS && request.remaining_ms <= MAX_WAIT_MS
+                request.tokens <= MAX_BUDGET_TOKENS && request.remaining_ms <= MAX_WAIT_MS
             }
             Self::ReserveReply(reply) => {
                 wait_fits(reply.wait_ms) && reply.retry_after_ms <= MAX_WAIT_MS
             }
-            Self::Settle(settlement) => settlement.charge_tokens <= MAX_TOKENS,
-            Self::RightsRequest(request) => request.tokens <= MAX_TOKENS,
+            Self::Settle(settlement) => settlement.charge_tokens <= MAX_BUDGET_TOKENS,
+            Self::RightsRequest(request) => request.tokens <= MAX_BUDGET_TOKENS,
             Self::Limit(message) => limit_fits(message.limit_milli_per_s),
             Self::LimitRequest(request) => limit_fits(request.limit_milli_per_s),
             Self::LimitReply(reply) => wait_fits(reply.denied_ms),
--- a/src/platform/bounds.rs
+++ b/src/platform/bounds.rs
@@ -14,9 +14,6 @@
 /// Largest number of requests at one upstream that is believed, above the connections of any.
 pub(super) const MAX_REQUESTS: u32 = 1 << 20;
 
-/// Largest budget that is believed, in tokens; its parts in percent and per mille fit too.
-pub(super) const MAX_TOKENS: u64 = 1 << 50;
-
 /// Largest number of tokens in one event of a stream that is believed.
 pub(super) const MAX_EVENT_TOKENS: u64 = 1 << 20;
 
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -8,7 +8,8 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use super::bounds::{bounded, MAX_EVENT_TOKENS, MAX_REQUESTS, MAX_TIME_MS, MAX_TOKENS};
+use super::bounds::{bounded, MAX_EVENT_TOKENS, MAX_REQUESTS, MAX_TIME_MS};
+use crate::allowance::MAX_BUDGET_TOKENS;
 use crate::directory::UpstreamEntry;
 use crate::evacuation::OrderRecord;
 use crate::rollout_completion::NO_DEADLINE_MS;
@@ -206,7 +207,7 @@
         priority: document.priority,
         prepaid_tokens: document
             .prepaid
-            .map(|tokens| bounded(CONFIGURATION, "prepaid", tokens, MAX_TOKENS)),
+            .map(|tokens| bounded(CONFIGURATION, "prepaid", tokens, MAX_BUDGET_TOKENS)),
     }
 }
 
--- a/tests/gateway_common/mod.rs
+++ b/tests/gateway_common/mod.rs
@@ -1147,8 +1147,16 @@
 /// Starts a store with a configuration and the entries of upstreams, and a gateway, and waits until the gateway is
 /// ready.
 pub fn start_fleet(prepaid: u64, upstreams: &[&UpstreamStub]) -> (StoreStub, Gateway) {
+    start_fleet_with(&configuration(1, prepaid), upstreams)
+}
+
+/// Like [`start_fleet`], with a configuration of the test's own.
+pub fn start_fleet_with(
+    configuration: &Value,
+    upstreams: &[&UpstreamStub],
+) -> (StoreStub, Gateway) {
     let store = StoreStub::start();
-    store.configure(&configuration(1, prepaid));
+    store.configure(configuration);
     for upstream in upstreams {
         let entry = upstream.entry("desk", "ready").to_string();
         store.put("keyed.servers", &upstream.id, entry.as_bytes());
--- a/tests/interrupted_uploads.rs
+++ b/tests/interrupted_uploads.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use gateway_common::{
-    configuration, connect, processor_time, signed_head, signed_response, wait_for, Action,
-    CallerRequest, Gateway, Message, Step, StoreStub, UpstreamStub,
+    configuration, connect, processor_time, signed_head, signed_response, start_fleet_with,
+    wait_for, Action, CallerRequest, Gateway, Message, Step, StoreStub, UpstreamStub,
 };
 use http_common::{Deployment, HttpRequest, Router};
 use spoilt_common::{router_configuration, LARGE_BUDGET};
@@ -73,14 +73,9 @@
 
 impl Stage {
     fn gateway(upstream: &UpstreamStub) -> Self {
-        let store = StoreStub::start();
         let mut generous = configuration(1, LARGE_BUDGET);
         generous["limits"]["max_body_bytes"] = (32 << 20).into();
-        store.configure(&generous);
-        let entry = upstream.entry("desk", "ready").to_string();
-        store.put("keyed.servers", &upstream.id, entry.as_bytes());
-        let gateway = Gateway::start(&store);
-        gateway.wait_ready();
+        let (store, gateway) = start_fleet_with(&generous, &[upstream]);
         Self::Gateway {
             gateway,
             _store: store,
--- a/tests/stated_figures.rs
+++ b/tests/stated_figures.rs
@@ -7,10 +7,10 @@
 
 use gateway_common::coordinator::join_as_coordinator;
 use gateway_common::{
-    configuration, event_chunk, signed_head, wait_for, Action, CallerRequest, FleetSettings,
-    Gateway, Message, StoreStub, UpstreamStub,
+    configuration, event_chunk, signed_head, start_fleet, start_fleet_with, wait_for, Action,
+    CallerRequest, FleetSettings, Gateway, Message, StoreStub, UpstreamStub,
 };
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// Budget that no test uses up.
 const LARGE_BUDGET: u64 = 1_000_000_000;
@@ -42,26 +42,13 @@
     assert_eq!(response.status(), 200, "{context}: {response:?}");
 }
 
-/// Starts a gateway of a fleet that has run before, with upstreams and a configuration.
-fn start_gateway(upstreams: &[&UpstreamStub], configuration: &Value) -> (StoreStub, Gateway) {
-    let store = StoreStub::start();
-    store.configure(configuration);
-    for upstream in upstreams {
-        let entry = upstream.entry("desk", "ready").to_string();
-        store.put("keyed.servers", &upstream.id, entry.as_bytes());
-    }
-    let gateway = Gateway::start(&store);
-    gateway.wait_ready();
-    (store, gateway)
-}
-
 /// Guards against a process that allocates memory for each request of a limit that an upstream states, and is ended for
 /// it: a limit above what a fleet sends limits nothing.
 #[test]
 fn a_limit_beyond_all_traffic_takes_no_memory_and_limits_nothing() {
     for limit in ["10001", "100000", "4294967295", "1e18", "1e308", "inf"] {
         let upstream = start_stating_upstream(move |_| format!("Server-Limit: {limit}\r\n"));
-        let (_store, gateway) = start_gateway(&[&upstream], &configuration(1, LARGE_BUDGET));
+        let (_store, gateway) = start_fleet(LARGE_BUDGET, &[&upstream]);
         assert_served(&gateway, "first", limit);
         let used_before_kb = gateway.peak_memory_kb();
         // A coordinator that has known a limit for a second counts the grants of a predecessor.
@@ -131,7 +118,7 @@
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         Action::Write((signed_head(request, head) + &chunk + &event_chunk(1) + "0\r\n\r\n").into())
     });
-    let (_store, gateway) = start_gateway(&[&upstream], &configuration(1, LARGE_BUDGET));
+    let (_store, gateway) = start_fleet(LARGE_BUDGET, &[&upstream]);
     let request = CallerRequest {
         path: "/chat/1",
         headers: "X-Token-Count: 100,50\r\n",
@@ -192,7 +179,7 @@
     let upstream = start_stating_upstream(|_| String::new());
     let mut unlimited = configuration(1, LARGE_BUDGET);
     unlimited["routes"][1]["timeout_ms"] = json!(1e300);
-    let (_store, gateway) = start_gateway(&[&upstream], &unlimited);
+    let (_store, gateway) = start_fleet_with(&unlimited, &[&upstream]);
     let mut request = CallerRequest {
         path: "/book/1",
         ..CallerRequest::default()
@@ -220,7 +207,7 @@
 #[test]
 fn figures_in_datagrams_end_no_process() {
     let upstream = start_stating_upstream(|_| "Server-Limit: 5\r\n".into());
-    let (store, gateway) = start_gateway(&[&upstream], &configuration(1, LARGE_BUDGET));
+    let (store, gateway) = start_fleet(LARGE_BUDGET, &[&upstream]);
     let coordinator = join_as_coordinator(&store);
     assert_served(&gateway, "first", "before the limit is known");
     let asked = Arc::new(Mutex::new(0));
