Test of the indexes of an engine that overflow in a router

It fails without either of the two bounds of in the router role (attempt to add with overflow in relay.rs and in reports.rs) and passes with both.

--- a/tests/stated_figures.rs
+++ b/tests/stated_figures.rs
@@ -1,6 +1,8 @@
 //! Tests of figures that upstreams, callers, the store and other gateways state far out of their bounds.
 
 mod gateway_common;
+mod http_common;
+mod spoilt_common;
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -10,7 +12,9 @@
     configuration, event_chunk, signed_head, start_fleet, start_fleet_with, wait_for, Action,
     CallerRequest, FleetSettings, Gateway, Message, StoreStub, UpstreamStub,
 };
+use http_common::{chat, Deployment, HttpRequest};
 use serde_json::json;
+use spoilt_common::router_configuration;
 
 /// Budget that no test uses up.
 const LARGE_BUDGET: u64 = 1_000_000_000;
@@ -244,3 +248,44 @@
     is_ended.store(true, std::sync::atomic::Ordering::SeqCst);
     replying.join().expect("the replies end");
 }
+
+/// Guards against the indexes of an engine's events, of a response or of its cache, that overflow in a router.
+#[test]
+fn the_indexes_of_an_engine_end_no_router() {
+    let last = u64::MAX;
+    let engine = UpstreamStub::start(move |request, _| {
+        let target = request.start.split(' ').nth(1).unwrap_or_default();
+        let body = if target.starts_with("/v1/cache-events") {
+            let event = json!({"index": last, "prefix": 1, "stored": true});
+            json!({"events": [event], "next": last}).to_string()
+        } else if target.starts_with("/v1/load") {
+            let most = u32::MAX;
+            json!({"running": most, "waiting": most, "outstanding_tokens": last, "age_ms": last})
+                .to_string()
+        } else {
+            let events = format!("id: {last}\ndata: token\n\nid: 0\ndata: [DONE]\n\n");
+            let head = "Content-Type: text/event-stream\r\nConnection: close\r\n";
+            let response = signed_head(request, head) + &events;
+            return Action::WriteAndClose(response.into_bytes());
+        };
+        let length = format!("Content-Length: {}\r\n", body.len());
+        Action::Write((signed_head(request, &length) + &body).into_bytes())
+    });
+    let deployment = Deployment::start(&[]);
+    deployment.publish(vec![router_configuration(&engine)]);
+    let router = deployment.router("vm-1");
+    wait_for("the reports of the engine", || {
+        let requests = engine.requests();
+        let of_cache = requests
+            .iter()
+            .filter(|request| request.start.contains("cache-events"));
+        of_cache.count() > 1
+    });
+
+    let response = chat("index", "text", 10, true).send(&router.callers);
+
+    // An index with a gap before it is no part of the response, so the router gives up, but answers.
+    assert!([200, 502].contains(&response.status), "{response:?}");
+    let ready = HttpRequest::new("GET", "/readyz").send(&router.callers);
+    assert_eq!(ready.status, 200, "{ready:?}");
+}
