Look for a crash only where the connection has ended

Cause: since a gateway probed the upstream after each response that it gave up, also one with a spoilt chunk on a live connection. That shows no crash, opened a connection for nothing and logged a loss that was none.

Change: the crash is looked for only if the connection has ended or failed.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -234,8 +234,11 @@
                 in_flight.set_outcome(Outcome::Failed);
                 in_flight.record_response(call, Response::Failed);
                 attempts.last = format_compact!("{}: {reason}", response.upstream);
-                let progress = relay.progress(is_event_stream);
-                in_flight.record_lost_connection(call, progress).await;
+                // A response that is spoilt on a live connection shows no crash.
+                if response.upstream_response.is_disconnected() {
+                    let progress = relay.progress(is_event_stream);
+                    in_flight.record_lost_connection(call, progress).await;
+                }
                 if !may_resume || attempts.runs >= call.route().max_attempts {
                     return relay.truncated(Refusal::UpstreamFailed, &reason);
                 }
--- a/src/upstream_client/response.rs
+++ b/src/upstream_client/response.rs
@@ -210,6 +210,8 @@
     /// Whether the statement of the length may be spoilt, which bytes after the end would confirm.
     is_end_doubtful: bool,
     is_eof: bool,
+    /// Whether a read has failed.
+    has_failed: bool,
     sending: Sending,
 }
 
@@ -252,6 +254,7 @@
             status: head.status,
             headers: Box::new(head.fields),
             is_eof: false,
+            has_failed: false,
             sending,
         }
     }
@@ -294,6 +297,11 @@
         self.is_eof && matches!(self.framing, Framing::Length(_) | Framing::Chunked(_))
     }
 
+    /// Returns whether the connection has ended or failed, which a crash of the upstream would explain.
+    pub fn is_disconnected(&self) -> bool {
+        self.is_eof || self.has_failed
+    }
+
     /// Returns whether the complete body was taken.
     pub fn is_ended(&self) -> bool {
         matches!(self.framing, Framing::Ended)
@@ -390,7 +398,10 @@
                 Ok(())
             }
             Ok(_) => Ok(()),
-            Err(error) => Err(broken(&self.upstream, error)),
+            Err(error) => {
+                self.has_failed = true;
+                Err(broken(&self.upstream, error))
+            }
         }
     }
 
