Count late crashes only up to the fourth event of a stream

Cause: since each stream that was under way at a crashed upstream was a suspect, and the reports of its features were written and read by the whole fleet.

A request that crashes upstreams does so when they begin to answer; most streams at an upstream are further than that.

All tests of gateway_crashes and spoilt_streams pass, with crashes after up to three events among them.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -59,6 +59,10 @@
 /// processor time.
 const EVENTS_PER_MEASUREMENT: u64 = 4;
 
+/// Number of events of a stream after which a crash of its upstream is not put down to its request. A request that crashes
+/// upstreams does so when they begin to answer, while most streams at an upstream are further than that.
+const MAX_SUSPECT_EVENTS: u64 = 4;
+
 /// Reason in the log for a stream that has left a silent upstream.
 const SILENCE_REASON: &str = "the upstream is silent";
 
@@ -235,8 +239,9 @@
                 in_flight.record_response(call, Response::Failed);
                 attempts.last = format_compact!("{}: {reason}", response.upstream);
                 // A response that is spoilt on a live connection shows no crash.
-                if response.upstream_response.is_disconnected() {
-                    let progress = relay.progress(is_event_stream);
+                let progress = relay.progress(is_event_stream);
+                let is_disconnected = response.upstream_response.is_disconnected();
+                if let Some(progress) = progress.filter(|_| is_disconnected) {
                     in_flight.record_lost_connection(call, progress).await;
                 }
                 if !may_resume || attempts.runs >= call.route().max_attempts {
@@ -552,17 +557,18 @@
         Ok(())
     }
 
-    /// Returns how much of the current response has arrived.
-    fn progress(&self, is_event_stream: bool) -> ResponseProgress {
+    /// Returns how much of the current response has arrived; `None` if so much that a crash says nothing about its
+    /// request.
+    fn progress(&self, is_event_stream: bool) -> Option<ResponseProgress> {
         let is_underway = if is_event_stream {
             self.has_event
         } else {
             self.has_body
         };
-        if is_underway {
-            ResponseProgress::Underway
-        } else {
-            ResponseProgress::Begun
+        match is_underway {
+            false => Some(ResponseProgress::Begun),
+            true if is_event_stream && self.response_events > MAX_SUSPECT_EVENTS => None,
+            true => Some(ResponseProgress::Underway),
         }
     }
 
