Review case 13: a stream whose stated length ends inside an event looks complete

A worker spoils one digit of the length of a stream, so that the body ends inside an event. The gateway checks the end of a stream only if it has neither a length nor chunks, so the answer ends as complete. The streams of both scripts are more, so that each run spoils some.

--- a/review/standins-4/main.rs
+++ b/review/standins-4/main.rs
@@ -11,6 +11,8 @@
 
 use std::path::Path;
 
+use spoilt_ids::Spoilt;
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     std::process::exit(play(&arguments).unwrap_or(2));
@@ -26,7 +28,8 @@
     std::fs::create_dir_all(&folder).ok()?;
     record.line(format!("case {case}, with the disruption: {has_trouble}"));
     let is_broken = match case.as_str() {
-        "spoilt-ids" => spoilt_ids::run(&folder, &record, has_trouble),
+        "spoilt-ids" => spoilt_ids::run(&folder, &record, has_trouble, Spoilt::Id),
+        "spoilt-lengths" => spoilt_ids::run(&folder, &record, has_trouble, Spoilt::Length),
         _ => None,
     };
     let _ = std::fs::remove_dir_all(&folder);
--- a/review/standins-4/spoilt_ids.rs
+++ b/review/standins-4/spoilt_ids.rs
@@ -1,4 +1,4 @@
-//! Case 11: a worker spoils one digit of the id of an event in a few of its streams.
+//! Cases 11 and 13: a worker spoils one digit in a few of its streams, of the id of an event or of the stated length.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -10,8 +10,17 @@
 use crate::deployment::{any_ports, configuration, entry, printable, Gateway, Message, Record, Store};
 use crate::worker::{proof, Worker};
 
+/// What a worker in trouble spoils.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Spoilt {
+    /// The fourth event says that its id is 9.
+    Id,
+    /// The head says 160 bytes in place of 168, so that the body ends inside the last event.
+    Length,
+}
+
 /// Streams of each client.
-const STREAMS: u64 = 80;
+const STREAMS: u64 = 160;
 
 /// Clients of each kind of stream; each keeps its connection.
 const CLIENTS: u64 = 4;
@@ -31,24 +40,28 @@
 /// Time for which a client waits for the next byte; the requests state the same deadline.
 const PATIENCE: Duration = Duration::from_millis(3_000);
 
-/// Encodes the events after `last`, of which the one with the id 4 says 9 if it is spoilt.
-fn events(last: u64, is_spoilt: bool) -> Vec<String> {
+/// Encodes the events after `last`, of which the one with the id 4 says 9 if ids are spoilt.
+fn events(last: u64, spoilt: Option<Spoilt>) -> Vec<String> {
     let ids = last + 1..=EVENTS;
     let event = |id: u64| match id {
-        4 if is_spoilt => "id: 9\ndata: piece 4\n\n".to_owned(),
+        4 if spoilt == Some(Spoilt::Id) => "id: 9\ndata: piece 4\n\n".to_owned(),
         id => format!("id: {id}\ndata: piece {id}\n\n"),
     };
     ids.map(event).collect()
 }
 
 /// Encodes a stream, with a length on paths that end with `l` and in chunks on others; returns it and its body.
-fn answer(request: &Message, is_spoilt: bool) -> (Vec<u8>, Vec<u8>) {
+fn answer(request: &Message, spoilt: Option<Spoilt>) -> (Vec<u8>, Vec<u8>) {
     let last = request.field("last-event-id").and_then(|id| id.parse().ok());
-    let events = events(last.unwrap_or(0), is_spoilt);
+    let events = events(last.unwrap_or(0), spoilt);
     let body = events.concat();
     let path = request.start.split(' ').nth(1).unwrap_or_default();
     let (framing, framed) = if path.ends_with('l') {
-        (format!("Content-Length: {}", body.len()), body.clone())
+        let length = match spoilt {
+            Some(Spoilt::Length) => body.len() / 10 * 10,
+            _ => body.len(),
+        };
+        (format!("Content-Length: {length}"), body.clone())
     } else {
         let chunk = |event: &String| format!("{:x}\r\n{event}\r\n", event.len());
         let chunks: String = events.iter().map(chunk).collect();
@@ -59,7 +72,7 @@
     ((head + &framed).into_bytes(), body.into_bytes())
 }
 
-pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> Option<bool> {
+pub fn run(folder: &Path, record: &Record, has_trouble: bool, kind: Spoilt) -> Option<bool> {
     let store = Store::start().ok()?;
     store.put("keyed.op", "config", &configuration(1, 1_000_000_000, 3_000));
     let bodies: Arc<Bodies> = Arc::default();
@@ -71,7 +84,7 @@
             let number = served.fetch_add(u64::from(is_in_trouble), Ordering::SeqCst);
             let is_spoilt = is_in_trouble && number % SPOILT_EACH == SPOILT_EACH / 2;
             std::thread::sleep(WORK);
-            let (bytes, body) = answer(request, is_spoilt);
+            let (bytes, body) = answer(request, is_spoilt.then_some(kind));
             let id = request.field("x-request-id").unwrap_or_default().to_owned();
             bodies.lock().unwrap().push((id, body, is_spoilt));
             (bytes, false)
@@ -84,7 +97,10 @@
     let mut gateway = Gateway::start(folder, "edge-1", &store, any_ports())?;
     record.line(format!("gateway, process {}, serves callers at {}", gateway.id(), gateway.callers));
     // `statement` may not be resumed, `chat` may; the last letter says how the worker frames its answer.
-    let kinds = [("statement", "c"), ("statement", "l"), ("chat", "c"), ("chat", "l")];
+    let kinds: &[_] = match kind {
+        Spoilt::Id => &[("statement", "c"), ("statement", "l"), ("chat", "c"), ("chat", "l")],
+        Spoilt::Length => &[("statement", "l"), ("chat", "l")],
+    };
     let clients = kinds.iter().flat_map(|kind| (0..CLIENTS).map(move |client| (*kind, client)));
     let clients = clients.map(|((route, framing), client)| {
         let (record, bodies, callers) = (record.clone(), Arc::clone(&bodies), gateway.callers);
@@ -145,7 +161,7 @@
         ));
         let is_success = answer.status() / 100 == 2;
         let verdict = match (is_success, is_complete) {
-            (true, true) => "MIXED, ORDER: success, complete, without events that the worker sent",
+            (true, true) => "MIXED, ORDER: success, complete, without pieces that the worker sent",
             (true, false) => "the answer stops before its stated length on an open connection",
             (false, _) => "a failure, which the rules allow",
         };
