--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-4/review-4 ] && [ -x target/release/monsoonfield ] || exit 2
-exec target/review-4/review-4 spoilt-lengths "$folder/record.txt"
+exec target/review-4/review-4 spoilt-ids "$folder/record.txt"
--- a/review/standins-4/deployment.rs
+++ b/review/standins-4/deployment.rs
@@ -117,7 +117,6 @@
 #[derive(Default)]
 struct StoreState {
     partitions: BTreeMap<String, Partition>,
-    is_down: bool,
 }
 
 /// The platform's store: keyed topics, conditional appends, long polls.
@@ -152,12 +151,6 @@
         self.state.1.notify_all();
     }
 
-    /// Takes the store down, with 503 for every call, or back up.
-    pub fn set_down(&self, is_down: bool) {
-        self.state.0.lock().unwrap().is_down = is_down;
-        self.state.1.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(copy) = stream.try_clone() else { return };
@@ -173,7 +166,10 @@
                 body.len()
             );
             std::thread::sleep(Duration::from_millis(2));
-            if stream.write_all(&[head.as_bytes(), &body].concat()).is_err() {
+            if stream
+                .write_all(&[head.as_bytes(), &body].concat())
+                .is_err()
+            {
                 return;
             }
         }
@@ -182,14 +178,13 @@
     fn answer(&self, call: &Message) -> (u16, Vec<u8>) {
         let target = call.start.split(' ').nth(1).unwrap_or_default();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: BTreeMap<&str, &str> =
-            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
         let text = |key: &str| query.get(key).copied().unwrap_or_default();
         let name = format!("{}/{}", text("topic"), text("part"));
         let mut state = self.state.0.lock().unwrap();
-        if state.is_down {
-            return (503, Vec::new());
-        }
         match path {
             "/api/log-append" => {
                 let partition = state.partitions.entry(name).or_default();
@@ -218,7 +213,10 @@
                     .iter()
                     .filter(|(_, value)| !value.is_empty())
                     .map(|(key, value)| {
-                        format!("{{\"key\":{key:?},\"value\":\"{}\",\"offset\":0}}", base64(value))
+                        format!(
+                            "{{\"key\":{key:?},\"value\":\"{}\",\"offset\":0}}",
+                            base64(value)
+                        )
                     })
                     .collect();
                 let body = format!(
@@ -233,9 +231,6 @@
                 let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or(0));
                 let end = Instant::now() + wait;
                 loop {
-                    if state.is_down {
-                        return (503, Vec::new());
-                    }
                     let partition = state.partitions.entry(name.clone()).or_default();
                     if from > partition.len() {
                         return (410, b"{\"first\":0}".to_vec());
@@ -265,7 +260,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let word = group.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
+        let word = group
+            .iter()
+            .fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
         let word = word << (8 * (3 - group.len()));
         for index in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * index)) as usize & 63] as char;
@@ -320,7 +317,12 @@
 
 impl Gateway {
     /// Starts `target/release/monsoonfield gateway` and waits until it is ready.
-    pub fn start(folder: &Path, name: &str, store: &Store, listen: [SocketAddr; 4]) -> Option<Self> {
+    pub fn start(
+        folder: &Path,
+        name: &str,
+        store: &Store,
+        listen: [SocketAddr; 4],
+    ) -> Option<Self> {
         let [callers, readiness, metrics, peers] = listen;
         let settings = format!(
             "vm: \"{name}\"\ndata_centre: \"tbilisi-a\"\nlisten:\n  callers: \"{callers}\"\n  readiness: \"{readiness}\"\n  \
@@ -384,16 +386,13 @@
             let timeout = Duration::from_secs(1);
             let mut stream = TcpStream::connect_timeout(&self.readiness, timeout).ok()?;
             stream.set_read_timeout(Some(timeout)).ok()?;
-            stream.write_all(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").ok()?;
+            stream
+                .write_all(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                .ok()?;
             Some(read_head(&mut BufReader::new(stream))?.status())
         };
         asked() == Some(200)
     }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status();
-    }
 }
 
 impl Drop for Gateway {
--- a/review/standins-4/main.rs
+++ b/review/standins-4/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and scripts of the cases 11 to 15.
+//! Stand-ins and scripts of the cases 13 and 14.
 //!
 //! `review-4 CASE RECORD` plays a case, writes what was sent, answered and run to the file RECORD, and exits with 1 if
 //! the rule was broken, 0 if it held and 2 if the case could not run. With `TROUBLE=0` in the environment the disruption
--- a/review/standins-4/spoilt_ids.rs
+++ b/review/standins-4/spoilt_ids.rs
@@ -1,13 +1,15 @@
-//! Cases 11 and 13: a worker spoils one digit in a few of its streams, of the id of an event or of the stated length.
+//! Cases 13 and 14: a worker spoils one digit in a few of its streams, of the id of an event or of the stated length.
 
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use crate::client::Client;
-use crate::deployment::{any_ports, configuration, entry, printable, Gateway, Message, Record, Store};
+use crate::deployment::{
+    any_ports, configuration, entry, printable, Gateway, Message, Record, Store,
+};
 use crate::worker::{proof, Worker};
 
 /// What a worker in trouble spoils.
@@ -52,7 +54,9 @@
 
 /// Encodes a stream, with a length on paths that end with `l` and in chunks on others; returns it and its body.
 fn answer(request: &Message, spoilt: Option<Spoilt>) -> (Vec<u8>, Vec<u8>) {
-    let last = request.field("last-event-id").and_then(|id| id.parse().ok());
+    let last = request
+        .field("last-event-id")
+        .and_then(|id| id.parse().ok());
     let events = events(last.unwrap_or(0), spoilt);
     let body = events.concat();
     let path = request.start.split(' ').nth(1).unwrap_or_default();
@@ -65,24 +69,38 @@
     } else {
         let chunk = |event: &String| format!("{:x}\r\n{event}\r\n", event.len());
         let chunks: String = events.iter().map(chunk).collect();
-        ("Transfer-Encoding: chunked".to_owned(), chunks + "0\r\n\r\n")
+        (
+            "Transfer-Encoding: chunked".to_owned(),
+            chunks + "0\r\n\r\n",
+        )
     };
     let proof = proof(request);
-    let head = format!("HTTP/1.1 200 OK\r\n{proof}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
+    let head =
+        format!("HTTP/1.1 200 OK\r\n{proof}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
     ((head + &framed).into_bytes(), body.into_bytes())
 }
 
 pub fn run(folder: &Path, record: &Record, has_trouble: bool, kind: Spoilt) -> Option<bool> {
     let store = Store::start().ok()?;
-    store.put("keyed.op", "config", &configuration(1, 1_000_000_000, 3_000));
+    store.put(
+        "keyed.op",
+        "config",
+        &configuration(1, 1_000_000_000, 3_000),
+    );
     let bodies: Arc<Bodies> = Arc::default();
-    let served = Arc::new(AtomicU64::new(0));
-    for index in 0..2_u64 {
+    let served: Arc<[AtomicU64; 2]> = Arc::default();
+    // One of the two workers: the one that is sent so many requests first. At times nearly all go to one of them.
+    let in_trouble: Arc<OnceLock<usize>> = Arc::default();
+    for index in 0..2 {
         let (bodies, served) = (Arc::clone(&bodies), Arc::clone(&served));
-        let is_in_trouble = has_trouble && index == 0;
+        let in_trouble = Arc::clone(&in_trouble);
         let script = move |request: &Message| {
-            let number = served.fetch_add(u64::from(is_in_trouble), Ordering::SeqCst);
-            let is_spoilt = is_in_trouble && number % SPOILT_EACH == SPOILT_EACH / 2;
+            let number = served[index].fetch_add(1, Ordering::SeqCst) + 1;
+            if number == SPOILT_EACH / 2 {
+                let _ = in_trouble.set(index);
+            }
+            let is_in_trouble = has_trouble && in_trouble.get() == Some(&index);
+            let is_spoilt = is_in_trouble && number % SPOILT_EACH == 0;
             std::thread::sleep(WORK);
             let (bytes, body) = answer(request, is_spoilt.then_some(kind));
             let id = request.field("x-request-id").unwrap_or_default().to_owned();
@@ -91,17 +109,32 @@
         };
         let worker = Worker::start(script).ok()?;
         let id = format!("i-{index}");
-        store.put("keyed.servers", &id, &entry("quota-llm", worker.address, 64, 1, 1_000 + index));
-        record.line(format!("worker {id} at {}, in trouble: {is_in_trouble}", worker.address));
+        store.put(
+            "keyed.servers",
+            &id,
+            &entry("quota-llm", worker.address, 64, 1, 1_000),
+        );
+        record.line(format!("worker {id} at {}", worker.address));
     }
     let mut gateway = Gateway::start(folder, "edge-1", &store, any_ports())?;
-    record.line(format!("gateway, process {}, serves callers at {}", gateway.id(), gateway.callers));
+    record.line(format!(
+        "gateway, process {}, serves callers at {}",
+        gateway.id(),
+        gateway.callers
+    ));
     // `statement` may not be resumed, `chat` may; the last letter says how the worker frames its answer.
     let kinds: &[_] = match kind {
-        Spoilt::Id => &[("statement", "c"), ("statement", "l"), ("chat", "c"), ("chat", "l")],
+        Spoilt::Id => &[
+            ("statement", "c"),
+            ("statement", "l"),
+            ("chat", "c"),
+            ("chat", "l"),
+        ],
         Spoilt::Length => &[("statement", "l"), ("chat", "l")],
     };
-    let clients = kinds.iter().flat_map(|kind| (0..CLIENTS).map(move |client| (*kind, client)));
+    let clients = kinds
+        .iter()
+        .flat_map(|kind| (0..CLIENTS).map(move |client| (*kind, client)));
     let clients = clients.map(|((route, framing), client)| {
         let (record, bodies, callers) = (record.clone(), Arc::clone(&bodies), gateway.callers);
         let prefix = format!("{route}-{framing}-{client}");
@@ -113,14 +146,24 @@
         broken += client.join().ok()??;
     }
     let count = |is_wanted: &dyn Fn(&(String, Vec<u8>, bool)) -> bool| {
-        bodies.lock().unwrap().iter().filter(|run| is_wanted(run)).count()
+        bodies
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|run| is_wanted(run))
+            .count()
     };
     record.line(format!(
-        "workers ran {} requests and spoilt {} answers",
+        "workers ran {} requests and spoilt {} answers; worker {} was in trouble",
         count(&|_| true),
-        count(&|(.., is_spoilt)| *is_spoilt)
+        count(&|(.., is_spoilt)| *is_spoilt),
+        in_trouble
+            .get()
+            .map_or_else(|| "none".to_owned(), |index| format!("i-{index}"))
+    ));
+    record.line(format!(
+        "successes with a body that is not the worker's whole body: {broken}"
     ));
-    record.line(format!("successes with a body that is not the worker's whole body: {broken}"));
     if gateway.has_ended() {
         record.line("the gateway has ended by itself");
         return Some(true);
@@ -129,7 +172,12 @@
 }
 
 /// Sends the streams of one client; returns how many successes had a body that is not the worker's whole body.
-fn send_streams(record: &Record, bodies: &Bodies, callers: SocketAddr, prefix: &str) -> Option<u32> {
+fn send_streams(
+    record: &Record,
+    bodies: &Bodies,
+    callers: SocketAddr,
+    prefix: &str,
+) -> Option<u32> {
     let mut broken = 0;
     let (route, framing) = prefix.split_once('-')?;
     let framing = framing.get(..1)?;
@@ -147,7 +195,10 @@
         };
         let bodies = bodies.lock().unwrap();
         let Some((_, whole, is_spoilt)) = bodies.iter().rev().find(|(ran, ..)| *ran == id) else {
-            record.line(format!("{id}: status {}, no worker ran it", answer.status()));
+            record.line(format!(
+                "{id}: status {}, no worker ran it",
+                answer.status()
+            ));
             continue;
         };
         let is_whole = answer.status() == 200 && is_complete && answer.body == *whole;
@@ -156,7 +207,11 @@
         }
         record.line(format!(
             "{id}: the worker sent a complete answer{} with the body \"{}\"",
-            if *is_spoilt { ", spoilt in one byte," } else { "" },
+            if *is_spoilt {
+                ", spoilt in one byte,"
+            } else {
+                ""
+            },
             printable(whole)
         ));
         let is_success = answer.status() / 100 == 2;
--- a/review/standins-4/worker.rs
+++ b/review/standins-4/worker.rs
@@ -1,46 +1,37 @@
-//! A worker that a script controls, with a record of each request that it ran and of what it sent.
+//! A worker that a script controls.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use crate::deployment::{read_body, read_head, Message};
 
-/// A request that the worker ran, with the bytes that it answered.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub request: Message,
-    pub answer: Vec<u8>,
-}
-
 /// Returns the bytes of the answer, and whether the connection ends after them.
 pub type Script = dyn Fn(&Message) -> (Vec<u8>, bool) + Send + Sync;
 
-#[derive(Clone)]
 pub struct Worker {
     pub address: SocketAddr,
-    pub runs: Arc<Mutex<Vec<Run>>>,
 }
 
 impl Worker {
-    pub fn start(script: impl Fn(&Message) -> (Vec<u8>, bool) + Send + Sync + 'static) -> std::io::Result<Self> {
+    pub fn start(
+        script: impl Fn(&Message) -> (Vec<u8>, bool) + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let worker = Self {
             address: listener.local_addr()?,
-            runs: Arc::default(),
         };
         let script: Arc<Script> = Arc::new(script);
-        let serving = worker.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (worker, script) = (serving.clone(), Arc::clone(&script));
-                std::thread::spawn(move || worker.serve(stream, &*script));
+                let script = Arc::clone(&script);
+                std::thread::spawn(move || Self::serve(stream, &*script));
             }
         });
         Ok(worker)
     }
 
-    fn serve(&self, stream: TcpStream, script: &Script) {
+    fn serve(stream: TcpStream, script: &Script) {
         let _ = stream.set_nodelay(true);
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
@@ -50,8 +41,6 @@
                 return;
             }
             let (answer, ends) = script(&request);
-            let run = Run { request, answer: answer.clone() };
-            self.runs.lock().unwrap().push(run);
             if stream.write_all(&answer).is_err() || ends {
                 return;
             }
