Pass events on whatever their ids say, and resume only after confirmed ones

Cause: the relay dropped every event whose id was not above the highest one so far, in the first response of a request and on routes that may not be resumed too. The id also decided where a stream resumes. A trial on the old code with a log line for each dropped event showed it; the splitter and the reader of the body lost nothing.

Change: events of a single run are passed on as they were sent. A new module, stream_position, decides where a stream resumes and what a resumed run repeats, and only by ids that other ids confirm; otherwise the stream is broken off. One strict reader of ids, also for Last-Event-Id. The log names dropped events and the ids that decide.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,7 +26,8 @@
 use crate::refusal::Refusal;
 use crate::routing::RetrySemantics;
 use crate::server::Socket;
-use crate::upstream_client::EventSplitter;
+use crate::stream_position::{Disposition, StreamPosition};
+use crate::upstream_client::{Event, EventSplitter};
 use crate::version_canary::Response;
 
 use head::{encode_head, Framing};
@@ -138,10 +139,10 @@
     event_ends: VecDeque<u64>,
     splitter: EventSplitter,
     delivery: Delivery,
-    last_event_id: Option<u64>,
+    position: StreamPosition,
     /// Whether a part of the body of the current response has arrived.
     has_body: bool,
-    /// Whether an event of the current response has arrived.
+    /// Whether an event of the current response has been passed on.
     has_event: bool,
     /// Time of the first event of the current response, and the number of its events.
     first_event_ms: u64,
@@ -188,7 +189,7 @@
         event_ends: VecDeque::new(),
         splitter: EventSplitter::default(),
         delivery: Delivery::new("complete"),
-        last_event_id: call.meta.last_event_id,
+        position: StreamPosition::new(call.meta.last_event_id),
         has_body: false,
         has_event: false,
         first_event_ms: 0,
@@ -244,7 +245,8 @@
                 if let Some(progress) = progress.filter(|_| is_disconnected) {
                     in_flight.record_lost_connection(call, progress).await;
                 }
-                if !may_resume || attempts.runs >= call.route().max_attempts {
+                let is_resumable = may_resume && relay.position.is_resumable();
+                if !is_resumable || attempts.runs >= call.route().max_attempts {
                     return relay.truncated(Refusal::UpstreamFailed, &reason);
                 }
                 (reason, None)
@@ -282,7 +284,7 @@
         relay.log_resume(&response, &reason);
         drop(in_flight);
         drop(response);
-        let last_event_id = relay.last_event_id;
+        let last_event_id = relay.position.resume_after();
         let next = attempt::run(shared, call, caller, attempts, last_event_id, exchange);
         match next.await {
             Ok((next, next_in_flight)) if next.upstream_response.status() == 200 => {
@@ -331,7 +333,8 @@
     fn log_resume(&self, response: &StartedResponse, reason: &str) {
         log::info!(
             step = "resume", request_id = self.call.meta.id.as_str(),
-            upstream = response.upstream.as_str(), events = self.delivery.events;
+            upstream = response.upstream.as_str(), events = self.delivery.events,
+            last_event_id = self.position.resume_after();
             "resuming the stream at another upstream: {reason}"
         );
     }
@@ -347,7 +350,7 @@
         response: &mut StartedResponse,
         successor: Box<Successor>,
     ) -> Result<Move<'a, 'c>, Interrupt> {
-        let last_event_id = self.last_event_id;
+        let last_event_id = self.position.resume_after();
         let present = response.upstream_response.receive(READ_BYTES);
         let handed = hand_over(
             shared,
@@ -401,6 +404,7 @@
     /// Prepares for the first byte of the response of another upstream.
     fn begin_response(&mut self) {
         self.splitter = EventSplitter::default();
+        self.position.begin_run();
         self.has_body = false;
         self.has_event = false;
         self.measured_from = (0, 0);
@@ -438,7 +442,7 @@
             while !is_ended {
                 match response.upstream_response.take_bytes() {
                     Ok(Some(piece)) => {
-                        if let Err(reason) = self.process_body(&piece, is_event_stream) {
+                        if let Err(reason) = self.process_body(response, &piece, is_event_stream) {
                             if self.flush(caller).is_err() {
                                 return End::CallerGone;
                             }
@@ -446,12 +450,10 @@
                         }
                     }
                     Ok(None) if response.upstream_response.is_ended() => {
-                        let is_unframed = response.upstream_response.is_unframed();
-                        if is_event_stream && is_unframed && !self.is_at_event_end() {
+                        if let Err(reason) = self.check_end(response, is_event_stream) {
                             if self.flush(caller).is_err() {
                                 return End::CallerGone;
                             }
-                            let reason = "the connection ended inside an event";
                             return End::UpstreamLost(reason.into());
                         }
                         is_ended = true;
@@ -481,7 +483,8 @@
                 // The time until the next read is that of the caller, not of the engine.
                 self.measured_from = (0, 0);
             }
-            let silence = (may_move && read_bytes > 0).then_some(self.silence_timeout);
+            let may_move = may_move && read_bytes > 0 && self.position.is_resumable();
+            let silence = may_move.then_some(self.silence_timeout);
             let successor =
                 find_successor(self.shared, self.call, &attempts.tried, silence, || true);
             let event = wait(
@@ -524,8 +527,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an event is too large, so that the upstream sends something other than events.
-    fn process_body(&mut self, piece: &[u8], is_event_stream: bool) -> Result<(), &'static str> {
+    /// Returns an error if an event is too large, so that the upstream sends something other than events, or if an
+    /// event of a resumed stream does not join those before.
+    fn process_body(
+        &mut self,
+        response: &StartedResponse,
+        piece: &[u8],
+        is_event_stream: bool,
+    ) -> Result<(), &'static str> {
         self.has_body = true;
         if self.delivery.first_byte_ms == 0 {
             self.delivery.first_byte_ms = self.shared.now_ms();
@@ -536,11 +545,11 @@
         }
         self.splitter.push(piece);
         while let Some(event) = self.splitter.next_event()? {
-            // A resumed stream may repeat events that the caller already has.
-            if event.index.is_some() && event.index <= self.last_event_id {
+            let is_repeated =
+                !event.is_comment() && self.accept(response, &event)? == Disposition::Repeated;
+            if is_repeated {
                 continue;
             }
-            self.last_event_id = event.index.or(self.last_event_id);
             if !std::mem::replace(&mut self.has_event, true) {
                 crashes::record_served(self.shared, self.call, Proof::Begun);
                 self.first_event_ms = self.shared.now_ms();
@@ -557,6 +566,35 @@
         Ok(())
     }
 
+    /// Decides whether an event is passed on, and logs what leaves no trace in the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event of a resumed stream does not join those before.
+    fn accept(
+        &mut self,
+        response: &StartedResponse,
+        event: &Event,
+    ) -> Result<Disposition, &'static str> {
+        let before = self.position;
+        let disposition = self.position.accept(event.id)?;
+        let lost_position = self.position.is_unknown() && !before.is_unknown();
+        let message = match disposition {
+            Disposition::Repeated => "dropping a repeated event of a resumed stream",
+            Disposition::New if lost_position => {
+                "the ids do not increase, the stream is not resumable"
+            }
+            Disposition::New => return Ok(disposition),
+        };
+        log::info!(
+            step = "relay", request_id = self.call.meta.id.as_str(),
+            upstream = response.upstream.as_str(), event_id:% = event.id,
+            last_event_id = before.last_id();
+            "{message}"
+        );
+        Ok(disposition)
+    }
+
     /// Returns how much of the current response has arrived; `None` if so much that a crash says nothing about its
     /// request.
     fn progress(&self, is_event_stream: bool) -> Option<ResponseProgress> {
@@ -641,9 +679,26 @@
         0
     }
 
-    /// Returns whether the stream may end here: after an event, and not before the first one.
-    fn is_at_event_end(&self) -> bool {
-        self.splitter.pending_bytes() == 0 && (self.has_event || self.last_event_id.is_some())
+    /// Checks that the body may be complete where the current response ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a resumed stream has not reached the events that the caller has, or if the connection ends a
+    /// stream elsewhere than after an event.
+    fn check_end(
+        &self,
+        response: &StartedResponse,
+        is_event_stream: bool,
+    ) -> Result<(), &'static str> {
+        if !is_event_stream {
+            return Ok(());
+        }
+        self.position.check_end()?;
+        let is_at_event_end = self.splitter.pending_bytes() == 0 && self.position.has_begun();
+        if response.upstream_response.is_unframed() && !is_at_event_end {
+            return Err("the connection ended inside an event");
+        }
+        Ok(())
     }
 
     /// Queues the rest of the body and its end.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod spending_rights;
 pub mod status;
 pub mod store;
+pub mod stream_position;
 pub mod upstream_availability;
 pub mod upstream_beliefs;
 pub mod upstream_client;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,7 @@
 use super::bounds::{bounded, warn_once, MAX_REQUESTS, MAX_TIME_MS};
 use crate::gateway::RequestMeta;
 use crate::placement::{LoadReport, Prompt, PromptPart, PromptParts};
+use crate::upstream_client::EventId;
 use crate::upstream_limits::MAX_LIMIT_MILLI_PER_S;
 use crate::upstream_speed::WORK_PERCENT_BOUNDS;
 
@@ -95,8 +96,17 @@
             .and_then(|value| value.trim().parse().ok()),
         prompt: prompt(headers, input_tokens),
         shared_parts: shared_parts(headers),
-        last_event_id: field_text(headers, &LAST_EVENT_ID)
-            .and_then(|value| value.trim().parse().ok()),
+        last_event_id: last_event_id(headers),
+    }
+}
+
+/// Reads the id of the event after which a caller resumes a stream; `None` if there is none, several, or no number. Such
+/// fields reach the upstream as the caller sent them.
+fn last_event_id(headers: &HeaderMap) -> Option<u64> {
+    let mut values = headers.get_all(&LAST_EVENT_ID).iter();
+    match (values.next(), values.next()) {
+        (Some(value), None) => EventId::parse(value.as_bytes()).number(),
+        _ => None,
     }
 }
 
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -331,7 +331,7 @@
     }
 
     fn process_event(&mut self, event: Event, batch: &mut Vec<Bytes>) -> Result<(), Error> {
-        let index = event.index.unwrap_or(self.source_index);
+        let index = event.id.number().unwrap_or(self.source_index);
         self.source_index = index.saturating_add(1);
         if index < self.next_index || self.is_complete {
             return Ok(());
--- a/src/upstream_client.rs
+++ b/src/upstream_client.rs
@@ -15,7 +15,7 @@
 pub use engine_api::{CacheEvent, CacheEventPage, EngineLoad, OrderRequest, OrderResponse};
 pub(crate) use response::Progress;
 pub use response::UpstreamResponse;
-pub use sse::{Event, EventSplitter};
+pub use sse::{Event, EventId, EventSplitter};
 
 use quick_error::quick_error;
 
--- a/src/upstream_client/sse.rs
+++ b/src/upstream_client/sse.rs
@@ -1,20 +1,88 @@
 //! Splitting of a byte stream into server-sent events.
 
+use std::fmt;
+
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an event; those of engines have some hundred bytes.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Id of an event, which an upstream may have spoilt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventId {
+    /// The event has none.
+    Absent,
+    /// A number in its only decimal form.
+    Number(u64),
+    /// Something else, or several ids. It does not tell which event this is, as a missing one would be told by its
+    /// place.
+    Invalid,
+}
+
+impl EventId {
+    /// Reads an id. A sign, a blank, a leading zero or a number over 64 bits is invalid, because such a text differs in
+    /// one byte from another number, and is not repeated as it is by a header field with the number.
+    pub fn parse(text: &[u8]) -> Self {
+        let is_number = match text {
+            [] => false,
+            [b'0', _, ..] => false,
+            digits => digits.iter().all(u8::is_ascii_digit),
+        };
+        let text = std::str::from_utf8(text).ok().filter(|_| is_number);
+        match text.and_then(|text| text.parse().ok()) {
+            Some(number) => Self::Number(number),
+            None => Self::Invalid,
+        }
+    }
+
+    /// Reads the `id` field among the lines of an event.
+    fn of_event(raw: &[u8]) -> Self {
+        let mut values = lines(raw).filter_map(|line| match line.strip_prefix(b"id")? {
+            [] => Some(&[][..]),
+            [b':', b' ', value @ ..] | [b':', value @ ..] => Some(value),
+            _ => None,
+        });
+        match (values.next(), values.next()) {
+            (None, _) => Self::Absent,
+            (Some(value), None) => Self::parse(value),
+            (Some(_), Some(_)) => Self::Invalid,
+        }
+    }
+
+    /// Returns the number, if this is one.
+    pub fn number(self) -> Option<u64> {
+        match self {
+            Self::Number(number) => Some(number),
+            Self::Absent | Self::Invalid => None,
+        }
+    }
+}
+
+impl fmt::Display for EventId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => formatter.write_str("none"),
+            Self::Number(number) => number.fmt(formatter),
+            Self::Invalid => formatter.write_str("invalid"),
+        }
+    }
+}
+
 /// One server-sent event, including the empty line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
-    /// Index of the event in the response, if it has a numeric `id` field.
-    pub index: Option<u64>,
+    /// Id of the event.
+    pub id: EventId,
     /// The bytes of the event as received.
     pub raw: Bytes,
 }
 
 impl Event {
+    /// Returns whether this consists of comments, which upstreams send to keep a connection open. They are no events.
+    pub fn is_comment(&self) -> bool {
+        lines(&self.raw).all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+
     /// Returns the value of the first `data` field, or nothing if there is none.
     pub fn data(&self) -> &[u8] {
         field(&self.raw, b"data:").unwrap_or_default()
@@ -60,10 +128,8 @@
         };
         self.searched_bytes = 0;
         let raw = self.buffer.split_to(end).freeze();
-        let index = field(&raw, b"id:")
-            .and_then(|text| std::str::from_utf8(text).ok())
-            .and_then(|text| text.parse().ok());
-        Ok(Some(Event { index, raw }))
+        let id = EventId::of_event(&raw);
+        Ok(Some(Event { id, raw }))
     }
 
     /// Takes the bytes after the last complete event.
@@ -92,7 +158,13 @@
 }
 
 fn field<'a>(raw: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
-    raw.split(|&byte| byte == b'\n')
+    lines(raw)
         .find_map(|line| line.strip_prefix(name))
         .map(<[u8]>::trim_ascii)
 }
+
+/// Returns the lines of an event without their ends.
+fn lines(raw: &[u8]) -> impl Iterator<Item = &[u8]> {
+    raw.split(|&byte| byte == b'\n')
+        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
