Count an engine's events by their places, and trust only ids that agree

Callers of a router could get an event twice and lose another one when a request ran again at an engine with one spoilt id, and lose an event beside one without an id.

Cause: the id of an event was its index, whatever its place in the run.

Change: an id has to agree with the place of its event; only the first event of a resumed run may be an earlier one. Otherwise the stream breaks before that event and resumes at its index. If events had no number at first and a later id contradicts their places, the response ends with an error.

--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -7,6 +7,7 @@
 //! While the caller reads slowly, the relay stops reading. If its buffer stays full, it detaches: it closes the
 //! connection to the engine, which keeps the stream, and resumes once the caller has read most of the buffer.
 
+mod run_indexes;
 mod wait;
 
 use std::future::Future;
@@ -27,6 +28,7 @@
 use crate::server::ResponseHead;
 use crate::upstream_client::{Error, Event, EventSplitter, UpstreamResponse};
 
+use run_indexes::RunIndexes;
 use wait::WaitEvent;
 
 /// Time without a byte from an engine after which its stream is resumed on a new connection, or moves to another engine
@@ -69,8 +71,8 @@
     slot: Option<Slot>,
     /// Index of the next event to forward.
     next_index: u64,
-    /// Index of the next event of the open stream, used for events without an index.
-    source_index: u64,
+    /// Indexes of the events of the open stream.
+    indexes: RunIndexes,
     /// Whether the engine of the slot may keep the stream.
     is_resumable: bool,
     /// Whether the relay has ever detached, because the caller read slowly.
@@ -105,7 +107,7 @@
             splitter: EventSplitter::default(),
             slot: None,
             next_index: 0,
-            source_index: 0,
+            indexes: RunIndexes::starting_at(0),
             is_resumable: false,
             was_detached: false,
             has_started: false,
@@ -212,7 +214,7 @@
                 Some(Ok(response)) if response.status() == 200 => {
                     self.is_resumable = true;
                     self.attempts.may_have_run = true;
-                    self.source_index = 0;
+                    self.indexes = RunIndexes::starting_at(0);
                     self.source = Source::Open(response);
                     self.slot = Some(slot);
                     return Ok(());
@@ -242,7 +244,7 @@
         let resumed = self.await_engine(&slot, resumed).await;
         let result = match resumed {
             Some(Ok(response)) if response.status() == 200 => {
-                self.source_index = self.next_index;
+                self.indexes = RunIndexes::starting_at(self.next_index);
                 self.source = Source::Open(response);
                 Ok(true)
             }
@@ -285,6 +287,11 @@
     async fn on_break(&mut self, error: &Error) -> Result<(), Refused> {
         log::info!(step = "relay", request_key:% = self.call.key, index = self.next_index; "{error}");
         self.source = Source::Closed;
+        if !self.indexes.are_reliable() {
+            return Err(self
+                .attempts
+                .failure_refusal("the ids of the events contradict their places"));
+        }
         self.breaks += 1;
         if self.breaks > MAX_STREAM_BREAKS {
             return Err(self
@@ -331,14 +338,18 @@
     }
 
     fn process_event(&mut self, event: Event, batch: &mut Vec<Bytes>) -> Result<(), Error> {
-        let index = event.id.number().unwrap_or(self.source_index);
-        self.source_index = index.saturating_add(1);
-        if index < self.next_index || self.is_complete {
+        if self.is_complete {
             return Ok(());
         }
-        if index > self.next_index {
-            self.forward(&std::mem::take(batch));
-            return Err(broken("the stream has a gap in its event indexes"));
+        let index = match self.indexes.index_of(event.id) {
+            Ok(index) => index,
+            Err(reason) => {
+                self.forward(&std::mem::take(batch));
+                return Err(broken(&reason));
+            }
+        };
+        if index < self.next_index {
+            return Ok(());
         }
         self.next_index += 1;
         if event.is_done() {
