Count no comment of a stream as an event

A team was charged ten tokens for each comment of a stream (a block of lines that begin with a colon), and a router's stream with comments lost the event after one, or ended with an error.

Cause: both roles took everything up to an empty line for an event.

Change: comments are passed on and count nowhere.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -545,9 +545,11 @@
         }
         self.splitter.push(piece);
         while let Some(event) = self.splitter.next_event()? {
-            let is_repeated =
-                !event.is_comment() && self.accept(response, &event)? == Disposition::Repeated;
-            if is_repeated {
+            if event.is_comment() {
+                self.enqueue(&event.raw);
+                continue;
+            }
+            if self.accept(response, &event)? == Disposition::Repeated {
                 continue;
             }
             if !std::mem::replace(&mut self.has_event, true) {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -341,6 +341,15 @@
         if self.is_complete {
             return Ok(());
         }
+        if event.is_comment() {
+            let output = if self.tail.is_empty() {
+                batch
+            } else {
+                &mut self.tail
+            };
+            output.push(event.raw);
+            return Ok(());
+        }
         let index = match self.indexes.index_of(event.id) {
             Ok(index) => index,
             Err(reason) => {
--- a/tests/engine_event_ids.rs
+++ b/tests/engine_event_ids.rs
@@ -156,10 +156,11 @@
     }
 }
 
-/// Guards against a sound stream of an engine that is taken for a spoilt one: without ids, with
+/// Guards against a sound stream of an engine that is taken for a spoilt one: with comments, without ids, with
 /// ids that are no numbers, and one that an engine resumes earlier than it was asked to.
 #[test]
 fn sound_streams_of_engines_are_whole() {
+    let with_comments = |from| engine_events(from, &[]).replace("id:", ": still here\n\nid:");
     let without_ids = |from| {
         let events = engine_events(from, &[]);
         let lines = events.split_inclusive('\n');
@@ -167,7 +168,7 @@
     };
     let with_other_ids = |from| engine_events(from, &[]).replace("id: ", "id: event-");
     let early = |from: u64| engine_events(from.saturating_sub(2), &[]);
-    let streams: [fn(u64) -> String; 3] = [without_ids, with_other_ids, early];
+    let streams: [fn(u64) -> String; 4] = [with_comments, without_ids, with_other_ids, early];
     for (number, stream) in streams.into_iter().enumerate() {
         let whole = stream(0);
         let events: Vec<&str> = whole.split_inclusive("\n\n").collect();
--- a/tests/event_ids.rs
+++ b/tests/event_ids.rs
@@ -422,6 +422,34 @@
     drop(upstreams);
 }
 
+/// Guards against comments, which upstreams send to keep a connection open, that are charged as tokens.
+#[test]
+fn comments_of_a_stream_are_passed_on_and_not_charged() {
+    let comment = ": still here\n\n";
+    let body = comment.repeat(5) + &sound_event(1) + &comment.repeat(3) + &sound_event(2) + comment;
+    let sent = body.clone();
+    let upstream =
+        UpstreamStub::start(move |request, _| Action::Write(whole_stream(request, &sent)));
+    let (_store, gateway) = start_fleet(LARGE_BUDGET, &[&upstream]);
+    for path in ["/stream/1", "/chat/1"] {
+        let request = CallerRequest {
+            id: path,
+            ..stream_request(path)
+        };
+        let response = request.send(&gateway);
+        assert!(response.is_complete, "{response:?}");
+        assert_eq!(response.text(), body, "{response:?}");
+        wait_for("the log line", || !gateway.log_lines_of(path).is_empty());
+        let line = &gateway.log_lines_of(path)[0];
+        // 100 tokens of the prompt and ten for each event.
+        assert_eq!(
+            (&line["events"], &line["charge_tokens"]),
+            (&2.into(), &120.into()),
+            "{line}"
+        );
+    }
+}
+
 /// Guards against a stream that leaves a silent upstream after a spoilt id, and goes on with a gap at another one.
 #[test]
 fn a_silent_stream_with_a_spoilt_id_stays_where_it_is() {
