--- a/src/stream_position.rs
+++ b/src/stream_position.rs
@@ -234,14 +234,15 @@
             Run::Repeating { to, .. } if is_new && to == tail.last => Run::Joined,
             Run::Repeating { .. } => return Err(NOT_REPEATED),
         };
-        if self.run != Run::Joined {
-            return Ok(Disposition::Repeated);
+        if self.run == Run::Joined {
+            self.record(id);
+            return Ok(Disposition::New);
         }
-        self.record(id);
-        Ok(Disposition::New)
+        Ok(Disposition::Repeated)
     }
 
-    /// Checks that the stream may be complete where the present run ends.
+    /// Checks that the present run has reached the last event that the caller has, so that its end may be that of the
+    /// stream.
     ///
     /// # Errors
     ///
--- a/src/upstream_client/sse.rs
+++ b/src/upstream_client/sse.rs
@@ -14,25 +14,21 @@
     Absent,
     /// A number in its only decimal form.
     Number(u64),
-    /// Something else, or several ids. It does not tell which event this is, as a missing one would be told by its
-    /// place.
+    /// A text that is no such number, or several ids.
     Invalid,
 }
 
 impl EventId {
-    /// Reads an id. A sign, a blank, a leading zero or a number over 64 bits is invalid, because such a text differs in
-    /// one byte from another number, and is not repeated as it is by a header field with the number.
+    /// Reads an id. A sign, a blank, a leading zero or a number over 64 bits is invalid: the upstream would not recognise
+    /// such a text by its number in a header field.
     pub fn parse(text: &[u8]) -> Self {
         let is_number = match text {
-            [] => false,
             [b'0', _, ..] => false,
             digits => digits.iter().all(u8::is_ascii_digit),
         };
         let text = std::str::from_utf8(text).ok().filter(|_| is_number);
-        match text.and_then(|text| text.parse().ok()) {
-            Some(number) => Self::Number(number),
-            None => Self::Invalid,
-        }
+        let number = text.and_then(|text| text.parse().ok());
+        number.map_or(Self::Invalid, Self::Number)
     }
 
     /// Reads the `id` field among the lines of an event.
