Forward what precedes a broken event of an engine in one place

The router forwarded the events before one with a wrong id where it found that id, but not those before an event that is too large. All errors of a batch pass the same place now. No change of behaviour that a caller could see: reads are too small for an event that is too large behind others.

The tests of engine_event_ids, http_failures and spoilt_streams pass.

--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -323,10 +323,9 @@
             }
         }
         // The events before a break are forwarded, so that the resumed stream starts after them.
-        while let Some(event) = self.splitter.next_event().map_err(broken)? {
-            self.process_event(event, &mut batch)?;
-        }
+        let processed = self.process_complete_events(&mut batch);
         self.forward(&batch);
+        processed?;
         if is_ended && !self.is_complete {
             return Err(broken("the stream ended without its last event"));
         }
@@ -337,6 +336,14 @@
         }
     }
 
+    /// Processes the events that are complete, up to one that shows that the stream is broken.
+    fn process_complete_events(&mut self, batch: &mut Vec<Bytes>) -> Result<(), Error> {
+        while let Some(event) = self.splitter.next_event().map_err(broken)? {
+            self.process_event(event, batch)?;
+        }
+        Ok(())
+    }
+
     fn process_event(&mut self, event: Event, batch: &mut Vec<Bytes>) -> Result<(), Error> {
         if self.is_complete {
             return Ok(());
@@ -350,13 +357,8 @@
             output.push(event.raw);
             return Ok(());
         }
-        let index = match self.indexes.index_of(event.id) {
-            Ok(index) => index,
-            Err(reason) => {
-                self.forward(&std::mem::take(batch));
-                return Err(broken(&reason));
-            }
-        };
+        let index = self.indexes.index_of(event.id);
+        let index = index.map_err(|reason| broken(&reason))?;
         if index < self.next_index {
             return Ok(());
         }
